--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# The commands of the README. VENV may name an environment that exists already.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: env test lint format run serve
+
+env: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps -e .
+	touch $(STAMP)
+
+lint: env
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: env
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+test: lint
+	$(PYTHON) -m test
--- /dev/null
+++ b/cornelreach/calls/__init__.py
@@ -0,0 +1,1 @@
+"""One caller's request: validation, deadline, stream, resume and claim."""
--- /dev/null
+++ b/cornelreach/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Instances and data centres: membership, leases, drain and take-out."""
--- /dev/null
+++ b/cornelreach/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances and the gRPC shell that carries them."""
--- /dev/null
+++ b/cornelreach/prompts/__init__.py
@@ -0,0 +1,1 @@
+"""Prompt pieces, cache directory, placement, tiers and links."""
--- /dev/null
+++ b/cornelreach/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn and metrics."""
--- /dev/null
+++ b/cornelreach/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Desired configuration: its items, rules, revisions and effective values."""
--- /dev/null
+++ b/cornelreach/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: admission permits, cold start, fairness, breakers and orders."""
--- /dev/null
+++ b/cornelreach/ui/__init__.py
@@ -0,0 +1,1 @@
+"""User interface: the daemon and the operator's commands."""
--- /dev/null
+++ b/cornelreach/util/__init__.py
@@ -0,0 +1,1 @@
+"""Generic parts that know nothing of serving: time, errors, log events, hashing."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems: platform, engines, stores, services."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cornelreach; the layout mirrors the package."""
