--- /dev/null
+++ b/cornelreach/http/messages.py
@@ -0,0 +1,52 @@
+"""Typed HTTP requests and responses shared by the server and the client."""
+
+import typing
+import urllib.parse
+
+import msgspec
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class Request(typing.NamedTuple):
+    """One complete request that a server received."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: Headers
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return the value of a header by its lower-case name, or None."""
+        wanted = name.encode()
+        for key, value in self.headers:
+            if key == wanted:
+                return value.decode("latin-1")
+        return None
+
+
+class Response(typing.NamedTuple):
+    """One answer; ``stream`` replaces ``body`` where the answer arrives in parts."""
+
+    status: int
+    body: bytes = b""
+    headers: Headers = ()
+    stream: typing.AsyncIterator[bytes] | None = None
+    close: bool = False
+
+
+def split_target(target: bytes) -> tuple[str, dict[str, str]]:
+    """Split a request target into its decoded path and its query fields."""
+    parts = urllib.parse.urlsplit(target.decode("latin-1"))
+    query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
+    return urllib.parse.unquote(parts.path), query
+
+
+def json_response(
+    status: int, value: object, headers: Headers = (), close: bool = False
+) -> Response:
+    """Return a response whose body is a value encoded as JSON."""
+    kind = ((b"content-type", b"application/json"),)
+    body = msgspec.json.encode(value)
+    return Response(status, body, kind + headers, close=close)
--- /dev/null
+++ b/cornelreach/http/server.py
@@ -0,0 +1,335 @@
+"""HTTP/1.1 server over asyncio and h11.
+
+A server hands each complete request to one coroutine and writes back its answer::
+
+    async def handle(request):
+        return messages.json_response(200, {"ok": True})
+
+    running = await server.start("127.0.0.1", 8080, handle)
+"""
+
+import asyncio
+import contextlib
+import ssl
+import typing
+
+import h11
+
+from cornelreach.http import limits as limits_module, messages
+from cornelreach.util import errors, events
+
+READ_BYTES = 65_536
+DRAIN_BYTES = 65_536
+
+HANDLER_FAILED = events.define(
+    1001, "ERROR", "Handler failed: {error}.", "Report it with the log line."
+)
+
+Handler = typing.Callable[[messages.Request], typing.Awaitable[messages.Response]]
+
+
+class PeerGone(Exception):
+    """The other end closed or reset the connection."""
+
+
+class Refused(Exception):
+    """A request that is answered with a refusal before any handler sees it."""
+
+    def __init__(self, refusal: errors.Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+def refusal_response(refusal: errors.Refusal, close: bool = False) -> messages.Response:
+    """Return the response that carries a typed refusal to a caller.
+
+    The body is ``{"error": {code, message, remedy, ran, retry_after_ms}}``.
+    """
+    headers: messages.Headers = ()
+    if refusal.retry_after_ms is not None:
+        seconds = max(1, -(-refusal.retry_after_ms // 1_000))
+        headers = ((b"retry-after", str(seconds).encode()),)
+    value = {"error": refusal._asdict()}
+    return messages.json_response(refusal.status, value, headers, close)
+
+
+class Connection:
+    """One accepted connection: reads requests in turn and writes each answer."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: Handler,
+        limits: limits_module.Limits,
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.handler = handler
+        self.limits = limits
+        self.closing = False
+        self.busy = False
+        self.h11 = h11.Connection(h11.SERVER, limits.header_bytes)
+
+    async def run(self) -> None:
+        """Serve requests until either end closes."""
+        try:
+            while await self._serve_one():
+                self.h11.start_next_cycle()
+        except (PeerGone, ConnectionError, h11.LocalProtocolError, ssl.SSLError):
+            pass
+        finally:
+            self.writer.close()
+            with contextlib.suppress(Exception):
+                await self.writer.wait_closed()
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except Refused as refused:
+            if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                await self._write(refusal_response(refused.refusal, close=True))
+            return False
+        if request is None:
+            return False
+        self.busy = True
+        try:
+            await self._answer(request)
+        finally:
+            self.busy = False
+        reusable = self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+        return reusable and not self.closing
+
+    async def _answer(self, request: messages.Request) -> None:
+        task = asyncio.ensure_future(self._handle_and_write(request))
+        watch = asyncio.ensure_future(self._watch_peer())
+        try:
+            await asyncio.wait({task, watch}, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
+                raise PeerGone
+            task.result()
+        finally:
+            for pending in (task, watch):
+                pending.cancel()
+            await asyncio.gather(task, watch, return_exceptions=True)
+
+    async def _handle_and_write(self, request: messages.Request) -> None:
+        await self._write(await self._result(request))
+
+    async def _result(self, request: messages.Request) -> messages.Response:
+        try:
+            return await self.handler(request)
+        except Refused as refused:
+            return refusal_response(refused.refusal)
+        except Exception as error:
+            events.emit(HANDLER_FAILED, error=repr(error))
+            refusal = errors.Refusal(
+                errors.Code.TARGET_FAILED,
+                "the instance met an internal error",
+                "report the time of the call to the operators",
+                errors.Ran.UNKNOWN,
+            )
+            return refusal_response(refusal, close=True)
+
+    async def _watch_peer(self) -> None:
+        # A caller that hangs up cancels its call. Pipelined bytes go to h11, which
+        # keeps them for the next cycle.
+        kept_bytes = 0
+        while kept_bytes < self.limits.header_bytes:
+            data = await self.reader.read(READ_BYTES)
+            self.h11.receive_data(data)
+            kept_bytes += len(data)
+            if not data:
+                return
+        await asyncio.Event().wait()
+
+    async def _read_request(self) -> messages.Request | None:
+        head = await self._next_head()
+        if head is None:
+            return None
+        headers = tuple((bytes(key), bytes(value)) for key, value in head.headers)
+        self._refuse_ambiguous_length(headers)
+        body = await self._timed(
+            self._read_body(), self.limits.body_wait_ms, "the request body"
+        )
+        path, query = messages.split_target(head.target)
+        return messages.Request(head.method.decode(), path, query, headers, body)
+
+    def _refuse_ambiguous_length(self, headers: messages.Headers) -> None:
+        # h11 lets Transfer-Encoding win over Content-Length; a proxy in front may
+        # not, which is how requests are smuggled.
+        names = {key for key, _ in headers}
+        if {b"content-length", b"transfer-encoding"} <= names:
+            refusal = errors.Refusal(
+                errors.Code.BAD_REQUEST,
+                "both Content-Length and Transfer-Encoding were sent",
+                "send one of the two",
+            )
+            raise Refused(refusal)
+
+    async def _next_head(self) -> h11.Request | None:
+        event = self._next_event()
+        if event is h11.NEED_DATA and not self.h11.trailing_data[0]:
+            try:
+                async with asyncio.timeout(self.limits.idle_ms / 1_000):
+                    await self._feed()
+            except TimeoutError:
+                return None
+            event = self._next_event()
+        if event is h11.NEED_DATA:
+            wait_ms = self.limits.header_wait_ms
+            event = await self._timed(self._until_event(), wait_ms, "the header")
+        return event if isinstance(event, h11.Request) else None
+
+    async def _until_event(self) -> object:
+        while (event := self._next_event()) is h11.NEED_DATA:
+            await self._feed()
+        return event
+
+    async def _read_body(self) -> bytes:
+        chunks = bytearray()
+        if self.h11.they_are_waiting_for_100_continue:
+            proceed = h11.InformationalResponse(status_code=100, headers=[])
+            self.writer.write(self.h11.send(proceed))
+        while True:
+            event = await self._until_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(chunks)
+            if not isinstance(event, h11.Data):
+                raise PeerGone
+            chunks += event.data
+            if len(chunks) > self.limits.body_bytes:
+                raise Refused(
+                    errors.Refusal(
+                        errors.Code.TOO_LARGE,
+                        f"the body exceeds {self.limits.body_bytes} bytes",
+                        "send a shorter body",
+                    )
+                )
+
+    async def _timed(
+        self, work: typing.Awaitable[typing.Any], wait_ms: int, what: str
+    ) -> typing.Any:
+        try:
+            async with asyncio.timeout(wait_ms / 1_000):
+                return await work
+        except TimeoutError:
+            refusal = errors.Refusal(
+                errors.Code.TOO_SLOW,
+                f"{what} did not arrive within {wait_ms} ms",
+                "send the whole request without pauses",
+            )
+            raise Refused(refusal) from None
+
+    def _next_event(self) -> object:
+        try:
+            return self.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            large = error.error_status_hint == 431
+            code = errors.Code.TOO_LARGE if large else errors.Code.BAD_REQUEST
+            refusal = errors.Refusal(
+                code, f"malformed HTTP: {error}", "send well-formed HTTP/1.1"
+            )
+            raise Refused(refusal) from None
+
+    async def _feed(self) -> None:
+        data = await self.reader.read(READ_BYTES)
+        self.h11.receive_data(data)
+
+    async def _write(self, response: messages.Response) -> None:
+        headers = list(response.headers)
+        if response.stream is None:
+            headers.append((b"content-length", str(len(response.body)).encode()))
+        else:
+            headers.append((b"transfer-encoding", b"chunked"))
+        if response.close or self.closing:
+            headers.append((b"connection", b"close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        self.writer.write(self.h11.send(head))
+        if response.stream is None:
+            self.writer.write(self.h11.send(h11.Data(data=response.body)))
+        else:
+            await self._write_stream(response.stream)
+        self.writer.write(self.h11.send(h11.EndOfMessage()))
+        await self._drain()
+
+    async def _write_stream(self, stream: typing.AsyncIterator[bytes]) -> None:
+        async with contextlib.aclosing(stream):
+            async for part in stream:
+                if self.writer.is_closing():
+                    raise PeerGone
+                self.writer.write(self.h11.send(h11.Data(data=part)))
+                if self.writer.transport.get_write_buffer_size() > DRAIN_BYTES:
+                    await self._drain()
+
+    async def _drain(self) -> None:
+        try:
+            async with asyncio.timeout(self.limits.write_wait_ms / 1_000):
+                await self.writer.drain()
+        except TimeoutError:
+            self.writer.transport.abort()
+            raise PeerGone from None
+
+
+class Server:
+    """A listening address and its open connections."""
+
+    def __init__(self, handler: Handler, limits: limits_module.Limits) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[Connection] = set()
+        self.listener: asyncio.Server | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return self.listener.sockets[0].getsockname()[1]
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection; beyond the limit it is closed at once."""
+        connection = Connection(reader, writer, self.handler, self.limits)
+        if len(self.connections) >= self.limits.connections:
+            writer.close()
+            return
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        except asyncio.CancelledError:
+            writer.close()
+        finally:
+            self.connections.discard(connection)
+
+    def stop_listening(self) -> None:
+        """Turn new connections away and close idle ones; calls in progress go on."""
+        self.listener.close()
+        for connection in self.connections:
+            connection.closing = True
+            if not connection.busy:
+                connection.writer.close()
+
+    async def drained(self) -> None:
+        """Wait until the last connection has closed."""
+        while self.connections:
+            await asyncio.sleep(0.02)
+
+    def abort(self) -> None:
+        """Cut off every connection that is still open."""
+        for connection in self.connections:
+            connection.writer.transport.abort()
+
+
+async def start(
+    host: str,
+    port: int,
+    handler: Handler,
+    limits: limits_module.Limits | None = None,
+    tls: ssl.SSLContext | None = None,
+) -> Server:
+    """Listen on an address; port 0 takes a free one."""
+    server = Server(handler, limits or limits_module.Limits())
+    server.listener = await asyncio.start_server(
+        server.accept, host, port, ssl=tls, backlog=1_024
+    )
+    return server
--- /dev/null
+++ b/test/http/test_server.py
@@ -0,0 +1,99 @@
+"""Tests of the HTTP server and client against each other and raw sockets."""
+
+import asyncio
+import unittest
+
+from cornelreach.http import client, limits, messages, server
+
+SMALL = limits.Limits(
+    header_bytes=2_000, body_bytes=1_000, header_wait_ms=50, body_wait_ms=50
+)
+
+
+async def echo(request):
+    """Answer with the request's own body; ``/stream`` answers in three parts."""
+    if request.path == "/stream":
+        return messages.Response(200, stream=_parts())
+    if request.path == "/slow":
+        await asyncio.sleep(0.05)
+    return messages.Response(200, request.body)
+
+
+async def _parts():
+    for part in (b"one ", b"two ", b"three"):
+        yield part
+
+
+async def raw(port, data):
+    """Send raw bytes and return everything that comes back."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return answer
+
+
+class ServerAndClient(unittest.IsolatedAsyncioTestCase):
+    """Whole exchanges on loopback."""
+
+    async def asyncSetUp(self):
+        self.server = await server.start("127.0.0.1", 0, echo, SMALL)
+        self.address = client.Address("127.0.0.1", self.server.port)
+        self.client = client.Client()
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        self.server.stop_listening()
+        self.server.abort()
+
+    async def test_reuses_a_connection_and_streams(self):
+        for _ in range(3):
+            status, body, _ = await self.client.call(
+                self.address, "POST", "/", b"hello"
+            )
+            self.assertEqual((status, body), (200, b"hello"))
+        self.assertEqual(len(self.server.connections), 1)
+        status, body, _ = await self.client.call(self.address, "GET", "/stream")
+        self.assertEqual(body, b"one two three")
+
+    async def test_concurrent_answers_reach_their_own_callers(self):
+        bodies = [str(number).encode() for number in range(30)]
+        paths = ["/slow" if number % 3 else "/" for number in range(30)]
+        calls = [
+            self.client.call(self.address, "POST", path, body)
+            for path, body in zip(paths, bodies, strict=True)
+        ]
+        answers = await asyncio.gather(*calls)
+        self.assertEqual([body for _, body, _ in answers], bodies)
+
+    async def test_refuses_malformed_oversized_and_slow_requests(self):
+        cases = {
+            b"nonsense\r\n\r\n": b"400",
+            b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 3_000: b"413",
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n"
+            + b"z" * 2_000: b"413",
+            b"GET / HTTP/1.1\r\nhost:": b"408",
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nab": b"408",
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n": b"400",
+        }
+        for sent, status in cases.items():
+            answer = await raw(self.server.port, sent)
+            self.assertIn(status, answer.split(b"\r\n")[0], sent[:60])
+            self.assertIn(b"remedy", answer)
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        one = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\none"
+        two = one.replace(b"one", b"two").replace(b"host", b"connection: close\r\nhost")
+        answer = await raw(self.server.port, one + two)
+        self.assertLess(answer.index(b"one"), answer.index(b"two"))
+
+    async def test_graceful_stop_finishes_the_call_in_progress(self):
+        call = asyncio.ensure_future(
+            self.client.call(self.address, "POST", "/slow", b"kept")
+        )
+        await asyncio.sleep(0.01)
+        self.server.stop_listening()
+        status, body, _ = await call
+        self.assertEqual((status, body), (200, b"kept"))
+        await asyncio.wait_for(self.server.drained(), 5)
