--- /dev/null
+++ b/cornelreach/peers/wire.py
@@ -0,0 +1,191 @@
+"""gRPC transport between instances: generic unary methods with msgspec messages.
+
+A method pairs a request type with a reply type, both NamedTuples::
+
+    PING = wire.Method("Ping", Ping, Pong)
+    server.register(PING, handler)
+    reply = await client.call(address, PING, Ping(1), wait_ms=500)
+
+Every message travels in an envelope with its sender and the sender's settings
+revision, so that any exchange shows a peer that it is behind.
+"""
+
+import typing
+
+import grpc
+import msgspec
+from returns import result
+
+from cornelreach.util import events
+
+SERVICE = "cornelreach.Peer"
+MESSAGE_BYTES = 4 * 1_048_576
+CHANNEL_OPTIONS = (
+    ("grpc.max_receive_message_length", MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MESSAGE_BYTES),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.so_reuseport", 0),
+)
+
+PEER_HANDLER_FAILED = events.define(
+    1701,
+    "ERROR",
+    "Peer method {method} failed: {error}.",
+    "Report it with the log line.",
+)
+
+Request = typing.TypeVar("Request")
+Reply = typing.TypeVar("Reply")
+
+
+class Sender(typing.NamedTuple):
+    """Who sent a message: name, data centre, boot identity, settings revision."""
+
+    name: str
+    data_centre: str
+    boot: str
+    revision: int
+
+
+class PeerLost(typing.NamedTuple):
+    """A peer did not answer; whether it received the message is not known."""
+
+    address: str
+    reason: str
+
+
+class Method(typing.Generic[Request, Reply]):
+    """One unary method: its name and the types of its two messages."""
+
+    def __init__(self, name: str, request: type[Request], reply: type[Reply]) -> None:
+        self.name = name
+        self.path = f"/{SERVICE}/{name}"
+        self.request_decoder = msgspec.msgpack.Decoder(tuple[Sender, request])
+        self.reply_decoder = msgspec.msgpack.Decoder(tuple[Sender, reply])
+
+
+Handler = typing.Callable[[Sender, typing.Any], typing.Awaitable[typing.Any]]
+SenderSource = typing.Callable[[], Sender]
+SenderHook = typing.Callable[[Sender], None]
+
+
+class Server:
+    """Answers the methods that parts of an instance register."""
+
+    def __init__(self, sender: SenderSource, on_sender: SenderHook) -> None:
+        self._sender = sender
+        self._on_sender = on_sender
+        self._methods: dict[str, grpc.RpcMethodHandler] = {}
+        self._server: grpc.aio.Server | None = None
+        self.port = 0
+
+    def register(self, method: Method, handler: Handler) -> None:
+        """Answer a method with a coroutine of (sender, request)."""
+
+        async def serve(data: bytes, context: grpc.aio.ServicerContext) -> bytes:
+            try:
+                sender, request = method.request_decoder.decode(data)
+            except msgspec.MsgspecError as error:
+                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+            self._on_sender(sender)
+            reply = await self._run(method, handler, sender, request)
+            return msgspec.msgpack.encode((self._sender(), reply))
+
+        self._methods[method.name] = grpc.unary_unary_rpc_method_handler(serve)
+
+    async def _run(
+        self, method: Method, handler: Handler, sender: Sender, request: object
+    ) -> object:
+        try:
+            return await handler(sender, request)
+        except Exception as error:
+            events.emit(PEER_HANDLER_FAILED, method=method.name, error=repr(error))
+            raise
+
+    async def start(
+        self, address: str, credentials: grpc.ServerCredentials | None = None
+    ) -> None:
+        """Listen on ``host:port``; port 0 takes a free one."""
+        self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
+        generic = grpc.method_handlers_generic_handler(SERVICE, self._methods)
+        self._server.add_generic_rpc_handlers((generic,))
+        if credentials is None:
+            self.port = self._server.add_insecure_port(address)
+        else:
+            self.port = self._server.add_secure_port(address, credentials)
+        await self._server.start()
+
+    async def stop(self, grace_ms: float) -> None:
+        """Finish calls in progress for at most a grace time, then close."""
+        if self._server is not None:
+            await self._server.stop(grace_ms / 1_000)
+
+
+class Client:
+    """Calls methods of peers over one channel an address."""
+
+    def __init__(
+        self,
+        sender: SenderSource,
+        on_sender: SenderHook,
+        credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
+        self._sender = sender
+        self._on_sender = on_sender
+        self._credentials = credentials
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._calls: dict[tuple[str, str], grpc.aio.UnaryUnaryMultiCallable] = {}
+
+    async def call(
+        self,
+        address: str,
+        method: Method[Request, Reply],
+        request: Request,
+        wait_ms: float,
+    ) -> result.Result[Reply, PeerLost]:
+        """Send one request and return the reply, or PeerLost after a bounded wait."""
+        data = msgspec.msgpack.encode((self._sender(), request))
+        try:
+            answer = await self._callable(address, method)(data, timeout=wait_ms / 1e3)
+            sender, reply = method.reply_decoder.decode(answer)
+        except grpc.aio.AioRpcError as error:
+            reason = f"{error.code().name}: {error.details()}"
+            return result.Failure(PeerLost(address, reason))
+        except msgspec.MsgspecError as error:
+            return result.Failure(PeerLost(address, str(error)))
+        self._on_sender(sender)
+        return result.Success(reply)
+
+    def _callable(
+        self, address: str, method: Method
+    ) -> grpc.aio.UnaryUnaryMultiCallable:
+        key = (address, method.path)
+        if key not in self._calls:
+            self._calls[key] = self._channel(address).unary_unary(method.path)
+        return self._calls[key]
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        if address not in self._channels:
+            options = CHANNEL_OPTIONS
+            if self._credentials is None:
+                channel = grpc.aio.insecure_channel(address, options)
+            else:
+                channel = grpc.aio.secure_channel(address, self._credentials, options)
+            self._channels[address] = channel
+        return self._channels[address]
+
+    async def forget(self, address: str) -> None:
+        """Close the channel of a peer that has left."""
+        channel = self._channels.pop(address, None)
+        self._calls = {
+            key: call for key, call in self._calls.items() if key[0] != address
+        }
+        if channel is not None:
+            await channel.close()
+
+    async def close(self) -> None:
+        """Close every channel."""
+        for address in list(self._channels):
+            await self.forget(address)
