--- /dev/null
+++ b/test/prompts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of prompt pieces, the cache directory and placement."""
