--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -29,7 +29,10 @@
 
 
 class PeerGone(Exception):
-    """The other end closed or reset the connection."""
+    """The other end closed the connection.
+
+    A handler that raises it has the connection closed without an answer.
+    """
 
 
 class Refused(Exception):
@@ -121,6 +124,8 @@
             return await self.handler(request)
         except Refused as refused:
             return refusal_response(refused.refusal)
+        except PeerGone:
+            raise
         except Exception as error:
             events.emit(HANDLER_FAILED, error=repr(error))
             refusal = errors.Refusal(
