--- /dev/null
+++ b/cornelreach/platform/results.py
@@ -0,0 +1,140 @@
+"""Typed answers of the platform's object API, and the interface that gives them.
+
+Every call returns ``returns.result.Result``. A write has three ends: Success, a
+failure that is known not to have taken effect, or ``OutcomeUnknown``::
+
+    match await objects.put(key, value, if_version=7):
+        case result.Success(version): ...
+        case result.Failure(results.Conflict(version=current)): ...
+        case result.Failure(results.OutcomeUnknown()): ...  # read back
+"""
+
+import typing
+
+from returns import result
+
+
+class Record(typing.NamedTuple):
+    """One object; ``value`` is decoded JSON, None where the object is deleted."""
+
+    key: str
+    version: int
+    value: typing.Any
+
+
+class Listing(typing.NamedTuple):
+    """All objects under a prefix, complete as of ``revision``."""
+
+    revision: int
+    records: tuple[Record, ...]
+
+
+class Changes(typing.NamedTuple):
+    """Changes after a revision, up to and including ``revision``."""
+
+    revision: int
+    records: tuple[Record, ...]
+
+
+class Instance(typing.NamedTuple):
+    """An entry of the platform's lagging list; ``state`` is live or leaving."""
+
+    name: str
+    data_centre: str
+    peer_address: str
+    state: str = "live"
+
+
+class Conflict(typing.NamedTuple):
+    """A conditional write found another version; 0 stands for no object."""
+
+    key: str
+    version: int
+    remedy: str = "read the object again and decide anew"
+
+    @property
+    def message(self) -> str:
+        """Return what happened."""
+        return f"object {self.key} is at version {self.version}"
+
+
+class NotFound(typing.NamedTuple):
+    """There is no object with that key."""
+
+    key: str
+    remedy: str = "check the key"
+
+    @property
+    def message(self) -> str:
+        """Return what happened."""
+        return f"object {self.key} does not exist"
+
+
+class Unavailable(typing.NamedTuple):
+    """The call was not carried out; it can be repeated after ``retry_after_ms``."""
+
+    message: str
+    retry_after_ms: int = 1_000
+    remedy: str = "repeat the call later"
+
+
+class OutcomeUnknown(typing.NamedTuple):
+    """A write was sent and its answer was lost; it may still take effect."""
+
+    key: str
+    message: str
+    remedy: str = "read the object back before deciding"
+
+
+class Compacted(typing.NamedTuple):
+    """The platform no longer holds the changes since that revision."""
+
+    since: int
+    remedy: str = "list the prefix again"
+
+    @property
+    def message(self) -> str:
+        """Return what happened."""
+        return f"changes since revision {self.since} are compacted"
+
+
+class Rejected(typing.NamedTuple):
+    """The platform refuses the call as such, for instance a value above 1 MB."""
+
+    message: str
+    remedy: str = "send a smaller or well-formed value"
+
+
+ReadError = NotFound | Unavailable | Rejected
+WriteError = Conflict | NotFound | Unavailable | OutcomeUnknown | Rejected
+WatchError = Compacted | Unavailable | Rejected
+
+
+class Objects(typing.Protocol):
+    """The object API as decision shells see it; tests pass a small fake."""
+
+    async def get(self, key: str) -> result.Result[Record, ReadError]:
+        """Return one object."""
+
+    async def put(
+        self,
+        key: str,
+        value: typing.Any,
+        if_version: int | None = None,
+        if_absent: bool = False,
+    ) -> result.Result[int, WriteError]:
+        """Write one object on a condition and return its new version."""
+
+    async def delete(self, key: str, if_version: int) -> result.Result[int, WriteError]:
+        """Delete one object at a version and return the version of the deletion."""
+
+    async def list(self, prefix: str) -> result.Result[Listing, ReadError]:
+        """Return every object under a prefix."""
+
+    async def watch(
+        self, prefix: str, since: int, wait_ms: int
+    ) -> result.Result[Changes, WatchError]:
+        """Wait for changes after a revision; none may come within ``wait_ms``."""
+
+    async def instances(self) -> result.Result[tuple[Instance, ...], ReadError]:
+        """Return the lagging list of instances."""
--- /dev/null
+++ b/test/platform/objects.py
@@ -0,0 +1,125 @@
+"""An object store in memory with the platform's conditions and faults.
+
+``Store`` is synchronous, so that virtual-time tests can call it; ``Fake`` gives it the
+asyncio interface of ``results.Objects``.
+"""
+
+import asyncio
+
+from returns import result
+
+from cornelreach.platform import results
+
+
+class Store:
+    """Versioned objects, with the whole history of their changes."""
+
+    def __init__(self):
+        self.revision = 0
+        self.records = {}
+        self.history = []
+        self.compacted = 0
+
+    def write(self, key, value, if_version):
+        """Apply a conditional write; a value of None deletes."""
+        current = self.records.get(key)
+        held = current.version if current else 0
+        if held != if_version:
+            return result.Failure(results.Conflict(key, held))
+        self.revision += 1
+        record = results.Record(key, self.revision, value)
+        self.history.append(record)
+        if value is None:
+            self.records.pop(key, None)
+        else:
+            self.records[key] = record
+        return result.Success(self.revision)
+
+    def read(self, key):
+        """Return an object."""
+        if key not in self.records:
+            return result.Failure(results.NotFound(key))
+        return result.Success(self.records[key])
+
+    def listing(self, prefix):
+        """Return the objects under a prefix."""
+        found = [self.records[key] for key in sorted(self.records)]
+        kept = tuple(record for record in found if record.key.startswith(prefix))
+        return results.Listing(self.revision, kept)
+
+    def changes(self, prefix, since):
+        """Return the changes after a revision."""
+        if since < self.compacted:
+            return result.Failure(results.Compacted(since))
+        kept = tuple(
+            record
+            for record in self.history
+            if record.version > since and record.key.startswith(prefix)
+        )
+        return result.Success(results.Changes(self.revision, kept))
+
+
+class Fake:
+    """The asyncio interface; ``faults`` holds one entry for each call to come.
+
+    An entry is None, ``away`` (not carried out) or ``lost`` (carried out, no answer).
+    """
+
+    def __init__(self, store=None):
+        self.store = store or Store()
+        self.faults = []
+        self.before_write = []
+        self.entries = ()
+        self.calls = []
+
+    def _fault(self, kind):
+        self.calls.append(kind)
+        return self.faults.pop(0) if self.faults else None
+
+    async def get(self, key):
+        """Return one object."""
+        if self._fault("get"):
+            return result.Failure(results.Unavailable("away"))
+        return self.store.read(key)
+
+    async def put(self, key, value, if_version=None, if_absent=False):
+        """Write on a condition."""
+        return self._write("put", key, value, 0 if if_absent else if_version)
+
+    async def delete(self, key, if_version):
+        """Delete on a condition."""
+        return self._write("delete", key, None, if_version)
+
+    def _write(self, kind, key, value, if_version):
+        fault = self._fault(kind)
+        if fault == "away":
+            return result.Failure(results.Unavailable("away"))
+        if self.before_write:
+            self.before_write.pop(0)()
+        if fault == "unsent":
+            return result.Failure(results.OutcomeUnknown(key, "lost"))
+        outcome = self.store.write(key, value, if_version)
+        if fault == "lost":
+            return result.Failure(results.OutcomeUnknown(key, "lost"))
+        return outcome
+
+    async def list(self, prefix):
+        """Return all objects under a prefix."""
+        if self._fault("list"):
+            return result.Failure(results.Unavailable("away"))
+        return result.Success(self.store.listing(prefix))
+
+    async def watch(self, prefix, since, wait_ms):
+        """Return changes, waiting a little when there are none."""
+        if self._fault("watch"):
+            return result.Failure(results.Unavailable("away"))
+        found = self.store.changes(prefix, since)
+        if isinstance(found, result.Success) and not found.unwrap().records:
+            await asyncio.sleep(0.001)
+        return found
+
+    async def instances(self):
+        """Return the list of instances."""
+        if self._fault("instances"):
+            return result.Failure(results.Unavailable("away"))
+        return result.Success(self.entries)
