--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,281 @@
+"""A stand-in model engine over HTTP.
+
+Usage:
+  engine --name=NAME [options]
+
+Options:
+  --name=NAME               Name of the engine.
+  --port=PORT               Port on loopback; 0 takes a free one. [default: 0]
+  --model=MODEL             Model served; one with "draft" in it writes notices.
+                            [default: reader]
+  --version=VERSION         Weight version loaded at the start. [default: 1]
+  --max-sequences=N         Sequences that run together. [default: 16]
+  --prefill-rate=N          Prefill, in tokens a second. [default: 8000]
+  --cache-tokens=N          Memory of the prefix cache. [default: 200000]
+  --bytes-per-token=N       KV bytes of one token. [default: 1000]
+  --link-rate=N             Link, in bytes a second. [default: 50000000]
+  --cold-sequences=N        Sequences borne while cold. [default: 1]
+  --cold-ms=MS              Service after which it is warm. [default: 5000]
+  --warm                    Start warm.
+  --boot-lag=MS             Wait before serving. [default: 0]
+  --report-ms=MS            Lag of the load report. [default: 500]
+  --event-lag-ms=MS         Lag of cache events. [default: 200]
+  --event-gaps=SHARE        Share of cache events lost. [default: 0]
+  --event-repeats=SHARE     Share of cache events repeated. [default: 0]
+  --checks-fence            Refuse an order with an older fence.
+  --ignores-boot            Do not honour If-Match.
+  --speed=FACTOR            Run faster than real time. [default: 1]
+  --seed=SEED               Seed of the event faults. [default: 0]
+"""
+
+import asyncio
+import os
+import typing
+
+import docopt
+import msgspec
+
+from cornelreach.http import client as client_module, messages
+from standins import answers, enginemodel, kvcache, kvhttp, linkmodel, shells
+
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_ANSWER_TOKENS = 64
+POLL_MS = 20.0
+STATUS = {
+    enginemodel.Rejection.FULL: 429,
+    enginemodel.Rejection.BOOT: 412,
+    enginemodel.Rejection.VERSION: 409,
+    enginemodel.Rejection.DUPLICATE: 409,
+    enginemodel.Rejection.STALE_FENCE: 409,
+}
+
+
+class Engine:
+    """The calls of one engine, see docs/ARCHITECTURE.md."""
+
+    def __init__(
+        self,
+        settings: enginemodel.Settings,
+        timers: shells.ScaledTimers,
+        link: linkmodel.Link,
+    ) -> None:
+        boot = f"{settings.name}-{os.urandom(4).hex()}"
+        self.model = enginemodel.Engine(settings, timers, boot)
+        self.timers = timers
+        self.answers: dict[str, list[str]] = {}
+        self.routes = shells.Routes(self._headers)
+        self.blocks = kvhttp.Blocks(self, link, client_module.Client())
+        self._add_routes()
+
+    def _headers(self) -> messages.Headers:
+        return ((b"x-boot-id", self.model.boot_id.encode()),)
+
+    def _add_routes(self) -> None:
+        add = self.routes.add
+        add("POST", "/v1/chat/completions", self.complete)
+        add("GET", "/v1/runs/([^/]+)/events", self.resume)
+        add("POST", "/v1/runs/([^/]+)/cancel", self.cancel)
+        add("GET", "/v1/state", self.state)
+        add("GET", "/v1/cache/events", self.cache_events)
+        add("GET", "/v1/cache", self.cache)
+        add("POST", "/v1/orders", self.order)
+        add("POST", "/control/faults", self.faults)
+        self.blocks.add_routes(self.routes)
+
+    async def complete(self, request: messages.Request) -> messages.Response:
+        """Run one chat completion, as one JSON answer or a stream of events."""
+        call = shells.body(request)
+        work, words = self._work(call)
+        try:
+            run = self.model.submit(work, request.header("if-match"))
+        except enginemodel.Rejected as rejected:
+            return shells.failure(STATUS[rejected.kind], rejected.kind)
+        self.answers[work.run] = words
+        if call.get("stream"):
+            return self._streamed(run, 0)
+        await self._ended(run)
+        if run.outcome != "stop":
+            return shells.failure(500, run.outcome)
+        message = {"role": "assistant", "content": " ".join(words)}
+        choice = {"index": 0, "message": message, "finish_reason": run.outcome}
+        value = {"id": work.run, "choices": [choice], "usage": _usage(run)}
+        return messages.json_response(200, value)
+
+    def _work(self, call: dict[str, typing.Any]) -> tuple[enginemodel.Work, list[str]]:
+        message = call["messages"][-1]["content"]
+        run = call.get("run") or os.urandom(8).hex()
+        length = call.get("max_tokens") or DEFAULT_ANSWER_TOKENS
+        words = answers.words(self.model.settings.model, run, message, length)
+        pieces = tuple(
+            enginemodel.Piece(piece["key"], piece["tokens"])
+            for piece in call.get("pieces") or ()
+        )
+        characters = sum(len(each["content"]) for each in call["messages"])
+        tail = characters // CHARACTERS_PER_TOKEN - sum(p.tokens for p in pieces)
+        version = call.get("version") or self.model.version
+        priority = call.get("priority") or 0
+        work = enginemodel.Work(
+            run, pieces, max(0, tail), len(words), priority, version
+        )
+        return work, words
+
+    async def _ended(self, run: enginemodel.Run) -> None:
+        done = asyncio.Event()
+        run.watch(lambda: run.outcome and done.set())
+        if run.outcome is None:
+            await done.wait()
+
+    def _streamed(self, run: enginemodel.Run, after: int) -> messages.Response:
+        headers = ((b"content-type", b"text/event-stream"),)
+        return messages.Response(200, headers=headers, stream=self._events(run, after))
+
+    async def _events(
+        self, run: enginemodel.Run, after: int
+    ) -> typing.AsyncIterator[bytes]:
+        moved = asyncio.Event()
+        run.watch(moved.set)
+        words = self.answers[run.work.run]
+        sent = after
+        try:
+            while True:
+                moved.clear()
+                while sent < run.emitted:
+                    sent += 1
+                    yield _event(sent, run, {"content": words[sent - 1] + " "})
+                if run.outcome is not None:
+                    break
+                await moved.wait()
+        finally:
+            run.unwatch(moved.set)
+        if run.outcome == "failed":
+            raise ConnectionResetError("the engine fell over")
+        yield _event(run.emitted + 1, run, {}, run.outcome)
+        yield b"data: [DONE]\n\n"
+
+    async def resume(self, request: messages.Request, name: str) -> messages.Response:
+        """Stream the events of a run after the one named by ``from``."""
+        run = self.model.runs.get(name)
+        if run is None or run.outcome == "failed":
+            return shells.failure(404, "not_found", name)
+        return self._streamed(run, int(request.query.get("from", "0")))
+
+    async def cancel(self, request: messages.Request, name: str) -> messages.Response:
+        """Cancel a run; cancelling twice is harmless."""
+        return messages.json_response(200, {"cancelled": self.model.cancel(name)})
+
+    async def state(self, request: messages.Request) -> messages.Response:
+        """Answer the lagging load report."""
+        return messages.json_response(200, self.model.state())
+
+    async def cache_events(self, request: messages.Request) -> messages.Response:
+        """Answer the cache events after ``since``, waiting up to ``wait_ms``."""
+        since = int(request.query.get("since", "0"))
+        until_ms = self.timers.now_ms() + float(request.query.get("wait_ms", "0"))
+        events, after = self.model.cache.events_after(since)
+        while not events and self.timers.now_ms() < until_ms:
+            await self.timers.sleep(POLL_MS)
+            events, after = self.model.cache.events_after(since)
+        listed = [{"seq": e.seq, "op": e.op, "key": e.key} for e in events]
+        value = {"boot_id": self.model.boot_id, "events": listed, "next": after}
+        return messages.json_response(200, value)
+
+    async def cache(self, request: messages.Request) -> messages.Response:
+        """List every readable block."""
+        cache = self.model.cache
+        keys = [block.key for block in cache.blocks.values() if block.committed]
+        value = {"boot_id": self.model.boot_id, "seq": cache.seq, "keys": keys}
+        return messages.json_response(200, value)
+
+    async def order(self, request: messages.Request) -> messages.Response:
+        """Take an order; a load is answered at once and read back from the state."""
+        order = shells.body(request)
+        if order["order"] == "load":
+            loads = order.get("concurrent_loads", 1)
+            try:
+                self.model.order(order["version"], order.get("fence"), loads)
+            except enginemodel.Rejected as rejected:
+                return shells.failure(STATUS[rejected.kind], rejected.kind)
+        return messages.json_response(202, {"version": self.model.version})
+
+    async def faults(self, request: messages.Request) -> messages.Response:
+        """Set faults, see docs/ARCHITECTURE.md."""
+        faults = shells.body(request)
+        model = self.model
+        if faults.get("turn_cold"):
+            model.turn_cold()
+        if faults.get("die"):
+            os._exit(1)
+        model.frozen = faults.get("freeze_reports", model.frozen)
+        lag, gaps, repeats = model.cache.faults
+        model.cache.faults = kvcache.EventFaults(
+            faults.get("event_lag_ms", lag),
+            faults.get("event_gaps", gaps),
+            faults.get("event_repeats", repeats),
+        )
+        self.blocks.link.stall(faults.get("stall_link_ms", 0.0))
+        self.blocks.partial = faults.get("partial_writes", self.blocks.partial)
+        return messages.json_response(200, {})
+
+
+def _usage(run: enginemodel.Run) -> dict[str, int]:
+    return {
+        "prompt_tokens": run.prompt_tokens,
+        "completion_tokens": run.emitted,
+        "cached_tokens": run.cached_tokens,
+    }
+
+
+def _event(
+    number: int,
+    run: enginemodel.Run,
+    delta: dict[str, str],
+    finish: str | None = None,
+) -> bytes:
+    choice = {"index": 0, "delta": delta, "finish_reason": finish}
+    chunk: dict[str, typing.Any] = {"id": run.work.run, "choices": [choice]}
+    if finish is not None:
+        chunk["usage"] = _usage(run)
+    return b"id: %d\ndata: %s\n\n" % (number, msgspec.json.encode(chunk))
+
+
+def settings_of(flags: dict[str, typing.Any]) -> enginemodel.Settings:
+    """Return the engine's settings from its flags."""
+    events = kvcache.EventFaults(
+        float(flags["--event-lag-ms"]),
+        float(flags["--event-gaps"]),
+        float(flags["--event-repeats"]),
+    )
+    return enginemodel.Settings(
+        name=flags["--name"],
+        model=flags["--model"],
+        version=flags["--version"],
+        max_sequences=int(flags["--max-sequences"]),
+        prefill_tokens_per_s=int(flags["--prefill-rate"]),
+        cache_tokens=int(flags["--cache-tokens"]),
+        bytes_per_token=int(flags["--bytes-per-token"]),
+        cold_sequences=int(flags["--cold-sequences"]),
+        cold_ms=float(flags["--cold-ms"]),
+        starts_cold=not flags["--warm"],
+        report_ms=float(flags["--report-ms"]),
+        checks_fence=flags["--checks-fence"],
+        checks_boot=not flags["--ignores-boot"],
+        events=events,
+        seed=int(flags["--seed"]),
+    )
+
+
+async def _run(flags: dict[str, typing.Any]) -> None:
+    timers = shells.ScaledTimers(float(flags["--speed"]))
+    await timers.sleep(float(flags["--boot-lag"]))
+    link = linkmodel.Link(float(flags["--link-rate"]), timers)
+    engine = Engine(settings_of(flags), timers, link)
+    await shells.serve(int(flags["--port"]), engine.routes.handle, flags["--name"])
+
+
+def main() -> None:
+    """Run one engine until a signal."""
+    asyncio.run(_run(docopt.docopt(__doc__)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/kvhttp.py
@@ -0,0 +1,137 @@
+"""The KV calls of an engine: stat, read over the limited link, import, export."""
+
+import typing
+
+import msgspec
+
+from cornelreach.http import client as client_module, messages
+from standins import kvcache, linkmodel, shells
+
+PULL_WAIT_MS = 10_000
+
+
+class Host(typing.Protocol):
+    """The engine whose blocks are served."""
+
+    model: typing.Any
+    timers: shells.ScaledTimers
+
+
+class Blocks:
+    """Serves and moves the blocks of one engine."""
+
+    def __init__(
+        self, host: Host, link: linkmodel.Link, client: client_module.Client
+    ) -> None:
+        self.host = host
+        self.link = link
+        self.client = client
+        self.partial = False
+
+    def add_routes(self, routes: shells.Routes) -> None:
+        """Serve the calls under /v1/kv."""
+        routes.add("POST", "/v1/kv/import", self.pull)
+        routes.add("POST", "/v1/kv/commit", self.commit)
+        routes.add("POST", "/v1/kv/export", self.export)
+        routes.add("GET", "/v1/kv/([^/]+)/data", self.data)
+        routes.add("GET", "/v1/kv/([^/]+)", self.stat)
+
+    def _bytes(self, block: kvcache.Block) -> bytes:
+        size = block.tokens * self.host.model.settings.bytes_per_token
+        return kvcache.content(block.key, size)
+
+    def _stat(self, block: kvcache.Block) -> dict[str, typing.Any]:
+        data = self._bytes(block)
+        return {
+            "key": block.key,
+            "generation": block.generation,
+            "checksum": kvcache.checksum(data),
+            "committed": block.committed,
+            "bytes": len(data),
+            "tier": "accelerator",
+        }
+
+    async def stat(self, request: messages.Request, key: str) -> messages.Response:
+        """Answer generation, checksum and size of a block."""
+        block = self.host.model.cache.blocks.get(key)
+        if block is None:
+            return shells.failure(404, "not_found", key)
+        return messages.json_response(200, self._stat(block))
+
+    async def data(self, request: messages.Request, key: str) -> messages.Response:
+        """Answer the bytes; half of them under the partial write fault."""
+        block = self.host.model.cache.blocks.get(key)
+        if block is None:
+            return shells.failure(404, "not_found", key)
+        data = self._bytes(block)
+        await self.host.timers.sleep(self.link.reserve(len(data)))
+        return messages.Response(200, data[: len(data) // 2] if self.partial else data)
+
+    async def pull(self, request: messages.Request) -> messages.Response:
+        """Import blocks from a source into staging; a bad checksum fails a block."""
+        order = shells.body(request)
+        source = client_module.parse_address(order["source"])
+        staged, failed, tokens = [], [], {}
+        for wanted in order["blocks"]:
+            key = wanted["key"]
+            data = await self._fetch(source, key)
+            if data is None or kvcache.checksum(data) != wanted["checksum"]:
+                failed.append(key)
+                continue
+            size = self.host.model.settings.bytes_per_token
+            tokens[key] = len(data) // size
+            staged.append({"key": key, "checksum": wanted["checksum"]})
+        name = self.host.model.stage(tokens)
+        value = {"import": name, "staged": staged, "failed": failed}
+        return messages.json_response(200, value)
+
+    async def _fetch(self, source: client_module.Address, key: str) -> bytes | None:
+        try:
+            status, data, _ = await self.client.call(
+                source, "GET", f"/v1/kv/{key}/data", wait_ms=PULL_WAIT_MS
+            )
+        except (client_module.RequestNotSent, client_module.AnswerLost):
+            return None
+        return data if status == 200 else None
+
+    async def commit(self, request: messages.Request) -> messages.Response:
+        """Make staged blocks readable."""
+        order = shells.body(request)
+        kept = self.host.model.commit(order["import"], order["keys"])
+        return messages.json_response(200, {"committed": kept})
+
+    async def export(self, request: messages.Request) -> messages.Response:
+        """Push blocks to a store: the bytes, then the commit of each."""
+        order = shells.body(request)
+        address = client_module.parse_address(order["destination"])
+        exported, failed = [], []
+        for key in order["keys"]:
+            done = await self._push(address, key)
+            (exported if done else failed).append(key)
+        value = {"exported": exported, "failed": failed}
+        return messages.json_response(200, value)
+
+    async def _push(self, address: client_module.Address, key: str) -> bool:
+        block = self.host.model.cache.blocks.get(key)
+        if block is None:
+            return False
+        generation, data = block.generation, self._bytes(block)
+        await self.host.timers.sleep(self.link.reserve(len(data)))
+        seal = msgspec.json.encode({"checksum": kvcache.checksum(data)})
+        sent = data[: len(data) // 2] if self.partial else data
+        try:
+            status, _, _ = await self.client.call(
+                address, "PUT", f"/v1/kv/{key}", sent, wait_ms=PULL_WAIT_MS
+            )
+            if status != 200 or not self._unmoved(key, generation):
+                return False
+            status, _, _ = await self.client.call(
+                address, "POST", f"/v1/kv/{key}/commit", seal, wait_ms=PULL_WAIT_MS
+            )
+        except (client_module.RequestNotSent, client_module.AnswerLost):
+            return False
+        return status == 200
+
+    def _unmoved(self, key: str, generation: int) -> bool:
+        block = self.host.model.cache.blocks.get(key)
+        return block is not None and block.generation == generation
