--- /dev/null
+++ b/cornelreach/settings/sync.py
@@ -0,0 +1,113 @@
+"""Reads the settings from the platform into a state: list once, then watch.
+
+Only the few instances chosen as watchers run it; ``watching`` says whether this one
+is::
+
+    sync = Sync(objects, state, Backoff(random.Random()))
+    task = asyncio.create_task(sync.run())
+"""
+
+import asyncio
+import typing
+
+from returns import result
+
+from cornelreach.platform import backoff as backoff_module, results
+from cornelreach.settings import items, state as state_module
+from cornelreach.util import events
+
+WATCH_MS = 30_000
+IDLE_MS = 200
+
+LISTED = events.define(
+    1111, "INFO", "Listed {count} items at revision {revision}.", "Nothing."
+)
+APPLIED = events.define(
+    1112, "INFO", "Applied {count} items up to revision {revision}.", "Nothing."
+)
+AWAY = events.define(
+    1113,
+    "WARNING",
+    "The platform cannot be read: {error}; settings of revision {revision} stay.",
+    "Check the platform; peers go on relaying what they hold.",
+)
+REWOUND = events.define(
+    1114,
+    "ERROR",
+    "The platform answers revision {found} below the held revision {revision}.",
+    "Restore the platform with its version counter at or above the held revision.",
+)
+
+
+class Sync:
+    """The loop that keeps a state up to the platform's revision."""
+
+    def __init__(
+        self,
+        objects: results.Objects,
+        state: state_module.State,
+        backoff: backoff_module.Backoff,
+        watching: typing.Callable[[], bool] = lambda: True,
+        watch_ms: int = WATCH_MS,
+    ) -> None:
+        self.objects = objects
+        self.state = state
+        self.backoff = backoff
+        self.watching = watching
+        self.watch_ms = watch_ms
+        self.platform_ok = False
+        self._since: int | None = None
+
+    async def run(self) -> None:
+        """Follow the platform until cancelled."""
+        while True:
+            delay_ms = await self.step() if self.watching() else IDLE_MS
+            if delay_ms:
+                await asyncio.sleep(delay_ms / 1_000)
+
+    async def step(self) -> float:
+        """Do one list or watch and return the delay until the next."""
+        if self._since is None:
+            outcome = await self.objects.list(items.PREFIX)
+        else:
+            since = self._since
+            outcome = await self.objects.watch(items.PREFIX, since, self.watch_ms)
+        if isinstance(outcome, result.Failure):
+            return self._failed(outcome.failure())
+        self.platform_ok = True
+        self.backoff.reset()
+        found = outcome.unwrap()
+        if found.revision < (self._since or self.state.revision):
+            return self._rewound(found.revision)
+        if isinstance(found, results.Listing):
+            self._listed(found)
+        else:
+            self._watched(found)
+        return 0
+
+    def _listed(self, found: results.Listing) -> None:
+        delta = state_module.Delta(0, found.revision, found.records, whole=True)
+        self.state.apply(delta)
+        self._since = found.revision
+        events.emit(LISTED, count=len(found.records), revision=found.revision)
+
+    def _watched(self, found: results.Changes) -> None:
+        since, self._since = self._since, found.revision
+        if not found.records:
+            return
+        newest = max(record.version for record in found.records)
+        changed = self.state.apply(state_module.Delta(since, newest, found.records))
+        events.emit(APPLIED, count=len(changed), revision=self.state.revision)
+
+    def _rewound(self, found: int) -> float:
+        events.emit(REWOUND, found=found, revision=self.state.revision)
+        return self.backoff.next_ms()
+
+    def _failed(self, error: results.ReadError | results.WatchError) -> float:
+        if isinstance(error, results.Compacted):
+            self._since = None
+            return 0
+        self.platform_ok = False
+        events.emit(AWAY, error=error.message, revision=self.state.revision)
+        retry_ms = getattr(error, "retry_after_ms", 0)
+        return self.backoff.next_ms(retry_ms)
