--- a/standins/engine.py
+++ b/standins/engine.py
@@ -36,11 +36,10 @@
 import msgspec
 
 from cornelreach.http import client as client_module, messages
-from standins import answers, enginemodel, kvcache, kvhttp, linkmodel, shells
+from standins import answers, cachehttp, enginemodel, kvhttp, linkmodel, shells
 
 CHARACTERS_PER_TOKEN = 4
 DEFAULT_ANSWER_TOKENS = 64
-POLL_MS = 20.0
 STATUS = {
     enginemodel.Rejection.FULL: 429,
     enginemodel.Rejection.BOOT: 412,
@@ -169,21 +168,16 @@
 
     async def cache_events(self, request: messages.Request) -> messages.Response:
         """Answer the cache events after ``since``, waiting up to ``wait_ms``."""
-        since = int(request.query.get("since", "0"))
-        until_ms = self.timers.now_ms() + float(request.query.get("wait_ms", "0"))
-        events, after = self.model.cache.events_after(since)
-        while not events and self.timers.now_ms() < until_ms:
-            await self.timers.sleep(POLL_MS)
-            events, after = self.model.cache.events_after(since)
-        listed = [{"seq": e.seq, "op": e.op, "key": e.key} for e in events]
-        value = {"boot_id": self.model.boot_id, "events": listed, "next": after}
+        events = self.model.cache.events
+        value = await cachehttp.events(request, events, self.timers)
+        value = {"boot_id": self.model.boot_id, **value}
         return messages.json_response(200, value)
 
     async def cache(self, request: messages.Request) -> messages.Response:
         """List every readable block."""
         cache = self.model.cache
         keys = [block.key for block in cache.blocks.values() if block.committed]
-        value = {"boot_id": self.model.boot_id, "seq": cache.seq, "keys": keys}
+        value = {"boot_id": self.model.boot_id, "seq": cache.events.seq, "keys": keys}
         return messages.json_response(200, value)
 
     async def order(self, request: messages.Request) -> messages.Response:
@@ -206,12 +200,8 @@
         if faults.get("die"):
             os._exit(1)
         model.frozen = faults.get("freeze_reports", model.frozen)
-        lag, gaps, repeats = model.cache.faults
-        model.cache.faults = kvcache.EventFaults(
-            faults.get("event_lag_ms", lag),
-            faults.get("event_gaps", gaps),
-            faults.get("event_repeats", repeats),
-        )
+        events = model.cache.events
+        events.faults = cachehttp.faults(events.faults, faults)
         self.blocks.link.stall(faults.get("stall_link_ms", 0.0))
         self.blocks.partial = faults.get("partial_writes", self.blocks.partial)
         return messages.json_response(200, {})
@@ -240,11 +230,6 @@
 
 def settings_of(flags: dict[str, typing.Any]) -> enginemodel.Settings:
     """Return the engine's settings from its flags."""
-    events = kvcache.EventFaults(
-        float(flags["--event-lag-ms"]),
-        float(flags["--event-gaps"]),
-        float(flags["--event-repeats"]),
-    )
     return enginemodel.Settings(
         name=flags["--name"],
         model=flags["--model"],
@@ -259,7 +244,7 @@
         report_ms=float(flags["--report-ms"]),
         checks_fence=flags["--checks-fence"],
         checks_boot=not flags["--ignores-boot"],
-        events=events,
+        events=cachehttp.faults_of(flags),
         seed=int(flags["--seed"]),
     )
 
--- a/standins/enginemodel.py
+++ b/standins/enginemodel.py
@@ -14,7 +14,7 @@
 import typing
 
 from cornelreach.util import timers as timers_module
-from standins import kvcache
+from standins import cacheevents, kvcache
 
 FREE_LOADS = 2
 
@@ -60,7 +60,7 @@
     keep_ms: float = 60_000.0
     checks_fence: bool = False
     checks_boot: bool = True
-    events: kvcache.EventFaults = kvcache.EventFaults()
+    events: cacheevents.Faults = cacheevents.Faults()
     seed: int = 0
 
 
--- a/standins/kvcache.py
+++ b/standins/kvcache.py
@@ -1,4 +1,4 @@
-"""Blocks of KV cache in limited memory, with late, gappy and repeated cache events.
+"""Blocks of KV cache in limited memory.
 
 A block is one piece of a prompt. Only a chain of blocks from the start of a prompt is
 a hit::
@@ -9,29 +9,10 @@
 """
 
 import collections
-import random
 import typing
 
 from cornelreach.util import hashing, timers as timers_module
-
-EVENTS_KEPT = 20_000
-
-
-class Event(typing.NamedTuple):
-    """One cache event; ``op`` is ``stored`` or ``removed``."""
-
-    seq: int
-    op: str
-    key: str
-    due_ms: float
-
-
-class EventFaults(typing.NamedTuple):
-    """How badly cache events travel."""
-
-    lag_ms: float = 200.0
-    gap_share: float = 0.0
-    repeat_share: float = 0.0
+from standins import cacheevents
 
 
 class Block:
@@ -65,18 +46,14 @@
         self,
         room_tokens: int,
         timers: timers_module.Timers,
-        faults: EventFaults | None = None,
+        faults: cacheevents.Faults | None = None,
         seed: int = 0,
     ) -> None:
         self.room_tokens = room_tokens
-        self.timers = timers
-        self.faults = faults or EventFaults()
         self.blocks: collections.OrderedDict[str, Block] = collections.OrderedDict()
         self.used_tokens = 0
-        self.seq = 0
         self.generation = 0
-        self._events: collections.deque[Event] = collections.deque(maxlen=EVENTS_KEPT)
-        self._random = random.Random(seed)
+        self.events = cacheevents.Log(timers, faults, seed)
 
     def prefix(self, keys: typing.Sequence[str]) -> int:
         """Return how many leading keys are held and committed."""
@@ -107,7 +84,7 @@
         block = Block(key, tokens, self.generation, committed)
         self.blocks[key] = block
         self.used_tokens += tokens
-        self._publish("stored", key)
+        self.events.publish("stored", key)
         return block
 
     def _make_room(self, tokens: int) -> bool:
@@ -132,33 +109,10 @@
         block = self.blocks.pop(key, None)
         if block is not None:
             self.used_tokens -= block.tokens
-            self._publish("removed", key)
+            self.events.publish("removed", key)
 
     def clear(self) -> None:
         """Forget every block and event, as a restart does."""
         self.blocks.clear()
-        self._events.clear()
+        self.events.clear()
         self.used_tokens = 0
-        self.seq = 0
-
-    def _publish(self, op: str, key: str) -> None:
-        self.seq += 1
-        if self._random.random() < self.faults.gap_share:
-            return
-        event = Event(self.seq, op, key, self.timers.now_ms() + self.faults.lag_ms)
-        self._events.append(event)
-        if self._random.random() < self.faults.repeat_share:
-            self._events.append(event)
-
-    def events_after(self, seq: int) -> tuple[list[Event], int]:
-        """Return the events that have become visible after ``seq``, and the next one.
-
-        A gap shows as a jump in the sequence.
-        """
-        now_ms = self.timers.now_ms()
-        visible = [
-            event
-            for event in self._events
-            if event.seq > seq and event.due_ms <= now_ms
-        ]
-        return visible, max([seq, *(event.seq for event in visible)])
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,101 @@
+"""A stand-in plain service, such as booking or ordering, over HTTP.
+
+Usage:
+  service --name=NAME [--port=PORT]
+
+Options:
+  --name=NAME   Name of the service.
+  --port=PORT   Port on loopback; 0 takes a free one. [default: 0]
+
+Any POST executes once for each request received and is recorded, however often it is
+sent: the service itself removes no duplicates.
+"""
+
+import asyncio
+import os
+import typing
+
+import docopt
+
+from cornelreach.http import messages
+from standins import shells
+
+
+class Faults(typing.NamedTuple):
+    """How many of the next calls fail, and how; ``delay_ms`` holds for all."""
+
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+    fail_before: int = 0
+
+
+class Service:
+    """Executes and records calls."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.boot_id = f"{name}-{os.urandom(4).hex()}"
+        self.executions: list[dict[str, typing.Any]] = []
+        self.faults = Faults()
+        self.routes = shells.Routes(lambda: ((b"x-boot-id", self.boot_id.encode()),))
+        self.routes.add("GET", "/executions", self.list_executions)
+        self.routes.add("POST", "/control/faults", self.set_faults)
+        self.routes.add("POST", "(/.*)", self.execute)
+
+    async def list_executions(self, request: messages.Request) -> messages.Response:
+        """Answer every execution in order."""
+        return messages.json_response(200, {"executions": self.executions})
+
+    async def set_faults(self, request: messages.Request) -> messages.Response:
+        """Set ``delay_ms``, ``lose_answers`` and ``fail_before``."""
+        given = shells.body(request)
+        known = {name: given[name] for name in Faults._fields if name in given}
+        self.faults = self.faults._replace(**known)
+        return messages.json_response(200, self.faults._asdict())
+
+    async def execute(self, request: messages.Request, path: str) -> messages.Response:
+        """Execute one call, unless a fault comes before."""
+        boot = request.header("if-match")
+        if boot is not None and boot != self.boot_id:
+            return shells.failure(412, "boot")
+        if self.faults.fail_before:
+            left = self.faults.fail_before - 1
+            self.faults = self.faults._replace(fail_before=left)
+            return shells.failure(503, "failed", "failed before executing")
+        number = len(self.executions) + 1
+        self.executions.append(
+            {
+                "number": number,
+                "path": path,
+                "key": request.header("idempotency-key"),
+                "body": request.body.decode("utf-8", "replace"),
+            }
+        )
+        lost = self.faults.lose_answers > 0
+        if lost:
+            left = self.faults.lose_answers - 1
+            self.faults = self.faults._replace(lose_answers=left)
+        await asyncio.sleep(self.faults.delay_ms / 1_000)
+        if lost:
+            return messages.Response(200, stream=_cut())
+        value = {"service": self.name, "execution": number, "path": path}
+        return messages.json_response(201, value)
+
+
+async def _cut() -> typing.AsyncIterator[bytes]:
+    raise ConnectionResetError("the answer is lost")
+    yield b""
+
+
+async def _run(flags: dict[str, typing.Any]) -> None:
+    service = Service(flags["--name"])
+    await shells.serve(int(flags["--port"]), service.routes.handle, service.name)
+
+
+def main() -> None:
+    """Run one service until a signal."""
+    asyncio.run(_run(docopt.docopt(__doc__)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,169 @@
+"""A stand-in prompt store over HTTP.
+
+Usage:
+  store --name=NAME [options]
+
+Options:
+  --name=NAME             Name of the store.
+  --port=PORT             Port on loopback; 0 takes a free one. [default: 0]
+  --memory-bytes=N        Size of the memory tier. [default: 1000000000]
+  --disk-bytes=N          Size of the disk tier. [default: 8000000000]
+  --link-rate=N           Link, in bytes a second. [default: 50000000]
+  --disk-rate=N           Disk, in bytes a second. [default: 25000000]
+  --event-lag-ms=MS       Lag of cache events. [default: 200]
+  --event-gaps=SHARE      Share of cache events lost. [default: 0]
+  --event-repeats=SHARE   Share of cache events repeated. [default: 0]
+  --speed=FACTOR          Run faster than real time. [default: 1]
+  --seed=SEED             Seed of the event faults. [default: 0]
+"""
+
+import asyncio
+import os
+import typing
+
+import docopt
+
+from cornelreach.http import messages
+from standins import cachehttp, kvcache, shells, storemodel
+
+
+class Store:
+    """The calls of one store, see docs/ARCHITECTURE.md."""
+
+    def __init__(
+        self, settings: storemodel.Settings, timers: shells.ScaledTimers
+    ) -> None:
+        boot = f"{settings.name}-{os.urandom(4).hex()}"
+        self.model = storemodel.Store(settings, timers, boot)
+        self.timers = timers
+        self.data: dict[str, bytes] = {}
+        self.partial = False
+        self.routes = shells.Routes(self._headers)
+        add = self.routes.add
+        add("GET", "/v1/state", self.state)
+        add("GET", "/v1/cache/events", self.cache_events)
+        add("GET", "/v1/cache", self.cache)
+        add("PUT", "/v1/kv/([^/]+)", self.write)
+        add("POST", "/v1/kv/([^/]+)/commit", self.commit)
+        add("DELETE", "/v1/kv/([^/]+)", self.delete)
+        add("GET", "/v1/kv/([^/]+)/data", self.read)
+        add("GET", "/v1/kv/([^/]+)", self.stat)
+        add("POST", "/control/faults", self.faults)
+
+    def _headers(self) -> messages.Headers:
+        return ((b"x-boot-id", self.model.boot_id.encode()),)
+
+    async def state(self, request: messages.Request) -> messages.Response:
+        """Answer sizes, use and the backlog of the link."""
+        return messages.json_response(200, self.model.state())
+
+    async def cache_events(self, request: messages.Request) -> messages.Response:
+        """Answer the cache events after ``since``."""
+        value = await cachehttp.events(request, self.model.events, self.timers)
+        return messages.json_response(200, {"boot_id": self.model.boot_id, **value})
+
+    async def cache(self, request: messages.Request) -> messages.Response:
+        """List every readable block."""
+        blocks = self.model.blocks.values()
+        value = {
+            "boot_id": self.model.boot_id,
+            "seq": self.model.events.seq,
+            "keys": [block.key for block in blocks if block.committed],
+        }
+        return messages.json_response(200, value)
+
+    async def write(self, request: messages.Request, key: str) -> messages.Response:
+        """Take the bytes of a block; 507 when full."""
+        try:
+            wait_ms = self.model.write(key, len(request.body))
+        except storemodel.Full:
+            return shells.failure(507, "full", "delete blocks first")
+        body = request.body
+        self.data[key] = body[: len(body) // 2] if self.partial else body
+        generation = self.model.generation
+        await self.timers.sleep(wait_ms)
+        return messages.json_response(200, {"key": key, "generation": generation})
+
+    async def commit(self, request: messages.Request, key: str) -> messages.Response:
+        """Make a block readable if its checksum is the one sent; 409 drops it."""
+        if key not in self.model.blocks:
+            return shells.failure(404, "not_found", key)
+        wanted = shells.body(request)["checksum"]
+        if kvcache.checksum(self.data[key]) != wanted:
+            self._drop(key)
+            return shells.failure(409, "checksum", key)
+        self.model.commit(key)
+        return messages.json_response(200, {"key": key})
+
+    def _drop(self, key: str) -> bool:
+        self.data.pop(key, None)
+        return self.model.delete(key)
+
+    async def delete(self, request: messages.Request, key: str) -> messages.Response:
+        """Free a block; twice is harmless."""
+        return messages.json_response(200, {"deleted": self._drop(key)})
+
+    async def read(self, request: messages.Request, key: str) -> messages.Response:
+        """Answer the bytes of a committed block over the limited link."""
+        wait_ms = self.model.read_ms(key)
+        if wait_ms is None:
+            return shells.failure(404, "not_found", key)
+        data = self.data[key]
+        await self.timers.sleep(wait_ms)
+        return messages.Response(200, data)
+
+    async def stat(self, request: messages.Request, key: str) -> messages.Response:
+        """Answer generation, checksum, size and tier of a block."""
+        block = self.model.blocks.get(key)
+        if block is None:
+            return shells.failure(404, "not_found", key)
+        value = {
+            "key": key,
+            "generation": block.generation,
+            "checksum": kvcache.checksum(self.data[key]),
+            "committed": block.committed,
+            "bytes": block.size_bytes,
+            "tier": block.tier,
+        }
+        return messages.json_response(200, value)
+
+    async def faults(self, request: messages.Request) -> messages.Response:
+        """Set faults: ``die``, ``restart``, ``stall_link_ms``, ``partial_writes``."""
+        faults = shells.body(request)
+        if faults.get("die"):
+            os._exit(1)
+        if faults.get("restart"):
+            self.model.restart()
+            self.data.clear()
+        self.model.link.stall(faults.get("stall_link_ms", 0.0))
+        self.partial = faults.get("partial_writes", self.partial)
+        events = self.model.events
+        events.faults = cachehttp.faults(events.faults, faults)
+        return messages.json_response(200, {})
+
+
+def settings_of(flags: dict[str, typing.Any]) -> storemodel.Settings:
+    """Return the store's settings from its flags."""
+    return storemodel.Settings(
+        name=flags["--name"],
+        memory_bytes=int(flags["--memory-bytes"]),
+        disk_bytes=int(flags["--disk-bytes"]),
+        link_bytes_per_s=int(flags["--link-rate"]),
+        disk_bytes_per_s=int(flags["--disk-rate"]),
+        events=cachehttp.faults_of(flags),
+        seed=int(flags["--seed"]),
+    )
+
+
+async def _run(flags: dict[str, typing.Any]) -> None:
+    store = Store(settings_of(flags), shells.ScaledTimers(float(flags["--speed"])))
+    await shells.serve(int(flags["--port"]), store.routes.handle, flags["--name"])
+
+
+def main() -> None:
+    """Run one store until a signal."""
+    asyncio.run(_run(docopt.docopt(__doc__)))
+
+
+if __name__ == "__main__":
+    main()
--- a/test/standins/test_enginemodel.py
+++ b/test/standins/test_enginemodel.py
@@ -1,7 +1,7 @@
 import unittest
 
 from cornelreach.util import timers as timers_module
-from standins import enginemodel, kvcache
+from standins import cacheevents, enginemodel, kvcache
 
 
 def work(run, pieces=(), **fields):
@@ -114,13 +114,13 @@
 class EventsTest(unittest.TestCase):
     def test_events_come_late_with_gaps_and_repeats(self):
         timers = timers_module.VirtualTimers()
-        faults = kvcache.EventFaults(200.0, 0.3, 0.3)
+        faults = cacheevents.Faults(200.0, 0.3, 0.3)
         cache = kvcache.Cache(10**6, timers, faults, seed=3)
         for index in range(100):
             cache.store(str(index), 1)
-        self.assertEqual(([], 0), cache.events_after(0))
+        self.assertEqual(([], 0), cache.events.after(0))
         timers.advance(200)
-        events, _ = cache.events_after(0)
+        events, _ = cache.events.after(0)
         seqs = [event.seq for event in events]
         self.assertLess(len(set(seqs)), 100)
         self.assertGreater(len(seqs), len(set(seqs)))
