--- /dev/null
+++ b/test/targets/test_admission.py
@@ -0,0 +1,136 @@
+"""Tests of the admission of one target."""
+
+import unittest
+
+from cornelreach.targets import admission, permits
+
+LIMITS = admission.Limits()
+STANDING = admission.Standing(1, True, 0.0)
+LAG_MS = admission.REPORT_LAG_MS
+
+
+def report(asked_ms, boot="b1", load_boot=None, cold=None, running=0, queued=0):
+    """Return a report of target e1."""
+    return permits.Report(
+        "e1", asked_ms, boot, load_boot or boot, cold, running, queued
+    )
+
+
+def release(permit, outcome=permits.Outcome.DONE, boot="b1"):
+    """Return a release for target e1."""
+    return permits.Release(permit, "e1", outcome, boot)
+
+
+class AdmissionTest(unittest.TestCase):
+    def setUp(self):
+        self.target = admission.TargetAdmission("e1", LIMITS)
+        self.load = admission.Load(1, 1_000)
+
+    def observe(self, now_ms, standing=STANDING, **fields):
+        self.target.observe(report(now_ms, **fields), standing, now_ms)
+
+    def fits(self, now_ms, standing=STANDING):
+        return self.target.room(standing, now_ms).holds(self.load)
+
+    def warm(self, now_ms=0.0):
+        self.observe(now_ms, cold=False)
+
+    def test_unknown_target_takes_nothing(self):
+        self.assertFalse(self.fits(0.0))
+        self.assertTrue(self.target.needs_probe())
+
+    def test_cold_target_waits_for_proof_that_it_is_empty(self):
+        self.observe(LAG_MS - 1)
+        self.assertFalse(self.fits(LAG_MS))
+        self.observe(LAG_MS, running=1)
+        self.assertFalse(self.fits(LAG_MS))
+        self.observe(LAG_MS + 1)
+        self.assertTrue(self.fits(LAG_MS + 1))
+
+    def test_cold_limit_is_exact(self):
+        self.observe(LAG_MS)
+        self.target.grant("a", self.load, 1_000, LAG_MS)
+        self.assertFalse(self.fits(LAG_MS + 60_000))
+        self.target.release(release("a"), STANDING, LAG_MS + 500)
+        self.assertTrue(self.fits(LAG_MS + 500))
+
+    def test_use_that_ended_without_answer_stays_charged_until_proof(self):
+        self.observe(LAG_MS)
+        self.target.grant("a", self.load, 1_000, LAG_MS)
+        lost = release("a", permits.Outcome.TIMED_OUT, "")
+        self.target.release(lost, STANDING, 3_000)
+        self.assertFalse(self.fits(100_000))
+        self.observe(LAG_MS * 2 + admission.SETTLE_MS)
+        self.assertTrue(self.fits(100_000))
+
+    def test_needs_the_exclusive_right_only_while_cold(self):
+        self.observe(LAG_MS)
+        other = admission.Standing(1, False, 0.0)
+        self.assertFalse(self.fits(LAG_MS, other))
+        self.warm(LAG_MS)
+        self.assertTrue(self.fits(LAG_MS, other))
+
+    def test_new_boot_empties_and_cools(self):
+        self.warm()
+        for number in range(16):
+            self.target.grant(str(number), self.load, 60_000, 0.0)
+        self.assertFalse(self.fits(10.0))
+        self.observe(20.0, boot="b2", load_boot="b1", cold=False, running=16)
+        self.assertEqual(self.target.heat, admission.Heat.COLD)
+        self.assertEqual(self.target.room(STANDING, 20.0).sequences, 1)
+
+    def test_boot_that_may_precede_the_right_is_not_accounted_for(self):
+        later = admission.Standing(2, True, 50.0)
+        self.warm()
+        self.observe(60.0, standing=later, boot="b2")
+        self.assertFalse(self.fits(60.0, later))
+
+    def test_former_boot_does_not_return(self):
+        self.warm()
+        self.target.observe_boot("b2", 10.0, STANDING)
+        self.target.observe_boot("b1", 20.0, STANDING)
+        self.assertEqual(self.target.boot, "b2")
+
+    def test_suspicion_lasts_until_an_answer_to_a_later_question(self):
+        self.warm()
+        self.target.grant("a", self.load, 1_000, 0.0)
+        lost = release("a", permits.Outcome.CONNECTION_LOST, "")
+        self.target.release(lost, STANDING, 100.0)
+        self.target.observe_boot("b1", 99.0, STANDING)
+        self.assertFalse(self.fits(100.0))
+        self.target.observe_boot("b1", 100.0, STANDING)
+        self.assertTrue(self.fits(100.0))
+
+    def test_rejected_use_shows_the_new_boot(self):
+        self.warm()
+        self.target.grant("a", self.load, 1_000, 0.0)
+        rejected = release("a", permits.Outcome.REJECTED, "b2")
+        self.target.release(rejected, STANDING, 100.0)
+        self.assertEqual(self.target.heat, admission.Heat.COLD)
+
+    def test_warms_by_time_only_where_the_target_does_not_tell(self):
+        self.observe(LAG_MS)
+        self.target.grant("a", self.load, 1_000, LAG_MS)
+        self.target.release(release("a"), STANDING, 3_000.0)
+        self.observe(3_000 + LIMITS.cold_ms - 1)
+        self.assertEqual(self.target.heat, admission.Heat.COLD)
+        self.observe(3_000 + LIMITS.cold_ms)
+        self.assertEqual(self.target.heat, admission.Heat.WARM)
+
+    def test_report_does_not_count_own_permits_twice(self):
+        self.warm()
+        for number in range(4):
+            self.target.grant(str(number), self.load, 60_000, 100.0)
+        for number in range(4):
+            self.target.release(release(str(number)), STANDING, 500.0)
+        self.observe(600.0, cold=False, running=4)
+        self.assertEqual(self.target.room(STANDING, 600.0).sequences, 16)
+        self.observe(600.0 + 2 * LAG_MS, cold=False, running=4)
+        self.assertEqual(self.target.room(STANDING, 600.0).sequences, 12)
+
+    def test_warm_target_drops_overdue_permits(self):
+        self.warm()
+        self.target.grant("a", self.load, 1_000, 0.0)
+        late_ms = 1_000 + admission.USE_GRACE_MS
+        self.assertEqual(self.target.room(STANDING, late_ms - 1).sequences, 15)
+        self.assertEqual(self.target.room(STANDING, late_ms).sequences, 16)
