--- /dev/null
+++ b/cornelreach/calls/claims.py
@@ -0,0 +1,117 @@
+"""Claims of calls that may not be repeated: which instance writes which shard.
+
+The owner of a shard, by rendezvous over the live members, writes its log, so that the
+claims of the whole fleet share its writes. Ownership is only for economy: whoever
+believes to be owner, or finds the owner out of reach, writes on the same condition.
+"""
+
+import typing
+
+from returns import result
+
+from cornelreach.calls import exchanges, ledger, shards
+from cornelreach.peers import wire
+from cornelreach.platform import results
+from cornelreach.util import hashing, timers
+
+SHARD_COUNT = 64
+SHARD_IDLE_MS = 600_000
+REPLY_MARGIN_MS = 200
+
+
+class Peers(typing.Protocol):
+    """The part of ``peers.wire.Client`` that is used here."""
+
+    async def call(
+        self, address: str, method: wire.Method, request: object, wait_ms: float
+    ) -> result.Result[typing.Any, wire.PeerLost]:
+        """Send one request to a peer."""
+
+
+Members = typing.Callable[[], dict[str, str]]
+
+
+class OwnerLost(typing.NamedTuple):
+    """The owner gave no answer; it may still write the entry."""
+
+    owner: str
+
+
+def shard_name(key: bytes) -> str:
+    """Return the shard of a key digest."""
+    return f"{int.from_bytes(key[:4], 'big') % SHARD_COUNT:04d}"
+
+
+class Claims:
+    """Submits entries to the log through their shard's owner, or directly.
+
+    ``members`` maps the names of live instances, this one included, to their peer
+    addresses; ``retention_ms`` gives the setting ``claim_retention_ms``.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        objects: results.Objects,
+        peers: Peers,
+        members: Members,
+        clock: timers.Timers,
+        retention_ms: typing.Callable[[], float],
+    ) -> None:
+        self.instance = instance
+        self.objects = objects
+        self.peers = peers
+        self.members = members
+        self.clock = clock
+        self.retention_ms = retention_ms
+        self._shards: dict[str, shards.Shard] = {}
+
+    def _owner(self, shard: str, members: dict[str, str]) -> str:
+        names = {self.instance, *members}
+        return hashing.rendezvous(shard.encode(), names)[0]
+
+    async def submit(
+        self, entry: ledger.Entry, wait_ms: float, direct: bool = False
+    ) -> ledger.Decision | OwnerLost:
+        """Return the decision on an entry.
+
+        After OwnerLost or Unavailable the entry may still reach the log.
+        """
+        name = shard_name(entry.key)
+        members = self.members()
+        owner = self._owner(name, members)
+        if direct or owner == self.instance:
+            return await self._shard(name).submit(entry, wait_ms)
+        request = exchanges.Submit(entry, wait_ms)
+        address = members[owner]
+        reply_ms = wait_ms + REPLY_MARGIN_MS
+        reply = await self.peers.call(address, exchanges.SUBMIT, request, reply_ms)
+        if isinstance(reply, result.Failure):
+            return OwnerLost(owner)
+        return exchanges.unpack(reply.unwrap())
+
+    async def answer_submit(
+        self, sender: wire.Sender, request: exchanges.Submit
+    ) -> exchanges.Submitted:
+        """Answer a peer that takes this instance for the owner."""
+        shard = self._shard(shard_name(request.entry.key))
+        return exchanges.pack(await shard.submit(request.entry, request.wait_ms))
+
+    def forget_idle(self) -> None:
+        """Drop shards that have not been used for long; call it once a minute."""
+        oldest_ms = self.clock.now_ms() - SHARD_IDLE_MS
+        for name, shard in list(self._shards.items()):
+            if shard.idle and shard.used_ms < oldest_ms:
+                del self._shards[name]
+
+    async def close(self) -> None:
+        """Stop every writer."""
+        for shard in self._shards.values():
+            await shard.close()
+
+    def _shard(self, name: str) -> shards.Shard:
+        if name not in self._shards:
+            self._shards[name] = shards.Shard(
+                self.objects, self.clock, name, self.retention_ms
+            )
+        return self._shards[name]
--- /dev/null
+++ b/cornelreach/calls/history.py
@@ -0,0 +1,146 @@
+"""History objects of one shard of the claim log.
+
+An object is named by the number of the entry behind its last one, so a reader that
+knows the log up to some number lists what lies behind that key and misses nothing:
+merging writes the merged object at the last of the keys before it deletes the others.
+"""
+
+import typing
+
+import msgspec
+from returns import result
+
+from cornelreach.calls import ledger
+from cornelreach.platform import results
+
+MERGE_COUNT = 16
+MERGED_BYTES = 262_144
+
+
+class Segment(typing.NamedTuple):
+    """One history object; ``newest_ms`` is the wall time of its newest entry."""
+
+    end: int
+    version: int
+    size_bytes: int
+    newest_ms: int
+
+
+class Segments:
+    """The history objects of a shard that this instance knows of."""
+
+    def __init__(self, objects: results.Objects, shard: str) -> None:
+        self.objects = objects
+        self.prefix = f"claims/{shard}/"
+        self.known: dict[int, Segment] = {}
+
+    def key(self, end: int) -> str:
+        """Return the platform key of the object that ends before entry ``end``."""
+        return f"{self.prefix}{end:015d}"
+
+    async def append(self, content: ledger.History, newest_ms: int) -> bool:
+        """Store a part of the log; True if it is stored, by whomever."""
+        end = content.start + len(content.entries)
+        written = await self.objects.put(self.key(end), content, if_absent=True)
+        if isinstance(written, result.Success):
+            self._know(end, written.unwrap(), content, newest_ms)
+            return True
+        return isinstance(written.failure(), results.Conflict)
+
+    async def read(self, into: ledger.Ledger, oldest: int) -> bool:
+        """Fold what lies behind the ledger into it; False if it cannot be read.
+
+        Entries numbered below ``oldest`` may be missing, others may not.
+        """
+        listed = await self.objects.list(self.prefix, after=self.key(into.applied))
+        if isinstance(listed, result.Failure):
+            return False
+        for record in listed.unwrap().records:
+            try:
+                content = ledger.decode_history(record.value)
+            except msgspec.ValidationError:
+                return False
+            if content.start > max(into.applied, oldest):
+                return False
+            into.absorb(content.start, content.entries)
+            newest_ms = max(entry.time_ms for entry in content.entries)
+            end = content.start + len(content.entries)
+            self._know(end, record.version, content, newest_ms)
+        return True
+
+    def expired(self, oldest_ms: float) -> list[Segment]:
+        """Return the oldest objects, all of whose entries are older than a time."""
+        old: list[Segment] = []
+        for segment in sorted(self.known.values()):
+            if segment.newest_ms >= oldest_ms:
+                break
+            old.append(segment)
+        return old
+
+    async def tidy(self, oldest: int) -> None:
+        """Delete what ends by entry ``oldest``; merge small objects if many."""
+        for segment in sorted(self.known.values()):
+            if segment.end <= oldest:
+                await self._delete(segment)
+        small = self._small()
+        if len(small) >= MERGE_COUNT:
+            await self._merge(small)
+
+    def _small(self) -> list[Segment]:
+        """Return the newest objects that fit into one merged object."""
+        chosen: list[Segment] = []
+        room_bytes = MERGED_BYTES
+        for segment in sorted(self.known.values(), reverse=True):
+            room_bytes -= segment.size_bytes
+            if room_bytes < 0:
+                break
+            chosen.append(segment)
+        return chosen[::-1]
+
+    async def _merge(self, small: list[Segment]) -> None:
+        contents: list[ledger.History] = []
+        for segment in small:
+            found = await self.objects.get(self.key(segment.end))
+            if isinstance(found, result.Failure):
+                self.known.pop(segment.end)
+                return
+            contents.append(ledger.decode_history(found.unwrap().value))
+        merged = joined(contents)
+        if merged is None:
+            self._forget(small[:-1])
+            return
+        last = small[-1]
+        key = self.key(last.end)
+        written = await self.objects.put(key, merged, if_version=last.version)
+        if isinstance(written, result.Failure):
+            self.known.pop(last.end)
+            return
+        self._know(last.end, written.unwrap(), merged, last.newest_ms)
+        for segment in small[:-1]:
+            await self._delete(segment)
+
+    def _forget(self, segments: list[Segment]) -> None:
+        for segment in segments:
+            self.known.pop(segment.end, None)
+
+    async def _delete(self, segment: Segment) -> None:
+        self.known.pop(segment.end, None)
+        await self.objects.delete(self.key(segment.end), segment.version)
+
+    def _know(
+        self, end: int, version: int, content: ledger.History, newest_ms: int
+    ) -> None:
+        size_bytes = sum(map(ledger.size_bytes, content.entries))
+        self.known[end] = Segment(end, version, size_bytes, newest_ms)
+
+
+def joined(contents: list[ledger.History]) -> ledger.History | None:
+    """Return parts of the log in order as one, or None if one is missing between."""
+    start = contents[0].start
+    entries: list[ledger.Entry] = []
+    for content in contents:
+        known = start + len(entries) - content.start
+        if known < 0:
+            return None
+        entries += content.entries[known:]
+    return ledger.History(start, entries)
--- /dev/null
+++ b/cornelreach/calls/ledger.py
@@ -0,0 +1,232 @@
+"""Log of the claims of one shard, folded into what is known of each key.
+
+The log lives in the platform as a *tail*, one object that is rewritten by conditional
+write, and *history* objects that the tail is rolled into. Entries are numbered from 0
+over the whole log, so folding one twice changes nothing::
+
+    ledger = Ledger()
+    planned = plan(ledger, [claim], now_ms, retention_ms)
+    ledger.absorb(ledger.applied, planned.entries)  # once the write has succeeded
+
+A claim is only ever planned against the state that its conditional write is checked
+against; a claim in the log is therefore held.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+from cornelreach.util import hashing
+
+
+class Attempt(typing.NamedTuple):
+    """One try at running a call, by one boot of one instance."""
+
+    instance: str
+    boot: str
+    number: int
+
+
+class Answer(typing.NamedTuple):
+    """The answer of a target that a repeat is given again.
+
+    ``kept`` is False where the body was too large to be recorded.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    kept: bool = True
+
+
+class Kind(enum.StrEnum):
+    """What an entry of the log records."""
+
+    CLAIM = "claim"
+    OUTCOME = "outcome"
+    RELEASE = "release"
+
+
+class Entry(typing.NamedTuple):
+    """One entry: a claim, its outcome (no answer: unknown), or its release.
+
+    ``key`` and ``body_digest`` are 16-byte digests, ``time_ms`` is wall time.
+    """
+
+    kind: Kind
+    key: bytes
+    attempt: Attempt
+    time_ms: int
+    body_digest: bytes = b""
+    answer: Answer | None = None
+
+
+class Tail(typing.NamedTuple):
+    """The newest entries; ``rolled`` of the log precede them in history objects.
+
+    Of those, the ones numbered below ``oldest`` have expired and may be gone.
+    """
+
+    rolled: int
+    entries: list[Entry]
+    oldest: int = 0
+
+
+class History(typing.NamedTuple):
+    """Entries from number ``start`` on."""
+
+    start: int
+    entries: list[Entry]
+
+
+class Record(typing.NamedTuple):
+    """What is known of one key."""
+
+    attempt: Attempt
+    body_digest: bytes
+    time_ms: int
+    finished: bool = False
+    answer: Answer | None = None
+
+
+class Held(typing.NamedTuple):
+    """The attempt holds the claim and may run the call."""
+
+
+class Finished(typing.NamedTuple):
+    """The call has run; this was its answer."""
+
+    answer: Answer
+
+
+class Unknown(typing.NamedTuple):
+    """The call may have run; its answer was lost and it is not run again."""
+
+
+class Running(typing.NamedTuple):
+    """Another attempt holds the claim and has recorded no outcome."""
+
+    attempt: Attempt
+
+
+class Differs(typing.NamedTuple):
+    """The key was used with another request body."""
+
+
+class Recorded(typing.NamedTuple):
+    """An outcome or a release is in the log, or has no claim that it belongs to."""
+
+
+class Unavailable(typing.NamedTuple):
+    """The log could not be written; the attempt must be given up."""
+
+    message: str
+    retry_after_ms: int = 1_000
+
+
+Decision = Held | Finished | Unknown | Running | Differs | Recorded | Unavailable
+
+
+class Plan(typing.NamedTuple):
+    """Entries to append, and the decision on each request once they are written."""
+
+    entries: list[Entry]
+    decisions: list[Decision]
+
+
+def key_digest(account: str, service: str, path: str, key: str) -> bytes:
+    """Return the digest that identifies a call to be run at most once."""
+    return hashing.digest(*(part.encode() for part in (account, service, path, key)))
+
+
+class Ledger:
+    """The fold of the log up to entry number ``applied``."""
+
+    def __init__(self) -> None:
+        self.applied = 0
+        self.records: dict[bytes, Record] = {}
+
+    def absorb(self, start: int, entries: list[Entry]) -> None:
+        """Fold entries that are numbered from ``start``; known ones are skipped.
+
+        A start beyond ``applied`` means that what lies between has expired.
+        """
+        for entry in entries[max(0, self.applied - start) :]:
+            apply(self.records, entry)
+        self.applied = max(self.applied, start + len(entries))
+
+    def expire(self, before_ms: float) -> None:
+        """Forget claims older than a wall time."""
+        old = [key for key, held in self.records.items() if held.time_ms < before_ms]
+        for key in old:
+            del self.records[key]
+
+
+def apply(records: dict[bytes, Record], entry: Entry) -> None:
+    """Fold one entry into records."""
+    if entry.kind is Kind.CLAIM:
+        records[entry.key] = Record(entry.attempt, entry.body_digest, entry.time_ms)
+        return
+    record = records.get(entry.key)
+    if record is None or record.attempt != entry.attempt or record.finished:
+        return
+    if entry.kind is Kind.RELEASE:
+        del records[entry.key]
+    else:
+        records[entry.key] = record._replace(finished=True, answer=entry.answer)
+
+
+def plan(
+    ledger: Ledger, requests: list[Entry], now_ms: float, retention_ms: float
+) -> Plan:
+    """Decide on requests in turn, each after the entries of those before it."""
+    touched = {entry.key for entry in requests} & ledger.records.keys()
+    scratch = {key: ledger.records[key] for key in touched}
+    entries: list[Entry] = []
+    decisions: list[Decision] = []
+    for request in requests:
+        decision, append = _decide(scratch, request, now_ms - retention_ms)
+        decisions.append(decision)
+        if append:
+            entries.append(request)
+            apply(scratch, request)
+    return Plan(entries, decisions)
+
+
+def _decide(
+    records: dict[bytes, Record], request: Entry, expired_ms: float
+) -> tuple[Decision, bool]:
+    record = records.get(request.key)
+    if request.kind is not Kind.CLAIM:
+        holds = record is not None and record.attempt == request.attempt
+        return Recorded(), holds and not record.finished
+    if record is None or record.time_ms < expired_ms:
+        return Held(), True
+    return _decide_claimed(record, request), False
+
+
+def _decide_claimed(record: Record, request: Entry) -> Decision:
+    if record.body_digest != request.body_digest:
+        return Differs()
+    if record.finished:
+        return Unknown() if record.answer is None else Finished(record.answer)
+    if record.attempt == request.attempt:
+        return Held()
+    return Running(record.attempt)
+
+
+def decode_tail(value: object) -> Tail:
+    """Return the tail that a platform value holds."""
+    return msgspec.convert(value, Tail)
+
+
+def decode_history(value: object) -> History:
+    """Return the history that a platform value holds."""
+    return msgspec.convert(value, History)
+
+
+def size_bytes(entry: Entry) -> int:
+    """Return about how many bytes an entry takes in a platform value."""
+    answer_bytes = len(entry.answer.body) * 4 // 3 if entry.answer else 0
+    return 160 + answer_bytes
--- /dev/null
+++ b/cornelreach/calls/runs.py
@@ -0,0 +1,105 @@
+"""Attempts of this boot at calls that may not be repeated, and their states.
+
+An attempt is *claiming* until the first byte is about to be written, then *running*,
+and ends as *finished*, *unknown* (sent, no answer) or *abandoned* (never sent). Only a
+claiming attempt can be abandoned or begun, so one that was given up is never sent.
+"""
+
+import asyncio
+import enum
+import typing
+
+from cornelreach.calls import ledger
+
+KEEP_MS = 600_000
+MAX_RUNS = 20_000
+
+
+class State(enum.StrEnum):
+    """How far an attempt has come."""
+
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+    ABANDONED = "abandoned"
+    FORGOTTEN = "forgotten"
+
+
+class TooLate(Exception):
+    """The attempt may no longer be sent."""
+
+
+class Run:
+    """One attempt; ``settled`` is set once it has ended."""
+
+    def __init__(self, attempt: ledger.Attempt, opened_ms: float) -> None:
+        self.attempt = attempt
+        self.opened_ms = opened_ms
+        self.state = State.CLAIMING
+        self.answer: ledger.Answer | None = None
+        self.settled = asyncio.Event()
+
+    def begin(self) -> None:
+        """Mark the attempt as sent; raises TooLate if it was given up."""
+        if self.state is not State.CLAIMING:
+            raise TooLate(f"attempt {self.attempt.number} is {self.state}")
+        self.state = State.RUNNING
+
+    def finish(self, answer: ledger.Answer) -> None:
+        """Keep the answer of the target."""
+        if self.state is State.RUNNING:
+            self.answer = answer
+            self._settle(State.FINISHED)
+
+    def lose(self) -> None:
+        """Note that the answer will not come."""
+        if self.state is State.RUNNING:
+            self._settle(State.UNKNOWN)
+
+    def abandon(self) -> bool:
+        """Give up an attempt that was not sent; False if it was."""
+        if self.state is State.CLAIMING:
+            self._settle(State.ABANDONED)
+        return self.state is State.ABANDONED
+
+    def _settle(self, state: State) -> None:
+        self.state = state
+        self.settled.set()
+
+
+class Runs:
+    """The attempts of one boot by number."""
+
+    def __init__(self, instance: str, boot: str) -> None:
+        self.instance = instance
+        self.boot = boot
+        self._next = 0
+        self._runs: dict[int, Run] = {}
+
+    def open(self, now_ms: float) -> Run:
+        """Begin a new attempt."""
+        self._next += 1
+        attempt = ledger.Attempt(self.instance, self.boot, self._next)
+        run = self._runs[self._next] = Run(attempt, now_ms)
+        self._prune(now_ms - KEEP_MS)
+        return run
+
+    def owns(self, attempt: ledger.Attempt) -> bool:
+        """Tell whether an attempt is one of this boot."""
+        return (attempt.instance, attempt.boot) == (self.instance, self.boot)
+
+    def find(self, attempt: ledger.Attempt) -> Run | None:
+        """Return the attempt, or None if it is not of this boot or forgotten."""
+        return self._runs.get(attempt.number) if self.owns(attempt) else None
+
+    def active(self) -> typing.Iterator[Run]:
+        """Yield the attempts that have not ended."""
+        return (run for run in self._runs.values() if not run.settled.is_set())
+
+    def _prune(self, before_ms: float) -> None:
+        """Forget the oldest attempts that have ended."""
+        for number, run in list(self._runs.items())[:2]:
+            crowded = len(self._runs) > MAX_RUNS
+            if run.settled.is_set() and (crowded or run.opened_ms < before_ms):
+                del self._runs[number]
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -116,15 +116,15 @@
         return await self._write("DELETE", key, condition, b"")
 
     async def list(
-        self, prefix: str
+        self, prefix: str, after: str = ""
     ) -> result.Result[results.Listing, results.ReadError]:
-        """Return all objects under a prefix.
+        """Return all objects under a prefix whose keys sort behind ``after``.
 
         Pages are read one after the other, so the revision of the first page holds
         for all: a watch from there repeats whatever changed between the pages.
         """
         records: list[results.Record] = []
-        revision, after = None, ""
+        revision: int | None = None
         while after is not None:
             query = {"prefix": prefix, "after": after, "limit": PAGE_RECORDS}
             path = "/v1/objects?" + urllib.parse.urlencode(query)
--- a/cornelreach/platform/results.py
+++ b/cornelreach/platform/results.py
@@ -128,8 +128,10 @@
     async def delete(self, key: str, if_version: int) -> result.Result[int, WriteError]:
         """Delete one object at a version and return the version of the deletion."""
 
-    async def list(self, prefix: str) -> result.Result[Listing, ReadError]:
-        """Return every object under a prefix."""
+    async def list(
+        self, prefix: str, after: str = ""
+    ) -> result.Result[Listing, ReadError]:
+        """Return every object under a prefix, or those behind a key."""
 
     async def watch(
         self, prefix: str, since: int, wait_ms: int
--- /dev/null
+++ b/test/calls/onceworld.py
@@ -0,0 +1,389 @@
+"""A small fleet under virtual time: instances, platform, service, callers, faults.
+
+Every message can be slow or lost, every instance can die or pause at any await, and
+data centres can be cut from each other and from the platform. ``run(seed)`` returns
+the history of one run.
+"""
+
+import asyncio
+import random
+
+import msgspec
+from returns import result
+
+from cornelreach.calls import claims, exchanges, ledger, once, refusals, runs
+from cornelreach.peers import wire
+from cornelreach.platform import results
+from cornelreach.util import errors
+from standins import platformmodel
+from test import virtualloop
+from test.calls import histories
+
+NAMES = ("north", "south", "kranj")
+CALL_WAIT_MS = 2_000
+PLATFORM = "platform"
+
+
+class Node:
+    """One boot of an instance."""
+
+    def __init__(self, world, name, boot):
+        self.world = world
+        self.name = name
+        self.boot = boot
+        self.resumed = asyncio.Event()
+        self.resumed.set()
+        self.tasks = set()
+        clock = virtualloop.Clock(world.loop, world.random.uniform(-500, 500))
+        attempts = runs.Runs(name, boot)
+        log = world.make_claims(
+            name, Objects(self), Peers(self), self.members, clock, lambda: 3_600_000.0
+        )
+        self.once = world.make_once(attempts, log, Service(self), clock)
+
+    def members(self):
+        """Return who seems alive from here: late, and without those cut off."""
+        return {
+            name: name
+            for name in NAMES
+            if name == self.name or self.world.seems_alive(self.name, name)
+        }
+
+    async def step(self):
+        """Pass a moment, and any pause of the instance."""
+        await self.resumed.wait()
+
+    def spawn(self, coroutine):
+        """Run a coroutine that dies with the instance."""
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def kill(self):
+        """End every task of the instance."""
+        for task in list(self.tasks):
+            task.cancel()
+        await self.once.close()
+        await self.once.log.close()
+
+
+class Objects:
+    """The platform's model behind a network, as results.Objects."""
+
+    def __init__(self, node):
+        self.node = node
+
+    async def _call(self, operate):
+        await self.node.step()
+        world = self.node.world
+        answer = await world.exchange(self.node.name, PLATFORM, operate, CALL_WAIT_MS)
+        await self.node.step()
+        return answer
+
+    async def get(self, key):
+        """Return one object."""
+        world = self.node.world
+        found = await self._call(lambda: world.model.get(key, world.now_ms()))
+        if isinstance(found, platformmodel.Object):
+            value = msgspec.json.decode(found.value)
+            return result.Success(results.Record(key, found.version, value))
+        if isinstance(found, platformmodel.Missing):
+            return result.Failure(results.NotFound(key))
+        return result.Failure(results.Unavailable("away"))
+
+    async def list(self, prefix, after=""):
+        """Return the objects behind a key in one page."""
+        world = self.node.world
+        found = await self._call(
+            lambda: world.model.page(prefix, after, 1_000, world.now_ms())
+        )
+        if not isinstance(found, platformmodel.Page):
+            return result.Failure(results.Unavailable("away"))
+        records = tuple(
+            results.Record(item.key, item.version, msgspec.json.decode(item.value))
+            for item in found.items
+        )
+        return result.Success(results.Listing(found.revision, records))
+
+    async def put(self, key, value, if_version=None, if_absent=False):
+        """Write one object; a slow write may land after its answer is given up."""
+        world, body = self.node.world, msgspec.json.encode(value)
+        expected = 0 if if_absent else if_version
+        return await self._write(
+            key, lambda: world.model.put(key, body, expected, world.now_ms())
+        )
+
+    async def delete(self, key, if_version):
+        """Delete one object."""
+        world = self.node.world
+        return await self._write(
+            key, lambda: world.model.delete(key, if_version, world.now_ms())
+        )
+
+    async def _write(self, key, operate):
+        found = await self._call(operate)
+        if isinstance(found, platformmodel.Written):
+            return result.Success(found.version)
+        if isinstance(found, platformmodel.Mismatch):
+            return result.Failure(results.Conflict(key, found.version))
+        if isinstance(found, platformmodel.Missing):
+            return result.Failure(results.NotFound(key))
+        if isinstance(found, platformmodel.Throttled):
+            return result.Failure(results.Unavailable("throttled"))
+        return result.Failure(results.OutcomeUnknown(key, "lost"))
+
+
+class Peers:
+    """The network between instances, as claims.Peers."""
+
+    def __init__(self, node):
+        self.node = node
+
+    async def call(self, address, method, request, wait_ms):
+        """Run the handler of a peer; its reply may be lost."""
+        await self.node.step()
+        world = self.node.world
+        sent = msgspec.msgpack.encode((self.node.name, request))
+
+        def operate():
+            peer = world.nodes.get(address)
+            if peer is None:
+                return None
+            decoder = msgspec.msgpack.Decoder(tuple[str, type(request)])
+            return peer.spawn(self._handle(peer, method, decoder.decode(sent)[1]))
+
+        reply = await world.exchange(self.node.name, address, operate, wait_ms)
+        await self.node.step()
+        if reply is None:
+            return result.Failure(wire.PeerLost(address, "no reply"))
+        return result.Success(reply)
+
+    async def _handle(self, peer, method, request):
+        await peer.step()
+        handlers = {
+            "SubmitClaim": peer.once.log.answer_submit,
+            "AskAttempt": peer.once.answer_ask,
+            "ForwardTicket": peer.once.answer_forward,
+        }
+        reply = await handlers[method.name](None, request)
+        await peer.step()
+        return reply
+
+
+class Service:
+    """A plain service that records every execution, as once.Sender."""
+
+    def __init__(self, node):
+        self.node = node
+
+    async def send(self, call, begin):
+        """Send one call; the answer, or the call itself, may be lost."""
+        world = self.node.world
+        await self.node.step()
+        if world.chance(0.05):
+            return once.NotSent(refusals.unclaimed("no connection", 100))
+        await asyncio.sleep(world.latency_s())
+        await self.node.step()
+        try:
+            begin()
+        except runs.TooLate:
+            return once.NotSent(refusals.unclaimed("too late", 100))
+        answer = await world.exchange(
+            self.node.name, "service", lambda: world.execute(call), 4_000
+        )
+        await self.node.step()
+        return once.Lost("no answer") if answer is None else once.Answered(answer)
+
+
+class World:
+    """The run of one seed."""
+
+    def __init__(self, seed, loop, make_claims=claims.Claims, make_once=once.Once):
+        self.random = random.Random(seed)
+        self.loop = loop
+        self.make_claims = make_claims
+        self.make_once = make_once
+        self.model = platformmodel.Model()
+        self.history = []
+        self.cuts = set()
+        self.nodes = {}
+        self.died_ms = {}
+        self.requests = 0
+        self.lossy = self.random.choice((0.0, 0.02, 0.1))
+        for name in NAMES:
+            self.nodes[name] = Node(self, name, f"{name}-0")
+
+    def now_ms(self):
+        """Return virtual time."""
+        return self.loop.time() * 1_000
+
+    def chance(self, share):
+        """Return True for a share of calls, in a faulty run only."""
+        return self.lossy > 0 and self.random.random() < share
+
+    def latency_s(self):
+        """Return the time of one message, now and then seconds."""
+        if self.chance(0.02):
+            return self.random.uniform(0.5, 4.0)
+        return self.random.uniform(0.000_5, 0.01)
+
+    def seems_alive(self, viewer, name):
+        """Tell what membership says: a death or a cut shows after 300 ms."""
+        died_ms = self.died_ms.get(name)
+        if died_ms is not None and self.now_ms() - died_ms > 300:
+            return False
+        return (viewer, name) not in self.cuts or self.random.random() < 0.3
+
+    async def exchange(self, source, destination, operate, wait_ms):
+        """Carry out an operation elsewhere; None if its answer does not arrive.
+
+        An operation that was sent goes on when its sender stops waiting or dies.
+        """
+        answered = self.loop.create_future()
+
+        def arrive():
+            if (source, destination) in self.cuts or self.chance(self.lossy):
+                return
+            task = asyncio.ensure_future(self._operate(operate))
+            task.add_done_callback(depart)
+
+        def depart(task):
+            lost = (destination, source) in self.cuts or self.chance(self.lossy)
+            if not task.cancelled() and not lost:
+                self.loop.call_later(self.latency_s(), deliver, task.result())
+
+        def deliver(answer):
+            if not answered.done():
+                answered.set_result(answer)
+
+        self.loop.call_later(self.latency_s(), arrive)
+        try:
+            async with asyncio.timeout(wait_ms / 1_000):
+                return await answered
+        except TimeoutError:
+            return None
+
+    async def _operate(self, operate):
+        found = operate()
+        if isinstance(found, asyncio.Task):
+            await asyncio.wait({found})
+            return None if found.cancelled() else found.result()
+        return found
+
+    def execute(self, call):
+        """Run a call in the service."""
+        body = f"{call.key}:{len(self.history)}".encode()
+        request = int(call.content_type)
+        key = call.key or f"unkeyed-{request}"
+        self.history.append(histories.Executed(key, request, call.body, body))
+        return ledger.Answer(200, "text/plain", body)
+
+    async def request(self, name, key, body=b"book"):
+        """Send one caller's request to an instance and note what it is told."""
+        self.requests += 1
+        number = self.requests
+        wait_ms = self.random.choice((1_000, 3_000, 8_000))
+        call = exchanges.Call("a", "booking", "/", key, body, str(number), wait_ms)
+        node = self.nodes.get(name)
+        end, answer = "gone", b""
+        if node is not None:
+            task = node.spawn(node.once.run(call))
+            await asyncio.wait({task})
+            if not task.cancelled():
+                end, answer = _told(task.result())
+        key = key or f"unkeyed-{number}"
+        self.history.append(histories.Returned(key, number, body, end, answer))
+        return end
+
+    async def caller(self, key):
+        """Repeat a call to one instance or another until it ends well."""
+        await asyncio.sleep(self.random.uniform(0, 1.0))
+        for _ in range(self.random.randint(1, 3)):
+            body = b"other" if self.random.random() < 0.05 else b"book"
+            end = await self.request(self.random.choice(NAMES), key, body)
+            if end == "answer":
+                return
+            await asyncio.sleep(self.random.uniform(0, 0.3))
+
+    def keys(self):
+        """Return the keys of the run: callers' own, one ticket, and none."""
+        issuer = self.nodes[self.random.choice(NAMES)]
+        return ["k1", "k2", issuer.once.issue_ticket(), ""]
+
+    async def fault(self):
+        """Let one fault come at any moment, and pass."""
+        await asyncio.sleep(self.random.uniform(0, 2.0))
+        kind = self.random.choice((self.outage, self.lose, self.death, self.pause))
+        await self.random.choice((kind, kind, self.cut))()
+
+    async def outage(self):
+        """Take the platform away."""
+        outage_ms = self.random.uniform(100, 3_000)
+        self.model.set_faults({"outage_ms": outage_ms}, self.now_ms())
+
+    async def lose(self):
+        """Lose the answers of some writes that take effect."""
+        count = self.random.randint(1, 4)
+        self.model.set_faults({"lose_answers": count}, self.now_ms())
+
+    async def death(self):
+        """Replace an instance."""
+        name = self.random.choice(NAMES)
+        node = self.nodes.pop(name, None)
+        if node is None:
+            return
+        self.died_ms[name] = self.now_ms()
+        await node.kill()
+        await asyncio.sleep(self.random.uniform(0.05, 2.0))
+        del self.died_ms[name]
+        self.nodes[name] = Node(self, name, f"{name}-{self.now_ms()}")
+
+    async def pause(self):
+        """Stop an instance for a while."""
+        node = self.nodes.get(self.random.choice(NAMES))
+        if node is not None:
+            node.resumed.clear()
+            await asyncio.sleep(self.random.uniform(0.1, 6.0))
+            node.resumed.set()
+
+    async def cut(self):
+        """Cut an instance off from another or the platform, one way or both."""
+        name = self.random.choice(NAMES)
+        others = [other for other in (*NAMES, PLATFORM) if other != name]
+        other = self.random.choice(others)
+        ways = self.random.choice(({(name, other)}, {(name, other), (other, name)}))
+        self.cuts |= ways
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        self.cuts -= ways
+
+    async def play(self):
+        """Run callers and faults, then one last repeat of each key."""
+        keys = self.keys()
+        faults = self.random.randint(1, 4) if self.lossy else 0
+        callers = [self.caller(key) for key in keys for _ in range(2)]
+        await asyncio.gather(*callers, *(self.fault() for _ in range(faults)))
+        self.lossy = 0.0
+        await asyncio.sleep(5.0)
+        for key in keys[:-1]:
+            await self.request(self.random.choice(NAMES), key)
+        for node in self.nodes.values():
+            await node.kill()
+        return self.history
+
+
+def _told(outcome):
+    if isinstance(outcome, result.Success):
+        return "answer", outcome.unwrap().body
+    ran = outcome.failure().ran
+    ends = {errors.Ran.NOT_RUN: "not_run", errors.Ran.UNKNOWN: "unknown"}
+    return ends.get(ran, "ran"), b""
+
+
+def run(seed, loop, **parts):
+    """Return the history of one seeded run."""
+
+    async def play():
+        return await World(seed, loop, **parts).play()
+
+    return virtualloop.run(play(), loop)
--- a/test/platform/objects.py
+++ b/test/platform/objects.py
@@ -103,11 +103,13 @@
             return result.Failure(results.OutcomeUnknown(key, "lost"))
         return outcome
 
-    async def list(self, prefix):
+    async def list(self, prefix, after=""):
         """Return all objects under a prefix."""
         if self._fault("list"):
             return result.Failure(results.Unavailable("away"))
-        return result.Success(self.store.listing(prefix))
+        found = self.store.listing(prefix)
+        kept = tuple(record for record in found.records if record.key > after)
+        return result.Success(found._replace(records=kept))
 
     async def watch(self, prefix, since, wait_ms):
         """Return changes, waiting a little when there are none."""
