Serve the whole path: callers, instances, pool owners, engines, platform

Cause: the parts stood side by side; no caller's request went through them. Change: the flow of a chat call (place, send, relay, retry, resume), of a service call, the desk and the placer of pools, the instance, the daemon, and a site of plain processes with make run and make serve. A cold target's default limit in tokens was 20,000, so a prompt of 27,582 waited until its deadline; the default is the largest prompt now, and the limit in sequences holds.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,9 @@
 
 test: lint
 	$(PYTHON) -m test
+
+run: env
+	$(PYTHON) -m standins.site run
+
+serve: env
+	$(PYTHON) -m standins.site serve
--- /dev/null
+++ b/cornelreach/calls/api.py
@@ -0,0 +1,211 @@
+"""The callers' HTTP interface: routes, authentication and account rules."""
+
+import typing
+
+from cornelreach.calls import attempt, chat, chatflow, sse, streams
+from cornelreach.http import client, messages, server
+from cornelreach.pools import notices
+from cornelreach.settings import items, view
+from cornelreach.util import errors
+
+CHAT_PATH = "/v1/chat/completions"
+MODELS_PATH = "/v1/models"
+STREAM_PREFIX = "/v1/streams/"
+SERVICE_PREFIX = "/v1/services/"
+NO_NUMBER = -1
+DRAIN_RETRY_MS = 1_000
+
+ServiceHandler = typing.Callable[
+    [items.Account, str, messages.Request], typing.Awaitable[messages.Response]
+]
+
+
+class Gate(typing.Protocol):
+    """Tells whether the instance takes new calls."""
+
+    draining: bool
+
+    def configured(self) -> bool:
+        """Return whether any settings are held."""
+
+
+class Api:
+    """Answers callers; everything that it refuses was not run."""
+
+    def __init__(
+        self,
+        settings: view.View,
+        flow: chatflow.ChatFlow,
+        serve_service: ServiceHandler,
+        gate: Gate,
+        announce: typing.Callable[[notices.Resumed], None],
+    ) -> None:
+        self.view = settings
+        self.flow = flow
+        self.serve_service = serve_service
+        self.gate = gate
+        self.announce = announce
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answer one request; raises server.Refused with a typed refusal."""
+        self._check_open()
+        account = self._authenticate(request)
+        if request.path == CHAT_PATH:
+            self._check_method(request, "POST")
+            return await self._chat(account, request)
+        if request.path == MODELS_PATH:
+            self._check_method(request, "GET")
+            return self._models(account)
+        if request.path.startswith(STREAM_PREFIX):
+            self._check_method(request, "GET")
+            return await self._stream(account, request)
+        if request.path.startswith(SERVICE_PREFIX):
+            rest = request.path.removeprefix(SERVICE_PREFIX)
+            return await self.serve_service(account, rest, request)
+        raise server.Refused(
+            errors.Refusal(
+                errors.Code.NOT_FOUND,
+                f"path {request.path!r} does not exist",
+                f"use {CHAT_PATH}, {STREAM_PREFIX} or {SERVICE_PREFIX}",
+            )
+        )
+
+    def _check_open(self) -> None:
+        if self.gate.draining:
+            raise server.Refused(
+                errors.Refusal(
+                    errors.Code.DRAINING,
+                    "this instance is stopping",
+                    "send the call again; the balancer will choose another instance",
+                    retry_after_ms=DRAIN_RETRY_MS,
+                )
+            )
+        if not self.gate.configured():
+            raise server.Refused(
+                errors.Refusal(
+                    errors.Code.UNAVAILABLE,
+                    "this instance has no settings yet",
+                    "send the call again soon, or to another instance",
+                    retry_after_ms=DRAIN_RETRY_MS,
+                )
+            )
+
+    def _check_method(self, request: messages.Request, method: str) -> None:
+        if request.method != method:
+            raise server.Refused(
+                errors.Refusal(
+                    errors.Code.BAD_REQUEST,
+                    f"{request.path!r} does not take {request.method}",
+                    f"use {method}",
+                )
+            )
+
+    def _authenticate(self, request: messages.Request) -> items.Account:
+        scheme, _, key = (request.header("authorization") or "").partition(" ")
+        account = None
+        if scheme.lower() == "bearer" and key:
+            account = self.view.account_of(key.strip())
+        if account is None:
+            raise server.Refused(
+                errors.Refusal(
+                    errors.Code.UNAUTHENTICATED,
+                    "no client account has this bearer key",
+                    "send Authorization: Bearer with a key of your account",
+                )
+            )
+        return account
+
+    async def _chat(
+        self, account: items.Account, request: messages.Request
+    ) -> messages.Response:
+        parsed = chat.parse(
+            account.name,
+            request.body,
+            request.header("x-deadline-ms"),
+            request.header("x-priority"),
+        )
+        call = parsed.alt(_raise).unwrap()
+        if account.models and call.model not in account.models:
+            _forbid(f"account {account.name!r} may not use model {call.model!r}")
+        wall_ms = self.flow.parts.clock.wall_ms()
+        most = self.view.effective(
+            "max_prompt_tokens", wall_ms, account.name, call.model
+        )
+        if call.prompt_tokens > most:
+            refusal = errors.Refusal(
+                errors.Code.TOO_LARGE,
+                f"the prompt has about {call.prompt_tokens} tokens of {most} allowed",
+                "shorten the prompt or ask the operators for an exception",
+            )
+            raise server.Refused(refusal)
+        return await self.flow.run(call)
+
+    def _models(self, account: items.Account) -> messages.Response:
+        names = sorted(self.view.models)
+        listed = [
+            {"id": name, "object": "model", "owned_by": "operators"}
+            for name in names
+            if not account.models or name in account.models
+        ]
+        return messages.json_response(200, {"object": "list", "data": listed})
+
+    async def _stream(
+        self, account: items.Account, request: messages.Request
+    ) -> messages.Response:
+        run = request.path.removeprefix(STREAM_PREFIX)
+        stream = self.flow.parts.ring().verify(run, account.name)
+        target = self.view.targets.get(stream.target) if stream else None
+        after = request.query.get("from", str(NO_NUMBER))
+        if target is None or not after.removeprefix("-").isdigit():
+            raise server.Refused(_no_stream())
+        self._announce(stream, run)
+        return await self._resume(target, run, int(after))
+
+    def _announce(self, stream: streams.StreamId, run: str) -> None:
+        self.flow.resumed(run)
+        if stream.instance != self.flow.parts.identity.name:
+            self.announce(notices.Resumed(stream.instance, run))
+
+    async def _resume(
+        self, target: items.Target, run: str, after: int
+    ) -> messages.Response:
+        address = client.parse_address(target.address)
+        cause = client.AnswerLost("the caller resumed")
+        try:
+            answer = await attempt.resume(
+                self.flow.parts.http, address, run, after, cause
+            )
+        except attempt.Failed:
+            raise server.Refused(_no_stream()) from None
+        headers = (
+            (b"content-type", b"text/event-stream"),
+            (b"x-stream-id", run.encode()),
+        )
+        return messages.Response(200, headers=headers, stream=_checked(answer, run))
+
+
+async def _checked(answer: client.Answer, run: str) -> typing.AsyncIterator[bytes]:
+    reader = sse.Reader()
+    async for part in answer.parts():
+        for event in reader.feed(part):
+            if event.data != sse.DONE and sse.decode(event.data).get("id") != run:
+                raise sse.BrokenStream("the target sent a chunk of another run")
+            yield sse.encode(max(0, event.number), event.data)
+
+
+def _raise(refusal: errors.Refusal) -> typing.NoReturn:
+    raise server.Refused(refusal)
+
+
+def _forbid(message: str) -> typing.NoReturn:
+    remedy = "use what the account may use, or ask the operators"
+    raise server.Refused(errors.Refusal(errors.Code.FORBIDDEN, message, remedy))
+
+
+def _no_stream() -> errors.Refusal:
+    return errors.Refusal(
+        errors.Code.NOT_FOUND,
+        "no stream of this account has that identifier and position",
+        "send the call again",
+        errors.Ran.UNKNOWN,
+    )
--- /dev/null
+++ b/cornelreach/calls/attempt.py
@@ -0,0 +1,230 @@
+"""One attempt of a chat call at one engine, from the last check to the last event."""
+
+import asyncio
+import typing
+
+from returns import result
+
+from cornelreach.calls import ports, sse
+from cornelreach.http import client
+from cornelreach.targets import permits
+from cornelreach.util import timers
+
+RESUME_TRIES = 2
+CANCEL_WAIT_MS = 2_000
+STALL_MS = 10_000
+RETRY_LATER_STATUS = frozenset((429, 503))
+PRECONDITION_FAILED = 412
+
+
+class Item(typing.NamedTuple):
+    """One chunk of an answer: its number, decoded, and as the engine sent it."""
+
+    number: int
+    chunk: sse.Chunk
+    data: bytes
+
+
+class PermitExpired(Exception):
+    """The permit ran out before the first byte was written."""
+
+
+class Failed(Exception):
+    """An attempt that ended without a whole answer.
+
+    ``ran`` is false only when the engine cannot have run the request.
+    """
+
+    def __init__(self, reason: str, outcome: permits.Outcome, ran: bool) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.outcome = outcome
+        self.ran = ran
+
+
+class Attempt:
+    """Sends a request to an engine and yields the chunks of its answer.
+
+    The run's identifier stands in every chunk; a chunk of another run ends the attempt,
+    so that an answer can never reach another call.
+    """
+
+    def __init__(
+        self,
+        http: client.Client,
+        clock: timers.Timers,
+        ticket: ports.Ticket,
+        run: str,
+    ) -> None:
+        self.http = http
+        self.clock = clock
+        self.ticket = ticket
+        self.run = run
+        self.boot = ""
+        self.first_token_ms = 0
+        self.cached_tokens = 0
+        self.prompt_tokens = 0
+        self.finished = False
+        self.sent = False
+        self._last_number = -1
+        self._sent_ms = 0.0
+
+    @property
+    def address(self) -> client.Address:
+        """Return where the target listens."""
+        return client.parse_address(self.ticket.target.address)
+
+    async def chunks(self, body: bytes) -> typing.AsyncIterator[Item]:
+        """Yield each chunk; raises Failed if the answer cannot be completed."""
+        answer = await self._send(body)
+        tries = 0
+        while True:
+            try:
+                async for item in self._read(answer):
+                    yield item
+            except client.AnswerLost as error:
+                tries += 1
+                answer = await self._resume(error, tries)
+                continue
+            if self.finished:
+                return
+            tries += 1
+            lost = client.AnswerLost("the stream ended without its last event")
+            answer = await self._resume(lost, tries)
+
+    async def _send(self, body: bytes) -> client.Answer:
+        headers = (
+            (b"content-type", b"application/json"),
+            (b"if-match", self.ticket.permit.boot.encode()),
+        )
+        self._sent_ms = self.clock.now_ms()
+        try:
+            async with asyncio.timeout(STALL_MS * 6 / 1_000):
+                answer = await self.http.send(
+                    self.address,
+                    "POST",
+                    "/v1/chat/completions",
+                    body,
+                    headers,
+                    before_write=self._before_write,
+                )
+        except PermitExpired as error:
+            raise Failed(str(error), permits.Outcome.UNUSED, ran=False) from None
+        except client.RequestNotSent as error:
+            raise Failed(
+                str(error), permits.Outcome.CONNECTION_LOST, ran=False
+            ) from None
+        except (client.AnswerLost, TimeoutError) as error:
+            raise Failed(
+                str(error), permits.Outcome.CONNECTION_LOST, ran=True
+            ) from None
+        self.boot = answer.header("x-boot-id") or ""
+        if answer.status != 200:
+            await self._refused(answer)
+        return answer
+
+    def _before_write(self) -> None:
+        permit_check(self.ticket, self.clock)()
+        self.sent = True
+
+    async def _refused(self, answer: client.Answer) -> typing.NoReturn:
+        status = answer.status
+        text = (await answer.read())[:200].decode(errors="replace")
+        if status == PRECONDITION_FAILED:
+            raise Failed("the target restarted", permits.Outcome.REJECTED, ran=False)
+        if status in RETRY_LATER_STATUS:
+            raise Failed("the target is full", permits.Outcome.REJECTED, ran=False)
+        reason = f"the target answered {status}: {text}"
+        raise Failed(reason, permits.Outcome.FAILED, ran=status >= 500)
+
+    async def _read(self, answer: client.Answer) -> typing.AsyncIterator[Item]:
+        reader = sse.Reader()
+        parts = answer.parts()
+        try:
+            while (part := await self._next_part(parts)) is not None:
+                for event in reader.feed(part):
+                    item = self._accept(event)
+                    if item is not None:
+                        yield item
+        except sse.BrokenStream as error:
+            raise Failed(str(error), permits.Outcome.FAILED, ran=True) from None
+        finally:
+            await parts.aclose()
+
+    async def _next_part(self, parts: typing.AsyncIterator[bytes]) -> bytes | None:
+        try:
+            async with asyncio.timeout(STALL_MS / 1_000):
+                return await anext(parts, None)
+        except TimeoutError:
+            text = f"no event within {STALL_MS} ms"
+            raise client.AnswerLost(text) from None
+
+    def _accept(self, event: sse.Event) -> Item | None:
+        if event.data == sse.DONE:
+            self.finished = True
+            return None
+        if event.number <= self._last_number:
+            return None
+        self._last_number = event.number
+        chunk = sse.decode(event.data)
+        if chunk.get("id") != self.run:
+            raise sse.BrokenStream("the target sent a chunk of another run")
+        if not self.first_token_ms and sse.text_of(chunk):
+            self.first_token_ms = max(1, int(self.clock.now_ms() - self._sent_ms))
+        usage = chunk.get("usage")
+        if usage:
+            self.cached_tokens = usage.get("cached_tokens", 0)
+            self.prompt_tokens = usage.get("prompt_tokens", 0)
+        return Item(event.number, chunk, event.data)
+
+    async def _resume(self, error: Exception, tries: int) -> client.Answer:
+        if tries > RESUME_TRIES:
+            raise Failed(str(error), permits.Outcome.CONNECTION_LOST, ran=True)
+        return await resume(self.http, self.address, self.run, self._last_number, error)
+
+    async def cancel(self) -> None:
+        """Tell the engine to stop the run; a lost message only costs its work."""
+        target = f"/v1/runs/{self.run}/cancel"
+        try:
+            await self.http.call(self.address, "POST", target, wait_ms=CANCEL_WAIT_MS)
+        except (client.RequestNotSent, client.AnswerLost):
+            return
+
+
+def permit_check(
+    ticket: ports.Ticket, clock: timers.Timers
+) -> typing.Callable[[], None]:
+    """Return the last check before the first byte; it raises PermitExpired."""
+
+    def check() -> None:
+        checked = permits.check(ticket.permit, ticket.asked_ms, clock.now_ms(), None)
+        if isinstance(checked, result.Failure):
+            raise PermitExpired(checked.failure().message)
+
+    return check
+
+
+async def resume(
+    http: client.Client,
+    address: client.Address,
+    run: str,
+    last_number: int,
+    cause: Exception,
+) -> client.Answer:
+    """Return the rest of a run's events after the last one seen.
+
+    Raises Failed where the engine no longer has the run.
+    """
+    target = f"/v1/runs/{run}/events?from={last_number}"
+    try:
+        async with asyncio.timeout(STALL_MS / 1_000):
+            answer = await http.send(address, "GET", target)
+    except (client.RequestNotSent, client.AnswerLost, TimeoutError) as error:
+        reason = f"{cause}; resuming failed: {error}"
+        raise Failed(reason, permits.Outcome.CONNECTION_LOST, ran=True) from None
+    if answer.status != 200:
+        await answer.read()
+        raise Failed(
+            f"{cause}; the run is gone", permits.Outcome.CONNECTION_LOST, ran=True
+        )
+    return answer
--- /dev/null
+++ b/cornelreach/calls/chatflow.py
@@ -0,0 +1,377 @@
+"""The way of a chat call: place, send, relay, retry, resume.
+
+The edge keeps an answer's numbering and identifier the same for its caller, also when
+the rest of the answer comes from another engine after the first one failed.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import typing
+
+from returns import result
+
+from cornelreach.calls import attempt, chat, ports, sse, streams
+from cornelreach.http import client, messages as http, server
+from cornelreach.prompts import pieces
+from cornelreach.settings import items, view
+from cornelreach.targets import permits
+from cornelreach.util import errors, events, timers
+
+MAX_ATTEMPTS = 3
+RESUME_GRACE_MS = 5_000
+RETRY_AFTER_MS = 1_000
+
+ATTEMPT_FAILED = events.define(
+    1601,
+    "WARNING",
+    "Attempt of {account} at target {target} failed: {reason}.",
+    "Look at the target if it repeats; the call is retried within its budget.",
+)
+
+
+class Observer(typing.Protocol):
+    """Hears what calls measure; the reports implement it."""
+
+    def first_token(self, account: str, wait_ms: float) -> None:
+        """Record the time from receipt to the first token."""
+
+    def between_tokens(self, account: str, gap_ms: float) -> None:
+        """Record the time between two chunks."""
+
+    def answered(self, account: str, prompt_tokens: int, cached_tokens: int) -> None:
+        """Record a whole answer."""
+
+    def failed(self, account: str, code: errors.Code) -> None:
+        """Record a refusal or a failure."""
+
+
+class Retries(typing.Protocol):
+    """A budget of retries as a share of first tries."""
+
+    def first_try(self) -> None:
+        """Count a first try."""
+
+    def allow(self) -> bool:
+        """Take one retry from the budget if there is one."""
+
+
+class Identity(typing.NamedTuple):
+    """Which instance and boot serves the calls."""
+
+    name: str
+    boot: str
+
+
+class Parts(typing.NamedTuple):
+    """What the flow is built from."""
+
+    clock: timers.Timers
+    http: client.Client
+    view: view.View
+    placer: ports.Placer
+    ring: typing.Callable[[], streams.KeyRing]
+    observer: Observer
+    retries: Retries
+    identity: Identity
+
+
+class Progress:
+    """What a caller has received of one answer so far."""
+
+    def __init__(self, call: chat.ChatCall, started_ms: float) -> None:
+        self.call = call
+        self.started_ms = started_ms
+        self.last_ms = started_ms
+        self.texts: list[str] = []
+        self.run = ""
+        self.number = 0
+        self.offset = 0
+        self.failed_targets: tuple[str, ...] = ()
+
+    @property
+    def delivered(self) -> str:
+        """Return the text that the caller already has."""
+        return "".join(self.texts)
+
+    def own(self, item: attempt.Item, run: str) -> sse.Event:
+        """Return an engine's chunk under the number and run that the caller knows."""
+        self.number = self.offset + item.number
+        if run == self.run:
+            return sse.Event(self.number, item.data)
+        data = item.data.replace(run.encode(), self.run.encode())
+        return sse.Event(self.number, data)
+
+
+class ChatFlow:
+    """Carries chat calls out; one for each instance."""
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts = parts
+        self._numbers = itertools.count(1)
+        self._background: set[asyncio.Task[None]] = set()
+        self._lingering: dict[str, asyncio.Event] = {}
+
+    async def run(self, call: chat.ChatCall) -> http.Response:
+        """Answer a call; raises server.Refused before the first token."""
+        started_ms = self.parts.clock.now_ms()
+        progress = Progress(call, started_ms)
+        relayed = self._relay(progress)
+        try:
+            async with asyncio.timeout(self._deadline_ms(call) / 1_000):
+                first = await anext(relayed)
+                if not call.stream:
+                    return await self._whole(progress, first, relayed)
+        except TimeoutError:
+            await relayed.aclose()
+            raise self._late(progress) from None
+        except server.Refused as refused:
+            self.parts.observer.failed(call.account, refused.refusal.code)
+            raise
+        headers = (
+            (b"content-type", b"text/event-stream"),
+            (b"cache-control", b"no-store"),
+            (b"x-stream-id", progress.run.encode()),
+        )
+        return http.Response(200, headers=headers, stream=_encoded(first, relayed))
+
+    def _deadline_ms(self, call: chat.ChatCall) -> float:
+        default_ms = self._effective("deadline_ms", call)
+        return min(call.deadline_ms or default_ms, default_ms)
+
+    def _effective(self, setting: str, call: chat.ChatCall) -> int:
+        wall_ms = self.parts.clock.wall_ms()
+        return self.parts.view.effective(setting, wall_ms, call.account, call.model)
+
+    def _late(self, progress: Progress) -> server.Refused:
+        self.parts.observer.failed(progress.call.account, errors.Code.DEADLINE)
+        ran = errors.Ran.UNKNOWN if progress.run else errors.Ran.NOT_RUN
+        return server.Refused(
+            errors.Refusal(
+                errors.Code.DEADLINE,
+                "the deadline passed before the answer was there",
+                "allow more time or send the call again later",
+                ran,
+                RETRY_AFTER_MS,
+            )
+        )
+
+    async def _whole(
+        self,
+        progress: Progress,
+        first: sse.Event,
+        relayed: typing.AsyncIterator[sse.Event],
+    ) -> http.Response:
+        last = first
+        async with contextlib.aclosing(relayed):
+            async for event in relayed:
+                last = event
+        chunk = sse.decode(last.data)
+        usage = chunk.get("usage") or {}
+        choices = chunk.get("choices") or [{}]
+        message = {"role": "assistant", "content": progress.delivered}
+        reason = choices[0].get("finish_reason") or "stop"
+        body = {
+            "id": progress.run,
+            "object": "chat.completion",
+            "model": progress.call.model,
+            "choices": [{"index": 0, "message": message, "finish_reason": reason}],
+            "usage": usage,
+        }
+        return http.json_response(200, body)
+
+    async def _relay(self, progress: Progress) -> typing.AsyncIterator[sse.Event]:
+        self.parts.retries.first_try()
+        for count in range(1, MAX_ATTEMPTS + 1):
+            ticket = await self._place(progress)
+            try:
+                async for event in self._attempt(progress, ticket):
+                    yield event
+                return
+            except attempt.Failed as failure:
+                events.emit(
+                    ATTEMPT_FAILED,
+                    account=progress.call.account,
+                    target=ticket.target.name,
+                    reason=failure.reason,
+                )
+                progress.offset = progress.number
+                progress.failed_targets += (ticket.target.name,)
+                if count == MAX_ATTEMPTS or not self.parts.retries.allow():
+                    raise server.Refused(_broken(failure)) from None
+
+    async def _place(self, progress: Progress) -> ports.Ticket:
+        call = progress.call
+        model = self._model(call)
+        spent_ms = self.parts.clock.now_ms() - progress.started_ms
+        need = ports.Need(
+            call.account,
+            call.model,
+            call.priority,
+            self._pieces(call, model.version),
+            self._answer_tokens(call),
+            max(1, int(self._deadline_ms(call) - spent_ms)),
+            progress.failed_targets,
+        )
+        placed = await self.parts.placer.place(need)
+        if isinstance(placed, result.Failure):
+            raise server.Refused(placed.failure())
+        return placed.unwrap()
+
+    def _model(self, call: chat.ChatCall) -> items.Model:
+        model = self.parts.view.models.get(call.model)
+        if model is None:
+            raise server.Refused(_no_model(call.model))
+        return model
+
+    def _pieces(self, call: chat.ChatCall, version: str) -> pieces.PromptPieces:
+        messages_ = [message._asdict() for message in call.messages]
+        return pieces.split(call.account, call.model, version, messages_)
+
+    def _answer_tokens(self, call: chat.ChatCall) -> int:
+        most = self._effective("max_answer_tokens", call)
+        return min(call.max_tokens or most, most)
+
+    def _sign(self, call: chat.ChatCall, target: str) -> str:
+        identity = self.parts.identity
+        number = next(self._numbers)
+        return self.parts.ring().sign(
+            streams.StreamId(call.account, target, identity.name, identity.boot, number)
+        )
+
+    async def _attempt(
+        self, progress: Progress, ticket: ports.Ticket
+    ) -> typing.AsyncIterator[sse.Event]:
+        call = progress.call
+        run = self._sign(call, ticket.target.name)
+        trial = attempt.Attempt(self.parts.http, self.parts.clock, ticket, run)
+        progress.run = progress.run or run
+        outcome = permits.Outcome.CANCELLED
+        try:
+            async for item in trial.chunks(self._body(progress, run)):
+                yield self._received(progress, item, run)
+            outcome = permits.Outcome.DONE
+            self.parts.observer.answered(
+                call.account, trial.prompt_tokens, trial.cached_tokens
+            )
+        except attempt.Failed as failure:
+            outcome = failure.outcome
+            if failure.ran:
+                self._later(trial.cancel())
+            if not progress.texts:
+                progress.run = ""
+            raise
+        finally:
+            if outcome is permits.Outcome.CANCELLED and trial.sent:
+                self._later(self._linger(progress, trial, ticket))
+            else:
+                self._release(trial, ticket, outcome)
+
+    def _body(self, progress: Progress, run: str) -> bytes:
+        call = progress.call
+        version = self._model(call).version
+        prompt = self._pieces(call, version)
+        described = [
+            {"key": key, "tokens": tokens}
+            for key, tokens in zip(prompt.keys, prompt.tokens, strict=True)
+        ]
+        tokens = self._answer_tokens(call)
+        return chat.engine_body(
+            call, run, version, described, tokens, progress.delivered
+        )
+
+    def _received(self, progress: Progress, item: attempt.Item, run: str) -> sse.Event:
+        now_ms = self.parts.clock.now_ms()
+        text = sse.text_of(item.chunk)
+        if text:
+            account = progress.call.account
+            if progress.texts:
+                self.parts.observer.between_tokens(account, now_ms - progress.last_ms)
+            else:
+                self.parts.observer.first_token(account, now_ms - progress.started_ms)
+            progress.last_ms = now_ms
+            progress.texts.append(text)
+        return progress.own(item, run)
+
+    def _release(
+        self,
+        trial: attempt.Attempt,
+        ticket: ports.Ticket,
+        outcome: permits.Outcome,
+    ) -> None:
+        release = permits.Release(
+            ticket.permit.permit,
+            ticket.target.name,
+            outcome,
+            trial.boot,
+            trial.first_token_ms or None,
+        )
+        self.parts.placer.release(release, ticket.permit.pool)
+
+    async def _linger(
+        self, progress: Progress, trial: attempt.Attempt, ticket: ports.Ticket
+    ) -> None:
+        # The caller is gone. A stream may be resumed elsewhere within the grace time;
+        # then the run is left to its end.
+        resumed = asyncio.Event()
+        self._lingering[trial.run] = resumed
+        grace_ms = RESUME_GRACE_MS if progress.call.stream else 0
+        try:
+            async with asyncio.timeout(grace_ms / 1_000):
+                await resumed.wait()
+        except TimeoutError:
+            await trial.cancel()
+        finally:
+            del self._lingering[trial.run]
+            self._release(trial, ticket, permits.Outcome.CANCELLED)
+
+    def resumed(self, run: str) -> None:
+        """Hear that a caller took a run up again, here or at another instance."""
+        if run in self._lingering:
+            self._lingering[run].set()
+
+    def _later(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def settled(self) -> None:
+        """Wait for cancellations and grace times in progress."""
+        while self._background:
+            await asyncio.wait(self._background)
+
+
+async def _encoded(
+    first: sse.Event, relayed: typing.AsyncIterator[sse.Event]
+) -> typing.AsyncIterator[bytes]:
+    last = first
+    async with contextlib.aclosing(relayed):
+        yield sse.encode(*first)
+        try:
+            async for event in relayed:
+                last = event
+                yield sse.encode(*event)
+            yield sse.encode(last.number + 1, sse.DONE)
+        except server.Refused as refused:
+            body = server.refusal_response(refused.refusal).body
+            yield b"event: error\n" + sse.encode(last.number + 1, body)
+
+
+def _broken(failure: attempt.Failed) -> errors.Refusal:
+    ran = errors.Ran.UNKNOWN if failure.ran else errors.Ran.NOT_RUN
+    code = errors.Code.TARGET_FAILED if failure.ran else errors.Code.UNAVAILABLE
+    return errors.Refusal(
+        code,
+        f"no target completed the call: {failure.reason}",
+        "send the call again",
+        ran,
+        RETRY_AFTER_MS,
+    )
+
+
+def _no_model(name: str) -> errors.Refusal:
+    return errors.Refusal(
+        errors.Code.NOT_FOUND,
+        f"model {name!r} does not exist",
+        "use a model that the operators have created",
+    )
--- /dev/null
+++ b/cornelreach/calls/ports.py
@@ -0,0 +1,43 @@
+"""What a call needs from the rest of an instance, as interfaces."""
+
+import typing
+
+from returns import result
+
+from cornelreach.prompts import pieces
+from cornelreach.settings import items
+from cornelreach.targets import permits
+from cornelreach.util import errors
+
+
+class Ticket(typing.NamedTuple):
+    """A placed request: the permit, the target and when the permit was asked for."""
+
+    permit: permits.Permit
+    target: items.Target
+    asked_ms: float
+
+
+class Need(typing.NamedTuple):
+    """What one request needs of a pool.
+
+    ``serves`` names the model or service; ``prompt`` is None for a plain service.
+    """
+
+    account: str
+    serves: str
+    priority: int
+    prompt: pieces.PromptPieces | None
+    answer_tokens: int
+    wait_ms: int
+    avoid: tuple[str, ...] = ()
+
+
+class Placer(typing.Protocol):
+    """Chooses a pool and asks its owner; hands permits back."""
+
+    async def place(self, need: Need) -> result.Result[Ticket, errors.Refusal]:
+        """Return leave to send, or a refusal that is true: nothing was run."""
+
+    def release(self, release: permits.Release, pool: str) -> None:
+        """Hand a permit back to the pool's owner; never blocks."""
--- /dev/null
+++ b/cornelreach/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Owners of pools: the control call that places and admits a request."""
--- /dev/null
+++ b/cornelreach/pools/placer.py
@@ -0,0 +1,202 @@
+"""The edge's side of the control call: chooses a pool and asks its owner."""
+
+import asyncio
+import itertools
+import typing
+
+from returns import result
+
+from cornelreach.calls import ports
+from cornelreach.peers import wire
+from cornelreach.pools import desk as desk_module, methods
+from cornelreach.prompts import pieces
+from cornelreach.settings import view
+from cornelreach.targets import permits
+from cornelreach.util import errors, hashing, timers
+
+ASK_MARGIN_MS = 500
+RELEASE_LINGER_MS = 20
+RELEASE_WAIT_MS = 1_000
+MAX_POOLS = 3
+KEY_CHARACTERS = 16
+
+
+class Members(typing.Protocol):
+    """Which instances are in reach."""
+
+    def address(self, instance: str) -> str:
+        """Return the peer address of a live instance, empty if it is not in reach."""
+
+    def in_reach(self, data_centre: str) -> bool:
+        """Return whether any instance of a data centre is in reach."""
+
+
+class Placer:
+    """Places requests for the callers of this instance."""
+
+    def __init__(
+        self,
+        sender: typing.Callable[[], wire.Sender],
+        clock: timers.Timers,
+        settings: view.View,
+        peers: wire.Client,
+        members: Members,
+        desk: desk_module.Desk,
+    ) -> None:
+        self.sender = sender
+        self.clock = clock
+        self.view = settings
+        self.peers = peers
+        self.members = members
+        self.desk = desk
+        self._numbers = itertools.count(1)
+        self._releases: dict[str, list[methods.PoolRelease]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def place(
+        self, need: ports.Need
+    ) -> result.Result[ports.Ticket, errors.Refusal]:
+        """Ask the owners of the best pools in turn, until one gives a permit."""
+        until_ms = self.clock.now_ms() + need.wait_ms
+        refusal = no_pool(need.serves)
+        for pool_name in self.candidates(need)[:MAX_POOLS]:
+            outcome = await self._ask_pool(pool_name, need, until_ms)
+            if isinstance(outcome, result.Success):
+                return outcome
+            refusal = outcome.failure()
+            if refusal.code is errors.Code.DEADLINE:
+                break
+        return result.Failure(refusal)
+
+    def candidates(self, need: ports.Need) -> list[str]:
+        """Return the pools that may serve a need, best first."""
+        in_service = self.view.in_service()
+        usable = [
+            name
+            for name, targets in self.view.pools(need.serves).items()
+            if any(
+                target.data_centre in in_service
+                and target.state == view.IN_SERVICE
+                and self.members.in_reach(target.data_centre)
+                for target in targets
+            )
+        ]
+        root = need.prompt.root if need.prompt else need.account
+        return hashing.rendezvous(root.encode(), usable)
+
+    async def _ask_pool(
+        self, pool_name: str, need: ports.Need, until_ms: float
+    ) -> result.Result[ports.Ticket, errors.Refusal]:
+        request = self._request(pool_name, need)
+        while (left_ms := until_ms - self.clock.now_ms()) > 0:
+            asked_ms = self.clock.now_ms()
+            asked = await self._ask(request._replace(deadline_in_ms=left_ms))
+            if asked.refusal is not None:
+                return result.Failure(asked.refusal)
+            if asked.permit is not None:
+                return self._ticket(asked.permit, asked_ms)
+        return result.Failure(too_late())
+
+    def _request(self, pool_name: str, need: ports.Need) -> permits.PermitRequest:
+        sender = self.sender()
+        prompt = need.prompt or pieces.PromptPieces((), (1,), "")
+        account = self.view.accounts.get(need.account)
+        return permits.PermitRequest(
+            request=f"{sender.name}/{sender.boot}/{next(self._numbers)}",
+            instance=sender.name,
+            instance_boot=sender.boot,
+            pool=pool_name,
+            account=need.account,
+            prompt_tokens=prompt.total_tokens,
+            answer_tokens=need.answer_tokens,
+            weight=account.weight if account else 1,
+            priority=permits.Priority(need.priority),
+            piece_keys=tuple(key[:KEY_CHARACTERS] for key in prompt.keys),
+            piece_tokens=prompt.tokens,
+            excluded=need.avoid,
+        )
+
+    async def _ask(self, request: permits.PermitRequest) -> methods.Asked:
+        sender = self.sender()
+        owner = self.desk.pools.owner(request.pool)
+        for _ in range(2):
+            if owner == sender.name:
+                asked = await self.desk.ask(sender, request)
+            else:
+                asked = await self._ask_peer(owner, request)
+            if asked.other_owner is None:
+                return asked
+            owner = asked.other_owner
+        return methods.Asked(refusal=desk_module.no_owner(request.pool))
+
+    async def _ask_peer(
+        self, owner: str, request: permits.PermitRequest
+    ) -> methods.Asked:
+        address = self.members.address(owner)
+        refused = methods.Asked(refusal=desk_module.no_owner(request.pool))
+        if not address:
+            return refused
+        wait_ms = permits.POLL_MS + ASK_MARGIN_MS
+        reply = await self.peers.call(address, methods.ASK, request, wait_ms)
+        return reply.value_or(refused)
+
+    def _ticket(
+        self, permit: permits.Permit, asked_ms: float
+    ) -> result.Result[ports.Ticket, errors.Refusal]:
+        target = self.view.targets.get(permit.target)
+        if target is None:
+            unused = permits.Release(
+                permit.permit, permit.target, permits.Outcome.UNUSED
+            )
+            self.release(unused, permit.pool)
+            return result.Failure(desk_module.no_owner(permit.pool))
+        return result.Success(ports.Ticket(permit, target, asked_ms))
+
+    def release(self, release: permits.Release, pool: str) -> None:
+        """Hand a permit back with the next batch to the pool's owner."""
+        owner = self.desk.pools.owner(pool)
+        batch = self._releases.setdefault(owner, [])
+        batch.append(methods.PoolRelease(pool, release))
+        if len(batch) == 1:
+            task = asyncio.ensure_future(self._flush(owner))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _flush(self, owner: str) -> None:
+        sender = self.sender()
+        if owner != sender.name:
+            await asyncio.sleep(RELEASE_LINGER_MS / 1_000)
+        releases = methods.Releases(self._releases.pop(owner))
+        if owner == sender.name:
+            await self.desk.release(sender, releases)
+            return
+        address = self.members.address(owner)
+        if address:
+            await self.peers.call(address, methods.RELEASE, releases, RELEASE_WAIT_MS)
+
+    async def settled(self) -> None:
+        """Wait until the releases made so far have been sent."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+
+def no_pool(serves: str) -> errors.Refusal:
+    """Return the refusal of a call for which no pool is in service and in reach."""
+    return errors.Refusal(
+        errors.Code.UNAVAILABLE,
+        f"no pool that serves {serves!r} is in service and in reach",
+        "send the call again soon; operators see the pools with cornelreach status",
+        errors.Ran.NOT_RUN,
+        1_000,
+    )
+
+
+def too_late() -> errors.Refusal:
+    """Return the refusal of a call that waited until its deadline."""
+    return errors.Refusal(
+        errors.Code.DEADLINE,
+        "no target had room before the deadline",
+        "send the call again later or with a later deadline",
+        errors.Ran.NOT_RUN,
+        1_000,
+    )
--- /dev/null
+++ b/cornelreach/pools/prober.py
@@ -0,0 +1,94 @@
+"""Asks the targets of owned pools for their state and passes reports to the desk."""
+
+import asyncio
+import typing
+
+import msgspec
+
+from cornelreach.http import client
+from cornelreach.pools import desk as desk_module
+from cornelreach.settings import items
+from cornelreach.targets import permits
+from cornelreach.util import timers
+
+REPORT_MS = 500
+URGENT_MS = 50
+PROBE_WAIT_MS = 1_000
+
+
+class State(typing.TypedDict, total=False):
+    """A target's answer to ``GET /v1/state``."""
+
+    boot_id: typing.Required[str]
+    cold: bool
+    running: int
+    queued: int
+    queued_tokens: int
+
+
+class Prober:
+    """Probes each target every ``REPORT_MS``, sooner where its boot is in doubt."""
+
+    def __init__(
+        self,
+        http: client.Client,
+        clock: timers.Timers,
+        desk: desk_module.Desk,
+        targets: typing.Callable[[], typing.Mapping[str, items.Target]],
+    ) -> None:
+        self.http = http
+        self.clock = clock
+        self.desk = desk
+        self.targets = targets
+        self._asked_ms: dict[str, float] = {}
+        self._probes: set[asyncio.Task[None]] = set()
+        clock.every(URGENT_MS, self._tick)
+
+    def _tick(self) -> None:
+        now_ms = self.clock.now_ms()
+        for owner in self.desk.owners.values():
+            urgent = set(owner.probes())
+            for name in owner.targets:
+                due_ms = URGENT_MS if name in urgent else REPORT_MS
+                asked_ms = self._asked_ms.get(name)
+                if asked_ms is None or now_ms - asked_ms >= due_ms:
+                    self._start(owner.name, name, now_ms)
+
+    def _start(self, pool_name: str, name: str, now_ms: float) -> None:
+        target = self.targets().get(name)
+        if target is None:
+            return
+        # A probe in progress is not asked again before it ends or times out.
+        self._asked_ms[name] = now_ms + PROBE_WAIT_MS
+        task = asyncio.ensure_future(self._probe(pool_name, target, now_ms))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def _probe(self, pool_name: str, target: items.Target, now_ms: float) -> None:
+        address = client.parse_address(target.address)
+        try:
+            status, body, headers = await self.http.call(
+                address, "GET", "/v1/state", wait_ms=PROBE_WAIT_MS
+            )
+            state = msgspec.json.decode(body, type=State)
+        except (client.RequestNotSent, client.AnswerLost, msgspec.MsgspecError):
+            return
+        finally:
+            self._asked_ms[target.name] = now_ms
+        if status == 200:
+            boot = dict(headers).get(b"x-boot-id", state["boot_id"].encode()).decode()
+            self.desk.report(pool_name, report_of(target.name, now_ms, boot, state))
+
+
+def report_of(target: str, asked_ms: float, boot: str, state: State) -> permits.Report:
+    """Return the report that a state answer stands for."""
+    return permits.Report(
+        target=target,
+        asked_ms=asked_ms,
+        boot=boot,
+        load_boot=state["boot_id"],
+        cold=state.get("cold"),
+        running=state.get("running", 0),
+        queued=state.get("queued", 0),
+        queued_tokens=state.get("queued_tokens", 0),
+    )
--- a/cornelreach/settings/items.py
+++ b/cornelreach/settings/items.py
@@ -67,7 +67,7 @@
     max_sequences: int = 16
     max_tokens: int = 200_000
     cold_sequences: int = 1
-    cold_tokens: int = 20_000
+    cold_tokens: int = 200_000
     cold_ms: int = 5_000
     checks_fence: bool = False
     link_bytes_per_s: int = 50_000_000
--- /dev/null
+++ b/cornelreach/ui/daemon.py
@@ -0,0 +1,119 @@
+"""The daemon ``cornelreachd``: settings in, one instance served until a signal."""
+
+import asyncio
+import os
+import pathlib
+import secrets
+import signal
+import sys
+import typing
+
+import cornelreach
+from cornelreach import instance as instance_module
+from cornelreach.calls import streams
+from cornelreach.http import limits, server
+from cornelreach.ui import admin, options as options_module
+from cornelreach.util import errors, log
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+
+
+class Silent:
+    """An observer that records nothing."""
+
+    def first_token(self, account: str, wait_ms: float) -> None:
+        """Record nothing."""
+
+    def between_tokens(self, account: str, gap_ms: float) -> None:
+        """Record nothing."""
+
+    def answered(self, account: str, prompt_tokens: int, cached_tokens: int) -> None:
+        """Record nothing."""
+
+    def failed(self, account: str, code: errors.Code) -> None:
+        """Record nothing."""
+
+
+def settings_of(options: options_module.Options) -> instance_module.Settings:
+    """Return the instance's settings from the daemon's."""
+    return instance_module.Settings(
+        options.name,
+        options.data_centre,
+        options.region,
+        options.listen,
+        options.peer_listen,
+        options.peer_address or options.peer_listen,
+        options.platform,
+        options.drain_ms,
+        limits.Limits(
+            header_bytes=options.header_bytes,
+            body_bytes=options.body_bytes,
+            header_wait_ms=options.header_wait_ms,
+            body_wait_ms=options.body_wait_ms,
+            idle_ms=options.idle_ms,
+            connections=options.connections,
+        ),
+    )
+
+
+def key_ring(options: options_module.Options) -> typing.Callable[[], streams.KeyRing]:
+    """Return a source of the stream keys, from the secret file or made up."""
+    if not options.secret_file:
+        ring = streams.KeyRing([secrets.token_bytes(32)])
+        return lambda: ring
+    text = pathlib.Path(options.secret_file).read_text()
+    keys = [line.strip().encode() for line in text.splitlines() if line.strip()]
+    if not keys:
+        raise errors.UserError(
+            f"setting --secret-file names {options.secret_file!r}, which is empty",
+            "write one key a line, newest first",
+        )
+    ring = streams.KeyRing(keys)
+    return lambda: ring
+
+
+def operator_key(options: options_module.Options) -> str:
+    """Return the operators' key, empty where there is none."""
+    if not options.operator_key_file:
+        return ""
+    return pathlib.Path(options.operator_key_file).read_text().strip()
+
+
+async def serve(options: options_module.Options) -> None:
+    """Serve until SIGTERM, SIGINT or an operator's drain."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    ring = key_ring(options)
+    instance = instance_module.Instance(settings_of(options), Silent(), ring)
+    key = operator_key(options)
+    desk = admin.Admin(instance, lambda: b"", lambda: key, stop.set)
+    host, _, port = options.admin_listen.rpartition(":")
+    await instance.start()
+    admin_server = await server.start(host, int(port), desk.handle)
+    await stop.wait()
+    await instance.stop()
+    admin_server.stop_listening()
+    admin_server.abort()
+
+
+def main() -> None:
+    """Run the daemon; exits with 2 for settings that do not fit."""
+    version = cornelreach.__version__
+    try:
+        options, check = options_module.parse(sys.argv[1:], os.environ, version)
+        key_ring(options)
+    except errors.UserError as error:
+        print(f"cornelreachd: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    if check:
+        print("cornelreachd: the settings are good")
+        sys.exit(EXIT_OK)
+    log.configure(options.log_level, options.log_form)
+    asyncio.run(serve(options))
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/service.py
+++ b/standins/service.py
@@ -38,6 +38,8 @@
         self.executions: list[dict[str, typing.Any]] = []
         self.faults = Faults()
         self.routes = shells.Routes(lambda: ((b"x-boot-id", self.boot_id.encode()),))
+        self.running = 0
+        self.routes.add("GET", "/v1/state", self.state)
         self.routes.add("GET", "/executions", self.list_executions)
         self.routes.add("POST", "/control/faults", self.set_faults)
         self.routes.add("POST", "(/.*)", self.execute)
@@ -46,6 +48,11 @@
         """Answer every execution in order."""
         return messages.json_response(200, {"executions": self.executions})
 
+    async def state(self, request: messages.Request) -> messages.Response:
+        """Answer the load report."""
+        value = {"boot_id": self.boot_id, "cold": False, "running": self.running}
+        return messages.json_response(200, value)
+
     async def set_faults(self, request: messages.Request) -> messages.Response:
         """Set ``delay_ms``, ``lose_answers`` and ``fail_before``."""
         given = shells.body(request)
--- /dev/null
+++ b/test/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the owners of pools."""
--- /dev/null
+++ b/test/test_site.py
@@ -0,0 +1,34 @@
+"""Tests of the whole path over real processes on loopback."""
+
+import pathlib
+import tempfile
+import unittest
+
+from standins import site, turns
+
+SHORT_DOCUMENT_CHARACTERS = 8_000
+
+
+class WholePath(unittest.IsolatedAsyncioTestCase):
+    """A site like Tirnica's with one instance in each data centre."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory(prefix="cornelreach-test-")
+        self.addCleanup(folder.cleanup)
+        self.site = site.Site(pathlib.Path(folder.name))
+        self.addAsyncCleanup(self.site.stop)
+        await self.site.start()
+
+    def chain(self, callers=None):
+        """Return a chain over a short document."""
+        callers = callers or [one.callers for one in self.site.members]
+        chain = turns.Chain(self.site.http, callers, site.ACCOUNT_KEY, lambda _: None)
+        chain.text = chain.text[:SHORT_DOCUMENT_CHARACTERS]
+        return chain
+
+    async def test_read_draft_and_book_in_turns(self):
+        report = await self.chain().run(4)
+        booked = await turns.executions(self.site.http, self.site.services)
+        self.assertTrue(turns.good(report, booked))
+        self.assertTrue(all(turn.answer in ("yes", "no") for turn in report))
+        self.assertGreater(sum(turn.cached_tokens for turn in report[1:]), 0)
