--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: env test lint format run serve
+.PHONY: env test lint format run serve bench-placement
 
 env: $(STAMP)
 
@@ -29,3 +29,6 @@
 
 serve: env
 	$(PYTHON) -m standins.site serve
+
+bench-placement: env
+	$(PYTHON) -m tools.bench_placement
--- a/cornelreach/prompts/directory.py
+++ b/cornelreach/prompts/directory.py
@@ -53,11 +53,13 @@
 class Held(typing.NamedTuple):
     """Which pieces of a prompt a source holds: bit i of ``bits`` is piece i.
 
-    ``disk_bits`` marks those that are on the source's disk.
+    ``disk_bits`` marks those on the source's disk, ``assumed_bits`` those that a run
+    in flight is expected to bring.
     """
 
     bits: int
     disk_bits: int
+    assumed_bits: int
     stale: bool
 
     @property
@@ -65,6 +67,11 @@
         """Return how many leading pieces are held."""
         return run_length(self.bits, 0)
 
+    @property
+    def proved_bits(self) -> int:
+        """Return the pieces that an event or a listing has named."""
+        return self.bits & ~self.assumed_bits
+
 
 def run_length(bits: int, start: int) -> int:
     """Return how many bits in a row are set from a position on."""
@@ -72,8 +79,15 @@
     return (~rest & (rest + 1)).bit_length() - 1
 
 
+IN_MEMORY = 1
+ON_DISK = 2
+ASSUMED = 4
+ANYWHERE = 7
+SOURCE_BITS = 3
+
+
 class _Source:
-    """What is known of one source; ``shift`` is the bit of its memory tier."""
+    """What is known of one source; its bits in an entry start at ``shift``."""
 
     def __init__(self, shift: int) -> None:
         self.shift = shift
@@ -81,14 +95,9 @@
         self.seq = 0
         self.stale = True
         self.assumed: collections.deque[tuple[float, list[int]]] = collections.deque()
-        self.unconfirmed: set[int] = set()
 
-    @property
-    def both(self) -> int:
-        return 3 << self.shift
-
-    def mask(self, tier: str) -> int:
-        return (2 if tier == Tier.DISK else 1) << self.shift
+    def mask(self, bits: int) -> int:
+        return bits << self.shift
 
 
 def _number(key: str) -> int | None:
@@ -108,6 +117,7 @@
         self.max_pieces = max_pieces
         self._holders: dict[int, int] = {}
         self._sources: dict[str, _Source] = {}
+        self._last_prompt: tuple[typing.Sequence[str], list[int]] = ((), [])
 
     def __len__(self) -> int:
         return len(self._holders)
@@ -183,26 +193,31 @@
         kept = self._replace(source, listed)
         source.boot, source.seq, source.stale = boot, seq, False
         for number in listed - kept:
-            self._add(number, source.mask(Tier.MEMORY))
+            self._discard(number, source.mask(ASSUMED))
+            self._add(number, source.mask(IN_MEMORY))
         self._bound()
         return Applied.APPLIED
 
-    def assume(self, name: str, keys: typing.Iterable[str], now_ms: float) -> None:
+    def assume(self, name: str, keys: typing.Sequence[str], now_ms: float) -> None:
         """Count pieces as held that a run or transfer is about to bring.
 
-        Unless an event confirms them, they are forgotten after ``ASSUME_MS``.
+        All pieces of the prompt count as used now. Unless an event confirms them, the
+        assumed ones are forgotten after ``ASSUME_MS``.
         """
         source = self._source(name)
         self.expire(now_ms)
         if len(source.assumed) >= ASSUMED_RUNS:
             return
-        mask = source.mask(Tier.MEMORY)
+        mask = source.mask(ASSUMED)
+        anywhere = source.mask(ANYWHERE)
         added = []
-        for number in map(_number, keys):
-            if number is not None and not self._holders.get(number, 0) & source.both:
-                self._add(number, mask)
+        holders = self._holders
+        for number in self._numbers(keys):
+            present = holders.pop(number, 0)
+            if not present & anywhere:
+                present |= mask
                 added.append(number)
-        source.unconfirmed.update(added)
+            holders[number] = present
         source.assumed.append((now_ms + ASSUME_MS, added))
         self._bound()
 
@@ -211,32 +226,37 @@
         source = self._source(name)
         for number in map(_number, keys):
             if number is not None:
-                self._discard(number, source.both)
-                source.unconfirmed.discard(number)
+                self._discard(number, source.mask(ANYWHERE))
+
+    def retract(self, name: str, keys: typing.Iterable[str]) -> None:
+        """Forget assumed pieces of a run that failed, but for confirmed ones."""
+        source = self._source(name)
+        for number in map(_number, keys):
+            if number is not None:
+                self._discard(number, source.mask(ASSUMED))
 
     def expire(self, now_ms: float) -> None:
         """Forget assumed pieces that no event has confirmed in time."""
         for source in self._sources.values():
             while source.assumed and source.assumed[0][0] <= now_ms:
                 for number in source.assumed.popleft()[1]:
-                    if number in source.unconfirmed:
-                        source.unconfirmed.discard(number)
-                        self._discard(number, source.both)
+                    self._discard(number, source.mask(ASSUMED))
 
-    def touch(self, keys: typing.Iterable[str]) -> None:
+    def touch(self, keys: typing.Sequence[str]) -> None:
         """Keep the pieces of a prompt that was used longer than others."""
-        for number in map(_number, keys):
-            mask = self._holders.pop(number, 0)
+        holders = self._holders
+        for number in self._numbers(keys):
+            mask = holders.pop(number, 0)
             if mask:
-                self._holders[number] = mask
+                holders[number] = mask
 
     def holders(self, key: str) -> dict[str, Tier]:
         """Return the sources of one piece and its tier there."""
         mask = self._holders.get(_number(key), 0)
         return {
-            name: Tier.DISK if mask >> source.shift & 2 else Tier.MEMORY
+            name: Tier.DISK if mask & source.mask(ON_DISK) else Tier.MEMORY
             for name, source in self._sources.items()
-            if mask & source.both
+            if mask & source.mask(ANYWHERE)
         }
 
     def held(self, keys: typing.Sequence[str]) -> dict[str, Held]:
@@ -247,20 +267,28 @@
             union |= mask
         found = {}
         for name, source in self._sources.items():
-            if union >> source.shift & 3:
+            if union & source.mask(ANYWHERE):
                 found[name] = _held(runs, source)
         return found
 
+    def _numbers(self, keys: typing.Sequence[str]) -> list[int]:
+        """Return a prompt's keys as numbers; the last prompt's are kept."""
+        if self._last_prompt[0] is not keys:
+            self._last_prompt = (keys, [int(key, 16) for key in keys])
+        return self._last_prompt[1]
+
     def _runs(self, keys: typing.Sequence[str]) -> list[tuple[int, int]]:
         """Return (holders, positions as bits) for each set of holders."""
-        runs: dict[int, int] = {}
         get = self._holders.get
-        bit = 1
-        for key in keys:
-            mask = get(int(key, 16))
+        masks = [get(number, 0) for number in self._numbers(keys)]
+        runs: dict[int, int] = {}
+        start = 0
+        for mask, group in itertools.groupby(masks):
+            length = sum(1 for _ in group)
             if mask:
-                runs[mask] = runs.get(mask, 0) | bit
-            bit <<= 1
+                positions = ((1 << length) - 1) << start
+                runs[mask] = runs.get(mask, 0) | positions
+            start += length
         return list(runs.items())
 
     def _source(self, name: str) -> _Source:
@@ -269,7 +297,8 @@
             if len(self._sources) >= MAX_SOURCES:
                 raise ValueError(f"more than {MAX_SOURCES} sources; split the pool")
             taken = {known.shift for known in self._sources.values()}
-            shift = next(s for s in range(0, 2 * MAX_SOURCES, 2) if s not in taken)
+            shifts = range(0, SOURCE_BITS * MAX_SOURCES, SOURCE_BITS)
+            shift = next(shift for shift in shifts if shift not in taken)
             source = self._sources[name] = _Source(shift)
         return source
 
@@ -277,13 +306,13 @@
         number = _number(event.key)
         if number is None:
             return
-        source.unconfirmed.discard(number)
+        anywhere = source.mask(ANYWHERE)
         if event.op == "stored":
-            self._holders[number] = (
-                self._holders.pop(number, 0) & ~source.both
-            ) | source.mask(event.tier)
+            others = self._holders.pop(number, 0) & ~anywhere
+            bits = ON_DISK if event.tier == Tier.DISK else IN_MEMORY
+            self._holders[number] = others | source.mask(bits)
         elif event.op == "removed":
-            self._discard(number, source.both)
+            self._discard(number, anywhere)
 
     def _add(self, number: int, mask: int) -> None:
         self._holders[number] = self._holders.get(number, 0) | mask
@@ -298,22 +327,24 @@
             del self._holders[number]
 
     def _replace(self, source: _Source, listed: set[int]) -> set[int]:
-        """Drop what a listing lacks; return what it names and was known."""
+        """Drop what a listing lacks; return what it names and was known.
+
+        Assumed pieces stay assumed: a run may bring them after the listing.
+        """
+        known = source.mask(IN_MEMORY | ON_DISK)
         kept = set()
-        for number in [n for n, mask in self._holders.items() if mask & source.both]:
+        for number in [n for n, mask in self._holders.items() if mask & known]:
             if number in listed:
                 kept.add(number)
-                source.unconfirmed.discard(number)
-            elif number not in source.unconfirmed:
-                self._discard(number, source.both)
+            else:
+                self._discard(number, known)
         return kept
 
     def _clear(self, source: _Source) -> None:
-        both = source.both
-        for number in [n for n, mask in self._holders.items() if mask & both]:
-            self._discard(number, both)
+        anywhere = source.mask(ANYWHERE)
+        for number in [n for n, mask in self._holders.items() if mask & anywhere]:
+            self._discard(number, anywhere)
         source.assumed.clear()
-        source.unconfirmed.clear()
 
     def _bound(self) -> None:
         if len(self._holders) <= self.max_pieces:
@@ -325,11 +356,13 @@
 
 
 def _held(runs: list[tuple[int, int]], source: _Source) -> Held:
-    bits = disk_bits = 0
+    bits = disk_bits = assumed_bits = 0
     for mask, positions in runs:
-        tiers = mask >> source.shift & 3
-        if tiers:
+        found = mask >> source.shift & ANYWHERE
+        if found:
             bits |= positions
-        if tiers & 2:
+        if found == ON_DISK:
             disk_bits |= positions
-    return Held(bits, disk_bits, source.stale)
+        elif found == ASSUMED:
+            assumed_bits |= positions
+    return Held(bits, disk_bits, assumed_bits, source.stale)
--- a/cornelreach/prompts/links.py
+++ b/cornelreach/prompts/links.py
@@ -26,6 +26,13 @@
 Path = tuple[str, ...]
 
 
+class View(typing.NamedTuple):
+    """One link at one time: its backlog, and the time that a byte takes."""
+
+    wait_ms: float
+    ms_per_byte: float
+
+
 class Transfer(typing.NamedTuple):
     """A transfer under way; bytes count on every link of its path."""
 
@@ -48,6 +55,8 @@
 
     def recover(self, now_ms: float) -> None:
         """Let a slow rate return to the nominal one, so that it is tried again."""
+        if self.rate >= self.nominal:
+            return
         since_ms = max(self.recovered_ms, self.measured_ms + RECOVER_AFTER_MS)
         share = min(1.0, max(0.0, now_ms - since_ms) / RECOVER_MS)
         self.rate += (self.nominal - self.rate) * share
@@ -88,13 +97,16 @@
         reported_ms = now_ms + link.send_ms(backlog_bytes)
         link.free_at_ms = max(link.free_at_ms, reported_ms)
 
+    def view(self, name: str, now_ms: float) -> View:
+        """Return the state of one link, for several estimates at one time."""
+        link = self._link(name)
+        link.recover(now_ms)
+        return View(link.wait_ms(now_ms), 1_000 / link.rate)
+
     def estimate_ms(self, path: Path, size_bytes: int, now_ms: float) -> float:
         """Return how long a transfer would take if it were started now."""
-        links = [self._link(name) for name in path]
-        for link in links:
-            link.recover(now_ms)
-        wait_ms = max(link.wait_ms(now_ms) for link in links)
-        return LATENCY_MS + wait_ms + max(link.send_ms(size_bytes) for link in links)
+        one, *others = [self.view(name, now_ms) for name in path]
+        return max(between_ms(one, other, size_bytes) for other in others)
 
     def start(self, path: Path, size_bytes: int, now_ms: float) -> Transfer:
         """Count a transfer on the links of its path at once."""
@@ -158,3 +170,10 @@
 
 def _burst(link: _Link) -> float:
     return link.rate * BACKGROUND_SHARE * BUDGET_BURST_MS / 1_000
+
+
+def between_ms(one: View, other: View, size_bytes: int) -> float:
+    """Return how long a transfer between two links would take."""
+    wait_ms = one.wait_ms if one.wait_ms > other.wait_ms else other.wait_ms
+    slower = max(one.ms_per_byte, other.ms_per_byte)
+    return LATENCY_MS + wait_ms + slower * size_bytes
--- a/test/prompts/test_directory.py
+++ b/test/prompts/test_directory.py
@@ -109,7 +109,7 @@
             directory.CacheEvent(2, "removed", KEYS[2]),
         ]
         pool.events("s", "1", moved, 2)
-        self.assertEqual(pool.held(KEYS)["s"], directory.Held(0b1011, 0b10, False))
+        self.assertEqual(pool.held(KEYS)["s"], directory.Held(0b1011, 0b10, 0, False))
         self.assertEqual(pool.held(KEYS)["s"].prefix, 2)
         self.assertEqual(directory.run_length(0b1011, 3), 1)
         self.assertEqual(pool.holders(KEYS[1]), {"s": "disk"})
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for measuring and maintaining the project."""
