--- a/cornelreach/targets/admission.py
+++ b/cornelreach/targets/admission.py
@@ -23,16 +23,16 @@
 REPORT_LAG_MS = 2_000
 USE_GRACE_MS = 5_000
 FORMER_BOOTS = 16
-SETTLE_MS = permits.PERMIT_MS * (1 + permits.CLOCK_DRIFT_SHARE)
+MARGIN = 1 + permits.CLOCK_DRIFT_SHARE
+TAKEN_MS = (REPORT_LAG_MS + permits.DELIVERY_MS) * MARGIN
+SETTLE_MS = permits.PERMIT_MS * MARGIN
 
 
 ENDED = frozenset(
     {
         permits.Outcome.DONE,
         permits.Outcome.UNUSED,
-        permits.Outcome.CANCELLED,
         permits.Outcome.REJECTED,
-        permits.Outcome.FAILED,
     }
 )
 
@@ -45,6 +45,7 @@
     cold_sequences: int = 1
     cold_tokens: int = 20_000
     cold_ms: float = 5_000
+    prefill_tokens_per_s: float = 8_000
 
 
 class Load(typing.NamedTuple):
@@ -72,8 +73,8 @@
 class Standing(typing.NamedTuple):
     """The owner's right to admit to cold targets.
 
-    ``exclusive`` holds now; it began at ``exclusive_from_ms`` of the owner's clock,
-    when every permit of former owners had expired.
+    ``exclusive`` holds now. Nobody else can have admitted since ``exclusive_from_ms``
+    of the owner's clock, which also tells one tenure from the next.
     """
 
     epoch: int
@@ -105,7 +106,7 @@
         self._served_from_ms: float | None = None
         self._tells_cold = False
         self._former_boots = collections.deque(maxlen=FORMER_BOOTS)
-        self._accounted_epoch: int | None = None
+        self._accounted_from_ms: float | None = None
         self._peaks: list[tuple[float, int]] = []
 
     def needs_probe(self) -> bool:
@@ -114,7 +115,18 @@
 
     def is_accounted(self, standing: Standing) -> bool:
         """Return whether no load but the permits that are out can be running."""
-        return self._accounted_epoch == standing.epoch
+        return self._accounted_from_ms == standing.exclusive_from_ms
+
+    def most(self) -> Load:
+        """Return the limit that holds now."""
+        limits = self.limits
+        if self.heat is Heat.WARM:
+            return Load(limits.max_sequences, limits.max_tokens)
+        return Load(limits.cold_sequences, limits.cold_tokens)
+
+    def bears(self, load: Load) -> bool:
+        """Return whether a load would fit if nothing else were out."""
+        return self.heat is not Heat.UNKNOWN and self.most().holds(load)
 
     def room(self, standing: Standing, now_ms: float) -> Load:
         """Return the load that may be admitted now."""
@@ -149,13 +161,13 @@
     ) -> None:
         """Take a permit back and learn from how its use ended.
 
-        A use that ended without an answer may still run: a cold target stays charged
-        with it until a report shows the target empty.
+        A use that failed, or was cancelled without the target's answer, may still run:
+        a cold target stays charged with it until a report shows the target empty.
         """
         grant = self.out.get(release.permit)
         if grant is None:
             return
-        if release.outcome in ENDED or self.heat is Heat.WARM:
+        if self.heat is Heat.WARM or _has_ended(release):
             self._drop(release.permit)
         if release.outcome is permits.Outcome.CONNECTION_LOST:
             self.suspect(now_ms)
@@ -207,7 +219,7 @@
         began_here = bool(self.boot) and (
             self._boot_seen_ms >= standing.exclusive_from_ms
         )
-        self._accounted_epoch = standing.epoch if began_here else None
+        self._accounted_from_ms = standing.exclusive_from_ms if began_here else None
         self._former_boots.append(self.boot)
         self.boot = boot
         self.heat = Heat.COLD
@@ -224,7 +236,7 @@
         if report.cold is not None:
             self._tells_cold = True
             if report.cold and self.heat is Heat.WARM:
-                self._accounted_epoch = None
+                self._accounted_from_ms = None
             self.heat = Heat.COLD if report.cold else Heat.WARM
             return
         served_from_ms = self._served_from_ms
@@ -235,7 +247,7 @@
 
     def _observe_empty(self, report: permits.Report, standing: Standing) -> None:
         """Settle what was out long enough before the report's load was taken."""
-        taken_ms = report.asked_ms - REPORT_LAG_MS
+        taken_ms = report.asked_ms - TAKEN_MS
         settled = [
             permit
             for permit, grant in self.out.items()
@@ -244,7 +256,7 @@
         for permit in settled:
             self._drop(permit)
         if standing.exclusive and taken_ms >= standing.exclusive_from_ms:
-            self._accounted_epoch = standing.epoch
+            self._accounted_from_ms = standing.exclusive_from_ms
 
     def _expire(self, now_ms: float) -> None:
         """Drop overdue permits of a warm target; a cold one waits for proof."""
@@ -278,3 +290,8 @@
     def _trim_peaks(self, now_ms: float) -> None:
         while self._peaks and self._peaks[0][0] < now_ms - REPORT_LAG_MS:
             self._peaks.pop(0)
+
+
+def _has_ended(release: permits.Release) -> bool:
+    cancelled = release.outcome is permits.Outcome.CANCELLED and bool(release.boot)
+    return cancelled or release.outcome in ENDED
--- a/cornelreach/targets/permits.py
+++ b/cornelreach/targets/permits.py
@@ -22,6 +22,7 @@
 
 PERMIT_MS = 2_000
 POLL_MS = 1_000
+DELIVERY_MS = 500
 CLOCK_DRIFT_SHARE = 0.01
 
 
@@ -62,7 +63,8 @@
     """Leave to send to one boot of a target; ``exclusive`` if the target is cold.
 
     The first byte must leave within ``start_within_ms`` of the moment the sender asked.
-    ``plan`` is the placement's own text for the sender and is not read here.
+    ``plan`` is the placement's own text for the sender and is not read here;
+    ``target_priority`` is for the target's own queue, a lower value goes first.
     """
 
     permit: str
@@ -75,6 +77,7 @@
     exclusive: bool
     start_within_ms: float = PERMIT_MS
     plan: str = ""
+    target_priority: int = 0
 
 
 class Queued(typing.NamedTuple):
--- a/test/targets/test_admission.py
+++ b/test/targets/test_admission.py
@@ -6,7 +6,7 @@
 
 LIMITS = admission.Limits()
 STANDING = admission.Standing(1, True, 0.0)
-LAG_MS = admission.REPORT_LAG_MS
+LAG_MS = admission.TAKEN_MS
 
 
 def report(asked_ms, boot="b1", load_boot=None, cold=None, running=0, queued=0):
--- /dev/null
+++ b/test/targets/world.py
@@ -0,0 +1,348 @@
+"""A seeded world of instances that share one always-cold target.
+
+``python -m test.targets.world 1000`` runs many seeds and prints those that fail.
+"""
+
+import heapq
+import itertools
+import random
+import sys
+
+from returns import pipeline, result
+
+from cornelreach.targets import admission, ownership, permits, pool
+
+POOL = "lj/reader"
+NAMES = ("n1", "n2", "n3")
+TICK_MS = 100
+FAULTS = ("pause", "death", "cut", "platform_out", "platform_cut", "cold", "lossy")
+
+
+class Target:
+    """A target that is cold for ever and bears ``limit`` calls."""
+
+    def __init__(self, world, limit):
+        self.world, self.limit = world, limit
+        self.boot, self.running, self.worst, self.served = "b0", {}, 0, 0
+        self.history = [(0.0, "b0", 0)]
+
+    def note(self):
+        self.worst = max(self.worst, len(self.running))
+        self.history.append((self.world.now, self.boot, len(self.running)))
+
+    def turn_cold(self):
+        self.boot = f"b{next(self.world.ids)}"
+        self.running.clear()
+        self.note()
+
+    def call(self, boot, end):
+        """Run a call; ``end`` gets the boot, and whether it ran."""
+        if boot != self.boot:
+            return end(self.boot, False)
+        run = next(self.world.ids)
+        self.running[run] = boot
+        self.note()
+
+        def finish():
+            if self.running.pop(run, None) is not None:
+                self.served += 1
+                self.note()
+                end(boot, True)
+
+        self.world.later(self.world.random.choice((50, 200, 800, 9_000)), finish)
+
+    def report(self, asked_ms):
+        """Return a report whose load is up to the lag old."""
+        lag_ms = self.world.random.choice((0, 500, admission.REPORT_LAG_MS))
+        taken_ms = self.world.now - lag_ms
+        past = [entry for entry in self.history if entry[0] <= taken_ms]
+        _, boot, running = past[-1] if past else self.history[0]
+        return permits.Report("e1", asked_ms, self.boot, boot, True, running, 0)
+
+
+class Platform:
+    """One object that holds the pool's record."""
+
+    def __init__(self):
+        self.version, self.record, self.out = 1, None, False
+
+    def write(self, attempt):
+        if not self.out and attempt.version == self.version:
+            self.version += 1
+            self.record = attempt.record
+
+
+class Instance:
+    """One instance: sender, and perhaps owner or successor."""
+
+    def __init__(self, world, name):
+        self.world, self.name = world, name
+        self.rate = world.random.uniform(0.996, 1.004)
+        self.offset_ms = world.random.uniform(0, 1e6)
+        self.platform_cut = self.paused = False
+        self.inbox = []
+        self.start()
+
+    def start(self):
+        self.me = ownership.Member(self.name, f"{self.name}.{next(self.world.ids)}")
+        self.mine = ownership.Ownership(POOL, self.me)
+        self.owner = pool.PoolOwner(POOL, {"e1": self.world.limits})
+        self.beat_ms = self.poll_ms = 0.0
+        self.inbox.clear()
+
+    @property
+    def clock(self):
+        return self.world.now * self.rate + self.offset_ms
+
+    @property
+    def platform_reachable(self):
+        return not (self.platform_cut or self.world.platform.out)
+
+    def receive(self, action):
+        if self.paused:
+            self.inbox.append(action)
+        else:
+            action()
+
+    def wake(self):
+        self.paused = False
+        inbox, self.inbox = self.inbox, []
+        self.world.random.shuffle(inbox)
+        for action in inbox:
+            action()
+
+    def tick(self):
+        if self.paused:
+            return
+        now_ms = self.clock
+        self.mine.advance(now_ms)
+        if self.platform_reachable:
+            self.use_platform(now_ms)
+        self.owner.stand(self.mine.standing(now_ms))
+        for decision in self.owner.advance(now_ms):
+            self.world.answer(decision.request, decision.answer)
+        if now_ms - self.beat_ms >= ownership.HEARTBEAT_MS:
+            self.beat_ms = now_ms
+            self.send_heartbeat(now_ms)
+        if self.mine.role is ownership.Role.OWNER and now_ms - self.poll_ms > 400:
+            self.poll_ms = now_ms
+            self.poll()
+        if self.world.random.random() < 0.15:
+            Call(self.world, self)
+
+    def use_platform(self, now_ms):
+        platform = self.world.platform
+        for member, died_ms in self.world.dead.items():
+            if self.world.now - died_ms > 3_000:
+                self.mine.observe_death(member, now_ms)
+        if self.world.random.random() < 0.5:
+            self.mine.observe_record(platform.version, platform.record, now_ms)
+        live = [
+            one.me
+            for one in self.world.instances
+            if not one.paused or self.world.random.random() < 0.3
+        ]
+        attempt = self.mine.propose(live, now_ms)
+        if attempt is not None:
+            delay_ms = self.world.random.choice((5, 50, 3_000))
+            self.world.later(delay_ms, lambda: platform.write(attempt))
+
+    def send_heartbeat(self, now_ms):
+        beat = self.mine.heartbeat(now_ms, self.platform_reachable)
+        if beat is None:
+            return
+        successor = self.world.by_name[beat.record.successor.name]
+
+        def arrive():
+            answer = successor.mine.receive_heartbeat(beat, successor.clock)
+            if answer is not None:
+                self.world.send(successor, self, lambda: self.hear(answer))
+
+        self.world.send(self, successor, arrive)
+
+    def hear(self, answer):
+        if isinstance(answer, ownership.Ack):
+            self.mine.receive_ack(answer, self.clock)
+        else:
+            self.mine.receive_stale(answer, self.clock)
+
+    def poll(self):
+        asked_ms, boot = self.clock, self.me
+        report = self.world.target.report(asked_ms)
+
+        def arrive():
+            if boot == self.me:
+                self.owner.stand(self.mine.standing(self.clock))
+                self.owner.report(report, self.clock)
+
+        self.world.later(5, lambda: self.receive(arrive))
+
+
+class Call:
+    """One call of a sender, from question to release."""
+
+    def __init__(self, world, sender):
+        record = sender.mine.record
+        if record is None:
+            return
+        self.world, self.sender = world, sender
+        self.believed = world.by_name[record.owner.name]
+        self.boot = sender.me
+        self.name = f"c{next(world.ids)}"
+        self.asked_ms, self.open = sender.clock, True
+        world.calls[self.name] = self
+        request = permits.PermitRequest(
+            self.name, sender.name, self.boot.boot, POOL, "a", 100
+        )
+        world.send(sender, self.believed, lambda: self.ask(request))
+
+    def ask(self, request):
+        owner = self.believed
+        if owner.mine.role is not ownership.Role.OWNER:
+            return
+        owner.owner.stand(owner.mine.standing(owner.clock))
+        answer = owner.owner.request(request, owner.clock)
+        if isinstance(answer.value_or(None), permits.Permit):
+            self.world.answer(self.name, answer)
+
+    def answered(self, answer):
+        if not pipeline.is_successful(answer) or not self.open:
+            return
+        if self.sender.me != self.boot:
+            return
+        self.open = False
+        permit = answer.unwrap()
+        allowed = permits.check(permit, self.asked_ms, self.sender.clock, None)
+        if not pipeline.is_successful(allowed):
+            return self.release(permits.Outcome.UNUSED, "")
+        self.world.later(
+            self.world.random.choice((1, 20, permits.DELIVERY_MS)),
+            lambda: self.world.target.call(permit.boot, self.end),
+        )
+
+    def end(self, boot, ran):
+        outcome = permits.Outcome.DONE if ran else permits.Outcome.REJECTED
+        self.sender.receive(lambda: self.release(outcome, boot))
+
+    def release(self, outcome, boot):
+        if self.sender.me == self.boot:
+            message = permits.Release(self.name, "e1", outcome, boot)
+            owner = self.believed
+            self.world.send(
+                self.sender, owner, lambda: owner.owner.release(message, owner.clock)
+            )
+
+
+class World:
+    """Time, network, faults."""
+
+    def __init__(self, seed, faults=FAULTS, limit=None):
+        self.random = random.Random(seed)
+        self.now, self.heap, self.ids = 0.0, [], itertools.count(1)
+        limit = limit or self.random.choice((1, 1, 2))
+        self.limits = admission.Limits(cold_sequences=limit)
+        self.target, self.platform = Target(self, limit), Platform()
+        self.cuts, self.loss, self.dead, self.calls = set(), 0.02, {}, {}
+        self.instances = [Instance(self, name) for name in NAMES]
+        self.by_name = {one.name: one for one in self.instances}
+        self.faults = faults
+
+    def later(self, delay_ms, action):
+        heapq.heappush(self.heap, (self.now + delay_ms, next(self.ids), action))
+
+    def send(self, source, destination, action):
+        """Deliver a message late, twice or never."""
+        boot = destination.me
+        for _ in range(2 if self.random.random() < 0.05 else 1):
+            cut = frozenset((source.name, destination.name)) in self.cuts
+            if source is not destination and (cut or self.random.random() < self.loss):
+                continue
+            delay_ms = self.random.choice((1, 1, 5, 50, 1_500))
+            arrive = self._arrival(destination, boot, action)
+            self.later(delay_ms, lambda act=arrive: destination.receive(act))
+
+    def _arrival(self, destination, boot, action):
+        def arrive():
+            if destination.me == boot:
+                action()
+
+        return arrive
+
+    def answer(self, name, answer):
+        call = self.calls[name]
+        self.send(call.believed, call.sender, lambda: call.answered(answer))
+
+    def run(self, seconds):
+        for one in self.instances:
+            self.later(self.random.uniform(0, TICK_MS), lambda who=one: self.tick(who))
+        self.later(8_000, self.inject)
+        while self.heap and self.heap[0][0] <= seconds * 1_000:
+            self.now, _, action = heapq.heappop(self.heap)
+            action()
+        return self
+
+    def tick(self, who):
+        who.tick()
+        self.later(TICK_MS, lambda: self.tick(who))
+
+    def inject(self):
+        """Bring in one fault, or two at once."""
+        for _ in range(self.random.choice((1, 1, 2))):
+            one = self.random.choice(self.instances + self.holders())
+            length_ms = self.random.choice((300, 2_500, 6_000, 15_000))
+            getattr(self, self.random.choice(self.faults))(one, length_ms)
+        self.later(self.random.choice((200, 1_500, 6_000)), self.inject)
+
+    def holders(self):
+        """Return those that believe to own the pool, so that faults find them."""
+        owner = ownership.Role.OWNER
+        return [one for one in self.instances if one.mine.role is owner] * 2
+
+    def pause(self, one, length_ms):
+        one.paused = True
+        self.later(length_ms, one.wake)
+
+    def death(self, one, length_ms):
+        self.dead[one.me] = self.now
+        one.start()
+
+    def cut(self, one, length_ms):
+        other = self.random.choice([each for each in self.instances if each != one])
+        pair = frozenset((one.name, other.name))
+        self.cuts.add(pair)
+        self.later(length_ms, lambda: self.cuts.discard(pair))
+
+    def platform_out(self, one, length_ms):
+        self.platform.out = True
+        self.later(3 * length_ms, lambda: setattr(self.platform, "out", False))
+
+    def platform_cut(self, one, length_ms):
+        one.platform_cut = True
+        self.later(length_ms, lambda: setattr(one, "platform_cut", False))
+
+    def cold(self, one, length_ms):
+        self.target.turn_cold()
+
+    def lossy(self, one, length_ms):
+        self.loss = 0.4
+        self.later(length_ms, lambda: setattr(self, "loss", 0.02))
+
+
+def allow(*_):
+    """Stand in for a sender that checks nothing."""
+    return result.Success(None)
+
+
+def main():
+    """Run seeds 0 to N-1 and print those that overload the target."""
+    served = 0
+    for seed in range(int(sys.argv[1])):
+        target = World(seed).run(seconds=90).target
+        served += target.served
+        if target.worst > target.limit:
+            print(f"seed {seed}: {target.worst} calls over a limit of {target.limit}")
+    print(f"{served} calls served")
+
+
+if __name__ == "__main__":
+    main()
