Order a pool's queue fairly among accounts

Start-time fair queueing by tokens over weight, token budgets with borrowing, a reserve that borrowers leave free, paced reading for borrowers, bounded queues with early refusal, and a hold for long prompts that waited.

--- a/cornelreach/targets/pool.py
+++ b/cornelreach/targets/pool.py
@@ -3,13 +3,14 @@
 ``PoolOwner`` puts the parts together: the queue orders what waits, the chooser places
 a request, and each target's admission says what there is room for::
 
-    owner = pool.PoolOwner("lj-north/reader", limits, pool.least_load)
+    owner = pool.PoolOwner("lj-north/reader", limits, choice.least_load)
     owner.stand(admission.Standing(epoch=3, exclusive=True, exclusive_from_ms=0.0))
     answer = owner.request(request, now_ms)      # Success(Permit | Queued) or Failure
     decisions = owner.advance(now_ms)            # for requests that waited
 
 It does no I/O. The shell answers a question that was ``Queued`` as soon as ``advance``
 names its request, and after ``permits.POLL_MS`` at the latest with ``Queued`` again.
+A refusal is final: the request's identifier gets the same one again.
 """
 
 import collections
@@ -17,35 +18,22 @@
 
 from returns import result
 
-from cornelreach.targets import admission, permits
+from cornelreach.targets import (
+    admission,
+    choice,
+    drain,
+    fairness,
+    member,
+    permits,
+    refusals,
+    sharing,
+)
 from cornelreach.util import errors
 
 QUEUE_CALLS = 1_024
-RELEASED_KEPT = 4_096
-
-
-class Candidate(typing.NamedTuple):
-    """A target as the chooser sees it; ``fits`` if the request may go there now."""
-
-    target: str
-    boot: str
-    cold: bool
-    fits: bool
-    room: admission.Load
-    out: admission.Load
-    limits: admission.Limits
-
-
-class Choice(typing.NamedTuple):
-    """Where a request goes; an empty target means that it had better wait."""
-
-    target: str = ""
-    plan: str = ""
-
-
-Chooser = typing.Callable[
-    [permits.PermitRequest, typing.Sequence[Candidate], float], Choice
-]
+ENDED_KEPT = 4_096
+HOLD_MS = 2_000
+IDLE_SWEEP_MS = 10_000
 
 
 class Decision(typing.NamedTuple):
@@ -56,7 +44,7 @@
 
 
 class Summary(typing.NamedTuple):
-    """A pool in short, for heartbeats."""
+    """A pool in short, for heartbeats; ``wait_ms`` is for a call that comes now."""
 
     pool: str
     epoch: int
@@ -72,25 +60,6 @@
 Answer = result.Result[permits.Permit | permits.Queued, errors.Refusal]
 
 
-def least_load(
-    request: permits.PermitRequest,
-    candidates: typing.Sequence[Candidate],
-    now_ms: float,
-) -> Choice:
-    """Choose the fitting target with the largest free share of its limit."""
-    fitting = [candidate for candidate in candidates if candidate.fits]
-    if not fitting:
-        return Choice()
-    best = max(fitting, key=lambda one: (not one.cold, one.room.sequences, one.target))
-    return Choice(best.target)
-
-
-class _Waiting(typing.NamedTuple):
-    request: permits.PermitRequest
-    deadline_at_ms: float
-    attended_until_ms: float
-
-
 class PoolOwner:
     """Admits for one pool; the aggregate root of its targets and its queue."""
 
@@ -98,25 +67,40 @@
         self,
         name: str,
         limits: typing.Mapping[str, admission.Limits],
-        chooser: Chooser = least_load,
+        chooser: choice.Chooser = choice.least_load,
+        terms: typing.Callable[[str], fairness.Terms] = fairness.default_terms,
     ) -> None:
         self.name = name
         self.chooser = chooser
+        self.terms = terms
         self.standing = admission.Standing(0, False, 0.0)
-        self.targets: dict[str, admission.TargetAdmission] = {}
-        self._queue: dict[str, _Waiting] = {}
-        self._granted: dict[str, permits.Permit] = {}
-        self._released: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self.members: dict[str, member.PoolMember] = {}
+        self.queue = fairness.FairQueue(self._terms_of)
+        self.drain = drain.DrainRate()
+        self._granted: dict[str, tuple[permits.Permit, str]] = {}
+        self._ended: collections.OrderedDict[str, errors.Refusal] = (
+            collections.OrderedDict()
+        )
         self._decisions: list[Decision] = []
+        self._swept_ms = float("-inf")
         self.configure(limits)
 
+    @property
+    def targets(self) -> dict[str, admission.TargetAdmission]:
+        """Return the admission of each target."""
+        return {name: one.admission for name, one in self.members.items()}
+
+    def _terms_of(self, account: str) -> fairness.Terms:
+        return self.terms(account)
+
     def configure(self, limits: typing.Mapping[str, admission.Limits]) -> None:
         """Follow the settings: new targets join, others leave or change limits."""
-        for name in set(self.targets) - set(limits):
-            del self.targets[name]
+        for name in set(self.members) - set(limits):
+            del self.members[name]
         for name, one in limits.items():
-            target = self.targets.setdefault(name, admission.TargetAdmission(name, one))
-            target.limits = one
+            if name not in self.members:
+                self.members[name] = member.PoolMember(name, one)
+            self.members[name].admission.limits = one
 
     def stand(self, standing: admission.Standing) -> None:
         """Take over the owner's right as ``ownership`` states it now."""
@@ -127,57 +111,53 @@
 
         A repeated request keeps its place; one that was granted gets its permit again.
         """
-        if request.request in self._released:
-            return result.Failure(_refusal("this request has ended", 0))
-        granted = self._granted.get(request.request)
-        if granted is not None:
-            return self._again(granted, request, now_ms)
-        refusal = self._refuse_at_once(request)
+        ended = self._ended.get(request.request)
+        if ended is not None:
+            return result.Failure(ended)
+        if request.request in self._granted:
+            return self._again(request, now_ms)
+        entry = fairness.Entry(
+            request, now_ms, now_ms + request.deadline_in_ms, now_ms + permits.POLL_MS
+        )
+        refusal = self._refuse_at_once(entry, now_ms)
         if refusal is not None:
             return result.Failure(refusal)
-        deadline_at_ms = now_ms + request.deadline_in_ms
-        self._queue[request.request] = _Waiting(
-            request, deadline_at_ms, now_ms + permits.POLL_MS
-        )
+        self.queue.add(entry, now_ms)
         self._dispatch(now_ms)
-        permit = self._granted.get(request.request)
-        if permit is None:
-            return result.Success(self._place(request.request))
-        self._decisions = [
-            one for one in self._decisions if one.request != request.request
-        ]
-        return result.Success(permit)
+        if request.request not in self._granted:
+            return self._queued_or_refused(entry, now_ms)
+        self._withdraw_decision(request.request)
+        return result.Success(self._granted[request.request][0])
 
     def give_up(self, request: str) -> None:
         """Forget a request that waits; its sender no longer wants it."""
-        self._queue.pop(request, None)
+        self.queue.remove(request)
 
     def release(self, release: permits.Release, now_ms: float) -> None:
         """Take a permit back; a repeated or late release changes nothing."""
-        self._granted.pop(release.permit, None)
-        self._queue.pop(release.permit, None)
-        self._released[release.permit] = None
-        while len(self._released) > RELEASED_KEPT:
-            self._released.popitem(last=False)
-        target = self.targets.get(release.target)
-        if target is not None:
-            target.release(release, self.standing, now_ms)
+        self._end_grant(release.permit)
+        self.queue.remove(release.permit)
+        self._remember(release.permit, refusals.ended())
+        held = self.members.get(release.target)
+        if held is not None:
+            held.release(release, self.standing, now_ms)
 
     def report(self, report: permits.Report, now_ms: float) -> None:
         """Take in a target's report of its state."""
-        target = self.targets.get(report.target)
-        if target is not None:
-            target.observe(report, self.standing, now_ms)
+        held = self.members.get(report.target)
+        if held is not None:
+            held.admission.observe(report, self.standing, now_ms)
 
     def observe_boot(self, target: str, boot: str, asked_ms: float) -> None:
         """Take in the boot identity of any answer of a target."""
-        if target in self.targets:
-            self.targets[target].observe_boot(boot, asked_ms, self.standing)
+        if target in self.members:
+            seen = self.members[target].admission
+            seen.observe_boot(boot, asked_ms, self.standing)
 
     def suspect(self, target: str, now_ms: float) -> None:
         """Admit no more to a target until it has been asked for its boot."""
-        if target in self.targets:
-            self.targets[target].suspect(now_ms)
+        if target in self.members:
+            self.members[target].admission.suspect(now_ms)
 
     def probes(self) -> list[str]:
         """Return the targets to ask for their state now."""
@@ -186,133 +166,192 @@
     def advance(self, now_ms: float) -> list[Decision]:
         """Return the answers that have become due to requests that waited."""
         self._forget_dropped()
-        for name, waiting in list(self._queue.items()):
-            if waiting.deadline_at_ms <= now_ms:
-                del self._queue[name]
-                answer = result.Failure(_late())
-                self._decisions.append(Decision(name, answer))
-            elif waiting.attended_until_ms + permits.POLL_MS <= now_ms:
-                del self._queue[name]
+        for entry in self.queue:
+            if entry.deadline_at_ms <= now_ms:
+                self._refuse(entry.name, refusals.late())
+            elif entry.attended_until_ms + permits.POLL_MS <= now_ms:
+                self.queue.remove(entry.name)
+        if now_ms - self._swept_ms >= IDLE_SWEEP_MS:
+            self._swept_ms = now_ms
+            self.queue.forget_idle(now_ms)
         self._dispatch(now_ms)
         decisions, self._decisions = self._decisions, []
         return decisions
 
     def summary(self, now_ms: float) -> Summary:
         """Return the pool in short."""
-        rooms = [one.room(self.standing, now_ms) for one in self.targets.values()]
-        cold = sum(one.heat is not admission.Heat.WARM for one in self.targets.values())
+        supply = self._supply(now_ms)
+        cold = sum(one.is_cold() for one in self.members.values())
         return Summary(
             pool=self.name,
             epoch=self.standing.epoch,
-            targets=len(self.targets),
+            targets=len(self.members),
             cold_targets=cold,
-            room_sequences=sum(room.sequences for room in rooms),
-            room_tokens=sum(room.tokens for room in rooms),
-            queued=len(self._queue),
-            queued_tokens=sum(
-                one.request.prompt_tokens for one in self._queue.values()
-            ),
-            wait_ms=0.0,
+            room_sequences=supply.free.sequences,
+            room_tokens=supply.free.tokens,
+            queued=len(self.queue),
+            queued_tokens=self.queue.tokens,
+            wait_ms=self.drain.wait_ms(self.queue.tokens) or 0.0,
         )
 
-    def _again(
-        self, permit: permits.Permit, request: permits.PermitRequest, now_ms: float
-    ) -> Answer:
-        target = self.targets.get(permit.target)
-        if target is None or permit.permit not in target.out:
-            del self._granted[request.request]
+    def _again(self, request: permits.PermitRequest, now_ms: float) -> Answer:
+        permit, _ = self._granted[request.request]
+        held = self.members.get(permit.target)
+        if held is None or permit.permit not in held.admission.out:
+            self._end_grant(request.request)
             return self.request(request, now_ms)
-        if target.needs_probe() or (permit.exclusive and not self.standing.exclusive):
+        lost = permit.exclusive and not self.standing.exclusive
+        if held.admission.needs_probe() or lost:
             return result.Success(permits.Queued(request.request, 0, 0.0))
         load = admission.Load(permit.sequences, permit.prompt_tokens)
-        target.grant(permit.permit, load, request.deadline_in_ms, now_ms)
+        held.admission.grant(permit.permit, load, request.deadline_in_ms, now_ms)
         return result.Success(permit)
 
-    def _refuse_at_once(self, request: permits.PermitRequest) -> errors.Refusal | None:
-        if not set(self.targets) - set(request.excluded):
-            return _refusal("no target of this pool is left to try", 1_000)
-        if request.request not in self._queue and len(self._queue) >= QUEUE_CALLS:
-            return _refusal("the pool's queue is full", 1_000)
+    def _refuse_at_once(
+        self, entry: fairness.Entry, now_ms: float
+    ) -> errors.Refusal | None:
+        request = entry.request
+        if not set(self.members) - set(request.excluded):
+            return refusals.no_target()
+        if request.deadline_in_ms <= 0:
+            return refusals.late()
+        if entry.name in self.queue:
+            return None
+        wait_ms = self.drain.wait_ms(self.queue.tokens_ahead(request.account, now_ms))
+        if self.queue.tokens and wait_ms and wait_ms > request.deadline_in_ms:
+            return refusals.too_long(wait_ms, request.deadline_in_ms)
+        if (
+            self.queue.calls_of(request.account)
+            >= self.terms(request.account).queue_calls
+        ):
+            return refusals.account_full(wait_ms)
         return None
 
-    def _forget_dropped(self) -> None:
-        for name, permit in list(self._granted.items()):
-            target = self.targets.get(permit.target)
-            if target is None or name not in target.out:
-                del self._granted[name]
+    def _queued_or_refused(self, entry: fairness.Entry, now_ms: float) -> Answer:
+        """Keep the queue within its bound at the cost of the largest account."""
+        if len(self.queue) > QUEUE_CALLS:
+            wait_ms = self.drain.wait_ms(self.queue.tokens)
+            self._refuse(self.queue.largest().name, refusals.pool_full(wait_ms))
+        if entry.name not in self.queue:
+            self._withdraw_decision(entry.name)
+            return result.Failure(self._ended[entry.name])
+        ahead = self.queue.tokens_ahead(entry.request.account, now_ms)
+        wait_ms = self.drain.wait_ms(ahead) or 0.0
+        position = self.queue.calls_of(entry.request.account) - 1
+        return result.Success(permits.Queued(entry.name, position, wait_ms))
+
+    def _refuse(self, name: str, refusal: errors.Refusal) -> None:
+        self.queue.remove(name)
+        self._remember(name, refusal)
+        self._decisions.append(Decision(name, result.Failure(refusal)))
+
+    def _remember(self, name: str, refusal: errors.Refusal) -> None:
+        self._ended[name] = refusal
+        while len(self._ended) > ENDED_KEPT:
+            self._ended.popitem(last=False)
+
+    def _withdraw_decision(self, name: str) -> None:
+        self._decisions = [one for one in self._decisions if one.request != name]
+
+    def _end_grant(self, name: str) -> None:
+        held = self._granted.pop(name, None)
+        if held is not None:
+            permit, account = held
+            self.queue.give_back(account, permit.sequences)
 
-    def _place(self, request: str) -> permits.Queued:
-        position = list(self._queue).index(request)
-        return permits.Queued(request, position, 0.0)
+    def _forget_dropped(self) -> None:
+        for name, (permit, _) in list(self._granted.items()):
+            held = self.members.get(permit.target)
+            if held is None or name not in held.admission.out:
+                self._end_grant(name)
+
+    def _supply(self, now_ms: float) -> sharing.Supply:
+        return sharing.supply_of(
+            [one.admission for one in self.members.values()], self.standing, now_ms
+        )
 
     def _dispatch(self, now_ms: float) -> None:
-        for name, waiting in list(self._queue.items()):
-            if waiting.attended_until_ms <= now_ms:
+        """Grant what there is room for, in the order of turns.
+
+        A call that has waited ``HOLD_MS`` for want of room keeps the target with the
+        most free tokens for itself, so that shorter ones do not pass it for ever.
+        """
+        if not len(self.queue):
+            return
+        supply = self._supply(now_ms)
+        if supply.free.sequences <= 0:
+            return
+        kept = ""
+        for entry in self.queue.turns(now_ms):
+            if supply.free.sequences <= 0:
+                return
+            if entry.attended_until_ms <= now_ms:
+                continue
+            use = sharing.use_of(entry, self.queue, supply, now_ms)
+            if not use.allowed:
                 continue
-            permit = self._try(waiting.request, now_ms)
-            if permit is not None:
-                del self._queue[name]
-                self._granted[name] = permit
-                self._decisions.append(Decision(name, result.Success(permit)))
+            if self._try(entry, use, kept, now_ms):
+                supply = self._supply(now_ms)
+            elif not kept and now_ms - entry.arrived_ms >= HOLD_MS:
+                kept = self._target_to_keep(entry)
+
+    def _target_to_keep(self, entry: fairness.Entry) -> str:
+        load = admission.Load(entry.request.sequences, entry.request.prompt_tokens)
+        able = [
+            one.admission
+            for one in self.members.values()
+            if one.admission.bears(load) and one.name not in entry.request.excluded
+        ]
+        if not able:
+            return ""
+        best = min(able, key=lambda one: (one.out_load.tokens, one.name))
+        return best.name
 
     def _try(
-        self, request: permits.PermitRequest, now_ms: float
-    ) -> permits.Permit | None:
-        load = admission.Load(request.sequences, request.prompt_tokens)
+        self, entry: fairness.Entry, use: sharing.Use, kept: str, now_ms: float
+    ) -> bool:
+        request = entry.request
         candidates = [
-            self._candidate(target, load, now_ms)
-            for name, target in self.targets.items()
-            if name not in request.excluded
+            one.candidate(request, use, self.standing, now_ms)
+            for name, one in self.members.items()
+            if name not in request.excluded and name != kept
         ]
-        if not any(candidate.fits for candidate in candidates):
-            return None
-        choice = self.chooser(request, candidates, now_ms)
-        chosen = {one.target for one in candidates if one.fits}
-        if choice.target not in chosen:
-            return None
-        target = self.targets[choice.target]
-        target.grant(request.request, load, request.deadline_in_ms, now_ms)
-        return permits.Permit(
+        fitting = {one.target for one in candidates if one.fits}
+        if not fitting:
+            return False
+        chosen = self.chooser(request, candidates, now_ms)
+        if chosen.target not in fitting:
+            return False
+        self._grant(entry, chosen, use, now_ms)
+        return True
+
+    def _grant(
+        self,
+        entry: fairness.Entry,
+        chosen: choice.Choice,
+        use: sharing.Use,
+        now_ms: float,
+    ) -> None:
+        request = entry.request
+        prefill_tokens = chosen.prefill_tokens
+        if prefill_tokens is None:
+            prefill_tokens = request.prompt_tokens
+        cost = prefill_tokens + request.answer_tokens
+        self.queue.take(entry, cost, now_ms)
+        self.drain.granted(entry.tokens, len(self.queue) > 0, now_ms)
+        held = self.members[chosen.target]
+        held.grant(request, prefill_tokens, now_ms)
+        permit = permits.Permit(
             permit=request.request,
             pool=self.name,
             epoch=self.standing.epoch,
-            target=target.name,
-            boot=target.boot,
+            target=chosen.target,
+            boot=held.admission.boot,
             sequences=request.sequences,
             prompt_tokens=request.prompt_tokens,
-            exclusive=target.heat is not admission.Heat.WARM,
-            plan=choice.plan,
-        )
-
-    def _candidate(
-        self, target: admission.TargetAdmission, load: admission.Load, now_ms: float
-    ) -> Candidate:
-        room = target.room(self.standing, now_ms)
-        return Candidate(
-            target=target.name,
-            boot=target.boot,
-            cold=target.heat is not admission.Heat.WARM,
-            fits=room.holds(load),
-            room=room,
-            out=target.out_load,
-            limits=target.limits,
+            exclusive=held.is_cold(),
+            plan=chosen.plan,
+            target_priority=use.target_priority,
         )
-
-
-def _refusal(message: str, retry_after_ms: int) -> errors.Refusal:
-    return errors.Refusal(
-        errors.Code.OVERLOADED,
-        message,
-        "retry after the stated time or against another pool",
-        errors.Ran.NOT_RUN,
-        retry_after_ms,
-    )
-
-
-def _late() -> errors.Refusal:
-    return errors.Refusal(
-        errors.Code.DEADLINE,
-        "the call waited until its deadline",
-        "send it again with a later deadline",
-        errors.Ran.NOT_RUN,
-    )
+        self._granted[request.request] = (permit, request.account)
+        self._decisions.append(Decision(request.request, result.Success(permit)))
--- a/test/targets/test_pool.py
+++ b/test/targets/test_pool.py
@@ -73,7 +73,7 @@
     def test_exclusive_permit_is_not_renewed_without_the_right(self):
         owner = pool.PoolOwner("p", {"e1": LIMITS})
         owner.stand(admission.Standing(1, True, 0.0))
-        lag_ms = admission.REPORT_LAG_MS
+        lag_ms = admission.TAKEN_MS
         empty = permits.Report("e1", lag_ms, "b1", "b1", True, 0, 0)
         owner.report(empty, lag_ms)
         self.assertTrue(owner.request(ask("1"), lag_ms).unwrap().exclusive)
