--- a/cornelreach/calls/shards.py
+++ b/cornelreach/calls/shards.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import typing
 
 import msgspec
@@ -23,7 +24,9 @@
 RECORD_DELAY_MS = 300
 MAX_PENDING = 4_096
 MAX_BATCH_BYTES = 262_144
-ROLL_BYTES = 32_768
+ROLL_BYTES = 16_384
+MAX_RECORDS = 150_000
+EXPIRE_PERIOD_MS = 5_000
 
 
 class Pending(typing.NamedTuple):
@@ -57,6 +60,7 @@
         self._pending: list[Pending] = []
         self._worker: asyncio.Future = _done()
         self._tidy: asyncio.Future = _done()
+        self._expired_ms = -math.inf
         self._urgent = asyncio.Event()
         self._tokens = BURST_WRITES
         self._filled_ms = clock.now_ms()
@@ -67,9 +71,11 @@
         Unavailable after ``wait_ms``: the entry may still be written later, so a
         claim that ends so must be given up for good.
         """
+        self.used_ms = self.clock.now_ms()
         if len(self._pending) >= MAX_PENDING:
             return ledger.Unavailable("the claim log has too many waiting calls")
-        self.used_ms = self.clock.now_ms()
+        if entry.kind is ledger.Kind.CLAIM and self._full():
+            return ledger.Unavailable("the claim log is full")
         decided = asyncio.get_running_loop().create_future()
         due_ms = self.used_ms + wait_ms
         self._pending.append(Pending(entry, due_ms, decided))
@@ -83,6 +89,13 @@
         except TimeoutError:
             return ledger.Unavailable("the platform did not take the claim in time")
 
+    def _full(self) -> bool:
+        due = self.used_ms >= self._expired_ms + EXPIRE_PERIOD_MS
+        if due and len(self.ledger.records) >= MAX_RECORDS:
+            self._expired_ms = self.used_ms
+            self.ledger.expire(self.clock.wall_ms() - self.retention_ms())
+        return len(self.ledger.records) >= MAX_RECORDS
+
     @property
     def idle(self) -> bool:
         """Tell whether nothing waits to be written."""
--- /dev/null
+++ b/standins/claimrates.py
@@ -0,0 +1,153 @@
+"""Measures the claim log: added time, writes, processor time and memory.
+
+Usage:
+  claimrates [--seconds N] [--write-ms MS]
+  claimrates --help
+
+Options:
+  --seconds N    Time for each rate [default: 4].
+  --write-ms MS  Answer time of the platform [default: 3].
+  --help         Print this text.
+
+One process takes the part of every owner; the platform is the model in memory, whose
+answers take a fixed time. Prints one JSON line for each rate.
+"""
+
+import asyncio
+import sys
+import time
+import tracemalloc
+
+import docopt
+import msgspec
+from returns import result
+
+from cornelreach.calls import claims, ledger
+from cornelreach.platform import results
+from cornelreach.util import hashing, timers
+from standins import platformmodel
+
+RATES_PER_S = (50, 400, 1_600)
+RETENTION_MS = 86_400_000.0
+MEMORY_CLAIMS = 20_000
+
+
+class Objects:
+    """The platform's model with a fixed answer time."""
+
+    def __init__(self, answer_ms):
+        self.answer_s = answer_ms / 1_000
+        self.model = platformmodel.Model(platformmodel.Faults(writes_per_s=500))
+        self.written_bytes = 0
+
+    def _now_ms(self):
+        return time.monotonic() * 1_000
+
+    async def get(self, key):
+        """Return one object."""
+        await asyncio.sleep(self.answer_s)
+        found = self.model.get(key, self._now_ms())
+        if isinstance(found, platformmodel.Object):
+            value = msgspec.json.decode(found.value)
+            return result.Success(results.Record(key, found.version, value))
+        if isinstance(found, platformmodel.Missing):
+            return result.Failure(results.NotFound(key))
+        return result.Failure(results.Unavailable("throttled"))
+
+    async def put(self, key, value, if_version=None, if_absent=False):
+        """Write one object."""
+        body = msgspec.json.encode(value)
+        await asyncio.sleep(self.answer_s)
+        expected = 0 if if_absent else if_version
+        written = self.model.put(key, body, expected, self._now_ms())
+        if isinstance(written, platformmodel.Written):
+            self.written_bytes += len(body)
+            return result.Success(written.version)
+        if isinstance(written, platformmodel.Mismatch):
+            return result.Failure(results.Conflict(key, written.version))
+        return result.Failure(results.Unavailable("throttled"))
+
+    async def delete(self, key, if_version):
+        """Delete one object."""
+        await asyncio.sleep(self.answer_s)
+        self.model.delete(key, if_version, self._now_ms())
+        return result.Success(0)
+
+
+def entry(number, kind=ledger.Kind.CLAIM, answer=None):
+    """Return the entry of one call."""
+    key = hashing.digest(str(number).encode())
+    attempt = ledger.Attempt("lj-north-1", "0123456789abcdef", number)
+    now_ms = int(time.time() * 1_000)
+    digest = b"" if answer else hashing.digest(b"body")
+    return ledger.Entry(kind, key, attempt, now_ms, digest, answer)
+
+
+async def book(log, number, waits_ms):
+    """Claim one call and record its outcome."""
+    begun = time.perf_counter()
+    decision = await log.submit(entry(number), 5_000)
+    if isinstance(decision, ledger.Held):
+        waits_ms.append((time.perf_counter() - begun) * 1_000)
+        answer = ledger.Answer(200, "application/json", b"x" * 200)
+        await log.submit(entry(number, ledger.Kind.OUTCOME, answer), 5_000)
+
+
+async def measure(rate_per_s, seconds, answer_ms):
+    """Return the figures of one rate."""
+    objects = Objects(answer_ms)
+    clock = timers.LoopTimers()
+    log = claims.Claims("one", objects, None, dict, clock, lambda: RETENTION_MS)
+    waits_ms = []
+    begun, begun_cpu = time.perf_counter(), time.process_time()
+    tasks = []
+    for number in range(int(rate_per_s * seconds)):
+        due_s = begun + number / rate_per_s - time.perf_counter()
+        if due_s > 0:
+            await asyncio.sleep(due_s)
+        tasks.append(asyncio.ensure_future(book(log, number, waits_ms)))
+    await asyncio.gather(*tasks)
+    spent_s = time.perf_counter() - begun
+    cpu_s = time.process_time() - begun_cpu
+    await log.close()
+    waits_ms.sort()
+    return {
+        "claims_per_s": rate_per_s,
+        "held": len(waits_ms),
+        "of": len(tasks),
+        "added_ms_p50": round(waits_ms[len(waits_ms) // 2], 1),
+        "added_ms_p99": round(waits_ms[int(len(waits_ms) * 0.99)], 1),
+        "platform_writes_per_s": round(objects.model.writes / spent_s, 1),
+        "written_bytes_per_claim": round(objects.written_bytes / len(waits_ms)),
+        "cpu_us_per_claim": round(cpu_s * 1e6 / len(waits_ms)),
+    }
+
+
+def memory():
+    """Return the bytes that one recorded claim takes in memory."""
+    tracemalloc.start()
+    held = ledger.Ledger()
+    before, _ = tracemalloc.get_traced_memory()
+    answer = ledger.Answer(200, "application/json", b"x" * 200)
+    for number in range(MEMORY_CLAIMS):
+        pair = [entry(number), entry(number, ledger.Kind.OUTCOME, answer)]
+        decoded = msgspec.json.decode(msgspec.json.encode(pair))
+        held.absorb(held.applied, msgspec.convert(decoded, list[ledger.Entry]))
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {"memory_bytes_per_claim": round((after - before) / MEMORY_CLAIMS)}
+
+
+def main(argv=None):
+    """Print the figures of each rate."""
+    arguments = docopt.docopt(__doc__, argv)
+    seconds, answer_ms = float(arguments["--seconds"]), float(arguments["--write-ms"])
+    for rate_per_s in RATES_PER_S:
+        figures = asyncio.run(measure(rate_per_s, seconds, answer_ms))
+        print(msgspec.json.encode(figures).decode(), flush=True)
+    print(msgspec.json.encode(memory()).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/test/calls/test_shards.py
+++ b/test/calls/test_shards.py
@@ -112,3 +112,11 @@
         self.assertEqual(list(self.first.ledger.records), [b"late"])
         again = entry("k0", 7)._replace(time_ms=late)
         self.assertEqual(self.submit(self.second, again), [ledger.Held()])
+
+    def test_a_full_log_takes_no_claim_until_some_expire(self):
+        with mock.patch.object(shards, "MAX_RECORDS", 2):
+            self.submit(self.first, entry("k0"), entry("k1"))
+            full = self.submit(self.first, entry("k2"))
+            self.assertEqual(full, [ledger.Unavailable("the claim log is full")])
+            virtualloop.run(asyncio.sleep(RETENTION_MS / 1_000 + 1), self.loop)
+            self.assertEqual(self.submit(self.first, entry("k2")), [ledger.Held()])
