Run bookings through claims in the daemon

Cause: the service flow sent a booking without a claim, so a repeat at another instance would have run it twice. Change: ServiceFlow is the sender of once.Once; a target that declines a call before running it retracts the attempt, so the refusal can say not run; tickets at POST /v1/tickets. The site stops its instances before the platform: an instance that still records an outcome waited 10 s for a platform that was gone.

--- a/cornelreach/calls/api.py
+++ b/cornelreach/calls/api.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from cornelreach.calls import attempt, chat, chatflow, sse, streams
+from cornelreach.calls import attempt, chat, chatflow, serviceflow, sse, streams
 from cornelreach.http import client, messages, server
 from cornelreach.pools import notices
 from cornelreach.settings import items, view
@@ -10,15 +10,12 @@
 
 CHAT_PATH = "/v1/chat/completions"
 MODELS_PATH = "/v1/models"
+TICKETS_PATH = "/v1/tickets"
 STREAM_PREFIX = "/v1/streams/"
 SERVICE_PREFIX = "/v1/services/"
 NO_NUMBER = -1
 DRAIN_RETRY_MS = 1_000
 
-ServiceHandler = typing.Callable[
-    [items.Account, str, messages.Request], typing.Awaitable[messages.Response]
-]
-
 
 class Gate(typing.Protocol):
     """Tells whether the instance takes new calls."""
@@ -36,13 +33,13 @@
         self,
         settings: view.View,
         flow: chatflow.ChatFlow,
-        serve_service: ServiceHandler,
+        services: serviceflow.ServiceDesk,
         gate: Gate,
         announce: typing.Callable[[notices.Resumed], None],
     ) -> None:
         self.view = settings
         self.flow = flow
-        self.serve_service = serve_service
+        self.services = services
         self.gate = gate
         self.announce = announce
 
@@ -56,12 +53,15 @@
         if request.path == MODELS_PATH:
             self._check_method(request, "GET")
             return self._models(account)
+        if request.path == TICKETS_PATH:
+            self._check_method(request, "POST")
+            return self.services.issue_ticket()
         if request.path.startswith(STREAM_PREFIX):
             self._check_method(request, "GET")
             return await self._stream(account, request)
         if request.path.startswith(SERVICE_PREFIX):
             rest = request.path.removeprefix(SERVICE_PREFIX)
-            return await self.serve_service(account, rest, request)
+            return await self.services.handle(account, rest, request)
         raise server.Refused(
             errors.Refusal(
                 errors.Code.NOT_FOUND,
--- a/cornelreach/calls/once.py
+++ b/cornelreach/calls/once.py
@@ -35,9 +35,13 @@
 
 
 class NotSent(typing.NamedTuple):
-    """No byte was written to any target, or the target refused before running."""
+    """No byte was written, or the target said that it did not run the call.
+
+    ``declined`` marks the second case, in which the attempt had begun.
+    """
 
     refusal: errors.Refusal
+    declined: bool = False
 
 
 class Lost(typing.NamedTuple):
@@ -213,6 +217,8 @@
         if isinstance(sent, Answered):
             run.finish(sent.answer)
             return result.Success(sent.answer)
+        if isinstance(sent, NotSent) and sent.declined:
+            run.retract()
         if isinstance(sent, NotSent) and run.abandon():
             return result.Failure(sent.refusal)
         if run.abandon():
--- a/cornelreach/calls/runs.py
+++ b/cornelreach/calls/runs.py
@@ -52,6 +52,11 @@
             self.answer = answer
             self._settle(State.FINISHED)
 
+    def retract(self) -> None:
+        """Note that the target declined the call before running it."""
+        if self.state is State.RUNNING:
+            self.state = State.CLAIMING
+
     def lose(self) -> None:
         """Note that the answer will not come."""
         if self.state is State.RUNNING:
--- a/cornelreach/calls/serviceflow.py
+++ b/cornelreach/calls/serviceflow.py
@@ -1,7 +1,8 @@
 """The way of a call to a plain service, such as a booking or an order.
 
-A call that may not be repeated is sent at most once, on a fresh connection. An answer
-that was lost after the first byte is never reported as not run.
+A call that may not be repeated is sent at most once, on a fresh connection, and only
+as ``once`` allows. An answer that was lost after the first byte is never reported as
+not run.
 """
 
 import asyncio
@@ -9,7 +10,16 @@
 
 from returns import result
 
-from cornelreach.calls import attempt, chatflow, ports
+from cornelreach.calls import (
+    attempt,
+    chat,
+    chatflow,
+    exchanges,
+    ledger,
+    once,
+    ports,
+    runs,
+)
 from cornelreach.http import client, messages, server
 from cornelreach.settings import items
 from cornelreach.targets import permits
@@ -17,23 +27,15 @@
 
 PRIORITY = 0
 MAX_ATTEMPTS = 3
-PASSED_HEADERS = (b"content-type", b"idempotency-key", b"accept")
-RETURNED_HEADERS = (b"content-type", b"location")
+MAX_KEY_CHARACTERS = 255
 NOT_RUN_STATUS = frozenset((412, 429))
 DEFAULT_WAIT_MS = 10_000
+DEFAULT_TYPE = "application/octet-stream"
+RETRY_AFTER_MS = 1_000
 
 
-class ServiceCall(typing.NamedTuple):
-    """One call to a plain service; ``key`` is the caller's, empty if there is none."""
-
-    account: str
-    service: str
-    path: str
-    body: bytes
-    headers: messages.Headers
-    key: str
-    repeatable: bool
-    wait_ms: int
+class Declined(Exception):
+    """The target received the call and said that it did not run it."""
 
 
 class Lost(Exception):
@@ -41,114 +43,125 @@
 
 
 class NotSent(Exception):
-    """The service surely has not run the call."""
+    """No byte of the request was written."""
+
+
+def nothing() -> None:
+    """Let a repeatable call be sent without further checks."""
 
 
 class ServiceFlow:
-    """Carries calls to plain services out."""
+    """Carries calls to plain services out; also the ``once.Sender`` of an instance."""
 
     def __init__(self, parts: chatflow.Parts) -> None:
         self.parts = parts
 
-    async def handle(
-        self, account: items.Account, rest: str, request: messages.Request
-    ) -> messages.Response:
-        """Answer a caller; raises server.Refused with a typed refusal."""
-        call = self.parse(account, rest, request)
-        return await self.run(call)
-
     def parse(
         self, account: items.Account, rest: str, request: messages.Request
-    ) -> ServiceCall:
+    ) -> exchanges.Call:
         """Return the checked call."""
         service, _, path = rest.partition("/")
         if request.method != "POST":
             _bad(f"{request.method} is not served", "use POST")
-        if not self.parts.view.pools(service):
-            raise server.Refused(
-                errors.Refusal(
-                    errors.Code.NOT_FOUND,
-                    f"service {service!r} does not exist",
-                    "use a service that the operators have created",
-                )
-            )
-        if account.services and service not in account.services:
-            raise server.Refused(
-                errors.Refusal(
-                    errors.Code.FORBIDDEN,
-                    f"account {account.name!r} may not use service {service!r}",
-                    "ask the operators for access",
-                )
-            )
+        self._check_access(account, service)
         key = request.header("idempotency-key") or ""
-        if len(key) > 255:
-            _bad("Idempotency-Key exceeds 255 characters", "send a shorter key")
+        if len(key) > MAX_KEY_CHARACTERS:
+            _bad(f"Idempotency-Key exceeds {MAX_KEY_CHARACTERS} characters", "cut it")
         wait_text = request.header("x-deadline-ms") or str(DEFAULT_WAIT_MS)
-        if not wait_text.isascii() or not wait_text.isdigit() or int(wait_text) == 0:
-            _bad("X-Deadline-Ms is not a time", "send milliseconds above 0")
-        headers = tuple(pair for pair in request.headers if pair[0] in PASSED_HEADERS)
-        repeatable = (request.header("x-repeatable") or "no").lower() == "yes"
-        return ServiceCall(
+        if not chat.valid_deadline(wait_text):
+            _bad("X-Deadline-Ms is not a time", "send 1 to 3600000 milliseconds")
+        return exchanges.Call(
             account.name,
             service,
             "/" + path,
-            request.body,
-            headers,
             key,
-            repeatable,
-            int(wait_text),
+            request.body,
+            request.header("content-type") or DEFAULT_TYPE,
+            float(wait_text),
         )
 
-    async def run(self, call: ServiceCall) -> messages.Response:
-        """Send a call, again only where the service surely has not run it."""
+    def _check_access(self, account: items.Account, service: str) -> None:
+        if not self.parts.view.pools(service):
+            _refuse(
+                errors.Code.NOT_FOUND,
+                f"service {service!r} does not exist",
+                "use a service that the operators have created",
+            )
+        if account.services and service not in account.services:
+            _refuse(
+                errors.Code.FORBIDDEN,
+                f"account {account.name!r} may not use service {service!r}",
+                "ask the operators for access",
+            )
+
+    async def run_repeatable(self, call: exchanges.Call) -> ledger.Answer:
+        """Send a call that may be repeated, again where its answer was lost."""
         avoid: tuple[str, ...] = ()
-        for count in range(1, MAX_ATTEMPTS + 1):
+        self.parts.retries.first_try()
+        count = 0
+        while True:
+            count += 1
             ticket = await self._place(call, avoid)
             try:
-                return await self.send(call, ticket)
+                return await self._send(call, ticket, nothing)
+            except (Lost, NotSent, Declined) as error:
+                avoid += (ticket.target.name,)
+                lost = isinstance(error, Lost)
+                if count >= MAX_ATTEMPTS or not self.parts.retries.allow():
+                    raise server.Refused(_gave_up(str(error), lost)) from None
+
+    async def send(
+        self, call: exchanges.Call, begin: typing.Callable[[], None]
+    ) -> once.Sent:
+        """Send a call that may not be repeated; at most one target receives it."""
+        avoid: tuple[str, ...] = ()
+        reason = ""
+        for _ in range(MAX_ATTEMPTS):
+            try:
+                ticket = await self._place(call, avoid)
+                return once.Answered(await self._send(call, ticket, begin))
+            except server.Refused as refused:
+                return once.NotSent(refused.refusal)
+            except runs.TooLate as error:
+                return once.NotSent(_gave_up(str(error), lost=False))
+            except Declined as error:
+                refusal = _gave_up(str(error), lost=False)
+                return once.NotSent(refusal, declined=True)
             except Lost as error:
-                if call.repeatable and count < MAX_ATTEMPTS:
-                    avoid += (ticket.target.name,)
-                    continue
-                raise server.Refused(unknown(str(error))) from None
+                return once.Lost(str(error))
             except NotSent as error:
                 avoid += (ticket.target.name,)
                 reason = str(error)
-        raise server.Refused(
-            errors.Refusal(
-                errors.Code.UNAVAILABLE,
-                f"service {call.service!r} took no call: {reason}",
-                "send the call again later",
-                errors.Ran.NOT_RUN,
-                1_000,
-            )
-        )
+        return once.NotSent(_gave_up(reason, lost=False))
 
-    async def _place(self, call: ServiceCall, avoid: tuple[str, ...]) -> ports.Ticket:
-        need = ports.Need(
-            call.account, call.service, PRIORITY, None, 0, call.wait_ms, avoid
-        )
+    async def _place(
+        self, call: exchanges.Call, avoid: tuple[str, ...]
+    ) -> ports.Ticket:
+        wait_ms = int(call.wait_ms)
+        need = ports.Need(call.account, call.service, PRIORITY, None, 0, wait_ms, avoid)
         placed = await self.parts.placer.place(need)
         if isinstance(placed, result.Failure):
             raise server.Refused(placed.failure())
         return placed.unwrap()
 
-    async def send(self, call: ServiceCall, ticket: ports.Ticket) -> messages.Response:
-        """Send once and return the service's answer; raises Lost or NotSent."""
+    async def _send(
+        self,
+        call: exchanges.Call,
+        ticket: ports.Ticket,
+        begin: typing.Callable[[], None],
+    ) -> ledger.Answer:
         outcome, boot = permits.Outcome.CANCELLED, ""
         try:
             async with asyncio.timeout(call.wait_ms / 1_000):
-                answer = await self._open(call, ticket)
+                answer = await self._open(call, ticket, begin)
                 boot = answer.header("x-boot-id") or ""
                 body = await answer.read()
             if answer.status in NOT_RUN_STATUS:
                 outcome = permits.Outcome.REJECTED
-                raise NotSent(f"the target answered {answer.status}")
+                raise Declined(f"the target answered {answer.status}")
             outcome = permits.Outcome.DONE
-            headers = tuple(
-                pair for pair in answer.headers if pair[0] in RETURNED_HEADERS
-            )
-            return messages.Response(answer.status, body, headers)
+            kind = answer.header("content-type") or DEFAULT_TYPE
+            return ledger.Answer(answer.status, kind, body)
         except client.RequestNotSent as error:
             outcome = permits.Outcome.CONNECTION_LOST
             raise NotSent(str(error)) from None
@@ -163,28 +176,86 @@
             release = permits.Release(permit.permit, ticket.target.name, outcome, boot)
             self.parts.placer.release(release, permit.pool)
 
-    async def _open(self, call: ServiceCall, ticket: ports.Ticket) -> client.Answer:
-        headers = (*call.headers, (b"if-match", ticket.permit.boot.encode()))
+    async def _open(
+        self,
+        call: exchanges.Call,
+        ticket: ports.Ticket,
+        begin: typing.Callable[[], None],
+    ) -> client.Answer:
+        headers = [
+            (b"content-type", call.content_type.encode()),
+            (b"if-match", ticket.permit.boot.encode()),
+        ]
+        if call.key:
+            headers.append((b"idempotency-key", call.key.encode()))
+        check = attempt.permit_check(ticket, self.parts.clock)
+
+        def before_write() -> None:
+            check()
+            begin()
+
         return await self.parts.http.send(
             client.parse_address(ticket.target.address),
             "POST",
             call.path,
             call.body,
-            headers,
-            before_write=attempt.permit_check(ticket, self.parts.clock),
-            fresh=not call.repeatable,
+            tuple(headers),
+            before_write=before_write,
+            fresh=True,
         )
 
 
-def unknown(reason: str) -> errors.Refusal:
-    """Return the refusal of a call that was written and whose answer was lost."""
+class ServiceDesk:
+    """Answers callers' requests to plain services."""
+
+    def __init__(self, flow: ServiceFlow, runner: once.Once) -> None:
+        self.flow = flow
+        self.runner = runner
+
+    async def handle(
+        self, account: items.Account, rest: str, request: messages.Request
+    ) -> messages.Response:
+        """Answer one request; raises server.Refused with a typed refusal."""
+        call = self.flow.parse(account, rest, request)
+        if (request.header("x-repeatable") or "no").lower() == "yes":
+            return response_of(await self.flow.run_repeatable(call))
+        outcome = await self.runner.run(call)
+        if isinstance(outcome, result.Failure):
+            raise server.Refused(outcome.failure())
+        return response_of(outcome.unwrap())
+
+    def issue_ticket(self) -> messages.Response:
+        """Answer with a key that this boot alone may run."""
+        return messages.json_response(201, {"ticket": self.runner.issue_ticket()})
+
+
+def response_of(answer: ledger.Answer) -> messages.Response:
+    """Return a service's answer as the caller gets it."""
+    headers = ((b"content-type", answer.content_type.encode()),)
+    return messages.Response(answer.status, answer.body, headers)
+
+
+def _gave_up(reason: str, lost: bool) -> errors.Refusal:
+    if lost:
+        return errors.Refusal(
+            errors.Code.OUTCOME_UNKNOWN,
+            f"the service's answer was lost: {reason}",
+            "send the call again",
+            errors.Ran.UNKNOWN,
+            RETRY_AFTER_MS,
+        )
     return errors.Refusal(
-        errors.Code.OUTCOME_UNKNOWN,
-        f"the service's answer was lost: {reason}",
-        "look the outcome up at the service before sending another call",
-        errors.Ran.UNKNOWN,
+        errors.Code.UNAVAILABLE,
+        f"no target took the call: {reason}",
+        "send the call again later",
+        errors.Ran.NOT_RUN,
+        RETRY_AFTER_MS,
     )
 
 
+def _refuse(code: errors.Code, message: str, remedy: str) -> typing.NoReturn:
+    raise server.Refused(errors.Refusal(code, message, remedy))
+
+
 def _bad(message: str, remedy: str) -> typing.NoReturn:
-    raise server.Refused(errors.Refusal(errors.Code.BAD_REQUEST, message, remedy))
+    _refuse(errors.Code.BAD_REQUEST, message, remedy)
--- a/cornelreach/fleet/roster.py
+++ b/cornelreach/fleet/roster.py
@@ -26,6 +26,10 @@
             if one.data_centre == data_centre
         )
 
+    def addresses(self) -> dict[str, str]:
+        """Return the peer address of every live instance by name."""
+        return {one.name: one.peer_address for one in self._instances.values()}
+
     def address(self, instance: str) -> str:
         """Return the peer address of an instance, empty if it is unknown."""
         found = self._instances.get(instance)
--- a/cornelreach/instance.py
+++ b/cornelreach/instance.py
@@ -14,7 +14,16 @@
 
 from returns import result
 
-from cornelreach.calls import api, chatflow, serviceflow, streams
+from cornelreach.calls import (
+    api,
+    chatflow,
+    claims,
+    exchanges,
+    once,
+    runs,
+    serviceflow,
+    streams,
+)
 from cornelreach.fleet import roster as roster_module
 from cornelreach.http import client as http_client, limits, server
 from cornelreach.peers import wire
@@ -33,6 +42,7 @@
 ROSTER_MS = 1_000
 RECONFIGURE_MS = 200
 SETTLE_MS = 5
+FORGET_MS = 60_000
 NOTICE_WAIT_MS = 500
 PEER_GRACE_MS = 1_000
 
@@ -146,10 +156,27 @@
             identity,
         )
         self.flow = chatflow.ChatFlow(parts)
-        self.services = serviceflow.ServiceFlow(parts)
-        self.api = api.Api(
-            self.view, self.flow, self.services.handle, self, self._announce
+        services = serviceflow.ServiceFlow(parts)
+        self._build_claims(services)
+        self.services = serviceflow.ServiceDesk(services, self.once)
+        self.api = api.Api(self.view, self.flow, self.services, self, self._announce)
+
+    def _build_claims(self, sender: once.Sender) -> None:
+        name = self.settings.name
+        self.claims = claims.Claims(
+            name,
+            self.platform,
+            self.peers,
+            self.roster.addresses,
+            self.clock,
+            lambda: self.view.defaults.claim_retention_ms,
         )
+        attempts = runs.Runs(name, self.boot)
+        self.once = once.Once(attempts, self.claims, sender, self.clock)
+        self.peer_server.register(exchanges.SUBMIT, self.claims.answer_submit)
+        self.peer_server.register(exchanges.ASK, self.once.answer_ask)
+        self.peer_server.register(exchanges.FORWARD, self.once.answer_forward)
+        self.clock.every(FORGET_MS, self.claims.forget_idle)
 
     def sender(self) -> wire.Sender:
         """Return what this instance says of itself in every message."""
@@ -243,6 +270,7 @@
             async with asyncio.timeout(self.settings.drain_ms / 1_000):
                 await self.server.drained()
                 await self.flow.settled()
+                await self.once.drained()
                 await self.placer.settled()
         except TimeoutError:
             pass
@@ -255,6 +283,8 @@
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        await self.once.close()
+        await self.claims.close()
         await self.peer_server.stop(PEER_GRACE_MS)
         await self.peers.close()
         await self.http.close()
--- a/standins/site.py
+++ b/standins/site.py
@@ -210,19 +210,26 @@
                 await asyncio.sleep(0.05)
 
     async def stop(self) -> None:
-        """End every process that this site started, instances first."""
-        for process in reversed(self.processes):
-            if process.handle.returncode is None:
-                process.handle.send_signal(signal.SIGTERM)
-        for process in self.processes:
-            try:
-                await asyncio.wait_for(process.handle.wait(), STOP_WAIT_S)
-            except TimeoutError:
-                process.handle.kill()
-                await process.handle.wait()
+        """End every process that this site started, instances before the rest."""
+        names = {member.name for member in self.members}
+        instances = [one for one in self.processes if one.name in names]
+        others = [one for one in self.processes if one.name not in names]
+        for group in (instances, others):
+            for process in group:
+                if process.handle.returncode is None:
+                    process.handle.send_signal(signal.SIGTERM)
+            await asyncio.gather(*(_ended(process) for process in group))
         await self.http.close()
 
 
+async def _ended(process: Process) -> None:
+    try:
+        await asyncio.wait_for(process.handle.wait(), STOP_WAIT_S)
+    except TimeoutError:
+        process.handle.kill()
+        await process.handle.wait()
+
+
 async def run(site: Site, count: int) -> int:
     """Send the rulebook through the whole chain and print what came back."""
     callers = [one.callers for one in site.members]
