--- a/cornelreach/settings/state.py
+++ b/cornelreach/settings/state.py
@@ -93,13 +93,16 @@
                 subscriber(event)
         return changed
 
-    def delta(self, since: int, limit_bytes: int = DELTA_BYTES) -> Delta | None:
+    def delta(
+        self, since: int, limit_bytes: int = DELTA_BYTES, forgotten: bool = False
+    ) -> Delta | None:
         """Return the changes after ``since``, oldest first, up to a size.
 
-        None if deletions after ``since`` are forgotten: then only ``whole`` helps. An
-        empty receiver (``since`` 0) misses no deletion.
+        None if deletions after ``since`` are forgotten, unless ``forgotten`` says that
+        the receiver can do without: then only a whole listing helps. An empty receiver
+        (``since`` 0) misses no deletion.
         """
-        if 0 < since < self.horizon:
+        if 0 < since < self.horizon and not forgotten:
             return None
         start = bisect.bisect_right(self._order, (since, "\U0010ffff"))
         chosen: list[Entry] = []
--- a/cornelreach/settings/sync.py
+++ b/cornelreach/settings/sync.py
@@ -38,6 +38,10 @@
     "Restore the platform with its version counter at or above the held revision.",
 )
 
+Outcome = result.Result[
+    results.Listing | results.Changes, results.ReadError | results.WatchError
+]
+
 
 class Sync:
     """The loop that keeps a state up to the platform's revision."""
@@ -56,7 +60,7 @@
         self.watching = watching
         self.watch_ms = watch_ms
         self.platform_ok = False
-        self._since: int | None = None
+        self.since: int | None = None
 
     async def run(self) -> None:
         """Follow the platform until cancelled."""
@@ -67,17 +71,21 @@
 
     async def step(self) -> float:
         """Do one list or watch and return the delay until the next."""
-        if self._since is None:
+        if self.since is None:
             outcome = await self.objects.list(items.PREFIX)
         else:
-            since = self._since
+            since = self.since
             outcome = await self.objects.watch(items.PREFIX, since, self.watch_ms)
+        return self.take(outcome)
+
+    def take(self, outcome: Outcome) -> float:
+        """Apply the outcome of a list or watch; return the delay until the next."""
         if isinstance(outcome, result.Failure):
             return self._failed(outcome.failure())
         self.platform_ok = True
         self.backoff.reset()
         found = outcome.unwrap()
-        if found.revision < (self._since or self.state.revision):
+        if found.revision < (self.since or self.state.revision):
             return self._rewound(found.revision)
         if isinstance(found, results.Listing):
             self._listed(found)
@@ -88,11 +96,11 @@
     def _listed(self, found: results.Listing) -> None:
         delta = state_module.Delta(0, found.revision, found.records, whole=True)
         self.state.apply(delta)
-        self._since = found.revision
+        self.since = found.revision
         events.emit(LISTED, count=len(found.records), revision=found.revision)
 
     def _watched(self, found: results.Changes) -> None:
-        since, self._since = self._since, found.revision
+        since, self.since = self.since, found.revision
         if not found.records:
             return
         newest = max(record.version for record in found.records)
@@ -105,7 +113,7 @@
 
     def _failed(self, error: results.ReadError | results.WatchError) -> float:
         if isinstance(error, results.Compacted):
-            self._since = None
+            self.since = None
             return 0
         self.platform_ok = False
         events.emit(AWAY, error=error.message, revision=self.state.revision)
--- a/cornelreach/settings/view.py
+++ b/cornelreach/settings/view.py
@@ -29,11 +29,21 @@
 BUCKET_CHARACTERS = 8
 
 
+Directed = typing.Callable[[str], str | None]
+
+
 class View:
-    """The typed items of a state, kept up to date as the state changes."""
+    """The typed items of a state, kept up to date as the state changes.
+
+    ``directed`` returns the state that operators gave directly to an instance for a
+    key, or None; see ``fleet.takeout``.
+    """
 
-    def __init__(self, state: state_module.State) -> None:
+    def __init__(
+        self, state: state_module.State, directed: Directed | None = None
+    ) -> None:
         self.state = state
+        self.directed = directed
         self._items: dict[str, dict[str, items.Item]] = {
             kind: {} for kind in items.KINDS
         }
@@ -93,7 +103,21 @@
     def data_centre_state(self, name: str) -> str:
         """Return ``in_service`` or ``taken_out``; in service if it has no item."""
         held = self.data_centres.get(name)
-        return held.state if held is not None else IN_SERVICE
+        stated = held.state if held is not None else IN_SERVICE
+        return self._directed("data-centre", name) or stated
+
+    def takes_work(self, target: items.Target) -> bool:
+        """Return whether new work may go to a target and its data centre."""
+        state = self._directed("target", target.name) or target.state
+        return (
+            state == IN_SERVICE
+            and self.data_centre_state(target.data_centre) == IN_SERVICE
+        )
+
+    def _directed(self, kind: str, name: str) -> str | None:
+        if self.directed is None:
+            return None
+        return self.directed(items.key_of(kind, name))
 
     def in_service(self) -> frozenset[str]:
         """Return the data centres that take new work by the settings."""
--- a/test/platform/objects.py
+++ b/test/platform/objects.py
@@ -47,6 +47,18 @@
         kept = tuple(record for record in found if record.key.startswith(prefix))
         return results.Listing(self.revision, kept)
 
+    def past(self, prefix, revision):
+        """Return the objects under a prefix as they were at a revision."""
+        found = {}
+        for record in self.history[:revision]:
+            found[record.key] = record
+        kept = sorted(
+            record
+            for record in found.values()
+            if record.key.startswith(prefix) and record.value is not None
+        )
+        return results.Listing(revision, tuple(kept))
+
     def changes(self, prefix, since):
         """Return the changes after a revision."""
         if since < self.compacted:
