--- a/cornelreach/fleet/membership.py
+++ b/cornelreach/fleet/membership.py
@@ -167,7 +167,21 @@
 
     def leave(self, now_ms: float) -> None:
         """Announce that this instance takes no new work and will exit."""
-        self._restate(news.Status.LEAVING, now_ms)
+        self.me = self.me._replace(status=news.Status.LEAVING)
+        self._restate(now_ms)
+
+    def platform(self, found: news.Platform, now_ms: float) -> None:
+        """State what this instance knows of the platform, if that has changed."""
+        if found != self.me.platform:
+            self.me = self.me._replace(platform=found)
+            self._restate(now_ms)
+
+    def cut_off(self) -> set[str]:
+        """Return the instances that say they do not reach the platform."""
+        members = self.roster.members
+        return {
+            name for name in members if members[name].platform == news.Platform.AWAY
+        }
 
     # What can be asked.
 
@@ -276,21 +290,20 @@
         if theirs.boot == mine.boot:
             if member.precedence > self.me.precedence:
                 self.me = self.me._replace(incarnation=member.incarnation)
-                self._restate(self.me.status, now_ms)
+                self._restate(now_ms)
             return
         if (theirs.started_ms, theirs.boot) < (mine.started_ms, mine.boot):
             return
         if now_ms - self._started_ms <= YOUNG_MS:
             later = mine._replace(started_ms=theirs.started_ms + 1)
             self.me = self.me._replace(identity=later)
-            self._restate(self.me.status, now_ms)
+            self._restate(now_ms)
         elif self.superseded_by is None:
             self.superseded_by = theirs
             self._events.append(Superseded(theirs))
 
-    def _restate(self, status: news.Status, now_ms: float) -> None:
-        incarnation = self.me.incarnation + 1
-        self.me = self.me._replace(incarnation=incarnation, status=status)
+    def _restate(self, now_ms: float) -> None:
+        self.me = self.me._replace(incarnation=self.me.incarnation + 1)
         self.roster.learn(self.me)
         self._status_ms[self.name] = now_ms
 
--- a/cornelreach/fleet/news.py
+++ b/cornelreach/fleet/news.py
@@ -43,6 +43,7 @@
     identity: Identity
     incarnation: int = 0
     status: Status = Status.ALIVE
+    platform: Platform = Platform.UNKNOWN
 
     @property
     def precedence(self) -> tuple[int, str, int, int]:
@@ -97,7 +98,6 @@
     member: Member
     revision: int = 0
     digest: int = 0
-    platform: Platform = Platform.UNKNOWN
     full: bool = False
     news: tuple[Member, ...] = ()
     reaches: tuple[Reach, ...] = ()
--- a/cornelreach/fleet/node.py
+++ b/cornelreach/fleet/node.py
@@ -23,7 +23,7 @@
 HEARTBEAT_WAIT_MS = 800
 POKES = 3
 POKE_BYTES = 3_000
-AWAY_HOLDS_MS = 30_000
+REPORT_HOLDS_MS = 30_000
 REMOTE_NEWS = 3
 
 
@@ -52,8 +52,7 @@
         self.board = board_module.Board()
         self.directives = takeout.Directives(state)
         self.source = source
-        self._platform = news.Platform.UNKNOWN
-        self._away_ms: dict[str, float] = {}
+        self._reported_ms = now_ms
         self._fetches: list[relay_module.Fetch] = []
         self._known_directives: tuple[news.Directive, ...] = ()
         self._pushed = state.revision
@@ -77,22 +76,17 @@
 
     def platform_report(self, reached: bool, now_ms: float) -> None:
         """Tell whether this instance's last call reached the platform."""
-        if reached:
-            self._platform = news.Platform.REACHED
-            self._away_ms.pop(self.me.name, None)
-        else:
-            self._platform = news.Platform.AWAY
-            self._away_ms[self.me.name] = now_ms
+        found = news.Platform.REACHED if reached else news.Platform.AWAY
+        self.membership.platform(found, now_ms)
+        self._reported_ms = now_ms
 
     def watching(self, now_ms: float) -> bool:
         """Return whether this instance watches the platform for its peers."""
-        cut_off = {
-            name
-            for name, at_ms in self._away_ms.items()
-            if now_ms - at_ms < AWAY_HOLDS_MS
-        }
-        names = self.membership.expected()
-        chosen = relay_module.watchers(self.me.data_centre, names, cut_off)
+        if now_ms - self._reported_ms > REPORT_HOLDS_MS:
+            self.membership.platform(news.Platform.UNKNOWN, now_ms)
+        chosen = relay_module.watchers(
+            self.me.data_centre, self.membership.expected(), self.membership.cut_off()
+        )
         return self.me.name in chosen
 
     # Sending.
@@ -145,7 +139,6 @@
             member=members.me,
             revision=self.state.revision,
             digest=self.state.digest,
-            platform=self._platform,
             full=members.doubtful and not remote,
             news=self._sample() if remote else roster.message_news(),
             reaches=() if remote else self.sites.reaches(now_ms),
@@ -196,10 +189,6 @@
         if sender.data_centre == self.me.data_centre:
             self.membership.heard(message, now_ms)
             self.sites.learn(message.reaches, now_ms)
-            if message.platform == news.Platform.AWAY:
-                self._away_ms[sender.name] = now_ms
-            elif message.platform == news.Platform.REACHED:
-                self._away_ms.pop(sender.name, None)
         else:
             for member in (message.member, *message.news):
                 if member.identity.data_centre != self.me.data_centre:
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -18,7 +18,7 @@
 from cornelreach.platform import results
 
 CALL_WAIT_MS = 2_000
-WATCH_MARGIN_MS = 2_000
+WATCH_MARGIN_MS = 1_000
 PAGE_RECORDS = 500
 DEFAULT_RETRY_MS = 1_000
 
@@ -63,6 +63,13 @@
     retry_after_ms: int
 
 
+Told = typing.Callable[[int], None]
+
+
+def _ignore(status: int) -> None:
+    """Take no notice of an answer."""
+
+
 async def _open_gate(kind: str) -> None:
     """Let every call pass at once."""
 
@@ -71,7 +78,8 @@
     """The object API of one platform address.
 
     ``gate`` is awaited before each call with its kind: ``read``, ``write`` or
-    ``watch``; a rate budget fits there.
+    ``watch``; ``told`` takes the status of each answer, 0 where there was none. A
+    rate budget fits there.
     """
 
     def __init__(
@@ -80,11 +88,13 @@
         address: http_client.Address,
         gate: Gate = _open_gate,
         call_wait_ms: int = CALL_WAIT_MS,
+        told: Told = _ignore,
     ) -> None:
         self.http = http
         self.address = address
         self.gate = gate
         self.call_wait_ms = call_wait_ms
+        self.told = told
 
     async def get(self, key: str) -> result.Result[results.Record, results.ReadError]:
         """Return one object, or NotFound."""
@@ -202,9 +212,14 @@
         headers: messages.Headers,
         wait_ms: float,
     ) -> _Answer:
-        status, found, fields = await self.http.call(
-            self.address, method, path, body, headers, wait_ms
-        )
+        try:
+            status, found, fields = await self.http.call(
+                self.address, method, path, body, headers, wait_ms
+            )
+        except (http_client.RequestNotSent, http_client.AnswerLost):
+            self.told(0)
+            raise
+        self.told(status)
         return _Answer(status, found, _retry_after_ms(fields))
 
 
--- a/cornelreach/settings/sync.py
+++ b/cornelreach/settings/sync.py
@@ -3,7 +3,8 @@
 Only the few instances chosen as watchers run it; ``watching`` says whether this one
 is::
 
-    sync = Sync(objects, state, Backoff(random.Random()))
+    pause = backoff.Backoff(random.Random(), limit_ms=RETRY_LIMIT_MS)
+    sync = Sync(objects, state, pause)
     task = asyncio.create_task(sync.run())
 """
 
@@ -16,7 +17,8 @@
 from cornelreach.settings import items, state as state_module
 from cornelreach.util import events
 
-WATCH_MS = 30_000
+WATCH_MS = 4_000
+RETRY_LIMIT_MS = 2_000
 IDLE_MS = 200
 
 LISTED = events.define(
--- a/test/fleet/world.py
+++ b/test/fleet/world.py
@@ -14,7 +14,6 @@
 LINK_MS = (0.3, 3.0)
 PLATFORM_MS = (2.0, 10.0)
 STALE_ANSWERS = 0.05
-WATCH_MS = 30_000
 
 loguru.logger.disable("cornelreach.settings.sync")
 
@@ -36,7 +35,7 @@
         self.state.subscribe(self.changed)
         source = random.Random(world.source.random())
         self.node = node_module.Node(me, self.state, source, clock.now_ms())
-        pause = backoff.Backoff(source)
+        pause = backoff.Backoff(source, limit_ms=sync_module.RETRY_LIMIT_MS)
         self.sync = sync_module.Sync(None, self.state, pause)
         world.clock.after(source.uniform(0, node_module.TICK_MS), self.tick)
 
@@ -201,13 +200,14 @@
         name = host.node.me.name
         if self.platform_away or not self.open(name, "platform"):
             away = result.Failure(results.Unavailable("away", 200))
-            self.clock.after(500, lambda: host.run(host.polled, away))
+            wait_ms = self.source.choice((1, 500, sync_module.WATCH_MS))
+            self.clock.after(wait_ms, lambda: host.run(host.polled, away))
             return
         since = host.sync.since
         if since is not None and self.store.revision <= since:
             entry = (host, since)
             self.waiting.append(entry)
-            self.clock.after(WATCH_MS, lambda: self.wake(entry))
+            self.clock.after(sync_module.WATCH_MS, lambda: self.wake(entry))
             return
         self.answer(host, since)
 
