--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -63,10 +63,10 @@
     retry_after_ms: int
 
 
-Told = typing.Callable[[int], None]
+Told = typing.Callable[[str, int], None]
 
 
-def _ignore(status: int) -> None:
+def _ignore(kind: str, status: int) -> None:
     """Take no notice of an answer."""
 
 
@@ -78,8 +78,8 @@
     """The object API of one platform address.
 
     ``gate`` is awaited before each call with its kind: ``read``, ``write`` or
-    ``watch``; ``told`` takes the status of each answer, 0 where there was none. A
-    rate budget fits there.
+    ``watch``; ``told`` takes the kind and the status of each answer, 0 for none. A rate
+    budget fits there.
     """
 
     def __init__(
@@ -183,7 +183,7 @@
     ) -> result.Result[_Answer, results.Unavailable]:
         await self.gate(kind)
         try:
-            answer = await self._send("GET", path, b"", (), wait_ms)
+            answer = await self._send(kind, "GET", path, b"", (), wait_ms)
         except (http_client.RequestNotSent, http_client.AnswerLost) as error:
             return result.Failure(results.Unavailable(str(error)))
         if answer.status == 429 or answer.status >= 500:
@@ -197,7 +197,9 @@
         headers = (condition, (b"content-type", b"application/json"))
         path = _object_path(key)
         try:
-            answer = await self._send(method, path, body, headers, self.call_wait_ms)
+            answer = await self._send(
+                "write", method, path, body, headers, self.call_wait_ms
+            )
         except http_client.RequestNotSent as error:
             return result.Failure(results.Unavailable(str(error)))
         except http_client.AnswerLost as error:
@@ -206,6 +208,7 @@
 
     async def _send(
         self,
+        kind: str,
         method: str,
         path: str,
         body: bytes,
@@ -217,9 +220,9 @@
                 self.address, method, path, body, headers, wait_ms
             )
         except (http_client.RequestNotSent, http_client.AnswerLost):
-            self.told(0)
+            self.told(kind, 0)
             raise
-        self.told(status)
+        self.told(kind, status)
         return _Answer(status, found, _retry_after_ms(fields))
 
 
--- /dev/null
+++ b/test/platform/test_budget.py
@@ -0,0 +1,88 @@
+"""Tests of the rate budget, alone and with a whole fleet that restarts at once."""
+
+import random
+import unittest
+
+from cornelreach.platform import budget
+from cornelreach.util import timers
+
+INSTANCES = 1_100
+
+
+class Fleet:
+    """Instances whose first reads meet a platform with a fixed rate."""
+
+    def __init__(self, seed, reads, spread=True, budgeted=True):
+        self.clock = timers.VirtualTimers()
+        self.budgeted = budgeted
+        self.by_second = {}
+        self.refused = 0
+        self.done_ms = []
+        for number in range(INSTANCES):
+            source = random.Random(seed * INSTANCES + number)
+            held = budget.Budget(INSTANCES, 0, source)
+            delay_ms = held.start_delay_ms() if spread else 0
+            self.plan(delay_ms, held, reads)
+
+    def plan(self, delay_ms, held, left):
+        """Do the next read of an instance after a delay."""
+        self.clock.after(delay_ms, lambda: self.call(held, left))
+
+    def call(self, held, left):
+        """Read once the budget lets it; the platform refuses above its rate."""
+        now_ms = self.clock.now_ms()
+        purpose = budget.Purpose.SETTINGS
+        wait_ms = held.ask(purpose, budget.Call.READ, now_ms) if self.budgeted else 0
+        if wait_ms:
+            self.plan(wait_ms, held, left)
+            return
+        second = int(now_ms // 1_000)
+        self.by_second[second] = self.by_second.get(second, 0) + 1
+        if self.by_second[second] > budget.FLEET_READS_PER_S:
+            self.refused += 1
+            if self.budgeted:
+                held.answered(budget.Call.READ, budget.REFUSED, now_ms)
+            self.plan(10, held, left)
+        elif left > 1:
+            self.plan(10, held, left - 1)
+        else:
+            self.done_ms.append(now_ms)
+
+
+class Rates(unittest.TestCase):
+    """Order of purposes, back-off and restart."""
+
+    def test_later_purposes_stop_first(self):
+        held = budget.Budget(8, 0, random.Random(1))
+        passed = []
+        for purpose in reversed(budget.Purpose):
+            count = 0
+            while held.ask(purpose, budget.Call.WRITE, 10_000) == 0:
+                count += 1
+            passed.append(count)
+        self.assertTrue(all(count > 0 for count in passed), passed)
+        status = budget.Purpose.STATUS
+        self.assertGreater(held.ask(status, budget.Call.WRITE, 11_000), 0)
+
+    def test_a_refusal_halves_the_rate_and_quiet_time_restores_it(self):
+        bucket = budget.Bucket(300, 10, 0)
+        before = bucket.rate_per_s
+        bucket.refused(0)
+        self.assertEqual(bucket.rate_per_s, before / 2)
+        self.assertGreater(bucket.ask(0, 500), 0)
+        bucket.ask(0, 10_000)
+        self.assertGreater(bucket.rate_per_s, before)
+        bucket.ask(0, 1_000_000)
+        self.assertEqual(bucket.rate_per_s, 300 * budget.CEILING_SHARE)
+
+    def test_restart_of_the_whole_fleet_stays_below_the_platforms_rate(self):
+        usual = Fleet(1, 2)
+        usual.clock.advance(10_000)
+        self.assertEqual((len(usual.done_ms), usual.refused), (INSTANCES, 0))
+        heavy = Fleet(1, 10)
+        heavy.clock.advance(30_000)
+        self.assertEqual(len(heavy.done_ms), INSTANCES)
+        self.assertLess(heavy.refused, 0.05 * 10 * INSTANCES)
+        rough = Fleet(1, 10, spread=False, budgeted=False)
+        rough.clock.advance(5_000)
+        self.assertGreater(rough.refused, 10_000)
--- a/test/platform/test_client.py
+++ b/test/platform/test_client.py
@@ -27,7 +27,10 @@
         self.http = http_client.Client()
         address = http_client.Address("127.0.0.1", self.server.port)
         self.kinds = []
-        self.client = client.Client(self.http, address, self.gate, 200)
+        self.told = []
+        self.client = client.Client(
+            self.http, address, self.gate, 200, lambda *told: self.told.append(told)
+        )
 
     async def gate(self, kind):
         self.kinds.append(kind)
@@ -118,6 +121,8 @@
         lost = (await self.client.put("k", 1, if_absent=True)).failure()
         self.assertIsInstance(lost, results.OutcomeUnknown)
         self.assertEqual(self.store.revision, 1)
+        expected = [("write", 429), ("read", 503), ("write", 503), ("write", 0)]
+        self.assertEqual(self.told, expected)
         self.server.stop_listening()
         refused = (await self.client.put("k", 1, if_absent=True)).failure()
         self.assertIsInstance(refused, results.Unavailable)
