--- a/cornelreach/platform/budget.py
+++ b/cornelreach/platform/budget.py
@@ -21,6 +21,7 @@
 BURST_S = 4.0
 LEAST_BURST = 4.0
 START_TOKENS = 3.0
+RECOVER_SHARE_PER_S = 0.1
 RAISE_SHARE_PER_S = 0.02
 LEAST_WAIT_MS = 20.0
 START_SPREAD_MS = 5_000
@@ -103,11 +104,21 @@
     def _refill(self, now_ms: float) -> None:
         passed_s = max(0.0, now_ms - self._at_ms) / 1_000
         self._at_ms = max(now_ms, self._at_ms)
-        raised = self.rate_per_s + passed_s * RAISE_SHARE_PER_S * self.floor_per_s
-        ceiling = max(self.floor_per_s, self.fleet_per_s * CEILING_SHARE)
-        self.rate_per_s = min(ceiling, raised)
+        self._raise(passed_s)
         self.tokens = min(self.burst, self.tokens + passed_s * self.rate_per_s)
 
+    def _raise(self, passed_s: float) -> None:
+        """Return to the floor soon after a refusal, and probe above it slowly."""
+        floor = self.floor_per_s
+        if self.rate_per_s < floor:
+            recover_s = (floor - self.rate_per_s) / (RECOVER_SHARE_PER_S * floor)
+            recovered_s = min(passed_s, recover_s)
+            self.rate_per_s += recovered_s * RECOVER_SHARE_PER_S * floor
+            passed_s -= recovered_s
+        ceiling = max(floor, self.fleet_per_s * CEILING_SHARE)
+        raised = self.rate_per_s + passed_s * RAISE_SHARE_PER_S * floor
+        self.rate_per_s = min(ceiling, raised)
+
 
 class Budget:
     """The two buckets of an instance, reads and writes."""
