--- a/cornelreach/prompts/directory.py
+++ b/cornelreach/prompts/directory.py
@@ -9,8 +9,10 @@
     pool.events("engine-1", "boot-1", [directory.CacheEvent(1, "stored", key)], 1)
     pool.held([key])["engine-1"].prefix          # 1
 
-The directory holds at most ``max_pieces`` pieces. Beyond it, the pieces that were
-reported or looked up longest ago are dropped first, a sixteenth of them at a time.
+Keys are compared by their first 64 bits, which is what control calls carry: two equal
+ones would only make a wrong hint. The directory holds at most ``max_pieces`` pieces.
+Beyond it, the pieces that were reported or looked up longest ago are dropped first, a
+sixteenth of them at a time.
 """
 
 import collections
@@ -21,6 +23,7 @@
 MAX_PIECES = 400_000
 MAX_SOURCES = 60
 DROP_DIVISOR = 16
+KEY_CHARACTERS = 16
 ASSUME_MS = 3_000
 ASSUMED_RUNS = 4_096
 
@@ -102,7 +105,7 @@
 
 def _number(key: str) -> int | None:
     try:
-        return int(key, 16)
+        return int(key[:KEY_CHARACTERS], 16)
     except ValueError:
         return None
 
@@ -274,7 +277,7 @@
     def _numbers(self, keys: typing.Sequence[str]) -> list[int]:
         """Return a prompt's keys as numbers; the last prompt's are kept."""
         if self._last_prompt[0] is not keys:
-            self._last_prompt = (keys, [int(key, 16) for key in keys])
+            self._last_prompt = (keys, [int(key[:KEY_CHARACTERS], 16) for key in keys])
         return self._last_prompt[1]
 
     def _runs(self, keys: typing.Sequence[str]) -> list[tuple[int, int]]:
--- a/cornelreach/prompts/placement.py
+++ b/cornelreach/prompts/placement.py
@@ -9,28 +9,26 @@
     match chosen:
         case result.Success(plan):
             placer.dispatched("run-1", prompt, plan, now_ms)
-            placement.log("run-1", plan)
+            plans.log("run-1", plan)
 
 What was dispatched counts in the next choice at once: its prefill, its transfer, and
 its pieces, which a later prompt may share. Such a plan names in ``after`` the run whose
 first token it should wait for, as both would compute the same pieces otherwise.
 """
 
-import enum
 import math
 import typing
 
 from returns import result
 
-from cornelreach.prompts import directory as directory_module, flights, links, pieces
-from cornelreach.util import errors, events, hashing
-
-PLACED = events.define(
-    1501,
-    "DEBUG",
-    "Placed run {run} at {target} ({action}, {estimated_ms:.0f} ms): {candidates}",
-    "Nothing.",
+from cornelreach.prompts import (
+    directory as directory_module,
+    flights,
+    links,
+    pieces,
+    plans,
 )
+from cornelreach.util import errors, hashing
 
 SOURCES_TRIED = 4
 RETRY_AFTER_MS = 1_000
@@ -68,55 +66,6 @@
     slot_wait_ms: float = 0.0
 
 
-class Action(enum.StrEnum):
-    """What happens to the pieces before the run starts."""
-
-    IN_PLACE = "in_place"
-    BRING_IN = "bring_in"
-    RECOMPUTE = "recompute"
-
-
-class Cost(typing.NamedTuple):
-    """The estimate of one candidate; ``source`` is empty where nothing is moved."""
-
-    target: str
-    total_ms: float
-    wait_ms: float
-    transfer_ms: float
-    prefill_ms: float
-    held: int
-    brought: int
-    source: str
-    after: str
-    recompute_tokens: int
-    saved_ms: float = 0.0
-
-    @property
-    def first_token_ms(self) -> float:
-        """Return the estimated time to first token."""
-        return max(self.wait_ms, self.transfer_ms) + self.prefill_ms
-
-
-class Plan(typing.NamedTuple):
-    """Where a prompt runs, what is moved first, and why.
-
-    ``bring`` are the keys to import from ``source``; if that takes longer than
-    ``transfer_limit_ms`` the run starts without them. ``after`` is a run at the same
-    target to wait for, at most ``after_limit_ms``, or empty.
-    """
-
-    target: str
-    action: Action
-    source: str
-    bring: tuple[str, ...]
-    bring_bytes: int
-    transfer_limit_ms: float
-    after: str
-    after_limit_ms: float
-    cost: Cost
-    costs: tuple[Cost, ...]
-
-
 class _Moving(typing.NamedTuple):
     transfer: links.Transfer
     saved_ms: float
@@ -167,7 +116,7 @@
         bytes_per_token: int,
         now_ms: float,
         unusable: frozenset[str] = frozenset(),
-    ) -> result.Result[Plan, errors.Refusal]:
+    ) -> result.Result[plans.Plan, errors.Refusal]:
         """Return the plan with the earliest first token among the candidates.
 
         ``unusable`` are sources that are known but cannot be reached now. Nothing is
@@ -220,7 +169,9 @@
             shared = self.flights.shared(prompt.keys)
         return _Prompt(prompt, ends, held, shared, sources, bytes_per_token, now_ms)
 
-    def _cost(self, prompt: _Prompt, candidate: Candidate, bound_ms: float) -> Cost:
+    def _cost(
+        self, prompt: _Prompt, candidate: Candidate, bound_ms: float
+    ) -> plans.Cost:
         """Return a candidate's cost; transfers count only where it can win by them."""
         name = candidate.name
         stated_ms = 1_000 / max(1, candidate.prefill_tokens_per_s)
@@ -244,14 +195,16 @@
         lacking = prompt.total - prompt.ends[held]
         prefill_ms = lacking * ms_per_token
         total_ms = wait_ms + prefill_ms * (1 + self.policy.recompute_weight)
-        base = Cost(
+        base = plans.Cost(
             name, total_ms, wait_ms, 0.0, prefill_ms, held, 0, "", after, lacking
         )
         if not lacking or wait_ms > bound_ms:
             return base
         return self._cheapest(prompt, base, ms_per_token)
 
-    def _cheapest(self, prompt: _Prompt, base: Cost, ms_per_token: float) -> Cost:
+    def _cheapest(
+        self, prompt: _Prompt, base: plans.Cost, ms_per_token: float
+    ) -> plans.Cost:
         """Return the cost with pieces brought in, if that is lower."""
         best = base
         ends = prompt.ends
@@ -287,7 +240,7 @@
     def _near(self, total_ms: float) -> float:
         return total_ms * (1 + self.policy.near_share) + self.policy.near_ms
 
-    def _best(self, root: str, costs: list[Cost]) -> Cost:
+    def _best(self, root: str, costs: list[plans.Cost]) -> plans.Cost:
         lowest = min(cost.total_ms for cost in costs)
         near_ms = self._near(lowest)
         equals = [cost for cost in costs if cost.total_ms <= near_ms]
@@ -298,12 +251,14 @@
         key = bytes.fromhex(root)
         return max(equals, key=lambda cost: hashing.score(key, cost.target))
 
-    def _plan(self, prompt: _Prompt, best: Cost, costs: tuple[Cost, ...]) -> Plan:
+    def _plan(
+        self, prompt: _Prompt, best: plans.Cost, costs: tuple[plans.Cost, ...]
+    ) -> plans.Plan:
         start, end = best.held, best.held + best.brought
         policy = self.policy
         size_bytes = (prompt.ends[end] - prompt.ends[start]) * prompt.bytes_per_token
         limit_ms = min(policy.stall_factor * best.transfer_ms, best.saved_ms)
-        return Plan(
+        return plans.Plan(
             target=best.target,
             action=_action(best),
             source=best.source,
@@ -317,7 +272,7 @@
         )
 
     def dispatched(
-        self, run: str, prompt: pieces.PromptPieces, plan: Plan, now_ms: float
+        self, run: str, prompt: pieces.PromptPieces, plan: plans.Plan, now_ms: float
     ) -> None:
         """Count a chosen plan: its prefill, its transfer and its pieces."""
         cost = plan.cost
@@ -362,33 +317,10 @@
             self._moving.pop(run, None)
 
 
-def explain(plan: Plan) -> list[dict[str, typing.Any]]:
-    """Return the candidates of a choice and their costs, cheapest first."""
-    ordered = sorted(plan.costs, key=lambda cost: cost.total_ms)
-    return [cost._asdict() for cost in ordered]
-
-
-def _action(best: Cost) -> Action:
+def _action(best: plans.Cost) -> plans.Action:
     if best.brought:
-        return Action.BRING_IN
-    return Action.IN_PLACE if best.held else Action.RECOMPUTE
-
-
-def log(run: str, plan: Plan) -> None:
-    """Log a choice with its candidates and their costs."""
-    listed = ", ".join(
-        f"{cost.target} {cost.total_ms:.0f} ms (wait {cost.wait_ms:.0f}, transfer "
-        f"{cost.transfer_ms:.0f}, prefill {cost.prefill_ms:.0f}, held {cost.held})"
-        for cost in plan.costs
-    )
-    events.emit(
-        PLACED,
-        run=run,
-        target=plan.target,
-        action=plan.action.value,
-        estimated_ms=plan.cost.first_token_ms,
-        candidates=listed,
-    )
+        return plans.Action.BRING_IN
+    return plans.Action.IN_PLACE if best.held else plans.Action.RECOMPUTE
 
 
 def _no_room() -> errors.Refusal:
