Add service-level burn, metrics and the observer of calls

Change: reports/objectives, series (slots and hdrh histograms of one instance), burn (merge, windows, alerts with their action), plot, metrics (aioprometheus), reporter (the observer that calls report to).

--- /dev/null
+++ b/cornelreach/reports/burn.py
@@ -0,0 +1,189 @@
+"""Burn of service-level objectives over several windows, merged over instances.
+
+A burn rate of 1 uses up exactly the share of bad events that the objective allows. An
+alert needs both of its windows: the long one shows that it matters, the short one that
+it still goes on.
+"""
+
+import collections
+import typing
+
+from hdrh import histogram
+
+from cornelreach.reports import objectives, series
+
+MINUTE_MS = 60_000
+HOUR_MS = 60 * MINUTE_MS
+LEAST_EVENTS = 10
+
+
+class Rule(typing.NamedTuple):
+    """An alert if both windows burn at least so fast."""
+
+    severity: str
+    short_ms: int
+    long_ms: int
+    burn: float
+
+
+RULES = (
+    Rule("page", 5 * MINUTE_MS, HOUR_MS, 14.4),
+    Rule("page", 30 * MINUTE_MS, 6 * HOUR_MS, 6.0),
+    Rule("ticket", 6 * HOUR_MS, 72 * HOUR_MS, 1.0),
+)
+WINDOWS_MS = tuple(sorted({ms for rule in RULES for ms in rule[1:3]}))
+WINDOW_NAMES = ("5m", "30m", "1h", "6h", "3d")
+
+ACTIONS = {
+    objectives.Measure.FIRST_TOKEN: (
+        "see `cornelreach status` for pools with a long wait; add targets, bring a "
+        "data centre back, or lower account_tokens_per_s of who sends most"
+    ),
+    objectives.Measure.BETWEEN_TOKENS: (
+        "engines run too many sequences at once: lower max_sequences of the targets, "
+        "or add targets"
+    ),
+    objectives.Measure.WHOLE_ANSWER: (
+        "calls fail or are refused: see events 1401 to 1699 in the logs, targets that "
+        "turned cold, and the platform in `cornelreach status`"
+    ),
+    objectives.Measure.CONFIGURATION: (
+        "changes reach instances late: see `cornelreach status` for instances behind "
+        "in revision, and whether they reach the platform and their peers"
+    ),
+}
+
+
+class Window(typing.NamedTuple):
+    """Events of one window and their burn rate, None below ``LEAST_EVENTS``."""
+
+    name: str
+    good: int
+    total: int
+    burn: float | None
+
+
+class Alert(typing.NamedTuple):
+    """A rule that fires, and what to do."""
+
+    severity: str
+    account: str
+    measure: objectives.Measure
+    windows: str
+    burn: float
+    action: str
+
+
+class Row(typing.NamedTuple):
+    """One account and measure over all instances; an empty account is the fleet."""
+
+    account: str
+    measure: objectives.Measure
+    share: float
+    threshold_ms: float | None
+    windows: list[Window]
+    p50_ms: int
+    p95_ms: int
+    p99_ms: int
+
+
+class Report(typing.NamedTuple):
+    """The burn of everything, as of the newest export."""
+
+    wall_ms: int
+    instances: list[str]
+    rows: list[Row]
+    alerts: list[Alert]
+
+
+class Merged:
+    """The lines of one account and measure, added up."""
+
+    def __init__(self) -> None:
+        self.share = 0.0
+        self.threshold_ms: float | None = None
+        self.short: dict[int, list[int]] = collections.defaultdict(lambda: [0, 0])
+        self.long: dict[int, list[int]] = collections.defaultdict(lambda: [0, 0])
+        self.histogram = series.empty_histogram()
+
+    def add(self, line: series.Line) -> None:
+        """Add the line of one instance; the strictest objective counts."""
+        if line.share >= self.share:
+            self.share, self.threshold_ms = line.share, line.threshold_ms
+        for into, slots in ((self.short, line.short), (self.long, line.long)):
+            for slot in slots:
+                into[slot.start_ms][0] += slot.good
+                into[slot.start_ms][1] += slot.total
+        self.histogram.add(histogram.HdrHistogram.decode(line.histogram.encode()))
+
+    def window(self, name: str, window_ms: int, wall_ms: int) -> Window:
+        """Return the events of a window that ends now."""
+        slots, slot_ms = self.short, series.SHORT_SLOT_MS
+        if window_ms > series.SHORT_SLOT_MS * (series.SHORT_SLOTS - 1):
+            slots, slot_ms = self.long, series.LONG_SLOT_MS
+        begin_ms = wall_ms - window_ms - slot_ms
+        counted = [count for start, count in slots.items() if start > begin_ms]
+        good = sum(count[0] for count in counted)
+        total = sum(count[1] for count in counted)
+        return Window(name, good, total, burn_rate(good, total, self.share))
+
+
+def burn_rate(good: int, total: int, share: float) -> float | None:
+    """Return the share of bad events over the share that the objective allows."""
+    if total < LEAST_EVENTS or share >= 1.0:
+        return None
+    return (total - good) / total / (1.0 - share)
+
+
+def report(exports: list[series.Export]) -> Report:
+    """Merge the exports of instances, the newest of each boot, into one report."""
+    newest = {
+        (export.instance, export.boot): export for export in sorted(exports, key=_age)
+    }
+    wall_ms = max((export.wall_ms for export in newest.values()), default=0)
+    merged: dict[tuple[str, objectives.Measure], Merged] = {}
+    for export in newest.values():
+        for line in export.lines:
+            for account in {line.account, objectives.FLEET}:
+                merged.setdefault((account, line.measure), Merged()).add(line)
+    rows = [_row(key, total, wall_ms) for key, total in sorted(merged.items())]
+    alerts = [alert for row in rows for alert in alerts_of(row)]
+    return Report(wall_ms, sorted({name for name, _ in newest}), rows, alerts)
+
+
+def alerts_of(row: Row) -> list[Alert]:
+    """Return the alerts of one row, the most urgent one only."""
+    burns = dict(zip(WINDOWS_MS, row.windows, strict=True))
+    for rule in RULES:
+        short, long = burns[rule.short_ms], burns[rule.long_ms]
+        rates = (short.burn or 0.0, long.burn or 0.0)
+        if min(rates) >= rule.burn:
+            names = f"{short.name}/{long.name}"
+            action = ACTIONS[row.measure]
+            rate = round(min(rates), 1)
+            found = Alert(rule.severity, row.account, row.measure, names, rate, action)
+            return [found]
+    return []
+
+
+def _age(export: series.Export) -> int:
+    return export.wall_ms
+
+
+def _row(key: tuple[str, objectives.Measure], merged: Merged, wall_ms: int) -> Row:
+    windows = [
+        merged.window(name, window_ms, wall_ms)
+        for name, window_ms in zip(WINDOW_NAMES, WINDOWS_MS, strict=True)
+    ]
+    at = merged.histogram.get_value_at_percentile
+    account, measure = key
+    return Row(
+        account,
+        measure,
+        merged.share,
+        merged.threshold_ms,
+        windows,
+        at(50),
+        at(95),
+        at(99),
+    )
--- /dev/null
+++ b/cornelreach/reports/reporter.py
@@ -0,0 +1,119 @@
+"""What an instance measures of its calls: metrics and burn in one observer."""
+
+from cornelreach.reports import metrics as metrics_module, objectives, series
+from cornelreach.settings import view as view_module
+from cornelreach.util import errors, timers
+
+SETTLE_MS = 1_000
+GAP_SAMPLE = 8
+Measure = objectives.Measure
+
+
+class Gaps:
+    """Gaps between tokens of one account since they were last counted."""
+
+    def __init__(self, threshold_ms: float) -> None:
+        self.threshold_ms = threshold_ms
+        self.total = 0
+        self.late = 0
+        self.sum_ms = 0.0
+        self.sample_ms: list[float] = []
+
+
+class Reporter:
+    """Implements ``calls.chatflow.Observer`` over a series and metrics."""
+
+    def __init__(
+        self,
+        instance: str,
+        boot: str,
+        view: view_module.View,
+        clock: timers.Timers,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self.instance = instance
+        self.boot = boot
+        self.view = view
+        self.clock = clock
+        self.metrics = metrics
+        self.series = series.Series()
+        self._objectives: dict[str, dict[Measure, objectives.Objective]] = {}
+        self._gaps: dict[str, Gaps] = {}
+        clock.every(SETTLE_MS, self.settle)
+
+    def first_token(self, account: str, wait_ms: float) -> None:
+        """Record the time from receipt to the first token."""
+        self.metrics.add("first_tokens_total", 1, account)
+        self.metrics.add("first_token_ms_total", wait_ms, account)
+        self._add(account, Measure.FIRST_TOKEN, wait_ms)
+
+    def between_tokens(self, account: str, gap_ms: float) -> None:
+        """Record the time between two chunks; every eighth goes to the histogram."""
+        gaps = self._gaps.get(account)
+        if gaps is None:
+            objective = self._objective(account, Measure.BETWEEN_TOKENS)
+            gaps = self._gaps[account] = Gaps(objective.threshold_ms)
+        gaps.total += 1
+        gaps.sum_ms += gap_ms
+        if gap_ms > gaps.threshold_ms:
+            gaps.late += 1
+        if gaps.total % GAP_SAMPLE == 1:
+            gaps.sample_ms.append(gap_ms)
+
+    def answered(self, account: str, prompt_tokens: int, cached_tokens: int) -> None:
+        """Record a whole answer."""
+        self.metrics.add("calls_total", 1, account, "ok")
+        self.metrics.add("prompt_tokens_total", prompt_tokens, account)
+        self.metrics.add("cached_tokens_total", cached_tokens, account)
+        self._judge(account, good=True)
+
+    def failed(self, account: str, code: errors.Code) -> None:
+        """Record a refusal or a failure; a caller's own mistakes burn nothing."""
+        self.metrics.add("calls_total", 1, account, str(code))
+        if code in objectives.FAILURES:
+            self._judge(account, good=False)
+
+    def configured(self, delay_ms: float) -> None:
+        """Record how long after its write a change came into force here."""
+        self._add(objectives.FLEET, Measure.CONFIGURATION, delay_ms)
+
+    def settle(self) -> None:
+        """Count the gaps since the last time, and read the objectives anew."""
+        measure, wall_ms = Measure.BETWEEN_TOKENS, self.clock.wall_ms()
+        for account, gaps in self._gaps.items():
+            objective = self._objective(account, measure)
+            counts = (gaps.total - gaps.late, gaps.total)
+            self.series.count(
+                account, measure, objective, counts, gaps.sample_ms, wall_ms
+            )
+            self.metrics.add("token_gaps_total", gaps.total, account)
+            self.metrics.add("token_gap_ms_total", gaps.sum_ms, account)
+            if gaps.late:
+                self.metrics.add("late_events_total", gaps.late, account, str(measure))
+        self._gaps.clear()
+        self._objectives.clear()
+
+    def export(self) -> series.Export:
+        """Return what this instance has measured, for ``GET /admin/burn``."""
+        self.settle()
+        return self.series.export(self.instance, self.boot, self.clock.wall_ms())
+
+    def _add(self, account: str, measure: Measure, value_ms: float) -> None:
+        objective = self._objective(account, measure)
+        if value_ms > objective.threshold_ms:
+            self.metrics.add("late_events_total", 1, account, str(measure))
+        self.series.add(account, measure, objective, value_ms, self.clock.wall_ms())
+
+    def _judge(self, account: str, good: bool) -> None:
+        measure = Measure.WHOLE_ANSWER
+        objective = self._objective(account, measure)
+        counts, wall_ms = (int(good), 1), self.clock.wall_ms()
+        self.series.count(account, measure, objective, counts, (), wall_ms)
+
+    def _objective(self, account: str, measure: Measure) -> objectives.Objective:
+        if account not in self._objectives:
+            wall_ms = self.clock.wall_ms()
+            self._objectives[account] = objectives.of_account(
+                self.view, account, wall_ms
+            )
+        return self._objectives[account][measure]
--- /dev/null
+++ b/cornelreach/reports/series.py
@@ -0,0 +1,187 @@
+"""Good and bad events of one instance by time, and histograms of what took how long.
+
+Short slots cover the last six hours and long ones the last three days. An export is
+what other instances and operators merge::
+
+    series = Series()
+    series.add("tirnica", Measure.FIRST_TOKEN, objective, 812.0, wall_ms)
+    exported = series.export(wall_ms)
+"""
+
+import typing
+
+from hdrh import histogram
+
+from cornelreach.reports import objectives
+
+SHORT_SLOT_MS = 300_000
+LONG_SLOT_MS = 3_600_000
+SHORT_SLOTS = 73
+LONG_SLOTS = 73
+MAX_VALUE_MS = 3_600_000
+SIGNIFICANT_DIGITS = 2
+
+
+class Slot(typing.NamedTuple):
+    """Events of one slot, which begins at a wall time."""
+
+    start_ms: int
+    good: int
+    total: int
+
+
+class Line(typing.NamedTuple):
+    """The events of one account and measure; ``histogram`` is encoded by hdrh.
+
+    The histogram covers between one and two of the last long slots.
+    """
+
+    account: str
+    measure: objectives.Measure
+    share: float
+    threshold_ms: float | None
+    short: list[Slot]
+    long: list[Slot]
+    histogram: str
+
+
+class Export(typing.NamedTuple):
+    """What one boot of one instance has measured."""
+
+    instance: str
+    boot: str
+    wall_ms: int
+    lines: list[Line]
+
+
+class Ring:
+    """Counts of good and of all events in slots of one length."""
+
+    def __init__(self, slot_ms: int, kept: int) -> None:
+        self.slot_ms = slot_ms
+        self.kept = kept
+        self._slots: dict[int, list[int]] = {}
+
+    def add(self, good: int, total: int, wall_ms: float) -> None:
+        """Count events, some of them good."""
+        start_ms = int(wall_ms // self.slot_ms * self.slot_ms)
+        slot = self._slots.get(start_ms)
+        if slot is None:
+            slot = self._slots[start_ms] = [0, 0]
+            self._drop(start_ms)
+        slot[0] += good
+        slot[1] += total
+
+    def slots(self, wall_ms: float) -> list[Slot]:
+        """Return the slots that are still in view, oldest first."""
+        oldest_ms = wall_ms - self.kept * self.slot_ms
+        return [
+            Slot(start_ms, good, total)
+            for start_ms, (good, total) in sorted(self._slots.items())
+            if start_ms > oldest_ms
+        ]
+
+    def _drop(self, newest_ms: int) -> None:
+        oldest_ms = newest_ms - self.kept * self.slot_ms
+        for start_ms in [start for start in self._slots if start <= oldest_ms]:
+            del self._slots[start_ms]
+
+
+class Track:
+    """One account and measure."""
+
+    def __init__(self) -> None:
+        self.objective = objectives.Objective(0.0)
+        self.short = Ring(SHORT_SLOT_MS, SHORT_SLOTS)
+        self.long = Ring(LONG_SLOT_MS, LONG_SLOTS)
+        self.recent = empty_histogram()
+        self.former = empty_histogram()
+        self._turned_ms = 0.0
+
+    def add(
+        self,
+        objective: objectives.Objective,
+        good: int,
+        total: int,
+        values_ms: typing.Iterable[float],
+        wall_ms: float,
+    ) -> None:
+        """Count events and record how long some of them took."""
+        self.objective = objective
+        self.short.add(good, total, wall_ms)
+        self.long.add(good, total, wall_ms)
+        self._turn(wall_ms)
+        for value_ms in values_ms:
+            self.recent.record_value(max(1, min(MAX_VALUE_MS, round(value_ms))))
+
+    def merged(self, wall_ms: float) -> histogram.HdrHistogram:
+        """Return the histogram of the present and the former long slot."""
+        self._turn(wall_ms)
+        both = empty_histogram()
+        both.add(self.recent)
+        both.add(self.former)
+        return both
+
+    def _turn(self, wall_ms: float) -> None:
+        passed_ms = wall_ms - self._turned_ms
+        if passed_ms < LONG_SLOT_MS:
+            return
+        keep = passed_ms < 2 * LONG_SLOT_MS
+        self.former = self.recent if keep else empty_histogram()
+        self.recent = empty_histogram()
+        self._turned_ms = wall_ms // LONG_SLOT_MS * LONG_SLOT_MS
+
+
+class Series:
+    """All accounts and measures of one instance."""
+
+    def __init__(self) -> None:
+        self._tracks: dict[tuple[str, objectives.Measure], Track] = {}
+
+    def add(
+        self,
+        account: str,
+        measure: objectives.Measure,
+        objective: objectives.Objective,
+        value_ms: float,
+        wall_ms: float,
+    ) -> None:
+        """Count one event, good if it took no longer than the objective says."""
+        good = int(value_ms <= objective.threshold_ms)
+        self.count(account, measure, objective, (good, 1), (value_ms,), wall_ms)
+
+    def count(
+        self,
+        account: str,
+        measure: objectives.Measure,
+        objective: objectives.Objective,
+        good_of_total: tuple[int, int],
+        values_ms: typing.Iterable[float],
+        wall_ms: float,
+    ) -> None:
+        """Count events, and record the values of all or of a sample of them."""
+        track = self._tracks.get((account, measure))
+        if track is None:
+            track = self._tracks[account, measure] = Track()
+        track.add(objective, *good_of_total, values_ms, wall_ms)
+
+    def export(self, instance: str, boot: str, wall_ms: float) -> Export:
+        """Return everything measured, for merging with other instances."""
+        lines = [
+            Line(
+                account,
+                measure,
+                track.objective.share,
+                track.objective.threshold_ms,
+                track.short.slots(wall_ms),
+                track.long.slots(wall_ms),
+                track.merged(wall_ms).encode().decode(),
+            )
+            for (account, measure), track in sorted(self._tracks.items())
+        ]
+        return Export(instance, boot, int(wall_ms), lines)
+
+
+def empty_histogram() -> histogram.HdrHistogram:
+    """Return a histogram of milliseconds; all must be alike to be added."""
+    return histogram.HdrHistogram(1, MAX_VALUE_MS, SIGNIFICANT_DIGITS)
