--- a/standins/kvhttp.py
+++ b/standins/kvhttp.py
@@ -33,6 +33,7 @@
         routes.add("POST", "/v1/kv/import", self.pull)
         routes.add("POST", "/v1/kv/commit", self.commit)
         routes.add("POST", "/v1/kv/export", self.export)
+        routes.add("POST", "/v1/kv/stat", self.stats)
         routes.add("GET", "/v1/kv/([^/]+)/data", self.data)
         routes.add("GET", "/v1/kv/([^/]+)", self.stat)
 
@@ -58,6 +59,13 @@
             return shells.failure(404, "not_found", key)
         return messages.json_response(200, self._stat(block))
 
+    async def stats(self, request: messages.Request) -> messages.Response:
+        """Answer the stats of several blocks; those not held are left out."""
+        blocks = self.host.model.cache.blocks
+        keys = shells.body(request)["keys"]
+        listed = [self._stat(blocks[key]) for key in keys if key in blocks]
+        return messages.json_response(200, {"blocks": listed})
+
     async def data(self, request: messages.Request, key: str) -> messages.Response:
         """Answer the bytes; half of them under the partial write fault."""
         block = self.host.model.cache.blocks.get(key)
--- a/standins/store.py
+++ b/standins/store.py
@@ -43,6 +43,7 @@
         add("GET", "/v1/state", self.state)
         add("GET", "/v1/cache/events", self.cache_events)
         add("GET", "/v1/cache", self.cache)
+        add("POST", "/v1/kv/stat", self.stats)
         add("PUT", "/v1/kv/([^/]+)", self.write)
         add("POST", "/v1/kv/([^/]+)/commit", self.commit)
         add("DELETE", "/v1/kv/([^/]+)", self.delete)
@@ -114,10 +115,19 @@
 
     async def stat(self, request: messages.Request, key: str) -> messages.Response:
         """Answer generation, checksum, size and tier of a block."""
-        block = self.model.blocks.get(key)
-        if block is None:
+        if key not in self.model.blocks:
             return shells.failure(404, "not_found", key)
-        value = {
+        return messages.json_response(200, self._stat(key))
+
+    async def stats(self, request: messages.Request) -> messages.Response:
+        """Answer the stats of several blocks; those not held are left out."""
+        keys = shells.body(request)["keys"]
+        listed = [self._stat(key) for key in keys if key in self.model.blocks]
+        return messages.json_response(200, {"blocks": listed})
+
+    def _stat(self, key: str) -> dict[str, typing.Any]:
+        block = self.model.blocks[key]
+        return {
             "key": key,
             "generation": block.generation,
             "checksum": kvcache.checksum(self.data[key]),
@@ -125,7 +135,6 @@
             "bytes": block.size_bytes,
             "tier": block.tier,
         }
-        return messages.json_response(200, value)
 
     async def faults(self, request: messages.Request) -> messages.Response:
         """Set faults: ``die``, ``restart``, ``stall_link_ms``, ``partial_writes``."""
--- /dev/null
+++ b/test/prompts/fakes.py
@@ -0,0 +1,123 @@
+"""A small engine or store that answers cache and transfer calls on loopback."""
+
+import asyncio
+
+import msgspec
+
+from cornelreach.http import client, messages, server
+from cornelreach.util import hashing
+
+
+def checksum(data):
+    """Return the checksum of a block's bytes."""
+    return hashing.digest(data.encode()).hex()
+
+
+class Holder:
+    """Blocks with generations; ``before`` runs at each call, to plant faults."""
+
+    def __init__(self):
+        self.boot, self.seq, self.generation = "boot-1", 0, 0
+        self.blocks, self.events, self.staged, self.calls = {}, [], {}, []
+        self.before = lambda path: None
+        self.delay_s = 0.0
+
+    async def start(self):
+        """Listen on loopback."""
+        self.server = await server.start("127.0.0.1", 0, self.handle)
+        self.address = client.Address("127.0.0.1", self.server.port)
+
+    def stop(self):
+        """Close every connection."""
+        self.server.stop_listening()
+        self.server.abort()
+
+    def store(self, key, data):
+        """Write a block and publish its event."""
+        self.generation += 1
+        self.blocks[key] = (self.generation, data)
+        self.publish("stored", key)
+
+    def remove(self, key):
+        """Free a block and publish its event."""
+        if self.blocks.pop(key, None):
+            self.publish("removed", key)
+
+    def publish(self, op, key):
+        """Append an event."""
+        self.seq += 1
+        self.events.append({"seq": self.seq, "op": op, "key": key})
+
+    def restart(self, boot):
+        """Lose everything."""
+        self.boot, self.seq, self.generation = boot, 0, 0
+        self.blocks, self.events = {}, []
+
+    async def handle(self, request):
+        """Answer one call."""
+        self.calls.append(request.path)
+        self.before(request.path)
+        await asyncio.sleep(self.delay_s)
+        body = msgspec.json.decode(request.body) if request.body else {}
+        routes = {
+            "/v1/kv/stat": self.stat,
+            "/v1/kv/import": self.pull,
+            "/v1/kv/commit": self.commit,
+            "/v1/cache": self.listing,
+            "/v1/cache/events": self.changes,
+        }
+        found = routes.get(request.path)
+        if found is None:
+            return messages.json_response(404, {})
+        answer = await found(request, body)
+        headers = ((b"x-boot-id", self.boot.encode()),)
+        return messages.json_response(200, answer, headers)
+
+    async def stat(self, request, body):
+        """Answer the state of blocks."""
+        return {
+            "blocks": [
+                {
+                    "key": key,
+                    "generation": self.blocks[key][0],
+                    "checksum": checksum(self.blocks[key][1]),
+                    "committed": True,
+                    "bytes": 1,
+                    "tier": "memory",
+                }
+                for key in body["keys"]
+                if key in self.blocks
+            ]
+        }
+
+    async def pull(self, request, body):
+        """Stage the content that the test has placed in ``arriving``."""
+        keys = [block["key"] for block in body["blocks"]]
+        self.staged["import-1"] = {key: self.arriving[key] for key in keys}
+        staged = [
+            {"key": key, "checksum": checksum(self.arriving[key])} for key in keys
+        ]
+        return {"import": "import-1", "staged": staged, "failed": []}
+
+    async def commit(self, request, body):
+        """Make staged blocks readable."""
+        staged = self.staged.pop(body["import"], {})
+        for key in body["keys"]:
+            self.store(key, staged[key])
+        return {"committed": body["keys"]}
+
+    async def listing(self, request, body):
+        """Answer all keys."""
+        return {"boot_id": self.boot, "seq": self.seq, "keys": list(self.blocks)}
+
+    async def changes(self, request, body):
+        """Answer the events after ``since``, waiting for one."""
+        since = int(request.query["since"])
+        until = asyncio.get_running_loop().time() + 0.05
+        while True:
+            seen = [event for event in self.events if event["seq"] > since]
+            if seen or asyncio.get_running_loop().time() >= until:
+                break
+            await asyncio.sleep(0.005)
+        after = max([since, *(event["seq"] for event in seen)])
+        return {"boot_id": self.boot, "events": seen, "next": after}
