Measure the real policy beside the baselines

The bench carries events to cornelreach.targets and cornelreach.prompts and their decisions out: permits, placement, pool affinity, transfers checked by generation.

--- a/standins/bench/baselines.py
+++ b/standins/bench/baselines.py
@@ -34,6 +34,9 @@
         self.queues[record.call.model].append(record)
         self._drain(record.call.model)
 
+    def first_token(self, record: site_module.Record, target: str) -> None:
+        pass
+
     def ended(self, record: site_module.Record, target: str) -> None:
         self.in_flight[target] -= 1
         self._drain(record.call.model)
--- a/standins/bench/figures.py
+++ b/standins/bench/figures.py
@@ -45,6 +45,7 @@
     unavoidable_tokens: int
     unfinished: int
     refusals: dict[str, int]
+    late_work: int
     worst_cold_overload: int
     falls: int
     worst_second_refused_share: float
@@ -112,15 +113,24 @@
         unavoidable_tokens=load.unavoidable_tokens(calls, from_ms),
         unfinished=kinds.pop(UNFINISHED, 0),
         refusals=dict(sorted(kinds.items())),
+        late_work=site.late_work,
         worst_cold_overload=max(e.worst_overload for e in site.engines.values()),
         falls=sum(engine.fallen for engine in site.engines.values()),
         worst_second_refused_share=_worst_second(seconds, site.script),
-        link_bytes=dict(sorted(site.links.items())),
+        link_bytes=_link_bytes(site),
         accounts=_by_account(records),
         seconds=seconds,
     )
 
 
+def _link_bytes(site: site_module.Site) -> dict[str, int]:
+    sent = {
+        name: link.sent_bytes - site.sent_before[name]
+        for name, link in site.links.items()
+    }
+    return {name: count for name, count in sent.items() if count}
+
+
 def _worst_second(seconds: list[Second], script: site_module.Script) -> float:
     """Return the largest share refused in a second of a take-out or return."""
     if script.out_at_ms is None or script.back_at_ms is None:
@@ -180,6 +190,7 @@
     ("refused", lambda one: str(sum(one.refusals.values()))),
     ("unfinished", lambda one: str(one.unfinished)),
     ("worst s %", lambda one: f"{100 * one.worst_second_refused_share:.0f}"),
+    ("late work", lambda one: str(one.late_work)),
     ("cold over", lambda one: str(one.worst_cold_overload)),
     ("falls", lambda one: str(one.falls)),
     ("account p95 ms", lambda one: _spread(one.accounts)),
--- a/standins/bench/site.py
+++ b/standins/bench/site.py
@@ -6,13 +6,14 @@
     site.run(policy, end_ms=300_000)
 """
 
-import collections
 import typing
 
 from cornelreach.util import timers as timers_module
-from standins import enginemodel, load, profiles, storemodel
+from standins import enginemodel, linkmodel, load, profiles, storemodel
 
 HOP_MS = 1.0
+LATE_MS = 3_000.0
+LINK_BYTES_PER_S = 50_000_000
 ADVANCE_MS = 1_000.0
 OUTCOMES = {"stop": "done", "cancelled": "deadline"}
 
@@ -28,7 +29,16 @@
 class Record:
     """One call and what became of it."""
 
-    __slots__ = ("call", "target", "first_ms", "ended_ms", "outcome", "cached", "tries")
+    __slots__ = (
+        "call",
+        "target",
+        "first_ms",
+        "ended_ms",
+        "outcome",
+        "cached",
+        "tries",
+        "priority",
+    )
 
     def __init__(self, call: load.Call) -> None:
         self.call = call
@@ -38,6 +48,7 @@
         self.outcome = ""
         self.cached = 0
         self.tries = 0
+        self.priority = 0
 
     @property
     def first_token_ms(self) -> float | None:
@@ -57,6 +68,9 @@
     def offer(self, record: Record) -> None:
         """Take a call; it is to be sent or refused, now or later."""
 
+    def first_token(self, record: Record, target: str) -> None:
+        """Learn that the first token of a call has come."""
+
     def ended(self, record: Record, target: str) -> None:
         """Learn that a call has ended at a target, whatever its outcome."""
 
@@ -89,10 +103,12 @@
         self.timers = timers_module.VirtualTimers()
         self.records = [Record(call) for call in calls]
         self.taken_out: set[str] = set()
+        self.late_work = 0
         self.data_centres: dict[str, str] = {}
         self.engines: dict[str, enginemodel.Engine] = {}
         self.stores: dict[str, storemodel.Store] = {}
-        self.links: collections.Counter[str] = collections.Counter()
+        self.links: dict[str, linkmodel.Link] = {}
+        self.sent_before: dict[str, int] = {}
         self.prefilled_before: dict[str, int] = {}
         self._add_engines(load.READER, profile.readers, seed)
         self._add_engines(load.DRAFTER, profile.drafters, seed)
@@ -101,6 +117,7 @@
             self.data_centres[name] = data_centre
             settings = storemodel.Settings(name, seed=seed)
             self.stores[name] = storemodel.Store(settings, self.timers, name)
+            self.links[name] = self.stores[name].link
 
     def _add_engines(self, model: str, places: tuple[str, ...], seed: int) -> None:
         for number, data_centre in enumerate(places):
@@ -115,6 +132,7 @@
             )
             self.data_centres[name] = data_centre
             self.engines[name] = enginemodel.Engine(settings, self.timers, name)
+            self.links[name] = linkmodel.Link(LINK_BYTES_PER_S, self.timers)
 
     def serving(self, model: str) -> list[str]:
         """Return the engines of a model in data centres that are in service."""
@@ -152,7 +170,8 @@
         for name, engine in self.engines.items():
             self.prefilled_before[name] = engine.prefilled_tokens
             engine.steps.clear()
-        self.links.clear()
+        for name, link in self.links.items():
+            self.sent_before[name] = link.sent_bytes
 
     def _schedule_script(self, policy: Policy) -> None:
         script = self.script
@@ -194,11 +213,13 @@
         self, policy: Policy, record: Record, target: str, boot: str | None
     ) -> None:
         call = record.call
+        self._note_late(target)
         work = enginemodel.Work(
             f"{call.name}-{record.tries}",
             tuple(enginemodel.Piece(key, profiles.PIECE_TOKENS) for key in call.keys),
             call.tail_tokens,
             call.answer_tokens,
+            record.priority,
         )
         try:
             run = self.engines[target].submit(work, boot)
@@ -209,6 +230,11 @@
         if run.outcome is not None:
             self._moved(policy, record, run, target)
 
+    def _note_late(self, target: str) -> None:
+        out = self.data_centres[target] in self.taken_out
+        if out and self.timers.now_ms() > self.script.out_at_ms + LATE_MS:
+            self.late_work += 1
+
     def _moved(
         self, policy: Policy, record: Record, run: enginemodel.Run, target: str
     ) -> None:
@@ -216,6 +242,7 @@
         if record.first_ms is None and run.emitted:
             record.first_ms = now_ms
             record.cached = run.cached_tokens
+            policy.first_token(record, target)
         if run.outcome is not None:
             record.ended_ms = now_ms
             record.outcome = OUTCOMES.get(run.outcome, run.outcome)
--- a/standins/kvcache.py
+++ b/standins/kvcache.py
@@ -71,6 +71,13 @@
             self.blocks.move_to_end(block.key)
         return held
 
+    def release(self, blocks: typing.Sequence[Block]) -> None:
+        """End the reading of a run; the end of its chain is dropped first."""
+        for block in reversed(blocks):
+            block.pins -= 1
+            if self.blocks.get(block.key) is block:
+                self.blocks.move_to_end(block.key)
+
     def store(self, key: str, tokens: int, committed: bool = True) -> Block | None:
         """Add a block and return it, or None where pinned blocks fill the memory."""
         block = self.blocks.get(key)
--- a/test/standins/bench/test_measure.py
+++ b/test/standins/bench/test_measure.py
@@ -1,7 +1,13 @@
 import unittest
 
 from standins import load, measure, profiles
-from standins.bench import baselines, figures, site as site_module
+from standins.bench import (
+    baselines,
+    figures,
+    moves,
+    policy as policy_module,
+    site as site_module,
+)
 
 
 class ScheduleTest(unittest.TestCase):
@@ -55,6 +61,61 @@
         self.assertNotIn(site.outgoing, sent)
 
 
+class PolicyTest(unittest.TestCase):
+    def test_faults_bring_no_cold_overload_late_work_or_refusal(self):
+        for profile in profiles.PROFILES.values():
+            experiment = measure.prepare(profile, 2, 120, 0.5, False)
+            site = site_module.Site(profile, experiment.calls, experiment.script)
+            site.run(policy_module.Cornelreach(), experiment.end_ms, 0.0)
+            seen = figures.of("cornelreach", site, 0.0, experiment.end_ms)
+            self.assertEqual((0, 0, {}), (*_broken(seen), seen.refusals))
+            self.assertGreater(seen.done, 0.9 * seen.offered)
+
+
+def _broken(seen):
+    return seen.worst_cold_overload, seen.late_work
+
+
+class MovesTest(unittest.TestCase):
+    def setUp(self):
+        self.site = site_module.Site(profiles.TIRNICA, [], site_module.Script())
+        self.cache = self.site.engines["reader-0"].cache
+        for key in "xyz":
+            self.cache.store(key, profiles.PIECE_TOKENS)
+
+    def pull(self, change):
+        seen = []
+        moves.pull(self.site, "reader-0", "reader-1", "xyzq", seen.append)
+        self.site.timers.advance(10)
+        change()
+        self.site.timers.advance(1_000)
+        return seen[0]
+
+    def test_the_leading_pieces_that_are_held_arrive(self):
+        self.assertEqual(["x", "y", "z"], self.pull(lambda: None))
+        self.assertEqual(3, self.site.engines["reader-1"].cache.prefix("xyz"))
+        self.assertEqual(3_000_000, self.site.links["reader-1"].sent_bytes)
+
+    def test_a_block_freed_and_written_again_meanwhile_is_dropped(self):
+        def rewrite():
+            self.cache.remove("y")
+            self.cache.store("y", profiles.PIECE_TOKENS)
+
+        self.assertEqual(["x", "z"], self.pull(rewrite))
+        self.assertEqual(1, self.site.engines["reader-1"].cache.prefix("xyz"))
+
+    def test_nothing_arrives_at_a_target_that_restarted(self):
+        self.assertEqual([], self.pull(self.site.engines["reader-1"].turn_cold))
+
+    def test_an_export_is_readable_after_its_commit(self):
+        seen = []
+        moves.export(self.site, "reader-0", "store-0", "xy", seen.append)
+        self.assertIsNone(self.site.stores["store-0"].read_ms("x"))
+        self.site.timers.advance(1_000)
+        self.assertEqual([["x", "y"]], seen)
+        self.assertIsNotNone(self.site.stores["store-0"].read_ms("y"))
+
+
 class FiguresTest(unittest.TestCase):
     def test_percentiles_are_of_the_nearest_rank(self):
         values = [float(value) for value in range(1, 101)]
