--- /dev/null
+++ b/cornelreach/ui/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's commands: short functions that call the core."""
--- /dev/null
+++ b/cornelreach/ui/commands/item.py
@@ -0,0 +1,101 @@
+"""Commands on single items: list, show, set and delete of each kind."""
+
+import typing
+
+import yaml
+
+from cornelreach.settings import items
+from cornelreach.ui import changes, exits, tool as tool_module
+
+COLUMNS = {
+    "account": ("name", "weight", "models", "services"),
+    "model": ("name", "version", "adapters"),
+    "target": ("name", "kind", "data_centre", "address", "serves", "state"),
+    "data-centre": ("name", "region", "state", "reason"),
+}
+
+
+async def list_items(
+    tool: tool_module.Tool, arguments: tool_module.Arguments, kind: str
+) -> tool_module.Output:
+    """List the items of a kind."""
+    held = await held_items(tool, kind)
+    columns = COLUMNS[kind]
+    rows = [[cell(getattr(item, name)) for name in columns] for item in held]
+    return tool_module.Output(held, tool_module.table(columns, rows))
+
+
+async def show(
+    tool: tool_module.Tool, arguments: tool_module.Arguments, kind: str
+) -> tool_module.Output:
+    """Show every field of one item."""
+    name = arguments["NAME"] or "fleet"
+    for item in await held_items(tool, kind):
+        if item.name == name:
+            rows = [(field, cell(value)) for field, value in item._asdict().items()]
+            return tool_module.Output(item, tool_module.table(("field", "value"), rows))
+    if kind == "defaults":
+        rows = list(items.Defaults()._asdict().items())
+        text = tool_module.table(("field", "value"), rows)
+        return tool_module.Output(items.Defaults(), text)
+    remedy = f"see `cornelreach {kind} list`"
+    text = f"{kind} {name!r} does not exist"
+    raise exits.Failed(exits.Exit.REFUSED, text, remedy)
+
+
+async def set_fields(
+    tool: tool_module.Tool, arguments: tool_module.Arguments, kind: str
+) -> tool_module.Output:
+    """Create an item, or change some of its fields."""
+    fields = {"name": arguments["NAME"] or "fleet"}
+    for text in arguments["FIELD=VALUE"]:
+        fields |= parse_field(text)
+    return await changes.state(tool, arguments, changes.stated(kind, fields))
+
+
+async def delete(
+    tool: tool_module.Tool, arguments: tool_module.Arguments, kind: str
+) -> tool_module.Output:
+    """Delete an item."""
+    key = items.key_of(kind, arguments["NAME"])
+    return await changes.delete(tool, arguments, key)
+
+
+async def held_items(tool: tool_module.Tool, kind: str) -> list[items.Item]:
+    """Return the items of a kind that can be read, by name."""
+    listing = await tool.listing()
+    return [
+        items.convert(record.key, record.value)
+        for record in listing.records
+        if items.kind_of(record.key) == kind
+    ]
+
+
+def parse_field(text: str) -> dict[str, typing.Any]:
+    """Return the field and its YAML value in ``FIELD=VALUE``."""
+    name, equals, value = text.partition("=")
+    try:
+        loaded = yaml.safe_load(value)
+    except yaml.YAMLError:
+        loaded = value
+    if not equals or not name:
+        remedy = "write it as field=value, with a list as field=[a, b]"
+        raise exits.Failed(exits.Exit.USAGE, f"{text!r} sets no field", remedy)
+    return {name: value if wants_text(name) and loaded is not None else loaded}
+
+
+def wants_text(field: str) -> bool:
+    """Tell whether every kind that has a field holds text in it."""
+    hints = [
+        typing.get_type_hints(kind)[field]
+        for kind in items.KINDS.values()
+        if field in kind._fields
+    ]
+    return bool(hints) and all(hint is str for hint in hints)
+
+
+def cell(value: object) -> str:
+    """Return a value for a table."""
+    if isinstance(value, list):
+        return ",".join(map(str, value)) or "-"
+    return "-" if value == "" else str(value)
