Test ownership in a seeded world of faults

Instances pause, die, are cut off, lose and repeat messages around a target that is always cold; a second holder of the right or a call over the limit fails a seed. The owner's choice of a new successor passes over the present one.

--- a/cornelreach/targets/ownership.py
+++ b/cornelreach/targets/ownership.py
@@ -285,7 +285,7 @@
         others = [one for one in live if one != self.me and one not in self._dead]
         successor = others[0] if others else None
         if self.role is Role.OWNER:
-            return self._wanted_by_owner(successor, now_ms)
+            return self._wanted_by_owner(others, now_ms)
         if self.role is Role.SUCCESSOR:
             if self.vote is Vote.PLATFORM and self._may_take_over(now_ms):
                 return self._next(1, successor)
@@ -298,12 +298,14 @@
         return self._next(2, successor) if gone <= self._dead else None
 
     def _wanted_by_owner(
-        self, successor: Member | None, now_ms: float
+        self, others: typing.Sequence[Member], now_ms: float
     ) -> Record | None:
         record = self.record
+        fresh = [one for one in others if one != record.successor]
+        successor = fresh[0] if fresh else None
         if self._recorded is None or self._recorded.epoch < record.epoch:
             return self._next(1, successor)
-        if successor is None or successor == record.successor:
+        if successor is None:
             return None
         if self._alone:
             return self._next(1, successor)
--- a/test/targets/world.py
+++ b/test/targets/world.py
@@ -49,14 +49,14 @@
                 self.note()
                 end(boot, True)
 
-        self.world.later(self.world.random.choice((50, 200, 800, 9_000)), finish)
+        self.world.later(self.world.random.choice(self.world.runs_ms), finish)
 
     def report(self, asked_ms):
         """Return a report whose load is up to the lag old."""
-        lag_ms = self.world.random.choice((0, 500, admission.REPORT_LAG_MS))
+        lag_ms = self.world.random.choice(self.world.lags_ms)
         taken_ms = self.world.now - lag_ms
-        past = [entry for entry in self.history if entry[0] <= taken_ms]
-        _, boot, running = past[-1] if past else self.history[0]
+        past = (entry for entry in reversed(self.history) if entry[0] <= taken_ms)
+        _, boot, running = next(past, self.history[0])
         return permits.Report("e1", asked_ms, self.boot, boot, True, running, 0)
 
 
@@ -140,7 +140,7 @@
         live = [
             one.me
             for one in self.world.instances
-            if not one.paused or self.world.random.random() < 0.3
+            if one is self or self.world.reaches(self, one)
         ]
         attempt = self.mine.propose(live, now_ms)
         if attempt is not None:
@@ -216,7 +216,7 @@
         if not pipeline.is_successful(allowed):
             return self.release(permits.Outcome.UNUSED, "")
         self.world.later(
-            self.world.random.choice((1, 20, permits.DELIVERY_MS)),
+            self.world.random.choice(self.world.delivery_ms),
             lambda: self.world.target.call(permit.boot, self.end),
         )
 
@@ -236,6 +236,12 @@
 class World:
     """Time, network, faults."""
 
+    delays_ms = (1, 1, 5, 50, 1_500)
+    delivery_ms = (1, 20, permits.DELIVERY_MS)
+    runs_ms = (50, 200, 800, 9_000)
+    lags_ms = (0, 500, admission.REPORT_LAG_MS)
+    lengths_ms = (300, 2_500, 6_000, 15_000)
+
     def __init__(self, seed, faults=FAULTS, limit=None):
         self.random = random.Random(seed)
         self.now, self.heap, self.ids = 0.0, [], itertools.count(1)
@@ -245,7 +251,7 @@
         self.cuts, self.loss, self.dead, self.calls = set(), 0.02, {}, {}
         self.instances = [Instance(self, name) for name in NAMES]
         self.by_name = {one.name: one for one in self.instances}
-        self.faults = faults
+        self.faults, self.rivals = faults, 0
 
     def later(self, delay_ms, action):
         heapq.heappush(self.heap, (self.now + delay_ms, next(self.ids), action))
@@ -257,7 +263,7 @@
             cut = frozenset((source.name, destination.name)) in self.cuts
             if source is not destination and (cut or self.random.random() < self.loss):
                 continue
-            delay_ms = self.random.choice((1, 1, 5, 50, 1_500))
+            delay_ms = self.random.choice(self.delays_ms)
             arrive = self._arrival(destination, boot, action)
             self.later(delay_ms, lambda act=arrive: destination.receive(act))
 
@@ -283,16 +289,23 @@
 
     def tick(self, who):
         who.tick()
+        rights = [one.mine.standing(one.clock).exclusive for one in self.instances]
+        self.rivals = max(self.rivals, sum(rights))
         self.later(TICK_MS, lambda: self.tick(who))
 
     def inject(self):
         """Bring in one fault, or two at once."""
         for _ in range(self.random.choice((1, 1, 2))):
             one = self.random.choice(self.instances + self.holders())
-            length_ms = self.random.choice((300, 2_500, 6_000, 15_000))
+            length_ms = self.random.choice(self.lengths_ms)
             getattr(self, self.random.choice(self.faults))(one, length_ms)
         self.later(self.random.choice((200, 1_500, 6_000)), self.inject)
 
+    def reaches(self, one, other):
+        """Return whether one instance takes another for live, right or wrong."""
+        cut = frozenset((one.name, other.name)) in self.cuts
+        return not (cut or other.paused) or self.random.random() < 0.1
+
     def holders(self):
         """Return those that believe to own the pool, so that faults find them."""
         owner = ownership.Role.OWNER
@@ -328,20 +341,45 @@
         self.later(length_ms, lambda: setattr(self, "loss", 0.02))
 
 
+class SlowWorld(World):
+    """Short calls, slow messages: permits are used at the end of their time."""
+
+    delays_ms = (1, 1, 1_500)
+    delivery_ms = (permits.DELIVERY_MS,)
+    runs_ms = (400, 1_500)
+    lags_ms = (admission.REPORT_LAG_MS,)
+
+    def __init__(self, seed):
+        super().__init__(seed, faults=("pause", "cut", "platform_out"), limit=1)
+
+
+class SplitWorld(World):
+    """Long cuts among the instances and from the platform."""
+
+    runs_ms = (50, 800)
+    lengths_ms = (6_000, 15_000, 30_000)
+
+    def __init__(self, seed):
+        super().__init__(seed, faults=("cut", "cut", "platform_cut", "death"), limit=1)
+
+
 def allow(*_):
     """Stand in for a sender that checks nothing."""
     return result.Success(None)
 
 
 def main():
-    """Run seeds 0 to N-1 and print those that overload the target."""
-    served = 0
-    for seed in range(int(sys.argv[1])):
-        target = World(seed).run(seconds=90).target
-        served += target.served
-        if target.worst > target.limit:
-            print(f"seed {seed}: {target.worst} calls over a limit of {target.limit}")
-    print(f"{served} calls served")
+    """Run seeds 0 to N-1 of each kind and print those that break the rule."""
+    for kind in (World, SlowWorld, SplitWorld):
+        served = 0
+        for seed in range(int(sys.argv[1])):
+            ran = kind(seed).run(seconds=90)
+            target = ran.target
+            served += target.served
+            if target.worst > target.limit or ran.rivals > 1:
+                print(f"{kind.__name__} seed {seed}: {target.worst} calls over")
+                print(f"a limit of {target.limit}, {ran.rivals} holders at once")
+        print(f"{kind.__name__}: {served} calls served")
 
 
 if __name__ == "__main__":
