--- a/cornelreach/ui/commands/fleet.py
+++ b/cornelreach/ui/commands/fleet.py
@@ -112,6 +112,9 @@
     tool: tool_module.Tool, address: str, path: str, body: object
 ) -> tool_module.Output:
     answer = await tool.ask(address, "POST", path, body)
+    if answer.refused:
+        text, remedy = f"instance {address} refused", answer.error
+        raise exits.Failed(exits.Exit.REFUSED, text, remedy)
     if answer.error:
         raise tool_module.unreachable(f"instance {address}", answer.error)
     state = (answer.value or {}).get("state", "done")
--- a/cornelreach/ui/tool.py
+++ b/cornelreach/ui/tool.py
@@ -33,11 +33,12 @@
 
 
 class Answer(typing.NamedTuple):
-    """What an instance said, or why there is no answer."""
+    """What an instance said, or why there is no answer; ``refused`` if it said no."""
 
     address: str
     value: typing.Any = None
     error: str = ""
+    refused: bool = False
 
 
 class Tool:
@@ -94,7 +95,7 @@
         ) as error:
             return Answer(address, error=str(error))
         if status >= 300:
-            return Answer(address, error=refusal_text(status, value))
+            return Answer(address, None, refusal_text(status, value), refused=True)
         return Answer(address, value)
 
     async def ask_all(self, path: str) -> list[Answer]:
--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -239,8 +239,9 @@
 
     async def test_a_wrong_operator_key_is_told(self):
         self.flags[-1] = f"--operator-key-file={self.path('wrong', 'x')}"
-        text = await self.fails(Exit.UNREACHABLE, "drain", self.admin[0])
+        text = await self.fails(Exit.REFUSED, "drain", self.admin[0])
         self.assertIn("wrong key", text)
+        await self.fails(Exit.UNREACHABLE, "drain", "127.0.0.1:1")
 
 
 class Whole(unittest.TestCase):
