--- a/cornelreach/pools/placer.py
+++ b/cornelreach/pools/placer.py
@@ -113,6 +113,7 @@
             priority=permits.Priority(need.priority),
             piece_keys=tuple(key[:KEY_CHARACTERS] for key in prompt.keys),
             piece_tokens=prompt.tokens,
+            root=prompt.root,
             excluded=need.avoid,
         )
 
--- a/cornelreach/prompts/copies.py
+++ b/cornelreach/prompts/copies.py
@@ -72,7 +72,7 @@
     data_centre: str
     engines: frozenset[str]
     stores: tuple[Store, ...]
-    pool_data_centres: tuple[str, ...]
+    pools: dict[str, str]
     bytes_per_token: int
 
 
@@ -89,7 +89,7 @@
         self.links = link_budgets
         self.documents = known or documents.Documents()
         self.names = documents.Names()
-        self.pool = _Pool("", frozenset(), (), (), 1)
+        self.pool = _Pool("", frozenset(), (), {}, 1)
         self._pending: dict[str, float] = {}
         self._running: set[tuple[str, str]] = set()
         self._leaving = False
@@ -99,19 +99,19 @@
         data_centre: str,
         engines: typing.Iterable[str],
         stores: typing.Iterable[Store],
-        pool_data_centres: typing.Iterable[str],
+        pools: typing.Mapping[str, str],
         bytes_per_token: int,
     ) -> None:
         """Follow the settings.
 
-        ``pool_data_centres`` are those whose pools serve the model and are in service,
-        this one included.
+        ``pools`` are those of the model that are in service, with their data centres;
+        their order for a root is the one that edges use.
         """
         self.pool = _Pool(
             data_centre,
             frozenset(engines),
             tuple(stores),
-            tuple(sorted(pool_data_centres)),
+            dict(pools),
             bytes_per_token,
         )
 
@@ -211,8 +211,10 @@
 
     def _ranked(self, root: str, stores: typing.Sequence[Store]) -> list[Store]:
         key = bytes.fromhex(root)
-        places = hashing.rendezvous(key, self.pool.pool_data_centres)
-        others = [place for place in places if place != self.pool.data_centre]
+        places = self.pool.pools
+        ranked_pools = hashing.rendezvous(key, places)
+        others = [places[pool] for pool in ranked_pools]
+        others = [place for place in others if place != self.pool.data_centre]
         order = {place: rank for rank, place in enumerate(others)}
         last = len(order)
 
--- a/cornelreach/prompts/pieces.py
+++ b/cornelreach/prompts/pieces.py
@@ -21,6 +21,7 @@
 CHARS_PER_TOKEN = 4
 PIECE_TOKENS = 1_000
 MIN_PIECE_TOKENS = 64
+ROOT_BYTES = 8
 PIECE_CHARS = PIECE_TOKENS * CHARS_PER_TOKEN
 MIN_PIECE_CHARS = MIN_PIECE_TOKENS * CHARS_PER_TOKEN
 
@@ -108,7 +109,8 @@
     )
     end = next(whole, 1)
     contents = (piece.content for piece in built[:end])
-    return hashing.digest(b"root", account.encode(), model.encode(), *contents).hex()
+    root = hashing.digest(b"root", account.encode(), model.encode(), *contents)
+    return root[:ROOT_BYTES].hex()
 
 
 def split(
--- a/cornelreach/targets/permits.py
+++ b/cornelreach/targets/permits.py
@@ -39,7 +39,8 @@
 
     ``request`` is unique to a call and its attempt. ``deadline_in_ms`` is what is left
     until the caller's deadline. ``piece_keys`` and ``piece_tokens`` describe the prompt
-    for placement, and ``excluded`` names targets that this call has tried already.
+    for placement, ``root`` its document, and ``excluded`` names targets that this call
+    has tried already.
     """
 
     request: str
@@ -56,6 +57,7 @@
     version: str = ""
     piece_keys: tuple[str, ...] = ()
     piece_tokens: tuple[int, ...] = ()
+    root: str = ""
     excluded: tuple[str, ...] = ()
 
 
--- a/test/prompts/test_copies.py
+++ b/test/prompts/test_copies.py
@@ -33,7 +33,11 @@
 
     def configure(self, stores):
         self.keeper.configure(
-            "here", ["engine-1", "engine-2"], stores, ["here", "there"], 1_000
+            "here",
+            ["engine-1", "engine-2"],
+            stores,
+            {"here/m": "here", "there/m": "there"},
+            1_000,
         )
 
     def run_prompt(self, wanted, now_ms, engine="engine-1"):
