--- /dev/null
+++ b/cornelreach/fleet/beats.py
@@ -0,0 +1,187 @@
+"""Carries out what a node decides: heartbeats, pulls, the platform's list and merges.
+
+beats = Beats(node, peers, server, objects, clock)
+sync = Sync(..., watching=beats.watching, report=beats.report)
+tasks = [asyncio.create_task(beats.run()), asyncio.create_task(beats.follow())]
+"""
+
+import asyncio
+import random
+import typing
+
+from returns import result
+
+from cornelreach.fleet import membership, news, node as node_module
+from cornelreach.peers import wire
+from cornelreach.platform import budget, results
+from cornelreach.settings import relay
+from cornelreach.util import events, timers as timers_module
+
+HEARTBEAT = wire.Method("Heartbeat", news.Heartbeat, news.Heartbeat)
+PULL = wire.Method("Pull", relay.Pull, relay.Pulled)
+
+PULL_WAIT_MS = 2_000
+LIST_MS = 5_000
+LIST_LIMIT_MS = 300_000
+FOLLOW_MS = 1_000
+
+MEMBER = events.define(
+    1311, "INFO", "Instance {name} boot {boot}: {change}.", "Nothing."
+)
+SUPERSEDED = events.define(
+    1312,
+    "ERROR",
+    "Boot {boot} has taken this instance's name; this process stops.",
+    "Give each running instance a name of its own.",
+)
+WOKE = events.define(
+    1313,
+    "WARNING",
+    "This process did not run for {paused_ms} ms.",
+    "Look for a paused machine or a starved processor.",
+)
+CONFIRMED = events.define(
+    1314, "INFO", "The view of the fleet is fresh (alone: {alone}).", "Nothing."
+)
+MERGED = events.define(
+    1315, "INFO", "Directives on {key} are in the platform now.", "Nothing."
+)
+
+Observer = typing.Callable[[membership.Event], None]
+
+
+class Beats:
+    """The asyncio shell of a node.
+
+    ``observer`` is told each membership event, ``Superseded`` among them, on which
+    the daemon must stop.
+    """
+
+    def __init__(
+        self,
+        node: node_module.Node,
+        peers: wire.Client,
+        server: wire.Server,
+        objects: results.Objects,
+        clock: timers_module.Timers,
+        observer: Observer = lambda event: None,
+    ) -> None:
+        self.node = node
+        self.peers = peers
+        self.objects = objects
+        self.clock = clock
+        self.observer = observer
+        self.source = random.Random(node.me.boot)
+        self.platform_ok: bool | None = None
+        self._listed_ms: float | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        server.register(HEARTBEAT, self._heartbeat)
+        server.register(PULL, self._pull)
+
+    def watching(self) -> bool:
+        """Return whether this instance watches the platform for its peers."""
+        return self.node.watching(self.clock.now_ms())
+
+    def report(self, reached: bool) -> None:
+        """Take note of whether the platform was reached."""
+        self.platform_ok = reached
+        self.node.platform_report(reached, self.clock.now_ms())
+
+    async def run(self) -> None:
+        """Send what is due until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(node_module.TICK_MS / 1_000)
+
+    def tick(self) -> None:
+        """Send what is due now."""
+        for send in self.node.tick(self.clock.now_ms()):
+            self._spawn(self._send(send))
+        self._fetch()
+        for event in self.node.events():
+            tell(event)
+            self.observer(event)
+
+    async def follow(self) -> None:
+        """Read the platform's list, often only as a watcher; write merges."""
+        await asyncio.sleep(budget.start_delay_ms(self.source) / 1_000)
+        while True:
+            if self._list_due():
+                await self._list()
+            if self.platform_ok and self.watching():
+                await self._merge()
+            delay_ms = FOLLOW_MS * self.source.uniform(0.8, 1.2)
+            await asyncio.sleep(delay_ms / 1_000)
+
+    def _list_due(self) -> bool:
+        if self._listed_ms is None:
+            return True
+        age_ms = self.clock.now_ms() - self._listed_ms
+        alone = len(self.node.membership.serving()) < 2
+        return age_ms >= (LIST_MS if alone or self.watching() else LIST_LIMIT_MS)
+
+    async def _list(self) -> None:
+        found = await self.objects.instances()
+        if isinstance(found, result.Success):
+            self.node.listed(found.unwrap())
+            jitter_ms = self.source.uniform(0, LIST_MS / 4)
+            self._listed_ms = self.clock.now_ms() - jitter_ms
+
+    async def _merge(self) -> None:
+        for merge in self.node.directives.merges():
+            outcome = await self.objects.put(
+                merge.key, merge.value, if_version=merge.if_version
+            )
+            if isinstance(outcome, result.Success):
+                events.emit(MERGED, key=merge.key)
+
+    async def _send(self, send: node_module.Send) -> None:
+        outcome = await self.peers.call(
+            send.contact.address, HEARTBEAT, send.message, node_module.HEARTBEAT_WAIT_MS
+        )
+        now_ms = self.clock.now_ms()
+        if isinstance(outcome, result.Success):
+            self.node.answered(send, outcome.unwrap(), now_ms)
+            self._fetch()
+        else:
+            self.node.unanswered(send, now_ms)
+
+    def _fetch(self) -> None:
+        for fetch in self.node.fetches():
+            self._spawn(self._fetch_one(fetch))
+
+    async def _fetch_one(self, fetch: relay.Fetch) -> None:
+        outcome = await self.peers.call(fetch.address, PULL, fetch.pull, PULL_WAIT_MS)
+        if isinstance(outcome, result.Success):
+            self.node.pulled(fetch, outcome.unwrap(), self.clock.now_ms())
+            self._fetch()
+        else:
+            self.node.relay.failed(fetch)
+
+    async def _heartbeat(
+        self, sender: wire.Sender, message: news.Heartbeat
+    ) -> news.Heartbeat:
+        reply = self.node.receive(message, self.clock.now_ms())
+        self._fetch()
+        return reply
+
+    async def _pull(self, sender: wire.Sender, pull: relay.Pull) -> relay.Pulled:
+        return self.node.relay.serve(pull)
+
+    def _spawn(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def tell(event: membership.Event) -> None:
+    """Log a membership event."""
+    if isinstance(event, membership.Superseded):
+        events.emit(SUPERSEDED, boot=event.by.boot)
+    elif isinstance(event, membership.Woke):
+        events.emit(WOKE, paused_ms=int(event.paused_ms))
+    elif isinstance(event, membership.Confirmed):
+        events.emit(CONFIRMED, alone=event.alone)
+    else:
+        identity, change = event.identity, type(event).__name__.lower()
+        events.emit(MEMBER, name=identity.name, boot=identity.boot, change=change)
--- a/cornelreach/fleet/sites.py
+++ b/cornelreach/fleet/sites.py
@@ -34,6 +34,10 @@
         """Return the other data centres that have a known contact."""
         return sorted(name for name in {*self._listed, *self._heard})
 
+    def contacts(self, data_centre: str) -> dict[str, news.Contact]:
+        """Return the known contacts of a data centre by name."""
+        return self._listed.get(data_centre, {}) | self._heard.get(data_centre, {})
+
     def listed(self, instances: typing.Iterable[results.Instance]) -> None:
         """Take over the platform's list."""
         self._listed = {}
@@ -104,7 +108,7 @@
 
     def pick(self, data_centre: str) -> news.Contact | None:
         """Return a contact of a data centre, of those that answer by preference."""
-        known = self._listed.get(data_centre, {}) | self._heard.get(data_centre, {})
+        known = self.contacts(data_centre)
         answering = [
             contact
             for contact in known.values()
--- a/cornelreach/platform/budget.py
+++ b/cornelreach/platform/budget.py
@@ -145,12 +145,13 @@
             bucket = self.writes if call is Call.WRITE else self.reads
             bucket.refused(now_ms)
 
-    def start_delay_ms(self) -> float:
-        """Return a random delay before an instance's first call.
 
-        A fleet that is restarted at once then reads evenly over ``START_SPREAD_MS``.
-        """
-        return self.source.uniform(0, START_SPREAD_MS)
+def start_delay_ms(source: random.Random) -> float:
+    """Return a random delay before an instance's first call.
+
+    A fleet that is restarted at once then reads evenly over ``START_SPREAD_MS``.
+    """
+    return source.uniform(0, START_SPREAD_MS)
 
 
 Sleep = typing.Callable[[float], typing.Awaitable[None]]
--- a/cornelreach/settings/sync.py
+++ b/cornelreach/settings/sync.py
@@ -1,7 +1,7 @@
 """Reads the settings from the platform into a state: list once, then watch.
 
 Only the few instances chosen as watchers run it; ``watching`` says whether this one
-is::
+is, and ``report`` is told after each step whether the platform was reached::
 
     pause = backoff.Backoff(random.Random(), limit_ms=RETRY_LIMIT_MS)
     sync = Sync(objects, state, pause)
@@ -55,12 +55,14 @@
         backoff: backoff_module.Backoff,
         watching: typing.Callable[[], bool] = lambda: True,
         watch_ms: int = WATCH_MS,
+        report: typing.Callable[[bool], None] = lambda reached: None,
     ) -> None:
         self.objects = objects
         self.state = state
         self.backoff = backoff
         self.watching = watching
         self.watch_ms = watch_ms
+        self.report = report
         self.platform_ok = False
         self.since: int | None = None
 
@@ -73,40 +75,55 @@
 
     async def step(self) -> float:
         """Do one list or watch and return the delay until the next."""
+        floor = self.floor
         if self.since is None:
             outcome = await self.objects.list(items.PREFIX)
         else:
-            since = self.since
-            outcome = await self.objects.watch(items.PREFIX, since, self.watch_ms)
-        return self.take(outcome)
+            outcome = await self.objects.watch(items.PREFIX, floor, self.watch_ms)
+        return self.take(outcome, floor)
 
-    def take(self, outcome: Outcome) -> float:
-        """Apply the outcome of a list or watch; return the delay until the next."""
+    @property
+    def floor(self) -> int:
+        """Return the revision to watch from; no right answer lies below it.
+
+        Peers may have brought the state beyond what the platform told.
+        """
+        return max(self.since or 0, self.state.revision)
+
+    def take(self, outcome: Outcome, floor: int) -> float:
+        """Apply the outcome of a list or of a watch from ``floor``.
+
+        Returns the delay until the next call.
+        """
         if isinstance(outcome, result.Failure):
             return self._failed(outcome.failure())
-        self.platform_ok = True
+        self._reached(True)
         self.backoff.reset()
         found = outcome.unwrap()
-        if found.revision < (self.since or self.state.revision):
+        if found.revision < floor:
             return self._rewound(found.revision)
         if isinstance(found, results.Listing):
             self._listed(found)
         else:
-            self._watched(found)
+            self._watched(found, floor)
         return 0
 
+    def _reached(self, reached: bool) -> None:
+        self.platform_ok = reached
+        self.report(reached)
+
     def _listed(self, found: results.Listing) -> None:
         delta = state_module.Delta(0, found.revision, found.records, whole=True)
         self.state.apply(delta)
         self.since = found.revision
         events.emit(LISTED, count=len(found.records), revision=found.revision)
 
-    def _watched(self, found: results.Changes) -> None:
-        since, self.since = self.since, found.revision
+    def _watched(self, found: results.Changes, floor: int) -> None:
+        self.since = max(self.since, found.revision)
         if not found.records:
             return
         newest = max(record.version for record in found.records)
-        changed = self.state.apply(state_module.Delta(since, newest, found.records))
+        changed = self.state.apply(state_module.Delta(floor, newest, found.records))
         events.emit(APPLIED, count=len(changed), revision=self.state.revision)
 
     def _rewound(self, found: int) -> float:
@@ -117,7 +134,7 @@
         if isinstance(error, results.Compacted):
             self.since = None
             return 0
-        self.platform_ok = False
+        self._reached(False)
         events.emit(AWAY, error=error.message, revision=self.state.revision)
         retry_ms = getattr(error, "retry_after_ms", 0)
         return self.backoff.next_ms(retry_ms)
--- a/test/fleet/test_node.py
+++ b/test/fleet/test_node.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cornelreach.fleet import membership, news
+from cornelreach.fleet import directory, membership, news
 from cornelreach.settings import items, state
 from test.fleet import world
 
@@ -82,6 +82,19 @@
         site.advance(3_000)
         self.assertEqual(serving(site.hosts["a2"]), {"a2", "a3"})
 
+    def test_directory_follows_the_fleet(self):
+        site = world.World(11, SIX)
+        site.advance(15_000)
+        found = directory.Directory(site.hosts["a1"].node, site.clock)
+        self.assertEqual(found.names("b"), ["b1", "b2", "b3"])
+        self.assertEqual(found.address("b2"), "b2")
+        self.assertEqual(sorted(found.addresses()), sorted(SIX))
+        first = found.owner("pool", "a")
+        site.kill(first if first != "a1" else "a2")
+        site.advance(10_000)
+        self.assertEqual(len(found.names("a")), 2)
+        self.assertIn(found.owner("pool", "a"), found.names("a"))
+
     def test_data_centres_cut_off_in_one_direction(self):
         site = world.World(6, SIX)
         site.advance(15_000)
--- a/test/fleet/world.py
+++ b/test/fleet/world.py
@@ -70,9 +70,9 @@
             self.polling = True
             self.world.poll(self)
 
-    def polled(self, outcome):
+    def polled(self, outcome, floor):
         """Take an answer of the platform and watch on."""
-        delay_ms = self.sync.take(outcome)
+        delay_ms = self.sync.take(outcome, floor)
         self.node.platform_report(self.sync.platform_ok, self.world.clock.now_ms())
         self.world.clock.after(delay_ms, lambda: self.run(self.poll_again))
 
@@ -201,15 +201,15 @@
         if self.platform_away or not self.open(name, "platform"):
             away = result.Failure(results.Unavailable("away", 200))
             wait_ms = self.source.choice((1, 500, sync_module.WATCH_MS))
-            self.clock.after(wait_ms, lambda: host.run(host.polled, away))
+            self.clock.after(wait_ms, lambda: host.run(host.polled, away, 0))
             return
-        since = host.sync.since
-        if since is not None and self.store.revision <= since:
-            entry = (host, since)
+        floor = host.sync.floor
+        entry = (host, floor, host.sync.since is None)
+        if host.sync.since is not None and self.store.revision <= floor:
             self.waiting.append(entry)
             self.clock.after(sync_module.WATCH_MS, lambda: self.wake(entry))
             return
-        self.answer(host, since)
+        self.answer(*entry)
 
     def wake(self, entry):
         """Answer a waiting watch."""
@@ -217,12 +217,11 @@
             self.waiting.remove(entry)
             self.answer(*entry)
 
-    def answer(self, host, since):
+    def answer(self, host, since, listing):
         """Answer a list or watch after a while."""
         seen = self.store.revision
         if self.source.random() < self.stale:
             seen = self.source.randrange(seen + 1)
-        listing = since is None
 
         def deliver():
             if self.platform_away or not self.open("platform", host.node.me.name):
@@ -233,7 +232,7 @@
                 found = self.store.changes(items.PREFIX, since).unwrap()
                 kept = tuple(r for r in found.records if r.version <= seen)
                 outcome = result.Success(results.Changes(seen, kept))
-            host.run(host.polled, outcome)
+            host.run(host.polled, outcome, since)
 
         self.clock.after(self.delay_ms(PLATFORM_MS), deliver)
 
--- a/test/platform/test_budget.py
+++ b/test/platform/test_budget.py
@@ -21,7 +21,7 @@
         for number in range(INSTANCES):
             source = random.Random(seed * INSTANCES + number)
             held = budget.Budget(INSTANCES, 0, source)
-            delay_ms = held.start_delay_ms() if spread else 0
+            delay_ms = budget.start_delay_ms(source) if spread else 0
             self.plan(delay_ms, held, reads)
 
     def plan(self, delay_ms, held, left):
