--- a/cornelreach/fleet/membership.py
+++ b/cornelreach/fleet/membership.py
@@ -25,6 +25,7 @@
 FORGET_MS = 3_600_000
 PAUSE_MS = 3_000
 ALONE_MS = 2_500
+AWAY_MS = 8_000
 YOUNG_MS = 10_000
 LOST_TRY_ROUNDS = 3
 
@@ -171,18 +172,13 @@
         self._restate(now_ms)
 
     def platform(self, found: news.Platform, now_ms: float) -> None:
-        """State what this instance knows of the platform, if that has changed."""
-        if found != self.me.platform:
+        """State what this instance knows of the platform, anew as it grows old."""
+        age_ms = now_ms - self._status_ms.get(self.name, now_ms)
+        old = found == news.Platform.AWAY and age_ms > AWAY_MS / 2
+        if found != self.me.platform or old:
             self.me = self.me._replace(platform=found)
             self._restate(now_ms)
 
-    def cut_off(self) -> set[str]:
-        """Return the instances that say they do not reach the platform."""
-        members = self.roster.members
-        return {
-            name for name in members if members[name].platform == news.Platform.AWAY
-        }
-
     # What can be asked.
 
     def may_act(self, now_ms: float) -> bool:
@@ -212,14 +208,32 @@
         return sorted(found)
 
     def expected(self) -> set[str]:
-        """Return those serving and those listed that have not failed to answer."""
+        """Return those not suspected and those listed that have not failed to answer.
+
+        Common work is shared among them, so a suspect's part is taken over early.
+        """
         untried = {
             name
             for name in self._listed
             if name not in self.roster.members
             and self._misses.get(name, 0) < MISSES_TO_SUSPECT
         }
-        return {identity.name for identity in self.serving()} | untried
+        alive = {
+            name
+            for name, member in self.roster.members.items()
+            if member.status == news.Status.ALIVE
+        }
+        return alive | untried
+
+    def watch_rank(self, name: str, now_ms: float) -> int:
+        """Return 0 if an instance reaches the platform, 2 if it just failed, else 1."""
+        member = self.roster.members.get(name)
+        if member is None or member.platform == news.Platform.UNKNOWN:
+            return 1
+        if member.platform == news.Platform.REACHED:
+            return 0
+        age_ms = now_ms - self._status_ms.get(name, now_ms)
+        return 2 if age_ms < AWAY_MS else 1
 
     def recipients(self, now_ms: float) -> tuple[news.Contact, ...]:
         """Return whom to send a heartbeat to in this round."""
--- a/cornelreach/fleet/node.py
+++ b/cornelreach/fleet/node.py
@@ -23,7 +23,7 @@
 HEARTBEAT_WAIT_MS = 800
 POKES = 3
 POKE_BYTES = 3_000
-REPORT_HOLDS_MS = 30_000
+FAILURES_TO_AWAY = 2
 REMOTE_NEWS = 3
 
 
@@ -52,7 +52,7 @@
         self.board = board_module.Board()
         self.directives = takeout.Directives(state)
         self.source = source
-        self._reported_ms = now_ms
+        self._failures = 0
         self._fetches: list[relay_module.Fetch] = []
         self._known_directives: tuple[news.Directive, ...] = ()
         self._pushed = state.revision
@@ -75,17 +75,28 @@
         self.sites.listed(instances)
 
     def platform_report(self, reached: bool, now_ms: float) -> None:
-        """Tell whether this instance's last call reached the platform."""
-        found = news.Platform.REACHED if reached else news.Platform.AWAY
-        self.membership.platform(found, now_ms)
-        self._reported_ms = now_ms
+        """Tell whether this instance's last call reached the platform.
+
+        Others take over the watch after several failures in a row.
+        """
+        self._failures = 0 if reached else self._failures + 1
+        if reached:
+            self.membership.platform(news.Platform.REACHED, now_ms)
+        elif self._failures >= FAILURES_TO_AWAY:
+            self.membership.platform(news.Platform.AWAY, now_ms)
 
     def watching(self, now_ms: float) -> bool:
-        """Return whether this instance watches the platform for its peers."""
-        if now_ms - self._reported_ms > REPORT_HOLDS_MS:
-            self.membership.platform(news.Platform.UNKNOWN, now_ms)
+        """Return whether this instance watches the platform for its peers.
+
+        One that has not heard of its peers yet might list what they could tell it.
+        """
+        members = self.membership
+        if members.doubtful:
+            return False
         chosen = relay_module.watchers(
-            self.me.data_centre, self.membership.expected(), self.membership.cut_off()
+            self.me.data_centre,
+            members.expected(),
+            lambda name: members.watch_rank(name, now_ms),
         )
         return self.me.name in chosen
 
@@ -111,7 +122,7 @@
         return tuple(sends)
 
     def _pokes(self, now_ms: float) -> list[Send]:
-        delta = self.state.delta(self._pushed, POKE_BYTES)
+        delta = self.state.delta(self._pushed, limit_bytes=POKE_BYTES)
         self._pushed = self.state.revision
         return [
             self._send(contact, now_ms, delta=delta)
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -149,12 +149,19 @@
         return result.Success(results.Listing(revision, tuple(records)))
 
     async def watch(
-        self, prefix: str, since: int, wait_ms: int
+        self,
+        prefix: str,
+        since: int,
+        wait_ms: int,
+        margin_ms: int = WATCH_MARGIN_MS,
     ) -> result.Result[results.Changes, results.WatchError]:
-        """Return the changes after ``since`` once there are some, or none in time."""
+        """Return the changes after ``since`` once there are some, or none in time.
+
+        Without an answer ``margin_ms`` after ``wait_ms`` the call is Unavailable.
+        """
         query = {"prefix": prefix, "since": since, "wait_ms": wait_ms}
         path = "/v1/watch?" + urllib.parse.urlencode(query)
-        answer = await self._read("watch", path, wait_ms + WATCH_MARGIN_MS)
+        answer = await self._read("watch", path, wait_ms + margin_ms)
         if isinstance(answer, result.Success) and answer.unwrap().status == 410:
             return result.Failure(results.Compacted(since))
         decoded = answer.bind(lambda found: _decode_read(found, _Changes, prefix))
--- a/cornelreach/platform/results.py
+++ b/cornelreach/platform/results.py
@@ -134,7 +134,7 @@
         """Return every object under a prefix, or those behind a key."""
 
     async def watch(
-        self, prefix: str, since: int, wait_ms: int
+        self, prefix: str, since: int, wait_ms: int, margin_ms: int = 1_000
     ) -> result.Result[Changes, WatchError]:
         """Wait for changes after a revision; none may come within ``wait_ms``."""
 
--- a/cornelreach/settings/relay.py
+++ b/cornelreach/settings/relay.py
@@ -17,9 +17,13 @@
 
 
 class Pull(typing.NamedTuple):
-    """Asks for changes after a revision; ``staged`` is part of a whole transfer."""
+    """Asks for changes after a revision, page by page; ``after`` ends the last page.
+
+    ``staged`` is part of a whole transfer.
+    """
 
     since: int
+    after: int | None = None
     staged: bool = False
 
 
@@ -54,7 +58,7 @@
 
     def serve(self, pull: Pull) -> Pulled:
         """Answer a peer's pull."""
-        delta = self.state.delta(pull.since, forgotten=pull.staged)
+        delta = self.state.delta(pull.since, pull.after, forgotten=pull.staged)
         return Pulled(self.state.revision, delta)
 
     def noticed(
@@ -77,31 +81,30 @@
         self._pending.pop(fetch.address, None)
         if answer.delta is None:
             return self._fetch(fetch.address, Pull(0, staged=True), now_ms)
+        entries = answer.delta.entries
         if fetch.pull.staged:
-            return self._stage(fetch, answer, now_ms)
-        self.state.apply(answer.delta)
-        if answer.revision > self.state.revision and answer.delta.entries:
-            return self._fetch(fetch.address, Pull(self.state.revision), now_ms)
-        return None
+            self._stage(fetch, answer)
+        else:
+            self.state.apply(answer.delta)
+        if answer.delta.revision or not entries:
+            return None
+        following = fetch.pull._replace(after=entries[-1].version)
+        return self._fetch(fetch.address, following, now_ms)
 
     def failed(self, fetch: Fetch) -> None:
         """Give up a pull that was not answered; any later message starts another."""
         self._pending.pop(fetch.address, None)
         self._staged.pop(fetch.address, None)
 
-    def _stage(self, fetch: Fetch, answer: Pulled, now_ms: float) -> Fetch | None:
-        if fetch.pull.since == 0:
+    def _stage(self, fetch: Fetch, answer: Pulled) -> None:
+        if fetch.pull.after is None:
             self._staged[fetch.address] = {}
         staged = self._staged.setdefault(fetch.address, {})
         staged.update((entry.key, entry) for entry in answer.delta.entries)
-        if answer.delta.revision < answer.revision:
-            pull = Pull(answer.delta.revision, staged=True)
-            return self._fetch(fetch.address, pull, now_ms)
-        del self._staged[fetch.address]
-        entries = tuple(staged.values())
-        whole = state_module.Delta(0, answer.revision, entries, whole=True)
-        self.state.apply(whole)
-        return None
+        if answer.delta.revision:
+            del self._staged[fetch.address]
+            revision, entries = answer.delta.revision, tuple(staged.values())
+            self.state.apply(state_module.Delta(0, revision, entries, whole=True))
 
     def _fetch(self, address: str, pull: Pull, now_ms: float) -> Fetch | None:
         self._pending = {
@@ -116,13 +119,12 @@
 
 
 def watchers(
-    data_centre: str, names: typing.Iterable[str], cut_off: typing.Container[str]
+    data_centre: str, names: typing.Iterable[str], rank: typing.Callable[[str], int]
 ) -> list[str]:
     """Return the instances of a data centre that watch the platform for the others.
 
-    Those known to be cut off from the platform come last, so others take their place
-    while some may reach it.
+    Those of a lower ``rank`` come first: who is known to reach the platform before
+    who has not tried, and last who has failed.
     """
     order = hashing.rendezvous(f"watch/{data_centre}".encode(), names)
-    order.sort(key=lambda name: name in cut_off)
-    return order[:WATCHERS]
+    return sorted(order, key=rank)[:WATCHERS]
--- a/cornelreach/settings/state.py
+++ b/cornelreach/settings/state.py
@@ -24,8 +24,9 @@
 class Delta(typing.NamedTuple):
     """What changed after ``since``, complete up to ``revision``.
 
-    A delta of a whole state (``whole``) says that a key that is not in it and has no
-    higher version than ``revision`` does not exist.
+    A ``revision`` of 0 marks a page that is not the last. A delta of a whole state
+    (``whole``) says that a key that is not in it and has no higher version than
+    ``revision`` does not exist.
     """
 
     since: int
@@ -48,7 +49,8 @@
     """The aggregate of all held entries.
 
     Deletions are forgotten beyond ``tombstones`` of them; ``horizon`` is the highest
-    version forgotten. An unknown entry at or below it is one that was deleted.
+    version forgotten. An unknown entry at or below the revision is one that was
+    deleted since.
     """
 
     def __init__(self, tombstones: int = TOMBSTONES) -> None:
@@ -94,17 +96,23 @@
         return changed
 
     def delta(
-        self, since: int, limit_bytes: int = DELTA_BYTES, forgotten: bool = False
+        self,
+        since: int,
+        after: int | None = None,
+        limit_bytes: int = DELTA_BYTES,
+        forgotten: bool = False,
     ) -> Delta | None:
         """Return the changes after ``since``, oldest first, up to a size.
 
-        None if deletions after ``since`` are forgotten, unless ``forgotten`` says that
-        the receiver can do without: then only a whole listing helps. An empty receiver
-        (``since`` 0) misses no deletion.
+        A page that is not the last has revision 0; the next one begins ``after`` its
+        last entry. None if deletions after ``since`` are forgotten, unless
+        ``forgotten`` says that the receiver can do without: then only a whole listing
+        helps. An empty receiver (``since`` 0) misses no deletion.
         """
         if 0 < since < self.horizon and not forgotten:
             return None
-        start = bisect.bisect_right(self._order, (since, "\U0010ffff"))
+        first = since if after is None else after
+        start = bisect.bisect_right(self._order, (first, "\U0010ffff"))
         chosen: list[Entry] = []
         size_bytes = 0
         for version, key in self._order[start:]:
@@ -115,7 +123,7 @@
                 continue
             size_bytes += size_of(entry)
             if chosen and size_bytes > limit_bytes:
-                return Delta(since, chosen[-1].version, tuple(chosen))
+                return Delta(since, 0, tuple(chosen))
             chosen.append(entry)
         return Delta(since, self.revision, tuple(chosen))
 
@@ -131,7 +139,7 @@
 
     def _take(self, entry: Entry) -> bool:
         held = self._entries.get(entry.key)
-        known_up_to = self.horizon if held is None else held.version
+        known_up_to = self.revision if held is None else held.version
         if entry.version <= known_up_to:
             return False
         self._count(held, -1)
--- a/cornelreach/settings/sync.py
+++ b/cornelreach/settings/sync.py
@@ -17,7 +17,10 @@
 from cornelreach.settings import items, state as state_module
 from cornelreach.util import events
 
-WATCH_MS = 4_000
+WATCH_MS = 2_500
+PROBE_MS = 500
+MARGIN_MS = 1_000
+MARGIN_LIMIT_MS = 4_000
 RETRY_LIMIT_MS = 2_000
 IDLE_MS = 200
 
@@ -64,7 +67,8 @@
         self.watch_ms = watch_ms
         self.report = report
         self.platform_ok = False
-        self.since: int | None = None
+        self.since = 0
+        self._compacted = False
 
     async def run(self) -> None:
         """Follow the platform until cancelled."""
@@ -76,19 +80,36 @@
     async def step(self) -> float:
         """Do one list or watch and return the delay until the next."""
         floor = self.floor
-        if self.since is None:
+        if self.must_list:
             outcome = await self.objects.list(items.PREFIX)
         else:
-            outcome = await self.objects.watch(items.PREFIX, floor, self.watch_ms)
+            outcome = await self.objects.watch(
+                items.PREFIX, floor, self.wait_ms, self.margin_ms
+            )
         return self.take(outcome, floor)
 
+    @property
+    def must_list(self) -> bool:
+        """Return whether nothing is held to watch from, or too little."""
+        return self._compacted or self.floor == 0
+
+    @property
+    def wait_ms(self) -> int:
+        """Return how long to watch; only briefly after a failure."""
+        return min(PROBE_MS, self.watch_ms) if self.backoff.failures else self.watch_ms
+
+    @property
+    def margin_ms(self) -> int:
+        """Return the time for an answer to come back; longer after a failure."""
+        return min(MARGIN_LIMIT_MS, MARGIN_MS * 2 ** min(self.backoff.failures, 8))
+
     @property
     def floor(self) -> int:
         """Return the revision to watch from; no right answer lies below it.
 
         Peers may have brought the state beyond what the platform told.
         """
-        return max(self.since or 0, self.state.revision)
+        return max(self.since, self.state.revision)
 
     def take(self, outcome: Outcome, floor: int) -> float:
         """Apply the outcome of a list or of a watch from ``floor``.
@@ -106,7 +127,7 @@
             self._listed(found)
         else:
             self._watched(found, floor)
-        return 0
+        return IDLE_MS if self.must_list else 0
 
     def _reached(self, reached: bool) -> None:
         self.platform_ok = reached
@@ -115,7 +136,7 @@
     def _listed(self, found: results.Listing) -> None:
         delta = state_module.Delta(0, found.revision, found.records, whole=True)
         self.state.apply(delta)
-        self.since = found.revision
+        self.since, self._compacted = found.revision, False
         events.emit(LISTED, count=len(found.records), revision=found.revision)
 
     def _watched(self, found: results.Changes, floor: int) -> None:
@@ -132,7 +153,7 @@
 
     def _failed(self, error: results.ReadError | results.WatchError) -> float:
         if isinstance(error, results.Compacted):
-            self.since = None
+            self._compacted = True
             return 0
         self._reached(False)
         events.emit(AWAY, error=error.message, revision=self.state.revision)
