--- a/cornelreach/targets/choice.py
+++ b/cornelreach/targets/choice.py
@@ -8,7 +8,8 @@
 class Candidate(typing.NamedTuple):
     """A target as the chooser sees it; ``fits`` if the request may go there now.
 
-    ``backlog_ms`` estimates how long the prompts sent there still take to be read.
+    ``backlog_ms`` estimates how long the target reads before it reads this call's
+    prompt, ``long_backlog_ms`` the same if more than a short part is not cached there.
     """
 
     target: str
@@ -19,6 +20,7 @@
     out: admission.Load
     limits: admission.Limits
     backlog_ms: float = 0.0
+    long_backlog_ms: float = 0.0
 
 
 class Choice(typing.NamedTuple):
--- a/cornelreach/targets/fairness.py
+++ b/cornelreach/targets/fairness.py
@@ -8,19 +8,22 @@
     queue.add(entry, now_ms)
     for entry in queue.turns(now_ms):
         ...                                   # try to place it
-        queue.take(entry, tokens, now_ms)
+        queue.take(entry, prefill_tokens, now_ms)
 
 A priority orders the calls of one account. Against other accounts only ``BATCH``
 counts, which stands back, as does an account that has spent its token budget. Either
 disadvantage ends after a wait of ``AGE_MS``.
 """
 
+import math
 import typing
 
 from cornelreach.targets import permits
 
 AGE_MS = 4_000
 ACTIVE_MS = 60_000
+RECENT_MS = 4_000
+LONG_PROMPT_TOKENS = 8_000
 TRIES_PER_ACCOUNT = 8
 
 
@@ -67,6 +70,8 @@
         self.tokens = 0
         self.virtual_time = 0.0
         self.out_sequences = 0
+        self._recent_tokens = 0.0
+        self._recent_ms = now_ms
         self._budget_tokens = terms.burst_tokens
         self._filled_ms = now_ms
 
@@ -84,6 +89,20 @@
         self._budget_tokens = max(floor, self._budget_tokens - tokens)
         self.virtual_time += tokens / self.weight
 
+    def recent_tokens(self, now_ms: float) -> float:
+        """Return the prompt tokens sent to be read lately, decayed by age.
+
+        Of a long prompt, which targets read after the short ones, only a part counts.
+        """
+        aged_ms = now_ms - self._recent_ms
+        self._recent_ms = now_ms
+        self._recent_tokens *= math.exp(-aged_ms / RECENT_MS)
+        return self._recent_tokens
+
+    def read(self, tokens: int, now_ms: float) -> None:
+        counted = min(tokens, LONG_PROMPT_TOKENS)
+        self._recent_tokens = self.recent_tokens(now_ms) + counted
+
     def in_order(self, now_ms: float) -> list[Entry]:
         """Return the waiting entries by aged priority, then arrival."""
         return sorted(
@@ -153,12 +172,16 @@
         self.tokens -= entry.tokens
         return entry
 
-    def take(self, entry: Entry, tokens: float, now_ms: float) -> None:
-        """Charge an account for a call that is granted, and count it as out."""
+    def take(self, entry: Entry, prefill_tokens: int, now_ms: float) -> None:
+        """Charge an account for a call that is granted, and count it as out.
+
+        ``prefill_tokens`` is what the target has to read of the prompt.
+        """
         self.remove(entry.name)
         account = self._account(entry.request.account, now_ms)
         self._virtual_time = max(self._virtual_time, account.virtual_time)
-        account.spend(tokens, now_ms)
+        account.spend(prefill_tokens + entry.request.answer_tokens, now_ms)
+        account.read(prefill_tokens, now_ms)
         account.out_sequences += entry.request.sequences
         account.used_ms = now_ms
 
@@ -174,11 +197,20 @@
 
     def fair_sequences(self, account: str, capacity: int, now_ms: float) -> float:
         """Return an account's share by weight of a capacity, among active accounts."""
+        return capacity * self._share(self._account(account, now_ms), now_ms)
+
+    def reads_over_share(
+        self, account: str, tokens_per_s: float, now_ms: float
+    ) -> bool:
+        """Return whether an account lately had more read than its share of a speed."""
         mine = self._account(account, now_ms)
+        share = self._share(mine, now_ms) * tokens_per_s * RECENT_MS / 1_000
+        return mine.recent_tokens(now_ms) > share + LONG_PROMPT_TOKENS
+
+    def _share(self, mine: _Account, now_ms: float) -> float:
         accounts = self._accounts.values()
         active = [one for one in accounts if one is mine or _active(one, now_ms)]
-        weights = sum(one.weight for one in active)
-        return capacity * mine.weight / weights
+        return mine.weight / sum(one.weight for one in active)
 
     def out_sequences(self, account: str) -> int:
         """Return how many sequences of an account are out."""
--- a/cornelreach/targets/member.py
+++ b/cornelreach/targets/member.py
@@ -2,6 +2,8 @@
 
 from cornelreach.targets import admission, choice, pace, permits, sharing
 
+MANY_TOKENS = 1_000_000_000
+
 
 class PoolMember:
     """What a pool's owner keeps for a target."""
@@ -27,27 +29,38 @@
         self._follow_boot()
         load = admission.Load(request.sequences, request.prompt_tokens)
         room = self.admission.room(standing, now_ms)
-        backlog_ms = self.pace.backlog_ms(now_ms)
+        backlog_ms = self.pace.backlog_ms(use.priority(0), now_ms)
         return choice.Candidate(
             target=self.name,
             boot=self.admission.boot,
             cold=self.is_cold(),
-            fits=room.holds(load) and backlog_ms <= use.most_backlog_ms,
+            fits=room.holds(load) and backlog_ms <= pace.AHEAD_MS,
             room=room,
             out=self.admission.out_load,
             limits=self.admission.limits,
             backlog_ms=backlog_ms,
+            long_backlog_ms=self.pace.backlog_ms(use.priority(MANY_TOKENS), now_ms),
         )
 
+    def reads_soon(self, use: sharing.Use, prefill_tokens: int, now_ms: float) -> bool:
+        """Return whether the target starts to read such a prompt soon."""
+        priority = use.priority(prefill_tokens)
+        return self.pace.backlog_ms(priority, now_ms) <= pace.AHEAD_MS
+
     def grant(
-        self, request: permits.PermitRequest, prefill_tokens: int, now_ms: float
+        self,
+        request: permits.PermitRequest,
+        use: sharing.Use,
+        prefill_tokens: int,
+        now_ms: float,
     ) -> None:
         """Count a granted call."""
         self._follow_boot()
         load = admission.Load(request.sequences, request.prompt_tokens)
         self.admission.grant(request.request, load, request.deadline_in_ms, now_ms)
         tokens_per_s = self.admission.limits.prefill_tokens_per_s
-        self.pace.sent(prefill_tokens, tokens_per_s, now_ms)
+        prefill_ms = prefill_tokens / tokens_per_s * 1_000
+        self.pace.sent(prefill_ms, use.priority(prefill_tokens), now_ms)
 
     def release(
         self,
--- a/cornelreach/targets/pace.py
+++ b/cornelreach/targets/pace.py
@@ -1,27 +1,42 @@
 """How far the prompts sent to a target run ahead of what it has read.
 
-An estimate by time alone, from the target's reading speed. It keeps an account that
-borrows from filling a target with prompts that those of others then wait behind.
+An estimate by time alone, from the target's reading speed and its order by priority. It
+keeps calls waiting at the pool's owner, where turns are fair, and not at the target::
+
+    backlog = pace.Pace()
+    backlog.sent(prefill_ms=400.0, priority=0, now_ms=now_ms)
+    backlog.backlog_ms(priority=0, now_ms=now_ms)
 """
 
-AHEAD_MS = 250
+AHEAD_MS = 100
+PRIORITIES = 4
 
 
 class Pace:
-    """The reading backlog of one target."""
+    """The reading backlog of one target, by priority."""
 
     def __init__(self) -> None:
-        self._busy_until_ms = float("-inf")
+        self._left_ms = [0.0] * PRIORITIES
+        self._at_ms: float | None = None
 
-    def backlog_ms(self, now_ms: float) -> float:
-        """Return how long the target still reads."""
-        return max(0.0, self._busy_until_ms - now_ms)
+    def backlog_ms(self, priority: int, now_ms: float) -> float:
+        """Return how long the target reads before a new prompt of a priority."""
+        self._read(now_ms)
+        return sum(self._left_ms[: priority + 1])
 
-    def sent(self, prefill_tokens: int, tokens_per_s: float, now_ms: float) -> None:
+    def sent(self, prefill_ms: float, priority: int, now_ms: float) -> None:
         """Count a prompt."""
-        read_ms = prefill_tokens / tokens_per_s * 1_000
-        self._busy_until_ms = max(now_ms, self._busy_until_ms) + read_ms
+        self._read(now_ms)
+        self._left_ms[priority] += prefill_ms
 
     def reset(self) -> None:
-        """Forget the backlog of a target that started anew."""
-        self._busy_until_ms = float("-inf")
+        """Forget the backlog; the target reads nothing."""
+        self._left_ms = [0.0] * PRIORITIES
+
+    def _read(self, now_ms: float) -> None:
+        spent_ms = 0.0 if self._at_ms is None else max(0.0, now_ms - self._at_ms)
+        self._at_ms = now_ms
+        for priority, left_ms in enumerate(self._left_ms):
+            read_ms = min(left_ms, spent_ms)
+            self._left_ms[priority] = left_ms - read_ms
+            spent_ms -= read_ms
--- a/cornelreach/targets/pool.py
+++ b/cornelreach/targets/pool.py
@@ -322,6 +322,11 @@
         chosen = self.chooser(request, candidates, now_ms)
         if chosen.target not in fitting:
             return False
+        if chosen.prefill_tokens is None:
+            chosen = chosen._replace(prefill_tokens=request.prompt_tokens)
+        held = self.members[chosen.target]
+        if not held.reads_soon(use, chosen.prefill_tokens, now_ms):
+            return False
         self._grant(entry, chosen, use, now_ms)
         return True
 
@@ -333,14 +338,10 @@
         now_ms: float,
     ) -> None:
         request = entry.request
-        prefill_tokens = chosen.prefill_tokens
-        if prefill_tokens is None:
-            prefill_tokens = request.prompt_tokens
-        cost = prefill_tokens + request.answer_tokens
-        self.queue.take(entry, cost, now_ms)
+        self.queue.take(entry, chosen.prefill_tokens, now_ms)
         self.drain.granted(entry.tokens, len(self.queue) > 0, now_ms)
         held = self.members[chosen.target]
-        held.grant(request, prefill_tokens, now_ms)
+        held.grant(request, use, chosen.prefill_tokens, now_ms)
         permit = permits.Permit(
             permit=request.request,
             pool=self.name,
@@ -351,7 +352,7 @@
             prompt_tokens=request.prompt_tokens,
             exclusive=held.is_cold(),
             plan=chosen.plan,
-            target_priority=use.target_priority,
+            target_priority=use.priority(chosen.prefill_tokens),
         )
         self._granted[request.request] = (permit, request.account)
         self._decisions.append(Decision(request.request, result.Success(permit)))
--- a/cornelreach/targets/sharing.py
+++ b/cornelreach/targets/sharing.py
@@ -1,16 +1,16 @@
 """How much of a pool an account may hold beside the others.
 
-An account within its share by weight takes any room. Beyond it, it borrows: it leaves
-``RESERVE_SHARE`` of the pool free and sends no prompts ahead of the targets' reading,
-so that a call of another account finds room at once and waits behind little.
+An account within its share by weight, of sequences and of reading speed, takes any
+room, and the targets read its prompts first. Beyond its share or its token budget it
+borrows: it leaves ``RESERVE_SHARE`` of the pool free and is read last, so that a call
+of another account finds room at once and waits behind little.
 """
 
 import typing
 
-from cornelreach.targets import admission, fairness, pace, permits
+from cornelreach.targets import admission, fairness, permits
 
 RESERVE_SHARE = 0.125
-LONG_PROMPT_TOKENS = 8_000
 
 
 class Supply(typing.NamedTuple):
@@ -18,19 +18,19 @@
 
     capacity: admission.Load
     free: admission.Load
+    tokens_per_s: float
 
 
 class Use(typing.NamedTuple):
-    """How a call may use the pool now; ``target_priority`` goes to the target."""
+    """How a call may use the pool now."""
 
     allowed: bool
-    borrows: bool
-    target_priority: int
+    stands_back: bool
 
-    @property
-    def most_backlog_ms(self) -> float:
-        """Return the backlog above which a target is passed over."""
-        return pace.AHEAD_MS if self.borrows else float("inf")
+    def priority(self, prefill_tokens: int) -> int:
+        """Return the target's priority for a call; a lower value is read first."""
+        is_long = prefill_tokens > fairness.LONG_PROMPT_TOKENS
+        return 2 * self.stands_back + is_long
 
 
 def use_of(
@@ -40,11 +40,15 @@
     request = entry.request
     share = queue.fair_sequences(request.account, supply.capacity.sequences, now_ms)
     held = queue.out_sequences(request.account) + request.sequences
-    over = held > max(1.0, share)
-    borrows = over or queue.borrows(request.account, now_ms)
+    borrows = (
+        held > max(1.0, share)
+        or queue.borrows(request.account, now_ms)
+        or queue.reads_over_share(request.account, supply.tokens_per_s, now_ms)
+    )
     patient = now_ms - entry.arrived_ms >= fairness.AGE_MS and held <= 1
     allowed = not borrows or patient or _leaves_reserve(request, supply)
-    return Use(allowed, borrows, _target_priority(request, borrows))
+    batch = request.priority is permits.Priority.BATCH
+    return Use(allowed, stands_back=borrows or batch)
 
 
 def _leaves_reserve(request: permits.PermitRequest, supply: Supply) -> bool:
@@ -55,12 +59,6 @@
     ) and tokens >= int(supply.capacity.tokens * RESERVE_SHARE)
 
 
-def _target_priority(request: permits.PermitRequest, borrows: bool) -> int:
-    if borrows or request.priority is permits.Priority.BATCH:
-        return 2
-    return 1 if request.prompt_tokens > LONG_PROMPT_TOKENS else 0
-
-
 def supply_of(
     targets: typing.Iterable[admission.TargetAdmission],
     standing: admission.Standing,
@@ -68,6 +66,7 @@
 ) -> Supply:
     """Return what the targets bear together, and what of it is free."""
     sequences = tokens = free_sequences = free_tokens = 0
+    tokens_per_s = 0.0
     for target in targets:
         most = target.most()
         room = target.room(standing, now_ms)
@@ -75,5 +74,7 @@
         tokens += most.tokens
         free_sequences += room.sequences
         free_tokens += room.tokens
+        tokens_per_s += target.limits.prefill_tokens_per_s
     capacity = admission.Load(sequences, tokens)
-    return Supply(capacity, admission.Load(free_sequences, free_tokens))
+    free = admission.Load(free_sequences, free_tokens)
+    return Supply(capacity, free, tokens_per_s)
