--- a/standins/bench/figures.py
+++ b/standins/bench/figures.py
@@ -177,6 +177,72 @@
     ]
 
 
+class Others(typing.NamedTuple):
+    """First-token p95 of all accounts but the largest, without and with its burst.
+
+    ``worst_ratio`` is the largest growth of one account's.
+    """
+
+    policy: str
+    calls: int
+    before_p95_ms: float
+    after_p95_ms: float
+    worst_account: str
+    worst_ratio: float
+    burst_done: int
+    refused: int
+
+    def text(self) -> str:
+        """Return one line for people."""
+        growth = self.after_p95_ms / max(1.0, self.before_p95_ms)
+        return (
+            f"{self.policy}: {self.calls} calls of other accounts, p95"
+            f" {self.before_p95_ms:.0f} ms without and {self.after_p95_ms:.0f} ms with"
+            f" the burst ({growth:.2f}); worst {self.worst_account}"
+            f" {self.worst_ratio:.2f}; burst calls done {self.burst_done};"
+            f" others refused {self.refused}"
+        )
+
+
+def others(
+    policy: str, before: site_module.Site, after: site_module.Site, from_ms: float
+) -> Others:
+    """Compare two runs of a policy, the second with a burst from ``from_ms``."""
+    large = "account-0"
+    groups = [_others_of(site, large, from_ms) for site in (before, after)]
+    waits = [
+        {account: percentile(_waits(calls), 0.95) for account, calls in group.items()}
+        for group in groups
+    ]
+    ratios = {
+        account: waits[1].get(account, 0.0) / max(1.0, wait)
+        for account, wait in waits[0].items()
+    }
+    worst = max(ratios, key=ratios.__getitem__)
+    calls = [[one for part in group.values() for one in part] for group in groups]
+    burst = [one for one in after.records if one.call.name.startswith("burst-")]
+    return Others(
+        policy=policy,
+        calls=len(calls[1]),
+        before_p95_ms=percentile(_waits(calls[0]), 0.95),
+        after_p95_ms=percentile(_waits(calls[1]), 0.95),
+        worst_account=worst,
+        worst_ratio=ratios[worst],
+        burst_done=sum(one.outcome == DONE for one in burst),
+        refused=_refused(calls[1]),
+    )
+
+
+def _others_of(
+    site: site_module.Site, large: str, from_ms: float
+) -> dict[str, list[site_module.Record]]:
+    groups = collections.defaultdict(list)
+    for one in site.records:
+        if one.call.at_ms >= from_ms and one.call.account != large:
+            groups[one.call.account].append(one)
+    return groups
+
+
 COLUMNS: tuple[tuple[str, typing.Callable[[Figures], str]], ...] = (
     ("policy", lambda one: one.policy),
     ("TTFT p50 ms", lambda one: f"{one.first_token_p50_ms:.0f}"),
--- a/standins/bench/owner.py
+++ b/standins/bench/owner.py
@@ -18,7 +18,7 @@
 from cornelreach.targets import admission, choice, permits, pool as pool_module
 from cornelreach.util import hashing, timers
 from standins import kvcache, profiles, storemodel
-from standins.bench import moves, site as site_module
+from standins.bench import keeper, moves, site as site_module
 
 REPORT_MS = 500.0
 EVENTS_MS = 100.0
@@ -40,6 +40,7 @@
         self.directory = directory_module.Directory()
         self.links = links.Links()
         self.placement = placement.Placement(self.directory, self.links)
+        self.keeper = keeper.Keeper(site, name, targets, self.directory, self.links)
         self.plans: dict[str, plans.Plan] = {}
         self.prompts: dict[str, pieces.PromptPieces] = {}
         self.queued_tokens = dict.fromkeys(targets, 0)
@@ -101,6 +102,9 @@
         seen, after = holder.events.after(seq)
         batch = [directory_module.CacheEvent(e.seq, e.op, e.key) for e in seen]
         applied = self.directory.events(name, boot, batch, after)
+        if applied is directory_module.Applied.NEW_BOOT and name in self.targets:
+            self.placement.target_lost(name)
+            self.keeper.restarted(name)
         if applied is not directory_module.Applied.APPLIED or self.directory.stale(
             name
         ):
@@ -175,6 +179,7 @@
             now_ms = self.site.timers.now_ms()
             plan = self.plans[request]
             self.placement.dispatched(request, self.prompts[request], plan, now_ms)
+            self.keeper.placed(self.prompts[request])
         decided(answer)
 
     def _tick(self) -> None:
@@ -197,7 +202,9 @@
         )
         for callback in self._after.pop(permit.permit, ()):
             callback()
-        self.prompts.pop(permit.permit, None)
+        prompt = self.prompts.pop(permit.permit)
+        if outcome is permits.Outcome.DONE:
+            self.keeper.computed(prompt)
         self.plans.pop(permit.permit, None)
 
     def export(self, keys, source) -> None:
--- a/standins/bench/policy.py
+++ b/standins/bench/policy.py
@@ -63,7 +63,9 @@
             self._summaries[name] = owner.summary(self._revision)
 
     def changed(self) -> None:
-        """Do nothing: a pool in a data centre that is out is not asked."""
+        """Tell the owners, whose copies go elsewhere from now on."""
+        for owner in self.owners.values():
+            owner.keeper.configure()
 
     def offer(self, record: site_module.Record) -> None:
         """Ask the owners of the best pools in turn for a permit."""
--- a/standins/load.py
+++ b/standins/load.py
@@ -38,6 +38,17 @@
         return len(self.keys) * profiles.PIECE_TOKENS + self.tail_tokens
 
 
+class Burst(typing.NamedTuple):
+    """Extra calls of the largest account about documents that nobody has read.
+
+    ``rate`` is a share of the nominal load.
+    """
+
+    from_ms: float
+    until_ms: float
+    rate: float
+
+
 class _Document(typing.NamedTuple):
     name: str
     account: str
@@ -139,11 +150,34 @@
         return [call for call in self.calls if call.at_ms < end_ms]
 
 
+def burst_calls(profile: profiles.Profile, seed: int, burst: Burst) -> list[Call]:
+    """Return the calls of a burst, which differ in name from those of a schedule."""
+    callers = _Callers(profile, seed, burst.rate)
+    account = callers.accounts[0]
+    rate = burst.rate * profile.nominal_calls_per_s
+    at_ms = burst.from_ms
+    while (at_ms := at_ms + callers.random.expovariate(rate) * 1_000) < burst.until_ms:
+        tokens = callers.random.randint(*profile.document_tokens)
+        name = f"burst-{len(callers.calls)}"
+        count, tail = divmod(tokens, profiles.PIECE_TOKENS)
+        keys = piece_keys(account, READER, name, count)
+        document = _Document(name, account, tokens)
+        edge = callers.random.choice(profile.data_centres)
+        callers.add(document, at_ms, READER, keys, tail, profiles.ANSWER_TOKENS, edge)
+    return [call._replace(name=f"burst-{call.name}") for call in callers.calls]
+
+
 def schedule(
-    profile: profiles.Profile, seed: int, seconds: float, rate: float = 1.0
+    profile: profiles.Profile,
+    seed: int,
+    seconds: float,
+    rate: float = 1.0,
+    burst: Burst | None = None,
 ) -> list[Call]:
     """Return the calls of a run in order of time; ``rate`` 1.0 is the nominal load."""
     calls = _Callers(profile, seed, rate).run(seconds * 1_000)
+    if burst is not None:
+        calls += burst_calls(profile, seed, burst)
     return sorted(calls, key=lambda call: (call.at_ms, call.name))
 
 
--- a/standins/measure.py
+++ b/standins/measure.py
@@ -12,6 +12,9 @@
   --plot=PATH       Write a PNG plot.
   --policy=NAME     Run only policies whose name contains this.
   --quiet-site      No cold engine, no take-out.
+  --burst=SHARE     Instead of the table, compare the other accounts of each policy with
+                    and without a burst of the largest account, by this share of the
+                    nominal load, over the second half of a quiet run.
 
 The schedule is made once. Each policy meets the same calls on its own copy of the
 fleet. Figures count from a third of the run on; before, caches fill. At 0.4 a reader
@@ -84,6 +87,24 @@
     return [policy for policy in every if wanted in policy.name]
 
 
+def run_burst(
+    profile: profiles.Profile, seed: int, seconds: float, share: float, wanted: str
+) -> list[figures.Others]:
+    """Return what the other accounts met with and without a burst."""
+    end_ms = seconds * 1_000
+    burst = load.Burst(end_ms / 2, end_ms, share)
+    rows = []
+    for number, policy in enumerate(policies(wanted)):
+        sites = []
+        for extra in (None, burst):
+            calls = load.schedule(profile, seed, seconds, burst=extra)
+            site = site_module.Site(profile, calls, site_module.Script(), seed)
+            site.run(policies(wanted)[number], end_ms, end_ms * WARM_SHARE)
+            sites.append(site)
+        rows.append(figures.others(policy.name, *sites, burst.from_ms))
+    return rows
+
+
 def _heading(experiment: Experiment, rate: float) -> str:
     profile = experiment.profile
     return (
@@ -132,6 +153,14 @@
         experiment = _experiment(flags)
     except errors.UserError as error:
         raise SystemExit(f"measure: {error}") from None
+    if flags["--burst"]:
+        seconds, share = experiment.end_ms / 1_000, float(flags["--burst"])
+        wanted = flags["--policy"] or ""
+        for row in run_burst(
+            experiment.profile, experiment.seed, seconds, share, wanted
+        ):
+            print(row.text())
+        return
     heading = _heading(experiment, float(flags["--rate"]))
     print(heading, flush=True)
     rows = []
