Add breakers of targets and the budget of retries

A call far slower than the target's own calls before makes the owner ask for the boot. Retries are a share of an account's first tries.

--- a/cornelreach/targets/member.py
+++ b/cornelreach/targets/member.py
@@ -1,7 +1,21 @@
 """One target as a member of its pool: admission, pace and breaker together."""
 
-from cornelreach.targets import admission, choice, pace, permits, sharing
+from cornelreach.targets import (
+    admission,
+    breakers,
+    choice,
+    pace,
+    permits,
+    sharing,
+)
 
+FAILURES = frozenset(
+    {
+        permits.Outcome.FAILED,
+        permits.Outcome.CONNECTION_LOST,
+        permits.Outcome.TIMED_OUT,
+    }
+)
 MANY_TOKENS = 1_000_000_000
 
 
@@ -13,6 +27,7 @@
         self.admission = admission.TargetAdmission(name, limits)
         self.pace = pace.Pace()
         self._paced_boot = ""
+        self._expected_ms: dict[str, float] = {}
 
     def is_cold(self) -> bool:
         """Return whether the target takes only its cold limit."""
@@ -60,7 +75,19 @@
         self.admission.grant(request.request, load, request.deadline_in_ms, now_ms)
         tokens_per_s = self.admission.limits.prefill_tokens_per_s
         prefill_ms = prefill_tokens / tokens_per_s * 1_000
-        self.pace.sent(prefill_ms, use.priority(prefill_tokens), now_ms)
+        priority = use.priority(prefill_tokens)
+        backlog_ms = self.pace.backlog_ms(priority, now_ms)
+        self._expected_ms[request.request] = backlog_ms + prefill_ms
+        self.pace.sent(prefill_ms, priority, now_ms)
+
+    def sample(self, release: permits.Release) -> breakers.Sample | None:
+        """Return what the end of a call says about the target, None if nothing."""
+        expected_ms = self._expected_ms.get(release.permit, 0.0)
+        if release.outcome is permits.Outcome.DONE:
+            return breakers.Sample(True, release.first_token_ms, expected_ms)
+        if release.outcome in FAILURES:
+            return breakers.Sample(False)
+        return None
 
     def release(
         self,
@@ -69,9 +96,15 @@
         now_ms: float,
     ) -> None:
         """Take a permit back."""
+        self._expected_ms.pop(release.permit, None)
         self.admission.release(release, standing, now_ms)
 
+    def forget(self, permit: str) -> None:
+        """Drop what is kept for a permit that ended without a release."""
+        self._expected_ms.pop(permit, None)
+
     def _follow_boot(self) -> None:
         if self.admission.boot != self._paced_boot:
             self._paced_boot = self.admission.boot
+            self._expected_ms.clear()
             self.pace.reset()
--- a/cornelreach/targets/pool.py
+++ b/cornelreach/targets/pool.py
@@ -20,6 +20,7 @@
 
 from cornelreach.targets import (
     admission,
+    breakers,
     choice,
     drain,
     fairness,
@@ -77,6 +78,7 @@
         self.members: dict[str, member.PoolMember] = {}
         self.queue = fairness.FairQueue(self._terms_of)
         self.drain = drain.DrainRate()
+        self.breakers = breakers.Ring()
         self._granted: dict[str, tuple[permits.Permit, str]] = {}
         self._ended: collections.OrderedDict[str, errors.Refusal] = (
             collections.OrderedDict()
@@ -97,6 +99,7 @@
         """Follow the settings: new targets join, others leave or change limits."""
         for name in set(self.members) - set(limits):
             del self.members[name]
+        self.breakers.keep(limits)
         for name, one in limits.items():
             if name not in self.members:
                 self.members[name] = member.PoolMember(name, one)
@@ -140,6 +143,7 @@
         self._remember(release.permit, refusals.ended())
         held = self.members.get(release.target)
         if held is not None:
+            self._judge(held, release, now_ms)
             held.release(release, self.standing, now_ms)
 
     def report(self, report: permits.Report, now_ms: float) -> None:
@@ -245,6 +249,24 @@
         self._remember(name, refusal)
         self._decisions.append(Decision(name, result.Failure(refusal)))
 
+    def _judge(
+        self, held: member.PoolMember, release: permits.Release, now_ms: float
+    ) -> None:
+        """Let the breaker learn from the end of a permit that is out."""
+        if release.permit not in held.admission.out:
+            return
+        sample = held.sample(release)
+        if sample is None:
+            self.breakers.of(held.name).dropped()
+            return
+        if self.breakers.of(held.name).is_sudden(sample):
+            held.admission.suspect(now_ms)
+        self.breakers.record(held.name, sample, now_ms)
+
+    def _usable(self, now_ms: float) -> list[member.PoolMember]:
+        usable = self.breakers.usable(list(self.members), now_ms)
+        return [one for name, one in self.members.items() if name in usable]
+
     def _remember(self, name: str, refusal: errors.Refusal) -> None:
         self._ended[name] = refusal
         while len(self._ended) > ENDED_KEPT:
@@ -262,12 +284,16 @@
     def _forget_dropped(self) -> None:
         for name, (permit, _) in list(self._granted.items()):
             held = self.members.get(permit.target)
-            if held is None or name not in held.admission.out:
+            if held is None:
+                self._end_grant(name)
+            elif name not in held.admission.out:
+                held.forget(name)
+                self.breakers.of(held.name).dropped()
                 self._end_grant(name)
 
     def _supply(self, now_ms: float) -> sharing.Supply:
         return sharing.supply_of(
-            [one.admission for one in self.members.values()], self.standing, now_ms
+            [one.admission for one in self._usable(now_ms)], self.standing, now_ms
         )
 
     def _dispatch(self, now_ms: float) -> None:
@@ -313,8 +339,8 @@
         request = entry.request
         candidates = [
             one.candidate(request, use, self.standing, now_ms)
-            for name, one in self.members.items()
-            if name not in request.excluded and name != kept
+            for one in self._usable(now_ms)
+            if one.name not in request.excluded and one.name != kept
         ]
         fitting = {one.target for one in candidates if one.fits}
         if not fitting:
@@ -342,6 +368,7 @@
         self.drain.granted(entry.tokens, len(self.queue) > 0, now_ms)
         held = self.members[chosen.target]
         held.grant(request, use, chosen.prefill_tokens, now_ms)
+        self.breakers.of(held.name).sent()
         permit = permits.Permit(
             permit=request.request,
             pool=self.name,
--- /dev/null
+++ b/test/targets/test_breakers.py
@@ -0,0 +1,118 @@
+"""Tests of breakers and of the retry budget."""
+
+import unittest
+
+from cornelreach.targets import breakers, permits, retries
+from cornelreach.util import errors
+from test.targets import test_fairness
+
+OK = breakers.Sample(True, 100.0, 100.0)
+BAD = breakers.Sample(False)
+NAMES = ["e1", "e2", "e3", "e4"]
+
+
+class RingTest(unittest.TestCase):
+    def setUp(self):
+        self.ring = breakers.Ring()
+
+    def fail(self, *names, now_ms=0.0):
+        for name in names:
+            for _ in range(breakers.FAILURES_TO_OPEN):
+                self.ring.record(name, BAD, now_ms)
+
+    def test_opens_after_failures_in_a_row_only(self):
+        for _ in range(breakers.FAILURES_TO_OPEN - 1):
+            self.ring.record("e1", BAD, 0.0)
+        self.ring.record("e1", OK, 0.0)
+        self.ring.record("e1", BAD, 0.0)
+        self.assertEqual(self.ring.usable(NAMES, 0.0), set(NAMES))
+        self.fail("e1")
+        self.assertEqual(self.ring.usable(NAMES, 0.0), {"e2", "e3", "e4"})
+
+    def test_never_ejects_more_than_a_share(self):
+        self.fail("e2", now_ms=1.0)
+        self.fail("e1", now_ms=2.0)
+        self.fail("e3", "e4", now_ms=3.0)
+        self.assertEqual(self.ring.usable(NAMES, 4.0), {"e3", "e4"})
+        self.assertEqual(self.ring.usable(["e1"], 4.0), {"e1"})
+
+    def test_one_probe_at_a_time_closes_or_opens_for_longer(self):
+        self.fail("e1")
+        later_ms = float(breakers.OPEN_MS)
+        self.assertIn("e1", self.ring.usable(NAMES, later_ms))
+        self.ring.of("e1").sent()
+        self.assertNotIn("e1", self.ring.usable(NAMES, later_ms))
+        self.ring.record("e1", BAD, later_ms)
+        self.assertNotIn("e1", self.ring.usable(NAMES, later_ms * 2))
+        for _ in range(breakers.PROBES_TO_CLOSE):
+            self.ring.of("e1").sent()
+            self.ring.record("e1", OK, later_ms * 4)
+        self.assertFalse(self.ring.of("e1").is_open)
+
+    def test_slow_against_its_peers(self):
+        slow = breakers.Sample(True, 2_000.0, 100.0)
+        for _ in range(3 * breakers.SLOW_SAMPLES):
+            for name in NAMES[1:]:
+                self.ring.record(name, OK, 0.0)
+            self.ring.record("e1", slow, 0.0)
+        self.assertNotIn("e1", self.ring.usable(NAMES, 0.0))
+
+    def test_all_slow_alike_ejects_none(self):
+        slow = breakers.Sample(True, 2_000.0, 100.0)
+        for _ in range(3 * breakers.SLOW_SAMPLES):
+            for name in NAMES:
+                self.ring.record(name, slow, 0.0)
+        self.assertEqual(self.ring.usable(NAMES, 0.0), set(NAMES))
+
+
+class OwnerTest(unittest.TestCase):
+    def test_owner_passes_over_an_ejected_target(self):
+        owner = test_fairness.warm_owner(targets=2)
+        for number in range(breakers.FAILURES_TO_OPEN):
+            owner.breakers.record("e0", BAD, float(number))
+        for number in range(4):
+            permit = owner.request(test_fairness.ask(f"{number}", tokens=10), 10.0)
+            self.assertEqual(permit.unwrap().target, "e1")
+        waits = owner.request(test_fairness.ask("4", tokens=10), 10.0).unwrap()
+        self.assertIsInstance(waits, permits.Queued)
+
+    def test_sudden_rise_asks_for_the_boot(self):
+        owner = test_fairness.warm_owner()
+        for number in range(breakers.SLOW_SAMPLES + 1):
+            name, now_ms = str(number), number * 1_000.0
+            owner.request(test_fairness.ask(name, tokens=10), now_ms)
+            slow = number == breakers.SLOW_SAMPLES
+            done = permits.Release(
+                name, "e0", permits.Outcome.DONE, "", 5_000.0 if slow else 5.0
+            )
+            self.assertEqual(owner.probes(), [])
+            owner.release(done, now_ms + 1)
+        self.assertEqual(owner.probes(), ["e0"])
+
+
+class RetryTest(unittest.TestCase):
+    def setUp(self):
+        self.budgets = retries.RetryBudgets(share=0.1)
+        self.not_run = retries.Failed(1, errors.Ran.NOT_RUN)
+
+    def test_budget_is_a_share_of_first_tries_for_each_account(self):
+        for _ in range(1_000):
+            self.budgets.first_try("a")
+            self.budgets.may_retry("a", self.not_run)
+        allowed = [self.budgets.may_retry("a", self.not_run) for _ in range(5)]
+        self.assertNotIn(True, allowed[1:])
+        for _ in range(10):
+            self.budgets.first_try("a")
+        self.assertTrue(self.budgets.may_retry("a", self.not_run))
+        self.assertTrue(self.budgets.may_retry("b", self.not_run))
+
+    def test_only_what_may_run_again(self):
+        once = self.not_run._replace(repeatable=False)
+        self.assertTrue(self.budgets.may_retry("a", once))
+        for ran in (errors.Ran.UNKNOWN, errors.Ran.RAN):
+            failed = once._replace(ran=ran)
+            self.assertFalse(self.budgets.may_retry("a", failed))
+        answered = self.not_run._replace(answered=True)
+        self.assertFalse(self.budgets.may_retry("a", answered))
+        spent = self.not_run._replace(tries=retries.MOST_TRIES)
+        self.assertFalse(self.budgets.may_retry("a", spent))
