Run each instance as a member of the fleet, with reports and direct orders

Cause: the daemon knew its peers from the platform's list alone, recorded nothing, and took no take-out from an operator while the platform is away. Change: heartbeats, relayed settings, watchers and the call budget replace the roster; the reporter feeds metrics and burn; the admin address takes directives. A site binds its instances to a loopback address of its own: two test runs at once could both be given one free port, and an instance that ended was waited for 20 s.

--- a/cornelreach/instance.py
+++ b/cornelreach/instance.py
@@ -12,8 +12,6 @@
 import ssl
 import typing
 
-from returns import result
-
 from cornelreach.calls import (
     api,
     chatflow,
@@ -24,10 +22,16 @@
     serviceflow,
     streams,
 )
-from cornelreach.fleet import roster as roster_module
+from cornelreach.fleet import (
+    beats,
+    directory as directory_module,
+    membership,
+    news,
+    node,
+)
 from cornelreach.http import client as http_client, limits, server
 from cornelreach.peers import wire
-from cornelreach.platform import backoff, client as platform_client
+from cornelreach.platform import backoff, budget, client as platform_client
 from cornelreach.pools import (
     desk as desk_module,
     methods,
@@ -35,11 +39,11 @@
     placer as placer_module,
     prober,
 )
+from cornelreach.reports import metrics, reporter
 from cornelreach.settings import items, state as state_module, sync, view
 from cornelreach.targets import admission
 from cornelreach.util import events, timers
 
-ROSTER_MS = 1_000
 RECONFIGURE_MS = 200
 SETTLE_MS = 5
 FORGET_MS = 60_000
@@ -91,26 +95,26 @@
     def __init__(
         self,
         settings: Settings,
-        observer: chatflow.Observer,
         ring: typing.Callable[[], streams.KeyRing],
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self.settings = settings
         self.boot = os.urandom(8).hex()
         self.draining = False
+        self.superseded = asyncio.Event()
         self._reconfiguring = False
         self.tls = tls
         self.clock = timers.LoopTimers()
         self.http = http_client.Client()
         self.state = state_module.State()
         self.view = view.View(self.state)
-        self.roster = roster_module.Roster(
-            settings.name, settings.data_centre, settings.peer_address
-        )
+        self.random = random.Random(self.boot)
         self._build_peers()
         self._build_platform()
+        self._build_fleet()
         self._build_pools()
-        self._build_calls(observer, ring)
+        self._build_reports()
+        self._build_calls(ring)
         self._tasks: list[asyncio.Task[None]] = []
         self._notices: set[asyncio.Task[None]] = set()
         self.server: server.Server | None = None
@@ -121,9 +125,51 @@
 
     def _build_platform(self) -> None:
         address = http_client.parse_address(self.settings.platform)
-        self.platform = platform_client.Client(self.http, address)
-        self.random = random.Random(self.boot)
-        self.sync = sync.Sync(self.platform, self.state, backoff.Backoff(self.random))
+        now_ms = self.clock.now_ms()
+        self.budget = budget.Budget(1, now_ms, self.random)
+        self.platform = self._objects(address, budget.Purpose.SETTINGS)
+        self.claim_objects = self._objects(address, budget.Purpose.CLAIM)
+        self.list_objects = self._objects(address, budget.Purpose.MEMBERSHIP)
+        self.pool_objects = self._objects(address, budget.Purpose.OWNERSHIP)
+
+    def _objects(
+        self, address: http_client.Address, purpose: budget.Purpose
+    ) -> platform_client.Client:
+        gate = budget.Gate(self.budget, purpose, self.clock.now_ms, asyncio.sleep)
+        return platform_client.Client(self.http, address, gate.enter, told=gate.told)
+
+    def _build_fleet(self) -> None:
+        settings = self.settings
+        me = news.Identity(
+            settings.name,
+            self.boot,
+            int(self.clock.wall_ms()),
+            settings.data_centre,
+            settings.peer_address,
+        )
+        now_ms = self.clock.now_ms()
+        self.node = node.Node(me, self.state, self.random, now_ms)
+        self.members = directory_module.Directory(self.node, self.clock)
+        self.beats = beats.Beats(
+            self.node,
+            self.peers,
+            self.peer_server,
+            self.list_objects,
+            self.clock,
+            self._member_event,
+        )
+        self.sync = sync.Sync(
+            self.platform,
+            self.state,
+            backoff.Backoff(self.random, limit_ms=sync.RETRY_LIMIT_MS),
+            watching=self.beats.watching,
+            report=self.beats.report,
+        )
+
+    def _member_event(self, event: membership.Event) -> None:
+        self.budget.resize(max(1, len(self.members.addresses())))
+        if isinstance(event, membership.Superseded):
+            self.superseded.set()
 
     def _build_pools(self) -> None:
         self.desk = desk_module.Desk(self.settings.name, self.clock, self)
@@ -131,7 +177,7 @@
             self.http, self.clock, self.desk, lambda: self.view.targets
         )
         self.placer = placer_module.Placer(
-            self.sender, self.clock, self.view, self.peers, self.roster, self.desk
+            self.sender, self.clock, self.view, self.peers, self.members, self.desk
         )
         self.peer_server.register(methods.ASK, self.desk.ask)
         self.peer_server.register(methods.RELEASE, self.desk.release)
@@ -139,11 +185,19 @@
         self.clock.every(RECONFIGURE_MS, self._configure_desk)
         self.state.subscribe(lambda _: self._settings_changed())
 
-    def _build_calls(
-        self,
-        observer: chatflow.Observer,
-        ring: typing.Callable[[], streams.KeyRing],
-    ) -> None:
+    def _build_reports(self) -> None:
+        self.metrics = metrics.Metrics()
+        self.reporter = reporter.Reporter(
+            self.settings.name, self.boot, self.view, self.clock, self.metrics
+        )
+        gauge = self.metrics.gauge
+        gauge("settings_revision", lambda: self.state.revision)
+        gauge("platform_reachable", lambda: int(bool(self.beats.platform_ok)))
+        gauge("connections", lambda: len(self.server.connections))
+        gauge("peers", lambda: len(self.node.membership.serving()))
+        gauge("pools_owned", lambda: len(self.desk.owners))
+
+    def _build_calls(self, ring: typing.Callable[[], streams.KeyRing]) -> None:
         identity = chatflow.Identity(self.settings.name, self.boot)
         parts = chatflow.Parts(
             self.clock,
@@ -151,7 +205,7 @@
             self.view,
             self.placer,
             ring,
-            observer,
+            self.reporter,
             Unlimited(),
             identity,
         )
@@ -165,9 +219,9 @@
         name = self.settings.name
         self.claims = claims.Claims(
             name,
-            self.platform,
+            self.claim_objects,
             self.peers,
-            self.roster.addresses,
+            self.members.addresses,
             self.clock,
             lambda: self.view.defaults.claim_retention_ms,
         )
@@ -197,7 +251,7 @@
         targets = self.view.pool(pool_name)
         if not targets:
             return ""
-        return self.roster.owner(pool_name, targets[0].data_centre)
+        return self.members.owner(pool_name, targets[0].data_centre)
 
     def standing(self, pool_name: str) -> admission.Standing:
         """Return this instance's right to admit to cold targets of a pool."""
@@ -229,7 +283,7 @@
         return notices.Nothing()
 
     def _announce(self, notice: notices.Resumed) -> None:
-        address = self.roster.address(notice.instance)
+        address = self.members.address(notice.instance)
         if not address:
             return
         call = self.peers.call(address, methods.RESUMED, notice, NOTICE_WAIT_MS)
@@ -237,20 +291,14 @@
         self._notices.add(task)
         task.add_done_callback(self._notices.discard)
 
-    async def _follow_instances(self) -> None:
-        while True:
-            found = await self.platform.instances()
-            if isinstance(found, result.Success):
-                self.roster.update(found.unwrap())
-            await asyncio.sleep(ROSTER_MS / 1_000)
-
     async def start(self) -> None:
         """Listen for peers and callers and follow the platform."""
         settings = self.settings
         await self.peer_server.start(settings.peer_listen)
         self._tasks = [
             asyncio.ensure_future(self.sync.run()),
-            asyncio.ensure_future(self._follow_instances()),
+            asyncio.ensure_future(self.beats.run()),
+            asyncio.ensure_future(self.beats.follow()),
         ]
         host, _, port = settings.listen.rpartition(":")
         self.server = await server.start(
@@ -263,6 +311,8 @@
     async def stop(self) -> None:
         """Turn new calls away, finish those in progress, then close."""
         self.draining = True
+        self.node.membership.leave(self.clock.now_ms())
+        self.beats.tick()
         name = self.settings.name
         events.emit(DRAINING, name=name, calls=len(self.server.connections))
         self.server.stop_listening()
--- a/cornelreach/ui/admin.py
+++ b/cornelreach/ui/admin.py
@@ -3,13 +3,17 @@
 import hmac
 import typing
 
+import msgspec
+from returns import result
+
 from cornelreach import instance as instance_module
 from cornelreach.http import messages, server
+from cornelreach.settings import items
 from cornelreach.util import errors
 
+DATA_CENTRE_PREFIX = "/admin/data-centres/"
 METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
-Render = typing.Callable[[], bytes]
 KeySource = typing.Callable[[], str]
 
 
@@ -19,12 +23,10 @@
     def __init__(
         self,
         instance: instance_module.Instance,
-        render: Render,
         operator_key: KeySource,
         drain: typing.Callable[[], None],
     ) -> None:
         self.instance = instance
-        self.render = render
         self.operator_key = operator_key
         self.drain = drain
 
@@ -36,7 +38,7 @@
             return self._ready()
         if request.path == "/metrics":
             kind = ((b"content-type", METRICS_TYPE),)
-            return messages.Response(200, self.render(), kind)
+            return messages.Response(200, self.instance.metrics.render(), kind)
         if request.path.startswith("/admin/"):
             self._authorize(request)
             return await self._operate(request)
@@ -67,8 +69,38 @@
         if (request.method, request.path) == ("POST", "/admin/drain"):
             self.drain()
             return messages.json_response(202, {"state": "draining"})
+        if (request.method, request.path) == ("GET", "/admin/burn"):
+            return messages.json_response(200, self.instance.reporter.export())
+        if request.method == "POST" and request.path.startswith(DATA_CENTRE_PREFIX):
+            return self._direct(request)
         raise server.Refused(_not_found(request.path))
 
+    def _direct(self, request: messages.Request) -> messages.Response:
+        try:
+            order = msgspec.json.decode(request.body, type=Order)
+        except msgspec.MsgspecError as error:
+            raise server.Refused(_bad(f"the body does not fit: {error}")) from None
+        name = request.path.removeprefix(DATA_CENTRE_PREFIX)
+        given = self.instance.node.directives.give(
+            items.key_of("data-centre", name),
+            order["state"],
+            order["reason"],
+            order["operator"],
+            self.instance.clock.wall_ms(),
+        )
+        if isinstance(given, result.Failure):
+            refused = given.failure()
+            raise server.Refused(_bad(refused.message, refused.remedy))
+        return messages.json_response(202, given.unwrap()._asdict())
+
+
+class Order(typing.TypedDict):
+    """An operator's order on a data centre, given directly to an instance."""
+
+    state: str
+    reason: str
+    operator: str
+
 
 def status_of(instance: instance_module.Instance) -> dict[str, typing.Any]:
     """Return what an operator sees of one instance."""
@@ -81,13 +113,20 @@
         "region": settings.region,
         "boot": instance.boot,
         "revision": instance.state.revision,
-        "platform_ok": instance.sync.platform_ok,
+        "platform_ok": bool(instance.beats.platform_ok),
         "draining": instance.draining,
         "connections": len(instance.server.connections) if instance.server else 0,
+        "members": sorted(instance.members.addresses()),
         "pools": pools,
     }
 
 
+def _bad(
+    message: str, remedy: str = "see docs/reference-commands.md"
+) -> errors.Refusal:
+    return errors.Refusal(errors.Code.BAD_REQUEST, message, remedy)
+
+
 def _not_found(path: str) -> errors.Refusal:
     return errors.Refusal(
         errors.Code.NOT_FOUND,
--- a/cornelreach/ui/daemon.py
+++ b/cornelreach/ui/daemon.py
@@ -19,22 +19,6 @@
 EXIT_USAGE = 2
 
 
-class Silent:
-    """An observer that records nothing."""
-
-    def first_token(self, account: str, wait_ms: float) -> None:
-        """Record nothing."""
-
-    def between_tokens(self, account: str, gap_ms: float) -> None:
-        """Record nothing."""
-
-    def answered(self, account: str, prompt_tokens: int, cached_tokens: int) -> None:
-        """Record nothing."""
-
-    def failed(self, account: str, code: errors.Code) -> None:
-        """Record nothing."""
-
-
 def settings_of(options: options_module.Options) -> instance_module.Settings:
     """Return the instance's settings from the daemon's."""
     return instance_module.Settings(
@@ -87,13 +71,15 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     ring = key_ring(options)
-    instance = instance_module.Instance(settings_of(options), Silent(), ring)
+    instance = instance_module.Instance(settings_of(options), ring)
     key = operator_key(options)
-    desk = admin.Admin(instance, lambda: b"", lambda: key, stop.set)
+    desk = admin.Admin(instance, lambda: key, stop.set)
     host, _, port = options.admin_listen.rpartition(":")
     await instance.start()
     admin_server = await server.start(host, int(port), desk.handle)
-    await stop.wait()
+    superseded = asyncio.ensure_future(instance.superseded.wait())
+    asked = asyncio.ensure_future(stop.wait())
+    await asyncio.wait({superseded, asked}, return_when=asyncio.FIRST_COMPLETED)
     await instance.stop()
     admin_server.stop_listening()
     admin_server.abort()
--- a/standins/site.py
+++ b/standins/site.py
@@ -16,6 +16,7 @@
 import asyncio
 import hashlib
 import itertools
+import os
 import pathlib
 import shlex
 import signal
@@ -56,10 +57,20 @@
     peers: str
 
 
-def free_port() -> int:
+def own_host() -> str:
+    """Return a loopback address of this process's own.
+
+    Two sites on one machine then never compete for a port between the moment it is
+    found free and the moment an instance listens on it.
+    """
+    number = os.getpid()
+    return f"127.{1 + number // 62_500 % 250}.{1 + number // 250 % 250}.{number % 250}"
+
+
+def free_port(host: str) -> int:
     """Return a port that is free now."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
@@ -79,7 +90,8 @@
         self.http = client.Client()
 
     def _addresses(self) -> list[str]:
-        return [f"127.0.0.1:{free_port()}" for _ in range(3)]
+        host = own_host()
+        return [f"{host}:{free_port(host)}" for _ in range(3)]
 
     async def spawn(self, name: str, *arguments: str) -> str:
         """Start a stand-in and return the address that it prints."""
@@ -194,10 +206,12 @@
         )
         process = Process(member.name, member.callers, handle)
         self.processes.append(process)
-        await self._until_ready(member)
+        await self._until_ready(member, handle)
         return process
 
-    async def _until_ready(self, member: Member) -> None:
+    async def _until_ready(
+        self, member: Member, handle: asyncio.subprocess.Process
+    ) -> None:
         address = client.parse_address(member.admin)
         async with asyncio.timeout(READY_WAIT_S):
             while True:
@@ -207,6 +221,9 @@
                     status = 0
                 if status == 200:
                     return
+                if handle.returncode is not None:
+                    log = (self.folder / f"{member.name}.log").read_text()
+                    raise ChildProcessError(f"{member.name} ended: {log[-2_000:]}")
                 await asyncio.sleep(0.05)
 
     async def stop(self) -> None:
