Log what operators must know of claims

Cause: an unreadable or full claim log and lost outcomes left no trace. Change: events 1611 to 1614; the virtual-time fleet carries a message without a task.

--- a/cornelreach/calls/once.py
+++ b/cornelreach/calls/once.py
@@ -12,7 +12,7 @@
 
 from cornelreach.calls import claims, exchanges, ledger, refusals, runs, tickets
 from cornelreach.peers import wire
-from cornelreach.util import errors, hashing, timers
+from cornelreach.util import errors, events, hashing, timers
 
 CLAIM_WAIT_MS = 2_000
 ASK_WAIT_MS = 1_000
@@ -25,6 +25,19 @@
 RECORD_KEEP_MS = 600_000
 MAX_RECORDS = 4_096
 
+LOST = events.define(
+    1613,
+    "WARNING",
+    "Attempt {attempt} at service {service} was sent and got no answer.",
+    "Look at the service; its caller is told that the outcome is unknown.",
+)
+UNRECORDED = events.define(
+    1614,
+    "WARNING",
+    "The end of attempt {attempt} could not be recorded within ten minutes.",
+    "Look at the platform; repeats are told that the outcome is unknown.",
+)
+
 Outcome = result.Result[ledger.Answer, errors.Refusal]
 
 
@@ -225,6 +238,7 @@
             refusal = refusals.unclaimed("no target could be reached", 1_000)
             return result.Failure(refusal)
         run.lose()
+        events.emit(LOST, attempt=run.attempt.number, service=call.service)
         return result.Failure(refusals.unknown())
 
     async def _follow(
@@ -319,6 +333,7 @@
                 if isinstance(decision, ledger.Recorded):
                     return
                 await asyncio.sleep(RECORD_PAUSE_MS / 1_000)
+            events.emit(UNRECORDED, attempt=entry.attempt.number)
         finally:
             self._records -= 1
 
--- a/cornelreach/calls/shards.py
+++ b/cornelreach/calls/shards.py
@@ -16,7 +16,7 @@
 
 from cornelreach.calls import history, ledger
 from cornelreach.platform import results
-from cornelreach.util import timers
+from cornelreach.util import events, timers
 
 WRITES_PER_S = 3.0
 BURST_WRITES = 3.0
@@ -28,6 +28,19 @@
 MAX_RECORDS = 150_000
 EXPIRE_PERIOD_MS = 5_000
 
+UNREADABLE = events.define(
+    1611,
+    "ERROR",
+    "Claim log object {key} is unreadable: {error}.",
+    "Calls with keys of this shard are refused as not run. Restore the object.",
+)
+FULL = events.define(
+    1612,
+    "WARNING",
+    "Shard {shard} of the claim log is full.",
+    "Shorten claim_retention_ms, or let large callers use tickets.",
+)
+
 
 class Pending(typing.NamedTuple):
     """A request that waits for the next write; ``due_ms`` is monotonic."""
@@ -75,6 +88,7 @@
         if len(self._pending) >= MAX_PENDING:
             return ledger.Unavailable("the claim log has too many waiting calls")
         if entry.kind is ledger.Kind.CLAIM and self._full():
+            events.emit(FULL, shard=self.name)
             return ledger.Unavailable("the claim log is full")
         decided = asyncio.get_running_loop().create_future()
         due_ms = self.used_ms + wait_ms
@@ -235,7 +249,8 @@
             return True
         try:
             tail = ledger.decode_tail(record.value)
-        except msgspec.ValidationError:
+        except msgspec.ValidationError as error:
+            events.emit(UNREADABLE, key=self.tail_key, error=error)
             return False
         if tail.rolled > self.ledger.applied:
             if not await self.history.read(self.ledger, tail.oldest):
--- a/test/calls/onceworld.py
+++ b/test/calls/onceworld.py
@@ -196,6 +196,41 @@
         return once.Lost("no answer") if answer is None else once.Answered(answer)
 
 
+class Exchange:
+    """One message, what it brings about, and its answer."""
+
+    def __init__(self, world, way, operate):
+        self.world = world
+        self.way = way
+        self.operate = operate
+        self.answered = world.loop.create_future()
+
+    def arrive(self):
+        """Carry out the operation unless the message is lost."""
+        if self.world.loses(self.way):
+            return
+        found = self.operate()
+        if isinstance(found, asyncio.Task):
+            found.add_done_callback(self.finish)
+        else:
+            self.depart(found)
+
+    def finish(self, task):
+        """Answer with the result of an operation that took time."""
+        if not task.cancelled():
+            self.depart(task.result())
+
+    def depart(self, answer):
+        """Send the answer back unless it is lost."""
+        if not self.world.loses(self.way[::-1]):
+            self.world.loop.call_later(self.world.latency_s(), self.deliver, answer)
+
+    def deliver(self, answer):
+        """Hand the answer to the sender if it still waits."""
+        if not self.answered.done():
+            self.answered.set_result(answer)
+
+
 class World:
     """The run of one seed."""
 
@@ -222,6 +257,10 @@
         """Return True for a share of calls, in a faulty run only."""
         return self.lossy > 0 and self.random.random() < share
 
+    def loses(self, way):
+        """Tell whether a message between two places is lost now."""
+        return way in self.cuts or self.chance(self.lossy)
+
     def latency_s(self):
         """Return the time of one message, now and then seconds."""
         if self.chance(0.02):
@@ -240,37 +279,14 @@
 
         An operation that was sent goes on when its sender stops waiting or dies.
         """
-        answered = self.loop.create_future()
-
-        def arrive():
-            if (source, destination) in self.cuts or self.chance(self.lossy):
-                return
-            task = asyncio.ensure_future(self._operate(operate))
-            task.add_done_callback(depart)
-
-        def depart(task):
-            lost = (destination, source) in self.cuts or self.chance(self.lossy)
-            if not task.cancelled() and not lost:
-                self.loop.call_later(self.latency_s(), deliver, task.result())
-
-        def deliver(answer):
-            if not answered.done():
-                answered.set_result(answer)
-
-        self.loop.call_later(self.latency_s(), arrive)
+        message = Exchange(self, (source, destination), operate)
+        self.loop.call_later(self.latency_s(), message.arrive)
         try:
             async with asyncio.timeout(wait_ms / 1_000):
-                return await answered
+                return await message.answered
         except TimeoutError:
             return None
 
-    async def _operate(self, operate):
-        found = operate()
-        if isinstance(found, asyncio.Task):
-            await asyncio.wait({found})
-            return None if found.cancelled() else found.result()
-        return found
-
     def execute(self, call):
         """Run a call in the service."""
         body = f"{call.key}:{len(self.history)}".encode()
--- a/test/calls/test_once.py
+++ b/test/calls/test_once.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+import loguru
 from returns import result
 
 from cornelreach.calls import (
@@ -39,6 +40,8 @@
     def setUp(self):
         self.loop = virtualloop.Loop()
         self.addCleanup(self.loop.close)
+        loguru.logger.disable("cornelreach")
+        self.addCleanup(loguru.logger.enable, "cornelreach")
         small = ((claims, "SHARD_COUNT", 1), (shards, "ROLL_BYTES", 500))
         for module, name, value in (*small, (history, "MERGE_COUNT", 2)):
             patch = mock.patch.object(module, name, value)
