--- a/cornelreach/prompts/flights.py
+++ b/cornelreach/prompts/flights.py
@@ -18,6 +18,7 @@
 MIN_PACE = 0.5
 MAX_PACE = 4.0
 MIN_PACED_MS = 20.0
+OVERDUE_MS = 500.0
 
 
 class Flight(typing.NamedTuple):
@@ -42,7 +43,11 @@
 
 
 class _Queue:
-    """The flights of one target in the order in which it computes them."""
+    """The flights of one target in the order in which it computes them.
+
+    ``told`` is set once a first token has been told. Until then a run that is overdue
+    is taken to have had its own, and the next one to be computed.
+    """
 
     def __init__(self) -> None:
         self.flights: dict[str, Flight] = {}
@@ -51,23 +56,38 @@
         self.peak_ms = 0.0
         self.peak_at_ms = 0.0
         self.pace = 1.0
+        self.told = False
 
     def pending_ms(self, now_ms: float) -> float:
         if not self.flights:
             return 0.0
         head = next(iter(self.flights.values()))
-        done_ms = min(head.prefill_ms, max(0.0, now_ms - self.head_since_ms))
+        done_ms = max(0.0, now_ms - self.head_since_ms) / self.pace
+        if done_ms > head.prefill_ms:
+            late_ms = 0.0 if self.told else done_ms - OVERDUE_MS
+            done_ms = max(head.prefill_ms, late_ms)
         return max(0.0, self.total_ms - done_ms) * self.pace
 
+    def due_ms(self, run: str) -> float:
+        """Return when a run is expected to have its first token."""
+        due_ms = self.head_since_ms
+        for flight in self.flights.values():
+            due_ms += flight.prefill_ms * self.pace
+            if flight.run == run:
+                break
+        return due_ms
+
     def put(self, flight: Flight) -> None:
         former = self.flights.get(flight.run)
         self.total_ms += flight.prefill_ms - (former.prefill_ms if former else 0.0)
         self.flights[flight.run] = flight
 
     def pop(self, run: str, now_ms: float) -> Flight:
-        if run == next(iter(self.flights)):
-            self.head_since_ms = now_ms
+        head = next(iter(self.flights))
         flight = self.flights.pop(run)
+        if run == head:
+            due_ms = self.head_since_ms + flight.prefill_ms * self.pace + OVERDUE_MS
+            self.head_since_ms = now_ms if self.told else min(now_ms, due_ms)
         self.total_ms = self.total_ms - flight.prefill_ms if self.flights else 0.0
         return flight
 
@@ -95,7 +115,8 @@
         return len(self._targets)
 
     def add(self, flight: Flight, now_ms: float) -> None:
-        """Count a run from the moment of its choice."""
+        """Count a run from the moment of its choice; a second choice replaces it."""
+        self.remove(flight.run, now_ms)
         self._forget_old(flight.target, now_ms)
         queue = self._queues.setdefault(flight.target, _Queue())
         if not queue.flights:
@@ -133,6 +154,7 @@
         if flight is None:
             return None
         queue = self._queues[flight.target]
+        queue.told = True
         if next(iter(queue.flights)) == run and flight.prefill_ms >= MIN_PACED_MS:
             seen = (now_ms - queue.head_since_ms) / flight.prefill_ms
             seen = min(MAX_PACE, max(MIN_PACE, seen))
@@ -171,7 +193,14 @@
         queue = self._queues.get(target)
         return queue.pace if queue else 1.0
 
-    def shared(self, keys: typing.Sequence[str]) -> dict[str, tuple[str, int]]:
+    def due_ms(self, run: str) -> float:
+        """Return when a run is expected to have its first token, 0 if it has ended."""
+        target = self._targets.get(run)
+        return 0.0 if target is None else self._queues[target].due_ms(run)
+
+    def shared(
+        self, keys: typing.Sequence[str], now_ms: float
+    ) -> dict[str, tuple[str, int]]:
         """Return for each target the run that is computing most of a prompt there.
 
         With it comes the count of leading pieces in common. Targets where nothing that
@@ -180,6 +209,9 @@
         best: dict[str, tuple[str, int]] = {}
         for run in self._by_root.get(tuple(keys[:1]), ()):
             flight = self.get(run)
+            told = self._queues[flight.target].told
+            if not told and self.due_ms(run) + OVERDUE_MS < now_ms:
+                continue
             common = _common(flight.keys, keys)
             if common > max(flight.held, best.get(flight.target, ("", 0))[1]):
                 best[flight.target] = (run, common)
--- a/cornelreach/prompts/placement.py
+++ b/cornelreach/prompts/placement.py
@@ -31,6 +31,7 @@
 from cornelreach.util import errors, hashing
 
 SOURCES_TRIED = 4
+MOVING_KEPT = 4_096
 RETRY_AFTER_MS = 1_000
 
 
@@ -166,7 +167,7 @@
         ]
         shared = {}
         if self.policy.share_in_flight:
-            shared = self.flights.shared(prompt.keys)
+            shared = self.flights.shared(prompt.keys, now_ms)
         return _Prompt(prompt, ends, held, shared, sources, bytes_per_token, now_ms)
 
     def _cost(
@@ -284,6 +285,8 @@
             transfer = self.links.start(path, plan.bring_bytes, now_ms)
             saved_ms = cost.saved_ms / self.flights.pace(plan.target)
             self._moving[run] = _Moving(transfer, saved_ms)
+            if len(self._moving) > MOVING_KEPT:
+                del self._moving[next(iter(self._moving))]
         self.directory.assume(plan.target, prompt.keys, now_ms)
 
     def transferred(self, run: str, done: bool, now_ms: float) -> None:
@@ -301,14 +304,17 @@
         """Note a run's first token: its prefill is over and its pieces are held."""
         self.flights.first_token(run, now_ms)
 
-    def ended(self, run: str, now_ms: float) -> None:
-        """Note the end of a run; without a first token its pieces are not counted on.
+    def ended(self, run: str, now_ms: float, served: bool = False) -> None:
+        """Note the end of a run, which may be all that is told of it.
 
-        Safe to call for a run that ended already.
+        Unless it was served, its pieces are not counted on, and its transfer counts as
+        not done. Safe to call for a run that ended already.
         """
+        if served:
+            self._moving.pop(run, None)
         self.transferred(run, False, now_ms)
         flight = self.flights.remove(run, now_ms)
-        if flight is not None:
+        if flight is not None and not served:
             self.directory.retract(flight.target, flight.keys[flight.held :])
 
     def target_lost(self, name: str) -> None:
--- a/test/prompts/fakes.py
+++ b/test/prompts/fakes.py
@@ -20,7 +20,7 @@
         self.boot, self.seq, self.generation = "boot-1", 0, 0
         self.blocks, self.events, self.staged, self.calls = {}, [], {}, []
         self.before = lambda path: None
-        self.delay_s = 0.0
+        self.delay_s, self.used, self.other = 0.0, 0, None
 
     async def start(self):
         """Listen on loopback."""
@@ -63,11 +63,15 @@
             "/v1/kv/stat": self.stat,
             "/v1/kv/import": self.pull,
             "/v1/kv/commit": self.commit,
+            "/v1/kv/export": self.export,
             "/v1/cache": self.listing,
+            "/v1/state": self.state,
             "/v1/cache/events": self.changes,
         }
         found = routes.get(request.path)
         if found is None:
+            if request.method == "DELETE":
+                self.remove(request.path.rpartition("/")[2])
             return messages.json_response(404, {})
         answer = await found(request, body)
         headers = ((b"x-boot-id", self.boot.encode()),)
@@ -106,6 +110,18 @@
             self.store(key, staged[key])
         return {"committed": body["keys"]}
 
+    async def export(self, request, body):
+        """Copy blocks to the holder that the test has set as ``other``."""
+        for key in body["keys"]:
+            self.other.store(key, self.blocks[key][1])
+        return {"exported": body["keys"], "failed": []}
+
+    async def state(self, request, body):
+        """Answer a store's state, used as the test has set it."""
+        sizes = {"memory_bytes": 100, "disk_bytes": 0, "disk_used": 0}
+        link = {"link_bytes_per_s": 50_000_000, "link_backlog_bytes": 0}
+        return {"boot_id": self.boot, "memory_used": self.used, **sizes, **link}
+
     async def listing(self, request, body):
         """Answer all keys."""
         return {"boot_id": self.boot, "seq": self.seq, "keys": list(self.blocks)}
