Measure how late each change of the settings comes into force

Cause: the objective 'configuration in force' had no measurements. Change: apply stamps the time of each write; an instance counts each new change since its start once, by its delay (reports.Reporter.changed). Conclusion: cornelreach burn reports the objective.

--- a/cornelreach/reports/reporter.py
+++ b/cornelreach/reports/reporter.py
@@ -1,7 +1,7 @@
 """What an instance measures of its calls: metrics and burn in one observer."""
 
 from cornelreach.reports import metrics as metrics_module, objectives, series
-from cornelreach.settings import view as view_module
+from cornelreach.settings import plan, state as state_module, view as view_module
 from cornelreach.util import errors, timers
 
 SETTLE_MS = 1_000
@@ -39,7 +39,10 @@
         self.series = series.Series()
         self._objectives: dict[str, dict[Measure, objectives.Objective]] = {}
         self._gaps: dict[str, Gaps] = {}
+        self._started_ms = clock.wall_ms()
+        self._seen_changes: dict[str, str] = {}
         clock.every(SETTLE_MS, self.settle)
+        view.state.subscribe(self.changed)
 
     def first_token(self, account: str, wait_ms: float) -> None:
         """Record the time from receipt to the first token."""
@@ -73,9 +76,21 @@
         if code in objectives.FAILURES:
             self._judge(account, good=False)
 
-    def configured(self, delay_ms: float) -> None:
-        """Record how long after its write a change came into force here."""
-        self._add(objectives.FLEET, Measure.CONFIGURATION, delay_ms)
+    def changed(self, changed: state_module.Changed) -> None:
+        """Record how long after its write each new change came into force here.
+
+        Changes from before the start, and writes that are no new change, do not count.
+        """
+        for entry in changed.entries:
+            fields = entry.value if isinstance(entry.value, dict) else {}
+            written_ms = fields.get(plan.WRITTEN_FIELD, 0)
+            idents = fields.get(plan.CHANGES_FIELD)
+            if not idents or written_ms < self._started_ms:
+                continue
+            if self._seen_changes.get(entry.key) != idents[-1]:
+                self._seen_changes[entry.key] = idents[-1]
+                delay_ms = max(0.0, self.clock.wall_ms() - written_ms)
+                self._add(objectives.FLEET, Measure.CONFIGURATION, delay_ms)
 
     def settle(self) -> None:
         """Count the gaps since the last time, and read the objectives anew."""
--- a/cornelreach/settings/apply.py
+++ b/cornelreach/settings/apply.py
@@ -16,6 +16,7 @@
 
 from cornelreach.platform import backoff as backoff_module, results
 from cornelreach.settings import items, plan as plan_module
+from cornelreach.util import timers
 
 TRIES = 8
 FIRST_DELAY_MS = 100
@@ -83,11 +84,16 @@
     """Carries plans out over an object API."""
 
     def __init__(
-        self, objects: results.Objects, source: random.Random, tries: int = TRIES
+        self,
+        objects: results.Objects,
+        source: random.Random,
+        tries: int = TRIES,
+        clock: timers.Timers | None = None,
     ) -> None:
         self.objects = objects
         self.source = source
         self.tries = tries
+        self.clock = clock or timers.LoopTimers()
 
     async def listing(self) -> result.Result[results.Listing, results.ReadError]:
         """Return the items in the platform, to make a plan on."""
@@ -134,7 +140,7 @@
     ) -> result.Result[int, results.WriteError]:
         if change.after is None:
             return await self.objects.delete(change.key, change.if_version)
-        value = plan_module.stamped(change, ident)
+        value = plan_module.stamped(change, ident, self.clock.wall_ms())
         if change.if_version:
             return await self.objects.put(
                 change.key, value, if_version=change.if_version
--- a/cornelreach/settings/plan.py
+++ b/cornelreach/settings/plan.py
@@ -10,8 +10,9 @@
 
 CHANGES_FIELD = "changes"
 MERGE_FIELD = "merge"
+WRITTEN_FIELD = "written_ms"
 CHANGES_KEPT = 16
-BOOKKEEPING = (CHANGES_FIELD, MERGE_FIELD, "directives")
+BOOKKEEPING = (CHANGES_FIELD, MERGE_FIELD, WRITTEN_FIELD, "directives")
 
 Fields = dict[str, typing.Any]
 
@@ -117,11 +118,15 @@
     return result.Failure(problems) if problems else result.Success(plan)
 
 
-def stamped(change: Change, ident: str) -> Fields:
-    """Return the value to write, which names the change among the last ones."""
+def stamped(change: Change, ident: str, wall_ms: float) -> Fields:
+    """Return the value to write, which names the change among the last ones.
+
+    It also says when it was written, so that instances tell how late it came.
+    """
     former = (change.before or {}).get(CHANGES_FIELD, [])
     value = {k: v for k, v in change.after.items() if k != MERGE_FIELD}
-    return value | {CHANGES_FIELD: [*former, ident][-CHANGES_KEPT:]}
+    idents = [*former, ident][-CHANGES_KEPT:]
+    return value | {CHANGES_FIELD: idents, WRITTEN_FIELD: int(wall_ms)}
 
 
 def _change(key: str, stated: Fields, held: results.Record | None) -> Change | None:
--- a/test/reports/test_reporter.py
+++ b/test/reports/test_reporter.py
@@ -32,6 +32,22 @@
         self.assertEqual(counts["tirnica", measures.WHOLE_ANSWER], (1, 2))
         self.assertEqual(counts["", measures.WHOLE_ANSWER], (1, 2))
 
+    def test_a_change_counts_once_by_its_delay(self):
+        def change(version, ident, written_ms):
+            value = {"changes": [ident], "written_ms": written_ms}
+            entry = state_module.Entry("settings/model/m", version, value)
+            self.reporter.changed(state_module.Changed((entry,), version))
+
+        start_ms = self.clock.wall_ms()
+        change(1, "before", start_ms - 60_000)
+        self.clock.advance(10_000)
+        change(2, "late", start_ms + 500)
+        change(3, "late", start_ms + 500)
+        change(4, "good", start_ms + 9_500)
+        rows = burn.report([self.reporter.export()]).rows
+        self.assertEqual([row.measure for row in rows], ["configuration"])
+        self.assertEqual(rows[0].windows[0][1:3], (1, 2))
+
     def test_metrics_are_rendered_for_the_scraper(self):
         self.reporter.first_token("tirnica", 5_000.0)
         self.reporter.between_tokens("tirnica", 20.0)
