Own pools by recorded, fenced ownership, place by prompt, and speak TLS

Cause: the daemon took the first instance of a rendezvous for the owner of a pool, always with the right to admit to cold targets, and placed by least load. Change: tenure carries ownership out (records beside the settings, heartbeats to the successor, resignation at a planned stop); the outlook tells the owner by the newest epoch; owners publish load notes; the desk places with PoolPrompts and the edge chooses pools by affinity and brings pieces in; retries come from budgets. TLS for callers, targets and peers with files read anew.

--- a/cornelreach/calls/chatflow.py
+++ b/cornelreach/calls/chatflow.py
@@ -13,12 +13,11 @@
 
 from cornelreach.calls import attempt, chat, ports, sse, streams
 from cornelreach.http import client, messages as http, server
-from cornelreach.prompts import pieces
+from cornelreach.prompts import mover, pieces, plans
 from cornelreach.settings import items, view
-from cornelreach.targets import permits
+from cornelreach.targets import permits, retries
 from cornelreach.util import errors, events, timers
 
-MAX_ATTEMPTS = 3
 RESUME_GRACE_MS = 5_000
 RETRY_AFTER_MS = 1_000
 
@@ -46,16 +45,6 @@
         """Record a refusal or a failure."""
 
 
-class Retries(typing.Protocol):
-    """A budget of retries as a share of first tries."""
-
-    def first_try(self) -> None:
-        """Count a first try."""
-
-    def allow(self) -> bool:
-        """Take one retry from the budget if there is one."""
-
-
 class Identity(typing.NamedTuple):
     """Which instance and boot serves the calls."""
 
@@ -69,10 +58,11 @@
     clock: timers.Timers
     http: client.Client
     view: view.View
+    mover: mover.Mover
     placer: ports.Placer
     ring: typing.Callable[[], streams.KeyRing]
     observer: Observer
-    retries: Retries
+    retries: retries.RetryBudgets
     identity: Identity
 
 
@@ -181,8 +171,9 @@
         return http.json_response(200, body)
 
     async def _relay(self, progress: Progress) -> typing.AsyncIterator[sse.Event]:
-        self.parts.retries.first_try()
-        for count in range(1, MAX_ATTEMPTS + 1):
+        account = progress.call.account
+        self.parts.retries.first_try(account)
+        for count in itertools.count(1):
             ticket = await self._place(progress)
             try:
                 async for event in self._attempt(progress, ticket):
@@ -197,8 +188,10 @@
                 )
                 progress.offset = progress.number
                 progress.failed_targets += (ticket.target.name,)
-                if count == MAX_ATTEMPTS or not self.parts.retries.allow():
-                    raise server.Refused(_broken(failure)) from None
+                ran = errors.Ran.UNKNOWN if failure.ran else errors.Ran.NOT_RUN
+                failed = retries.Failed(count, ran)
+                if not self.parts.retries.may_retry(account, failed):
+                    raise server.Refused(_broken(failure, ran)) from None
 
     async def _place(self, progress: Progress) -> ports.Ticket:
         call = progress.call
@@ -248,6 +241,7 @@
         progress.run = progress.run or run
         outcome = permits.Outcome.CANCELLED
         try:
+            trial.ticket = ticket = await self._prepared(progress, ticket)
             async for item in trial.chunks(self._body(progress, run)):
                 yield self._received(progress, item, run)
             outcome = permits.Outcome.DONE
@@ -267,6 +261,22 @@
             else:
                 self._release(trial, ticket, outcome)
 
+    async def _prepared(self, progress: Progress, ticket: ports.Ticket) -> ports.Ticket:
+        """Bring in the pieces that a permit's plan names; a failure costs prefill."""
+        steps = plans.decode(ticket.permit.plan)
+        source = self.parts.view.targets.get(steps.source)
+        if source is None:
+            return ticket
+        call = progress.call
+        keys = self._pieces(call, self._model(call).version).keys
+        await self.parts.mover.bring(
+            client.parse_address(source.address),
+            client.parse_address(ticket.target.address),
+            keys[steps.start : steps.end],
+            steps.limit_ms,
+        )
+        return await self.parts.placer.renewed(ticket)
+
     def _body(self, progress: Progress, run: str) -> bytes:
         call = progress.call
         version = self._model(call).version
@@ -357,8 +367,7 @@
             yield b"event: error\n" + sse.encode(last.number + 1, body)
 
 
-def _broken(failure: attempt.Failed) -> errors.Refusal:
-    ran = errors.Ran.UNKNOWN if failure.ran else errors.Ran.NOT_RUN
+def _broken(failure: attempt.Failed, ran: errors.Ran) -> errors.Refusal:
     code = errors.Code.TARGET_FAILED if failure.ran else errors.Code.UNAVAILABLE
     return errors.Refusal(
         code,
--- a/cornelreach/calls/ports.py
+++ b/cornelreach/calls/ports.py
@@ -11,11 +11,15 @@
 
 
 class Ticket(typing.NamedTuple):
-    """A placed request: the permit, the target and when the permit was asked for."""
+    """A placed request: the permit, the target and when the permit was asked for.
+
+    ``request`` is the question that the owner answered with the permit.
+    """
 
     permit: permits.Permit
     target: items.Target
     asked_ms: float
+    request: permits.PermitRequest
 
 
 class Need(typing.NamedTuple):
@@ -39,5 +43,8 @@
     async def place(self, need: Need) -> result.Result[Ticket, errors.Refusal]:
         """Return leave to send, or a refusal that is true: nothing was run."""
 
+    async def renewed(self, ticket: Ticket) -> Ticket:
+        """Return a ticket with a fresh expiry where its own is near, or the same."""
+
     def release(self, release: permits.Release, pool: str) -> None:
         """Hand a permit back to the pool's owner; never blocks."""
--- a/cornelreach/calls/serviceflow.py
+++ b/cornelreach/calls/serviceflow.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import typing
 
 from returns import result
@@ -22,7 +23,7 @@
 )
 from cornelreach.http import client, messages, server
 from cornelreach.settings import items
-from cornelreach.targets import permits
+from cornelreach.targets import permits, retries
 from cornelreach.util import errors
 
 PRIORITY = 0
@@ -97,17 +98,17 @@
     async def run_repeatable(self, call: exchanges.Call) -> ledger.Answer:
         """Send a call that may be repeated, again where its answer was lost."""
         avoid: tuple[str, ...] = ()
-        self.parts.retries.first_try()
-        count = 0
-        while True:
-            count += 1
+        self.parts.retries.first_try(call.account)
+        for count in itertools.count(1):
             ticket = await self._place(call, avoid)
             try:
                 return await self._send(call, ticket, nothing)
             except (Lost, NotSent, Declined) as error:
                 avoid += (ticket.target.name,)
                 lost = isinstance(error, Lost)
-                if count >= MAX_ATTEMPTS or not self.parts.retries.allow():
+                ran = errors.Ran.UNKNOWN if lost else errors.Ran.NOT_RUN
+                failed = retries.Failed(count, ran)
+                if not self.parts.retries.may_retry(call.account, failed):
                     raise server.Refused(_gave_up(str(error), lost)) from None
 
     async def send(
--- a/cornelreach/fleet/beats.py
+++ b/cornelreach/fleet/beats.py
@@ -73,6 +73,8 @@
         self.observer = observer
         self.source = random.Random(node.me.boot)
         self.platform_ok: bool | None = None
+        self.listing: frozenset[str] = frozenset()
+        self.listing_ms = float("-inf")
         self._listed_ms: float | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         server.register(HEARTBEAT, self._heartbeat)
@@ -121,9 +123,12 @@
         return age_ms >= (LIST_MS if alone or self.watching() else LIST_LIMIT_MS)
 
     async def _list(self) -> None:
+        asked_ms = self.clock.now_ms()
         found = await self.objects.instances()
         if isinstance(found, result.Success):
             self.node.listed(found.unwrap())
+            self.listing = frozenset(one.name for one in found.unwrap())
+            self.listing_ms = asked_ms
             jitter_ms = self.source.uniform(0, LIST_MS / 4)
             self._listed_ms = self.clock.now_ms() - jitter_ms
 
--- a/cornelreach/instance.py
+++ b/cornelreach/instance.py
@@ -9,7 +9,6 @@
 import contextlib
 import os
 import random
-import ssl
 import typing
 
 from cornelreach.calls import (
@@ -29,24 +28,29 @@
     news,
     node,
 )
-from cornelreach.http import client as http_client, limits, server
-from cornelreach.peers import wire
+from cornelreach.http import client as http_client, limits, server, tls
+from cornelreach.peers import credentials, wire
 from cornelreach.platform import backoff, budget, client as platform_client
 from cornelreach.pools import (
     desk as desk_module,
     methods,
     notices,
+    outlook,
     placer as placer_module,
     prober,
+    tenure,
 )
+from cornelreach.prompts import mover, poolprompts
 from cornelreach.reports import metrics, reporter
 from cornelreach.settings import items, state as state_module, sync, view
-from cornelreach.targets import admission
+from cornelreach.targets import admission, ownership, retries
 from cornelreach.util import events, timers
 
 RECONFIGURE_MS = 200
 SETTLE_MS = 5
 FORGET_MS = 60_000
+FILES_MS = 2_000
+PUBLISH_MS = 500
 NOTICE_WAIT_MS = 500
 PEER_GRACE_MS = 1_000
 
@@ -78,15 +82,12 @@
     limits: limits.Limits
 
 
-class Unlimited:
-    """A retry budget that always allows; the attempts of a call stay bounded."""
+class Security(typing.NamedTuple):
+    """TLS of an instance, each part None where it is not set."""
 
-    def first_try(self) -> None:
-        """Count nothing."""
-
-    def allow(self) -> bool:
-        """Allow every retry."""
-        return True
+    callers: tls.Watched | None = None
+    targets: tls.Watched | None = None
+    peers: credentials.Files | None = None
 
 
 class Instance:
@@ -96,16 +97,17 @@
         self,
         settings: Settings,
         ring: typing.Callable[[], streams.KeyRing],
-        tls: ssl.SSLContext | None = None,
+        security: Security | None = None,
     ) -> None:
         self.settings = settings
         self.boot = os.urandom(8).hex()
         self.draining = False
         self.superseded = asyncio.Event()
         self._reconfiguring = False
-        self.tls = tls
+        self.security = security or Security()
         self.clock = timers.LoopTimers()
-        self.http = http_client.Client()
+        targets = self.security.targets
+        self.http = http_client.Client(targets.context if targets else None)
         self.state = state_module.State()
         self.view = view.View(self.state)
         self.random = random.Random(self.boot)
@@ -120,7 +122,10 @@
         self.server: server.Server | None = None
 
     def _build_peers(self) -> None:
-        self.peers = wire.Client(self.sender, self._heard)
+        files = self.security.peers
+        self.peer_files = credentials.Watched(files) if files else None
+        source = self.peer_files.credentials if self.peer_files else None
+        self.peers = wire.Client(self.sender, self._heard, source)
         self.peer_server = wire.Server(self.sender, self._heard)
 
     def _build_platform(self) -> None:
@@ -172,19 +177,36 @@
             self.superseded.set()
 
     def _build_pools(self) -> None:
-        self.desk = desk_module.Desk(self.settings.name, self.clock, self)
+        settings = self.settings
+        self.outlook = outlook.Outlook(self.view, self.node, self.members, self.clock)
+        self.tenures = tenure.Tenures(
+            ownership.Member(settings.name, self.boot),
+            self.clock,
+            self.state,
+            self.pool_objects,
+            self.peers,
+            self.peer_server,
+            self,
+        )
+        self.outlook.tenures = self.tenures
+        self.desk = desk_module.Desk(self.clock, self, self.http, self.random)
         self.prober = prober.Prober(
             self.http, self.clock, self.desk, lambda: self.view.targets
         )
         self.placer = placer_module.Placer(
-            self.sender, self.clock, self.view, self.peers, self.members, self.desk
+            self.sender, self.clock, self.view, self.peers, self.outlook, self.desk
         )
         self.peer_server.register(methods.ASK, self.desk.ask)
         self.peer_server.register(methods.RELEASE, self.desk.release)
         self.peer_server.register(methods.RESUMED, self._resumed)
         self.clock.every(RECONFIGURE_MS, self._configure_desk)
+        self.clock.every(PUBLISH_MS, self._publish)
         self.state.subscribe(lambda _: self._settings_changed())
 
+    def serving(self) -> list[ownership.Member]:
+        """Return the serving instances of this data centre with their boots."""
+        return self.outlook.members()
+
     def _build_reports(self) -> None:
         self.metrics = metrics.Metrics()
         self.reporter = reporter.Reporter(
@@ -195,7 +217,7 @@
         gauge("platform_reachable", lambda: int(bool(self.beats.platform_ok)))
         gauge("connections", lambda: len(self.server.connections))
         gauge("peers", lambda: len(self.node.membership.serving()))
-        gauge("pools_owned", lambda: len(self.desk.owners))
+        gauge("pools_owned", lambda: len(self.desk.held))
 
     def _build_calls(self, ring: typing.Callable[[], streams.KeyRing]) -> None:
         identity = chatflow.Identity(self.settings.name, self.boot)
@@ -203,10 +225,11 @@
             self.clock,
             self.http,
             self.view,
+            mover.Mover(self.http),
             self.placer,
             ring,
             self.reporter,
-            Unlimited(),
+            retries.RetryBudgets(self.view.defaults.retry_share),
             identity,
         )
         self.flow = chatflow.ChatFlow(parts)
@@ -248,14 +271,29 @@
 
     def owner(self, pool_name: str) -> str:
         """Return the instance that owns a pool."""
-        targets = self.view.pool(pool_name)
-        if not targets:
-            return ""
-        return self.members.owner(pool_name, targets[0].data_centre)
+        return self.outlook.owner(pool_name)
 
     def standing(self, pool_name: str) -> admission.Standing:
         """Return this instance's right to admit to cold targets of a pool."""
-        return admission.Standing(1, True, 0.0)
+        return self.tenures.standing(pool_name)
+
+    def address(self, instance: str) -> str:
+        """Return the peer address of an instance, empty if it is unknown."""
+        return self.outlook.address(instance)
+
+    def platform_reached(self) -> bool:
+        """Return whether the platform answers, as far as this instance knows."""
+        return self.beats.platform_ok is not False
+
+    def listing(self) -> tuple[frozenset[str], float]:
+        """Return the names in the platform's list, and when it was read."""
+        return self.beats.listing, self.beats.listing_ms
+
+    def _publish(self) -> None:
+        now_ms = self.clock.now_ms()
+        for held in self.desk.held.values():
+            summary = held.owner.summary(now_ms)
+            self.outlook.publish(summary, held.wait_ms(now_ms))
 
     def _settings_changed(self) -> None:
         # A burst of changes is followed once.
@@ -265,16 +303,43 @@
 
     def _configure_desk(self) -> None:
         self._reconfiguring = False
-        owned: dict[str, dict[str, admission.Limits]] = {}
+        pools = self._own_pools()
+        self.tenures.configure(pools)
+        self.desk.configure(
+            {
+                name: self._owned(name, targets)
+                for name, targets in pools.items()
+                if self.outlook.owner(name) == self.settings.name
+            }
+        )
+
+    def _own_pools(self) -> dict[str, list[items.Target]]:
+        pools: dict[str, list[items.Target]] = {}
         for target in self.view.targets.values():
-            if target.data_centre != self.settings.data_centre:
-                continue
-            if target.kind == "store" or target.state != view.IN_SERVICE:
-                continue
-            if self.owner(target.pool_name) == self.settings.name:
-                pool = owned.setdefault(target.pool_name, {})
-                pool[target.name] = limits_of(target)
-        self.desk.configure(owned)
+            own = target.data_centre == self.settings.data_centre
+            if own and target.kind != "store" and target.state == view.IN_SERVICE:
+                pools.setdefault(target.pool_name, []).append(target)
+        return pools
+
+    def _owned(self, name: str, targets: list[items.Target]) -> desk_module.Owned:
+        serves = targets[0].serves
+        in_service = self.outlook.in_service()
+        data_centre = self.settings.data_centre
+        pools = {
+            pool: members[0].data_centre
+            for pool, members in self.view.pools(serves).items()
+            if members[0].data_centre in in_service
+        }
+        leaving = data_centre not in in_service
+        place = poolprompts.Place(name, data_centre, pools, leaving)
+        stores = {
+            target.name: target
+            for target in self.view.targets.values()
+            if target.kind == "store" and target.state == view.IN_SERVICE
+        }
+        engines = {target.name: target for target in targets}
+        model = self.view.models.get(serves)
+        return desk_module.Owned(place, engines, stores, model)
 
     async def _resumed(
         self, sender: wire.Sender, notice: notices.Resumed
@@ -291,18 +356,32 @@
         self._notices.add(task)
         task.add_done_callback(self._notices.discard)
 
+    async def _watch_files(self) -> None:
+        while True:
+            await asyncio.sleep(FILES_MS / 1_000)
+            for watched in (self.security.callers, self.security.targets):
+                if watched is not None:
+                    watched.refresh()
+            if self.peer_files is not None and self.peer_files.changed():
+                await self.peers.renew()
+
     async def start(self) -> None:
         """Listen for peers and callers and follow the platform."""
         settings = self.settings
-        await self.peer_server.start(settings.peer_listen)
+        files = self.security.peers
+        served = credentials.server(files) if files else None
+        await self.peer_server.start(settings.peer_listen, served)
         self._tasks = [
             asyncio.ensure_future(self.sync.run()),
             asyncio.ensure_future(self.beats.run()),
             asyncio.ensure_future(self.beats.follow()),
+            asyncio.ensure_future(self._watch_files()),
         ]
         host, _, port = settings.listen.rpartition(":")
+        callers = self.security.callers
+        context = callers.context if callers else None
         self.server = await server.start(
-            host, int(port), self.api.handle, settings.limits, self.tls
+            host, int(port), self.api.handle, settings.limits, context
         )
         events.emit(
             STARTED, name=settings.name, boot=self.boot, address=settings.listen
@@ -316,6 +395,7 @@
         name = self.settings.name
         events.emit(DRAINING, name=name, calls=len(self.server.connections))
         self.server.stop_listening()
+        await self.tenures.resign()
         try:
             async with asyncio.timeout(self.settings.drain_ms / 1_000):
                 await self.server.drained()
@@ -333,19 +413,9 @@
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        await self.desk.close()
         await self.once.close()
         await self.claims.close()
         await self.peer_server.stop(PEER_GRACE_MS)
         await self.peers.close()
         await self.http.close()
-
-
-def limits_of(target: items.Target) -> admission.Limits:
-    """Return what a target bears, from its settings."""
-    return admission.Limits(
-        target.max_sequences,
-        target.max_tokens,
-        target.cold_sequences,
-        target.cold_tokens,
-        target.cold_ms,
-    )
--- a/cornelreach/peers/wire.py
+++ b/cornelreach/peers/wire.py
@@ -16,9 +16,11 @@
 import msgspec
 from returns import result
 
+from cornelreach.peers import credentials as credentials_module
 from cornelreach.util import events
 
 SERVICE = "cornelreach.Peer"
+RENEW_GRACE_S = 5.0
 MESSAGE_BYTES = 4 * 1_048_576
 CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", MESSAGE_BYTES),
@@ -29,6 +31,8 @@
     ("grpc.so_reuseport", 0),
 )
 
+SERVER_NAME_OPTION = ("grpc.ssl_target_name_override", credentials_module.SERVER_NAME)
+
 PEER_HANDLER_FAILED = events.define(
     1701,
     "ERROR",
@@ -68,6 +72,7 @@
 
 Handler = typing.Callable[[Sender, typing.Any], typing.Awaitable[typing.Any]]
 SenderSource = typing.Callable[[], Sender]
+CredentialsSource = typing.Callable[[], grpc.ChannelCredentials]
 SenderHook = typing.Callable[[Sender], None]
 
 
@@ -130,7 +135,7 @@
         self,
         sender: SenderSource,
         on_sender: SenderHook,
-        credentials: grpc.ChannelCredentials | None = None,
+        credentials: CredentialsSource | None = None,
     ) -> None:
         self._sender = sender
         self._on_sender = on_sender
@@ -172,7 +177,9 @@
             if self._credentials is None:
                 channel = grpc.aio.insecure_channel(address, options)
             else:
-                channel = grpc.aio.secure_channel(address, self._credentials, options)
+                channel = grpc.aio.secure_channel(
+                    address, self._credentials(), (*options, SERVER_NAME_OPTION)
+                )
             self._channels[address] = channel
         return self._channels[address]
 
@@ -185,6 +192,12 @@
         if channel is not None:
             await channel.close()
 
+    async def renew(self) -> None:
+        """Open new channels from now on, with fresh credentials."""
+        channels, self._channels, self._calls = self._channels, {}, {}
+        for channel in channels.values():
+            await channel.close(RENEW_GRACE_S)
+
     async def close(self) -> None:
         """Close every channel."""
         for address in list(self._channels):
--- a/cornelreach/pools/desk.py
+++ b/cornelreach/pools/desk.py
@@ -1,21 +1,26 @@
 """The owner's side of the control call: one desk an instance, for all its pools.
 
-The desk keeps an aggregate for each pool that the instance owns, answers questions
+The desk keeps the aggregates of each pool that the instance owns, answers questions
 about it, and holds a question that waits until the pool decides or the asker is due
 to ask again.
 """
 
 import asyncio
+import random
 import typing
 
 from returns import result
 
+from cornelreach.http import client
 from cornelreach.peers import wire
 from cornelreach.pools import methods, notices
+from cornelreach.prompts import poolprompts
+from cornelreach.settings import items
 from cornelreach.targets import admission, permits, pool
 from cornelreach.util import errors, timers
 
 ADVANCE_MS = 20
+SERVED = permits.Outcome.DONE
 
 
 class Pools(typing.Protocol):
@@ -28,41 +33,107 @@
         """Return this instance's right to admit to cold targets of a pool."""
 
 
+class Owned(typing.NamedTuple):
+    """What the settings say of an owned pool; ``model`` is None for a service."""
+
+    place: poolprompts.Place
+    targets: dict[str, items.Target]
+    stores: dict[str, items.Target]
+    model: items.Model | None
+
+
+class Held:
+    """The aggregates of one owned pool."""
+
+    def __init__(
+        self, name: str, owned: Owned, prompts: poolprompts.PoolPrompts | None
+    ) -> None:
+        self.prompts = prompts
+        limits = {one.name: limits_of(one) for one in owned.targets.values()}
+        if prompts is None:
+            self.owner = pool.PoolOwner(name, limits)
+        else:
+            self.owner = pool.PoolOwner(name, limits, prompts.choose)
+        self.follow(owned)
+
+    def follow(self, owned: Owned) -> None:
+        """Follow the settings."""
+        limits = {one.name: limits_of(one) for one in owned.targets.values()}
+        self.owner.configure(limits)
+        if self.prompts is not None:
+            self.prompts.configure(
+                owned.place, owned.targets, owned.stores, owned.model
+            )
+
+    def wait_ms(self, now_ms: float) -> float:
+        """Return the expected wait of a new request."""
+        summary = self.owner.summary(now_ms)
+        if self.prompts is None:
+            return summary.wait_ms
+        return summary.wait_ms + self.prompts.wait_ms()
+
+
 class Desk:
     """Answers ``Ask`` and ``Release`` for the pools that this instance owns."""
 
-    def __init__(self, name: str, clock: timers.Timers, pools: Pools) -> None:
-        self.name = name
+    def __init__(
+        self,
+        clock: timers.Timers,
+        pools: Pools,
+        http: client.Client,
+        source: random.Random,
+    ) -> None:
         self.clock = clock
         self.pools = pools
-        self.owners: dict[str, pool.PoolOwner] = {}
+        self.http = http
+        self.source = source
+        self.held: dict[str, Held] = {}
         self._waiting: dict[str, asyncio.Future[None]] = {}
+        self._stops: set[asyncio.Task[None]] = set()
         clock.every(ADVANCE_MS, self.advance)
 
-    def configure(
-        self, limits: typing.Mapping[str, typing.Mapping[str, admission.Limits]]
-    ) -> None:
-        """Follow the settings and the ownership: pool to target to limits."""
-        for name in set(self.owners) - set(limits):
-            del self.owners[name]
-        for name, targets in limits.items():
-            if name in self.owners:
-                self.owners[name].configure(targets)
+    def configure(self, owned: typing.Mapping[str, Owned]) -> None:
+        """Follow the settings and the ownership."""
+        for name in set(self.held) - set(owned):
+            self._drop(name)
+        for name, one in owned.items():
+            if name in self.held:
+                self.held[name].follow(one)
             else:
-                self.owners[name] = pool.PoolOwner(name, targets)
+                self.held[name] = Held(name, one, self._prompts(one))
+
+    def _prompts(self, owned: Owned) -> poolprompts.PoolPrompts | None:
+        if owned.model is None:
+            return None
+        prompts = poolprompts.PoolPrompts(self.http, self.clock, self.source)
+        prompts.start()
+        return prompts
+
+    def _drop(self, name: str) -> None:
+        prompts = self.held.pop(name).prompts
+        if prompts is not None:
+            task = asyncio.ensure_future(prompts.stop())
+            self._stops.add(task)
+            task.add_done_callback(self._stops.discard)
+
+    async def close(self) -> None:
+        """Stop following the targets of every pool."""
+        for name in list(self.held):
+            self._drop(name)
+        await asyncio.gather(*self._stops, return_exceptions=True)
 
     async def ask(
         self, sender: wire.Sender, request: permits.PermitRequest
     ) -> methods.Asked:
         """Answer one question; waits at most ``permits.POLL_MS``."""
-        owner = self.owners.get(request.pool)
-        if owner is None:
+        held = self.held.get(request.pool)
+        if held is None:
             return methods.Asked(other_owner=self.pools.owner(request.pool))
-        answer = self._request(owner, request)
+        answer = self._request(held.owner, request)
         if answer.queued is None:
             return answer
         await self._decided(request.request)
-        return self._request(owner, request)
+        return self._request(held.owner, request)
 
     def _request(
         self, owner: pool.PoolOwner, request: permits.PermitRequest
@@ -92,28 +163,47 @@
     ) -> notices.Nothing:
         """Take permits back; unknown pools are passed over."""
         for item in releases.items:
-            owner = self.owners.get(item.pool)
-            if owner is not None:
-                owner.release(item.release, self.clock.now_ms())
+            held = self.held.get(item.pool)
+            if held is not None:
+                self._release(held, item.release)
         self.advance()
         return notices.Nothing()
 
+    def _release(self, held: Held, release: permits.Release) -> None:
+        held.owner.release(release, self.clock.now_ms())
+        if held.prompts is not None:
+            held.prompts.released(release.permit, release.outcome is SERVED)
+
     def advance(self) -> None:
         """Wake the questions whose pools have decided."""
         now_ms = self.clock.now_ms()
-        for owner in self.owners.values():
-            owner.stand(self.pools.standing(owner.name))
-            for decision in owner.advance(now_ms):
+        for held in self.held.values():
+            held.owner.stand(self.pools.standing(held.owner.name))
+            for decision in held.owner.advance(now_ms):
                 waiting = self._waiting.pop(decision.request, None)
                 if waiting is not None and not waiting.done():
                     waiting.set_result(None)
 
     def report(self, pool_name: str, report: permits.Report) -> None:
         """Pass a target's report to its pool."""
-        owner = self.owners.get(pool_name)
-        if owner is not None:
-            owner.report(report, self.clock.now_ms())
-            self.advance()
+        held = self.held.get(pool_name)
+        if held is None:
+            return
+        held.owner.report(report, self.clock.now_ms())
+        if held.prompts is not None:
+            held.prompts.reported(report.target, report.queued_tokens)
+        self.advance()
+
+
+def limits_of(target: items.Target) -> admission.Limits:
+    """Return what a target bears, from its settings."""
+    return admission.Limits(
+        target.max_sequences,
+        target.max_tokens,
+        target.cold_sequences,
+        target.cold_tokens,
+        target.cold_ms,
+    )
 
 
 def no_owner(pool_name: str) -> errors.Refusal:
--- a/cornelreach/pools/placer.py
+++ b/cornelreach/pools/placer.py
@@ -8,11 +8,11 @@
 
 from cornelreach.calls import ports
 from cornelreach.peers import wire
-from cornelreach.pools import desk as desk_module, methods
-from cornelreach.prompts import pieces
-from cornelreach.settings import view
+from cornelreach.pools import desk as desk_module, methods, outlook as outlook_module
+from cornelreach.prompts import affinity, pieces
+from cornelreach.settings import items, view
 from cornelreach.targets import permits
-from cornelreach.util import errors, hashing, timers
+from cornelreach.util import errors, timers
 
 ASK_MARGIN_MS = 500
 RELEASE_LINGER_MS = 20
@@ -21,16 +21,6 @@
 KEY_CHARACTERS = 16
 
 
-class Members(typing.Protocol):
-    """Which instances are in reach."""
-
-    def address(self, instance: str) -> str:
-        """Return the peer address of a live instance, empty if it is not in reach."""
-
-    def in_reach(self, data_centre: str) -> bool:
-        """Return whether any instance of a data centre is in reach."""
-
-
 class Placer:
     """Places requests for the callers of this instance."""
 
@@ -40,14 +30,15 @@
         clock: timers.Timers,
         settings: view.View,
         peers: wire.Client,
-        members: Members,
+        outlook: outlook_module.Outlook,
         desk: desk_module.Desk,
     ) -> None:
         self.sender = sender
         self.clock = clock
         self.view = settings
         self.peers = peers
-        self.members = members
+        self.outlook = outlook
+        self.affinity = affinity.Affinity()
         self.desk = desk
         self._numbers = itertools.count(1)
         self._releases: dict[str, list[methods.PoolRelease]] = {}
@@ -62,27 +53,48 @@
         for pool_name in self.candidates(need)[:MAX_POOLS]:
             outcome = await self._ask_pool(pool_name, need, until_ms)
             if isinstance(outcome, result.Success):
+                self._sent(need, pool_name)
                 return outcome
             refusal = outcome.failure()
             if refusal.code is errors.Code.DEADLINE:
                 break
         return result.Failure(refusal)
 
+    def _sent(self, need: ports.Need, pool_name: str) -> None:
+        if need.prompt is not None:
+            summary = self.outlook.summary(pool_name)
+            now_ms = self.clock.now_ms()
+            self.affinity.sent(need.prompt.root, summary, 0.0, now_ms)
+
     def candidates(self, need: ports.Need) -> list[str]:
-        """Return the pools that may serve a need, best first."""
-        in_service = self.view.in_service()
-        usable = [
-            name
+        """Return the pools that may serve a need, best first.
+
+        A prompt goes where its root belongs; a call to a plain service stays in this
+        data centre while that has room.
+        """
+        summaries = [
+            self.outlook.summary(name)
             for name, targets in self.view.pools(need.serves).items()
-            if any(
-                target.data_centre in in_service
-                and target.state == view.IN_SERVICE
-                and self.members.in_reach(target.data_centre)
-                for target in targets
-            )
+            if self._usable(targets)
         ]
-        root = need.prompt.root if need.prompt else need.account
-        return hashing.rendezvous(root.encode(), usable)
+        if need.prompt is None:
+            own = self.sender().data_centre
+            summaries.sort(key=lambda one: (one.data_centre != own, one.wait_ms))
+            return [one.pool for one in summaries]
+        model = self.view.models.get(need.serves)
+        tokens_per_s = model.prefill_tokens_per_s if model else 1
+        move_ms = need.prompt.total_tokens * 1_000 / tokens_per_s
+        now_ms = self.clock.now_ms()
+        return self.affinity.order(need.prompt.root, summaries, move_ms, now_ms).pools
+
+    def _usable(self, targets: typing.Sequence[items.Target]) -> bool:
+        in_service = self.outlook.in_service()
+        return any(
+            target.data_centre in in_service
+            and target.state == view.IN_SERVICE
+            and self.outlook.in_reach(target.data_centre)
+            for target in targets
+        )
 
     async def _ask_pool(
         self, pool_name: str, need: ports.Need, until_ms: float
@@ -94,7 +106,7 @@
             if asked.refusal is not None:
                 return result.Failure(asked.refusal)
             if asked.permit is not None:
-                return self._ticket(asked.permit, asked_ms)
+                return self._ticket(asked.permit, asked_ms, request)
         return result.Failure(too_late())
 
     def _request(self, pool_name: str, need: ports.Need) -> permits.PermitRequest:
@@ -119,7 +131,7 @@
 
     async def _ask(self, request: permits.PermitRequest) -> methods.Asked:
         sender = self.sender()
-        owner = self.desk.pools.owner(request.pool)
+        owner = self.outlook.owner(request.pool)
         for _ in range(2):
             if owner == sender.name:
                 asked = await self.desk.ask(sender, request)
@@ -133,7 +145,7 @@
     async def _ask_peer(
         self, owner: str, request: permits.PermitRequest
     ) -> methods.Asked:
-        address = self.members.address(owner)
+        address = self.outlook.address(owner)
         refused = methods.Asked(refusal=desk_module.no_owner(request.pool))
         if not address:
             return refused
@@ -142,7 +154,7 @@
         return reply.value_or(refused)
 
     def _ticket(
-        self, permit: permits.Permit, asked_ms: float
+        self, permit: permits.Permit, asked_ms: float, request: permits.PermitRequest
     ) -> result.Result[ports.Ticket, errors.Refusal]:
         target = self.view.targets.get(permit.target)
         if target is None:
@@ -151,11 +163,25 @@
             )
             self.release(unused, permit.pool)
             return result.Failure(desk_module.no_owner(permit.pool))
-        return result.Success(ports.Ticket(permit, target, asked_ms))
+        return result.Success(ports.Ticket(permit, target, asked_ms, request))
+
+    async def renewed(self, ticket: ports.Ticket) -> ports.Ticket:
+        """Ask again for a permit that a transfer has used up half of.
+
+        The owner answers the repeated question with the same permit. If it does not,
+        the ticket stays as it is and its own expiry decides.
+        """
+        now_ms = self.clock.now_ms()
+        if now_ms - ticket.asked_ms < ticket.permit.start_within_ms / 2:
+            return ticket
+        asked = await self._ask(ticket.request)
+        if asked.permit is None or asked.permit.target != ticket.target.name:
+            return ticket
+        return ticket._replace(permit=asked.permit, asked_ms=now_ms)
 
     def release(self, release: permits.Release, pool: str) -> None:
         """Hand a permit back with the next batch to the pool's owner."""
-        owner = self.desk.pools.owner(pool)
+        owner = self.outlook.owner(pool)
         batch = self._releases.setdefault(owner, [])
         batch.append(methods.PoolRelease(pool, release))
         if len(batch) == 1:
@@ -171,7 +197,7 @@
         if owner == sender.name:
             await self.desk.release(sender, releases)
             return
-        address = self.members.address(owner)
+        address = self.outlook.address(owner)
         if address:
             await self.peers.call(address, methods.RELEASE, releases, RELEASE_WAIT_MS)
 
--- a/cornelreach/pools/prober.py
+++ b/cornelreach/pools/prober.py
@@ -46,7 +46,8 @@
 
     def _tick(self) -> None:
         now_ms = self.clock.now_ms()
-        for owner in self.desk.owners.values():
+        for held in self.desk.held.values():
+            owner = held.owner
             urgent = set(owner.probes())
             for name in owner.targets:
                 due_ms = URGENT_MS if name in urgent else REPORT_MS
--- a/cornelreach/settings/view.py
+++ b/cornelreach/settings/view.py
@@ -49,6 +49,7 @@
         }
         self._by_digest: dict[str, list[tuple[str, str]]] = {}
         self._pools: dict[str, dict[str, list[items.Target]]] = {}
+        self._by_pool: dict[str, list[items.Target]] = {}
         self._refresh(tuple(state.live()))
         state.subscribe(lambda changed: self._refresh(changed.entries))
 
@@ -134,8 +135,7 @@
 
     def pool(self, name: str) -> list[items.Target]:
         """Return the targets of one pool."""
-        found = [t for t in self.targets.values() if t.pool_name == name]
-        return sorted(found)
+        return self._by_pool.get(name, [])
 
     def effective(
         self,
@@ -197,9 +197,11 @@
 
     def _index_pools(self) -> None:
         self._pools = {}
+        self._by_pool = {}
         for target in sorted(self.targets.values()):
             pools = self._pools.setdefault(target.serves, {})
             pools.setdefault(target.pool_name, []).append(target)
+            self._by_pool.setdefault(target.pool_name, []).append(target)
 
 
 def ended(override: items.Override, wall_ms: float) -> bool:
--- a/cornelreach/ui/admin.py
+++ b/cornelreach/ui/admin.py
@@ -106,7 +106,8 @@
     """Return what an operator sees of one instance."""
     settings = instance.settings
     now_ms = instance.clock.now_ms()
-    pools = [owner.summary(now_ms)._asdict() for owner in instance.desk.owners.values()]
+    held = instance.desk.held.values()
+    pools = [one.owner.summary(now_ms)._asdict() for one in held]
     return {
         "name": settings.name,
         "data_centre": settings.data_centre,
--- a/cornelreach/ui/daemon.py
+++ b/cornelreach/ui/daemon.py
@@ -11,7 +11,8 @@
 import cornelreach
 from cornelreach import instance as instance_module
 from cornelreach.calls import streams
-from cornelreach.http import limits, server
+from cornelreach.http import limits, server, tls
+from cornelreach.peers import credentials
 from cornelreach.ui import admin, options as options_module
 from cornelreach.util import errors, log
 
@@ -41,6 +42,21 @@
     )
 
 
+def security_of(options: options_module.Options) -> instance_module.Security:
+    """Return the TLS parts that the settings name; raises errors.UserError."""
+    callers = targets = peers = None
+    if options.tls_cert:
+        files = tls.Files(options.tls_cert, options.tls_key, "")
+        callers = tls.Watched(files, server=True)
+    if options.target_ca:
+        files = tls.Files("", "", options.target_ca)
+        targets = tls.Watched(files, server=False)
+    if options.peer_cert:
+        peers = credentials.Files(options.peer_cert, options.peer_key, options.peer_ca)
+        credentials.Watched(peers)
+    return instance_module.Security(callers, targets, peers)
+
+
 def key_ring(options: options_module.Options) -> typing.Callable[[], streams.KeyRing]:
     """Return a source of the stream keys, from the secret file or made up."""
     if not options.secret_file:
@@ -71,7 +87,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     ring = key_ring(options)
-    instance = instance_module.Instance(settings_of(options), ring)
+    security = security_of(options)
+    instance = instance_module.Instance(settings_of(options), ring, security)
     key = operator_key(options)
     desk = admin.Admin(instance, lambda: key, stop.set)
     host, _, port = options.admin_listen.rpartition(":")
@@ -91,6 +108,7 @@
     try:
         options, check = options_module.parse(sys.argv[1:], os.environ, version)
         key_ring(options)
+        security_of(options)
     except errors.UserError as error:
         print(f"cornelreachd: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
--- a/standins/site.py
+++ b/standins/site.py
@@ -36,6 +36,7 @@
 ACCOUNT_KEY = "tirnica-demo-key"
 OPERATOR_KEY = "operator-demo-key"
 READY_WAIT_S = 20
+SETTLE_WAIT_S = 40
 STOP_WAIT_S = 10
 
 
@@ -209,6 +210,27 @@
         await self._until_ready(member, handle)
         return process
 
+    async def settled(self) -> None:
+        """Wait until every pool has an owner that can admit."""
+        want = len(turns.MODELS) * len(DATA_CENTRES) + len(self.services)
+        async with asyncio.timeout(SETTLE_WAIT_S):
+            while await self._open_pools() < want:
+                await asyncio.sleep(0.2)
+
+    async def _open_pools(self) -> int:
+        states = [await self.status(one) for one in self.members]
+        whole = all(len(one["members"]) == len(self.members) for one in states)
+        pools = [pool for one in states for pool in one["pools"]]
+        return whole * sum(pool["room_sequences"] > 0 for pool in pools)
+
+    async def status(self, member: Member) -> dict[str, typing.Any]:
+        """Return what an instance says of itself on its admin address."""
+        headers = ((b"authorization", b"Bearer " + OPERATOR_KEY.encode()),)
+        _, body, _ = await self.http.call(
+            client.parse_address(member.admin), "GET", "/admin/status", b"", headers
+        )
+        return msgspec.json.decode(body)
+
     async def _until_ready(
         self, member: Member, handle: asyncio.subprocess.Process
     ) -> None:
@@ -249,6 +271,8 @@
 
 async def run(site: Site, count: int) -> int:
     """Send the rulebook through the whole chain and print what came back."""
+    print("waiting until the pools have owners", flush=True)
+    await site.settled()
     callers = [one.callers for one in site.members]
     chain = turns.Chain(site.http, callers, ACCOUNT_KEY, print)
     report = await chain.run(count)
--- /dev/null
+++ b/test/http/test_tls.py
@@ -0,0 +1,67 @@
+"""Tests of TLS contexts that follow their files."""
+
+import os
+import ssl
+import tempfile
+import unittest
+
+from cornelreach.http import client, messages, server, tls
+from cornelreach.util import errors
+from test import certificates
+
+
+async def hello(request):
+    """Answer any request."""
+    return messages.Response(200, b"hello")
+
+
+class Watched(unittest.IsolatedAsyncioTestCase):
+    """A server whose certificate is replaced while it runs."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.authority = certificates.Authority(folder.name)
+        self.files = tls.Files(*self.authority.issue("localhost"), "")
+        self.watched = tls.Watched(self.files, server=True)
+        self.server = await server.start(
+            "127.0.0.1", 0, hello, tls=self.watched.context
+        )
+        self.addCleanup(self.server.abort)
+        self.addCleanup(self.server.stop_listening)
+
+    async def serial(self, authority):
+        """Return the serial number that a new connection is shown."""
+        trust = tls.Watched(tls.Files("", "", str(authority.path)), server=False)
+        address = client.Address("127.0.0.1", self.server.port, True)
+        caller = client.Client(trust.context)
+        answer = await caller.send(address, "GET", "/")
+        wire = answer._wire
+        shown = wire.writer.get_extra_info("ssl_object").getpeercert()
+        await answer.read()
+        await caller.close()
+        return shown["serialNumber"]
+
+    async def test_new_certificate_is_shown_without_restart(self):
+        before = await self.serial(self.authority)
+        self.authority.issue("localhost")
+        os.utime(self.files.certificate, ns=(1, 1))
+        self.watched.refresh()
+        self.assertNotEqual(await self.serial(self.authority), before)
+
+    async def test_bad_files_leave_the_former_certificate(self):
+        before = await self.serial(self.authority)
+        with open(self.files.key, "w") as key:
+            key.write("not a key")
+        self.watched.refresh()
+        self.assertEqual(await self.serial(self.authority), before)
+
+    async def test_unknown_authority_is_not_trusted(self):
+        other = certificates.Authority(self.authority.folder, "other")
+        with self.assertRaises(client.RequestNotSent):
+            await self.serial(other)
+
+    def test_unusable_files_name_the_remedy(self):
+        with self.assertRaisesRegex(errors.UserError, "PEM certificate"):
+            tls.Watched(self.files._replace(key=str(self.authority.path)), server=True)
+        self.assertIs(self.watched.context.minimum_version, ssl.TLSVersion.TLSv1_2)
