Let a transfer take as long as the prefill that it saves

Cause: of the tokens recomputed beyond first sightings, four fifths were of transfers given up at twice their estimate, which does not know a store's disk. Change: the limit is the prefill of the same pieces.

--- a/cornelreach/prompts/placement.py
+++ b/cornelreach/prompts/placement.py
@@ -39,8 +39,9 @@
     """Weights of the choice.
 
     ``recompute_weight`` adds a share of the prefill of pieces, for the calls that queue
-    behind it. ``transfer_margin`` is by how much a transfer has to beat prefill, and
-    ``stall_factor`` how many times its estimate it may take.
+    behind it. ``transfer_margin`` is by how much a transfer has to beat prefill. It may
+    take as long as that prefill, at least ``stall_floor_ms``. ``stall_factor`` is how many
+    times its estimate another run is waited for.
     """
 
     recompute_weight: float = 0.5
@@ -258,14 +259,13 @@
         start, end = best.held, best.held + best.brought
         policy = self.policy
         size_bytes = (prompt.ends[end] - prompt.ends[start]) * prompt.bytes_per_token
-        limit_ms = min(policy.stall_factor * best.transfer_ms, best.saved_ms)
         return plans.Plan(
             target=best.target,
             action=_action(best),
             source=best.source,
             bring=prompt.pieces.keys[start:end],
             bring_bytes=size_bytes,
-            transfer_limit_ms=max(policy.stall_floor_ms, limit_ms),
+            transfer_limit_ms=max(policy.stall_floor_ms, best.saved_ms),
             after=best.after,
             after_limit_ms=policy.stall_factor * best.wait_ms + policy.stall_floor_ms,
             cost=best,
