Bound what a claim costs: cached owners, back-off, silent owners passed over

Cause: the owner of a shard was computed anew for each claim; an outage was met with a read every 50 ms a shard; a silent owner cost each claim two seconds. Change: owners are kept until the members change; back-off with jitter up to 500 ms; an owner that gave no answer is passed over for 5 s; a held claim is sent within half of the retention.

--- a/cornelreach/calls/claims.py
+++ b/cornelreach/calls/claims.py
@@ -5,18 +5,21 @@
 believes to be owner, or finds the owner out of reach, writes on the same condition.
 """
 
+import random
 import typing
 
 from returns import result
 
 from cornelreach.calls import exchanges, ledger, shards
 from cornelreach.peers import wire
-from cornelreach.platform import results
+from cornelreach.platform import backoff, results
 from cornelreach.util import hashing, timers
 
 SHARD_COUNT = 64
 SHARD_IDLE_MS = 600_000
 REPLY_MARGIN_MS = 200
+OWNER_WAIT_MS = 1_500
+AVOID_MS = 5_000
 
 
 class Peers(typing.Protocol):
@@ -65,10 +68,29 @@
         self.clock = clock
         self.retention_ms = retention_ms
         self._shards: dict[str, shards.Shard] = {}
+        self._names: set[str] = set()
+        self._owners: dict[str, str] = {}
+        self._avoided_until_ms: dict[str, float] = {}
 
     def _owner(self, shard: str, members: dict[str, str]) -> str:
-        names = {self.instance, *members}
-        return hashing.rendezvous(shard.encode(), names)[0]
+        if members.keys() != self._names:
+            self._names = set(members)
+            self._owners.clear()
+        if shard not in self._owners:
+            names = {self.instance, *members}
+            self._owners[shard] = hashing.rendezvous(shard.encode(), names)[0]
+        return self._owners[shard]
+
+    def _candidates(self) -> dict[str, str]:
+        """Return the members without those that gave no answer just now."""
+        members = dict(self.members())
+        now_ms = self.clock.now_ms()
+        for name, until_ms in list(self._avoided_until_ms.items()):
+            if until_ms <= now_ms:
+                del self._avoided_until_ms[name]
+            else:
+                members.pop(name, None)
+        return members
 
     async def submit(
         self, entry: ledger.Entry, wait_ms: float, direct: bool = False
@@ -78,15 +100,17 @@
         After OwnerLost or Unavailable the entry may still reach the log.
         """
         name = shard_name(entry.key)
-        members = self.members()
+        members = self._candidates()
         owner = self._owner(name, members)
         if direct or owner == self.instance:
             return await self._shard(name).submit(entry, wait_ms)
-        request = exchanges.Submit(entry, wait_ms)
+        owner_ms = min(wait_ms, OWNER_WAIT_MS)
+        request = exchanges.Submit(entry, owner_ms)
         address = members[owner]
-        reply_ms = wait_ms + REPLY_MARGIN_MS
+        reply_ms = owner_ms + REPLY_MARGIN_MS
         reply = await self.peers.call(address, exchanges.SUBMIT, request, reply_ms)
         if isinstance(reply, result.Failure):
+            self._avoided_until_ms[owner] = self.clock.now_ms() + AVOID_MS
             return OwnerLost(owner)
         return exchanges.unpack(reply.unwrap())
 
@@ -111,7 +135,12 @@
 
     def _shard(self, name: str) -> shards.Shard:
         if name not in self._shards:
+            pause = backoff.Backoff(
+                random.Random(f"{self.instance}/{name}"),
+                shards.RETRY_MS,
+                shards.RETRY_LIMIT_MS,
+            )
             self._shards[name] = shards.Shard(
-                self.objects, self.clock, name, self.retention_ms
+                self.objects, self.clock, name, self.retention_ms, pause
             )
         return self._shards[name]
--- a/cornelreach/calls/once.py
+++ b/cornelreach/calls/once.py
@@ -217,7 +217,7 @@
     ) -> Outcome:
         def begin() -> None:
             now_ms = self.clock.now_ms()
-            if now_ms >= due_ms or now_ms - run.opened_ms > HOLD_MS:
+            if now_ms >= due_ms or now_ms - run.opened_ms > self._hold_ms():
                 run.abandon()
             run.begin()
 
@@ -241,6 +241,10 @@
         events.emit(LOST, attempt=run.attempt.number, service=call.service)
         return result.Failure(refusals.unknown())
 
+    def _hold_ms(self) -> float:
+        """Return how long after its claim a call may still be sent."""
+        return min(HOLD_MS, self.log.retention_ms() / 2)
+
     async def _follow(
         self,
         attempt: ledger.Attempt,
--- a/cornelreach/calls/shards.py
+++ b/cornelreach/calls/shards.py
@@ -15,12 +15,13 @@
 from returns import result
 
 from cornelreach.calls import history, ledger
-from cornelreach.platform import results
+from cornelreach.platform import backoff, results
 from cornelreach.util import events, timers
 
 WRITES_PER_S = 3.0
 BURST_WRITES = 3.0
 RETRY_MS = 50
+RETRY_LIMIT_MS = 500
 RECORD_DELAY_MS = 300
 MAX_PENDING = 4_096
 MAX_BATCH_BYTES = 262_144
@@ -59,11 +60,13 @@
         clock: timers.Timers,
         name: str,
         retention_ms: typing.Callable[[], float],
+        pause: backoff.Backoff,
     ) -> None:
         self.objects = objects
         self.clock = clock
         self.name = name
         self.retention_ms = retention_ms
+        self.pause = pause
         self.ledger = ledger.Ledger()
         self.tail = ledger.Tail(0, [])
         self.version: int | None = None
@@ -232,10 +235,11 @@
 
     async def _catch_up(self) -> bool:
         """Read the log up to its end; False, after a pause, if that fails."""
-        read = await self._read()
-        if not read:
-            await asyncio.sleep(RETRY_MS / 1_000)
-        return read
+        if await self._read():
+            self.pause.reset()
+            return True
+        await asyncio.sleep(self.pause.next_ms() / 1_000)
+        return False
 
     async def _read(self) -> bool:
         found = await self.objects.get(self.tail_key)
--- a/test/calls/test_shards.py
+++ b/test/calls/test_shards.py
@@ -1,10 +1,12 @@
 """Tests of the claim log of one shard: batches, history, retention, conflicts."""
 
 import asyncio
+import random
 import unittest
 from unittest import mock
 
 from cornelreach.calls import history, ledger, shards
+from cornelreach.platform import backoff
 from test import virtualloop
 from test.platform import objects
 
@@ -32,7 +34,8 @@
         return virtualloop.run(self.make(), self.loop)
 
     async def make(self):
-        return shards.Shard(self.fake, self.clock, "0000", lambda: RETENTION_MS)
+        pause = backoff.Backoff(random.Random(1), shards.RETRY_MS)
+        return shards.Shard(self.fake, self.clock, "0000", lambda: RETENTION_MS, pause)
 
     def submit(self, shard, *entries, wait_ms=2_000):
         async def submit():
