Measure the cost of admission; look past long prompts in a queue

The tries of an account's turn went to its first eight calls; they now go to calls that fit, and one that does not.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: env test lint format run serve measure bench-placement measure-fairness
+.PHONY: env test lint format run serve measure bench-placement measure-fairness measure-control
 
 env: $(STAMP)
 
@@ -33,6 +33,9 @@
 measure-fairness: env
 	$(PYTHON) -m tools.measure_fairness
 
+measure-control: env
+	$(PYTHON) -m tools.measure_control
+
 bench-placement: env
 	$(PYTHON) -m tools.bench_placement
 
--- a/cornelreach/targets/admission.py
+++ b/cornelreach/targets/admission.py
@@ -107,6 +107,7 @@
         self._tells_cold = False
         self._former_boots = collections.deque(maxlen=FORMER_BOOTS)
         self._accounted_from_ms: float | None = None
+        self._overdue_from_ms = float("inf")
         self._peaks: list[tuple[float, int]] = []
 
     def needs_probe(self) -> bool:
@@ -154,6 +155,7 @@
             self._count(load, 1)
         use_until_ms = now_ms + use_ms + USE_GRACE_MS
         self.out[permit] = Grant(load, now_ms, use_until_ms)
+        self._overdue_from_ms = min(self._overdue_from_ms, use_until_ms)
         self._note_peak(now_ms)
 
     def release(
@@ -260,13 +262,15 @@
 
     def _expire(self, now_ms: float) -> None:
         """Drop overdue permits of a warm target; a cold one waits for proof."""
-        if self.heat is not Heat.WARM:
+        if self.heat is not Heat.WARM or now_ms < self._overdue_from_ms:
             return
         overdue = [
             permit for permit, held in self.out.items() if held.use_until_ms <= now_ms
         ]
         for permit in overdue:
             self._drop(permit)
+        left = (held.use_until_ms for held in self.out.values())
+        self._overdue_from_ms = min(left, default=float("inf"))
 
     def _drop(self, permit: str) -> bool:
         grant = self.out.pop(permit, None)
--- a/cornelreach/targets/breakers.py
+++ b/cornelreach/targets/breakers.py
@@ -7,7 +7,7 @@
 
     ring = breakers.Ring()
     ring.record("e1", breakers.Sample(ok=False), now_ms)
-    usable = ring.usable(["e1", "e2", "e3"], now_ms)
+    ejected = ring.ejected(["e1", "e2", "e3"], now_ms)
 """
 
 import statistics
@@ -150,14 +150,15 @@
             return False
         return mine.slowness > SLOW_RATIO * max(1.0, statistics.median(peers))
 
-    def usable(self, targets: typing.Sequence[str], now_ms: float) -> set[str]:
-        """Return the targets that calls may go to.
+    def ejected(self, targets: typing.Sequence[str], now_ms: float) -> set[str]:
+        """Return the targets that calls do not go to now.
 
-        At most ``MOST_EJECTED_SHARE`` of the pool are ejected; of more, those that
-        opened last stay in use.
+        They are at most ``MOST_EJECTED_SHARE`` of the pool; of more that are open,
+        those that opened last stay in use.
         """
-        opened = [name for name in targets if self.of(name).is_open]
+        opened = [name for name, one in self._breakers.items() if one.is_open]
+        if not opened:
+            return set()
         opened.sort(key=lambda name: self.of(name).opened_ms)
         most = int(len(targets) * MOST_EJECTED_SHARE)
-        ejected = {name for name in opened[:most] if not self.of(name).admits(now_ms)}
-        return set(targets) - ejected
+        return {name for name in opened[:most] if not self.of(name).admits(now_ms)}
--- a/cornelreach/targets/fairness.py
+++ b/cornelreach/targets/fairness.py
@@ -217,16 +217,17 @@
         held = self._accounts.get(account)
         return held.out_sequences if held else 0
 
-    def turns(self, now_ms: float) -> list[Entry]:
+    def turns(self, now_ms: float, room_tokens: float = float("inf")) -> list[Entry]:
         """Return the entries to try, those whose turn it is first.
 
-        At most ``TRIES_PER_ACCOUNT`` of each account are named, so that a long prompt
-        that finds no room does not hold up the shorter ones behind it.
+        Of each account they are at most ``TRIES_PER_ACCOUNT`` whose prompt fits into
+        ``room_tokens``, and the first that does not, so that long prompts do not hold
+        up the shorter ones behind them.
         """
         keyed = []
         for account in self._accounts.values():
             if account.entries:
-                keyed.extend(_keyed(account, now_ms))
+                keyed.extend(_keyed(account, now_ms, room_tokens))
         keyed.sort(key=lambda pair: pair[0])
         return [entry for _, entry in keyed]
 
@@ -269,15 +270,31 @@
     return held or now_ms - account.used_ms < ACTIVE_MS
 
 
-def _keyed(account: _Account, now_ms: float) -> list[tuple[tuple, Entry]]:
+def _keyed(
+    account: _Account, now_ms: float, room_tokens: float
+) -> list[tuple[tuple, Entry]]:
     """Return entries with their sort keys: standing back, then virtual start."""
     borrows = account.budget_tokens(now_ms) < 0
     start = account.virtual_time
     keyed = []
-    for entry in account.in_order(now_ms)[:TRIES_PER_ACCOUNT]:
+    for entry in _to_try(account.in_order(now_ms), room_tokens):
         batch = entry.request.priority is permits.Priority.BATCH
         young = now_ms - entry.arrived_ms < AGE_MS
         key = (young and (batch or borrows), start, entry.arrived_ms, entry.name)
         keyed.append((key, entry))
         start += entry.tokens / account.weight
     return keyed
+
+
+def _to_try(ordered: list[Entry], room_tokens: float) -> typing.Iterator[Entry]:
+    left = TRIES_PER_ACCOUNT
+    too_long = False
+    for entry in ordered:
+        if entry.request.prompt_tokens <= room_tokens:
+            left -= 1
+            yield entry
+        elif not too_long:
+            too_long = True
+            yield entry
+        if left == 0:
+            return
--- a/cornelreach/targets/pace.py
+++ b/cornelreach/targets/pace.py
@@ -17,26 +17,32 @@
 
     def __init__(self) -> None:
         self._left_ms = [0.0] * PRIORITIES
-        self._at_ms: float | None = None
+        self._empty = True
+        self._at_ms = 0.0
 
     def backlog_ms(self, priority: int, now_ms: float) -> float:
         """Return how long the target reads before a new prompt of a priority."""
         self._read(now_ms)
-        return sum(self._left_ms[: priority + 1])
+        return 0.0 if self._empty else sum(self._left_ms[: priority + 1])
 
     def sent(self, prefill_ms: float, priority: int, now_ms: float) -> None:
         """Count a prompt."""
         self._read(now_ms)
         self._left_ms[priority] += prefill_ms
+        self._empty = False
 
     def reset(self) -> None:
         """Forget the backlog; the target reads nothing."""
         self._left_ms = [0.0] * PRIORITIES
+        self._empty = True
 
     def _read(self, now_ms: float) -> None:
-        spent_ms = 0.0 if self._at_ms is None else max(0.0, now_ms - self._at_ms)
+        spent_ms = max(0.0, now_ms - self._at_ms)
         self._at_ms = now_ms
+        if self._empty:
+            return
         for priority, left_ms in enumerate(self._left_ms):
             read_ms = min(left_ms, spent_ms)
             self._left_ms[priority] = left_ms - read_ms
             spent_ms -= read_ms
+        self._empty = not any(self._left_ms)
--- a/cornelreach/targets/pool.py
+++ b/cornelreach/targets/pool.py
@@ -184,7 +184,7 @@
 
     def summary(self, now_ms: float) -> Summary:
         """Return the pool in short."""
-        supply = self._supply(now_ms)
+        supply = self._supply(self._usable(now_ms), now_ms)
         cold = sum(one.is_cold() for one in self.members.values())
         return Summary(
             pool=self.name,
@@ -219,6 +219,9 @@
             return refusals.no_target()
         if request.deadline_in_ms <= 0:
             return refusals.late()
+        most = max(one.admission.limits.max_tokens for one in self.members.values())
+        if request.prompt_tokens > most:
+            return refusals.too_large(request.prompt_tokens, most)
         if entry.name in self.queue:
             return None
         wait_ms = self.drain.wait_ms(self.queue.tokens_ahead(request.account, now_ms))
@@ -264,8 +267,8 @@
         self.breakers.record(held.name, sample, now_ms)
 
     def _usable(self, now_ms: float) -> list[member.PoolMember]:
-        usable = self.breakers.usable(list(self.members), now_ms)
-        return [one for name, one in self.members.items() if name in usable]
+        ejected = self.breakers.ejected(list(self.members), now_ms)
+        return [one for name, one in self.members.items() if name not in ejected]
 
     def _remember(self, name: str, refusal: errors.Refusal) -> None:
         self._ended[name] = refusal
@@ -291,9 +294,9 @@
                 self.breakers.of(held.name).dropped()
                 self._end_grant(name)
 
-    def _supply(self, now_ms: float) -> sharing.Supply:
+    def _supply(self, usable: list[member.PoolMember], now_ms: float) -> sharing.Supply:
         return sharing.supply_of(
-            [one.admission for one in self._usable(now_ms)], self.standing, now_ms
+            [one.admission for one in usable], self.standing, now_ms
         )
 
     def _dispatch(self, now_ms: float) -> None:
@@ -304,11 +307,14 @@
         """
         if not len(self.queue):
             return
-        supply = self._supply(now_ms)
+        usable = self._usable(now_ms)
+        supply = self._supply(usable, now_ms)
         if supply.free.sequences <= 0:
             return
         kept = ""
-        for entry in self.queue.turns(now_ms):
+        for entry in self.queue.turns(now_ms, supply.most_tokens):
+            if supply is None:
+                supply = self._supply(usable, now_ms)
             if supply.free.sequences <= 0:
                 return
             if entry.attended_until_ms <= now_ms:
@@ -316,8 +322,9 @@
             use = sharing.use_of(entry, self.queue, supply, now_ms)
             if not use.allowed:
                 continue
-            if self._try(entry, use, kept, now_ms):
-                supply = self._supply(now_ms)
+            able = [one for one in usable if one.name != kept]
+            if self._try(entry, use, able, now_ms):
+                supply = None
             elif not kept and now_ms - entry.arrived_ms >= HOLD_MS:
                 kept = self._target_to_keep(entry)
 
@@ -334,13 +341,17 @@
         return best.name
 
     def _try(
-        self, entry: fairness.Entry, use: sharing.Use, kept: str, now_ms: float
+        self,
+        entry: fairness.Entry,
+        use: sharing.Use,
+        able: list[member.PoolMember],
+        now_ms: float,
     ) -> bool:
         request = entry.request
         candidates = [
             one.candidate(request, use, self.standing, now_ms)
-            for one in self._usable(now_ms)
-            if one.name not in request.excluded and one.name != kept
+            for one in able
+            if one.name not in request.excluded
         ]
         fitting = {one.target for one in candidates if one.fits}
         if not fitting:
--- a/cornelreach/targets/refusals.py
+++ b/cornelreach/targets/refusals.py
@@ -24,6 +24,15 @@
     )
 
 
+def too_large(tokens: int, most_tokens: int) -> errors.Refusal:
+    """No target of the pool bears the prompt, even when empty."""
+    return errors.Refusal(
+        errors.Code.TOO_LARGE,
+        f"the prompt has about {tokens} tokens, and targets take {most_tokens}",
+        "shorten the prompt",
+    )
+
+
 def late() -> errors.Refusal:
     """The deadline came while the call waited."""
     return errors.Refusal(
--- a/cornelreach/targets/sharing.py
+++ b/cornelreach/targets/sharing.py
@@ -14,11 +14,15 @@
 
 
 class Supply(typing.NamedTuple):
-    """Limits and room of a pool's targets together."""
+    """Limits and room of a pool's targets together.
+
+    ``most_tokens`` is the largest room of one of them.
+    """
 
     capacity: admission.Load
     free: admission.Load
     tokens_per_s: float
+    most_tokens: int
 
 
 class Use(typing.NamedTuple):
@@ -67,6 +71,7 @@
     """Return what the targets bear together, and what of it is free."""
     sequences = tokens = free_sequences = free_tokens = 0
     tokens_per_s = 0.0
+    most_tokens = 0
     for target in targets:
         most = target.most()
         room = target.room(standing, now_ms)
@@ -74,7 +79,8 @@
         tokens += most.tokens
         free_sequences += room.sequences
         free_tokens += room.tokens
+        most_tokens = max(most_tokens, room.tokens)
         tokens_per_s += target.limits.prefill_tokens_per_s
     capacity = admission.Load(sequences, tokens)
     free = admission.Load(free_sequences, free_tokens)
-    return Supply(capacity, free, tokens_per_s)
+    return Supply(capacity, free, tokens_per_s, most_tokens)
--- a/test/targets/test_breakers.py
+++ b/test/targets/test_breakers.py
@@ -15,6 +15,9 @@
     def setUp(self):
         self.ring = breakers.Ring()
 
+    def usable(self, names, now_ms):
+        return set(names) - self.ring.ejected(names, now_ms)
+
     def fail(self, *names, now_ms=0.0):
         for name in names:
             for _ in range(breakers.FAILURES_TO_OPEN):
@@ -25,25 +28,25 @@
             self.ring.record("e1", BAD, 0.0)
         self.ring.record("e1", OK, 0.0)
         self.ring.record("e1", BAD, 0.0)
-        self.assertEqual(self.ring.usable(NAMES, 0.0), set(NAMES))
+        self.assertEqual(self.usable(NAMES, 0.0), set(NAMES))
         self.fail("e1")
-        self.assertEqual(self.ring.usable(NAMES, 0.0), {"e2", "e3", "e4"})
+        self.assertEqual(self.usable(NAMES, 0.0), {"e2", "e3", "e4"})
 
     def test_never_ejects_more_than_a_share(self):
         self.fail("e2", now_ms=1.0)
         self.fail("e1", now_ms=2.0)
         self.fail("e3", "e4", now_ms=3.0)
-        self.assertEqual(self.ring.usable(NAMES, 4.0), {"e3", "e4"})
-        self.assertEqual(self.ring.usable(["e1"], 4.0), {"e1"})
+        self.assertEqual(self.usable(NAMES, 4.0), {"e3", "e4"})
+        self.assertEqual(self.usable(["e1"], 4.0), {"e1"})
 
     def test_one_probe_at_a_time_closes_or_opens_for_longer(self):
         self.fail("e1")
         later_ms = float(breakers.OPEN_MS)
-        self.assertIn("e1", self.ring.usable(NAMES, later_ms))
+        self.assertIn("e1", self.usable(NAMES, later_ms))
         self.ring.of("e1").sent()
-        self.assertNotIn("e1", self.ring.usable(NAMES, later_ms))
+        self.assertNotIn("e1", self.usable(NAMES, later_ms))
         self.ring.record("e1", BAD, later_ms)
-        self.assertNotIn("e1", self.ring.usable(NAMES, later_ms * 2))
+        self.assertNotIn("e1", self.usable(NAMES, later_ms * 2))
         for _ in range(breakers.PROBES_TO_CLOSE):
             self.ring.of("e1").sent()
             self.ring.record("e1", OK, later_ms * 4)
@@ -55,14 +58,14 @@
             for name in NAMES[1:]:
                 self.ring.record(name, OK, 0.0)
             self.ring.record("e1", slow, 0.0)
-        self.assertNotIn("e1", self.ring.usable(NAMES, 0.0))
+        self.assertNotIn("e1", self.usable(NAMES, 0.0))
 
     def test_all_slow_alike_ejects_none(self):
         slow = breakers.Sample(True, 2_000.0, 100.0)
         for _ in range(3 * breakers.SLOW_SAMPLES):
             for name in NAMES:
                 self.ring.record(name, slow, 0.0)
-        self.assertEqual(self.ring.usable(NAMES, 0.0), set(NAMES))
+        self.assertEqual(self.usable(NAMES, 0.0), set(NAMES))
 
 
 class OwnerTest(unittest.TestCase):
--- a/test/targets/test_fairness.py
+++ b/test/targets/test_fairness.py
@@ -119,6 +119,10 @@
         self.assertFalse(self.permitted(owner, ask("long", tokens=100_000), late_ms))
         self.assertFalse(self.permitted(owner, ask("short2", tokens=1_000), late_ms))
 
+    def test_prompt_that_no_target_bears_is_refused(self):
+        answer = warm_owner().request(ask("huge", tokens=200_001), 0.0)
+        self.assertEqual(answer.failure().status, 413)
+
     def test_queue_bounds_refuse_with_the_time_to_retry(self):
         terms = fairness.Terms(queue_calls=2)
         owner = warm_owner(sequences=1, terms=lambda account: terms)
