Check the expiry of permits at the send in the bench, as edges do

Cause: the bench sent on permits that had run out while their transfer lasted. Change: an expired permit is handed back unused and the call asks again; the time asked is that of the last question, as in the pools' placer.

--- a/standins/bench/owner.py
+++ b/standins/bench/owner.py
@@ -23,7 +23,7 @@
 REPORT_MS = 500.0
 EVENTS_MS = 100.0
 TICK_MS = 20.0
-Decided = typing.Callable[[result.Result[permits.Permit, typing.Any]], None]
+Decided = typing.Callable[[result.Result[permits.Permit, typing.Any], float], None]
 Holder = kvcache.Cache | storemodel.Store
 
 
@@ -45,6 +45,7 @@
         self.prompts: dict[str, pieces.PromptPieces] = {}
         self.queued_tokens = dict.fromkeys(targets, 0)
         self._waiting: dict[str, Decided] = {}
+        self._asked_ms: dict[str, float] = {}
         self._after: dict[str, list[timers.Callback]] = {}
         clock = site.timers
         clock.every(REPORT_MS, self._report_all)
@@ -141,16 +142,20 @@
         prompt: pieces.PromptPieces,
         decided: Decided,
     ) -> None:
-        """Ask for a permit; ``decided`` is called now or later, once."""
+        """Ask for a permit; ``decided`` is called now or later, once.
+
+        It gets the answer and when the question was last asked.
+        """
         self.prompts[request.request] = prompt
         now_ms = self.site.timers.now_ms()
         answer = self.admission.request(request, now_ms)
         given = answer.value_or(None)
         if isinstance(given, permits.Queued):
             self._waiting[request.request] = decided
+            self._asked_ms[request.request] = now_ms
             self._attend(request, now_ms + request.deadline_in_ms)
             return
-        self._decide(request.request, answer, decided)
+        self._decide(request.request, answer, decided, now_ms)
 
     def _attend(self, request: permits.PermitRequest, until_ms: float) -> None:
         """Repeat a question that waits, as its sender does."""
@@ -160,10 +165,11 @@
             if request.request not in self._waiting or now_ms >= until_ms:
                 return
             left = request._replace(deadline_in_ms=until_ms - now_ms)
+            self._asked_ms[request.request] = now_ms
             answer = self.admission.request(left, now_ms)
             if not isinstance(answer.value_or(None), permits.Queued):
                 decided = self._waiting.pop(request.request)
-                self._decide(request.request, answer, decided)
+                self._decide(request.request, answer, decided, now_ms)
                 return
             self.site.timers.after(permits.POLL_MS * 0.9, again)
 
@@ -174,13 +180,15 @@
         request: str,
         answer: result.Result[permits.Permit, typing.Any],
         decided: Decided,
+        asked_ms: float,
     ) -> None:
+        self._asked_ms.pop(request, None)
         if isinstance(answer, result.Success):
             now_ms = self.site.timers.now_ms()
             plan = self.plans[request]
             self.placement.dispatched(request, self.prompts[request], plan, now_ms)
             self.keeper.placed(self.prompts[request])
-        decided(answer)
+        decided(answer, asked_ms)
 
     def _tick(self) -> None:
         now_ms = self.site.timers.now_ms()
@@ -189,7 +197,8 @@
         for decision in self.admission.advance(now_ms):
             decided = self._waiting.pop(decision.request, None)
             if decided is not None:
-                self._decide(decision.request, decision.answer, decided)
+                asked_ms = self._asked_ms[decision.request]
+                self._decide(decision.request, decision.answer, decided, asked_ms)
 
     def release(
         self, permit: permits.Permit, outcome: permits.Outcome, boot: str = ""
--- a/standins/bench/policy.py
+++ b/standins/bench/policy.py
@@ -29,6 +29,7 @@
     edge: affinity.Affinity
     owner: owner_module.Owner
     permit: permits.Permit
+    asked_ms: float
 
 
 class Cornelreach:
@@ -108,9 +109,11 @@
         owner = self.owners[pools[0]]
         request = self._request(call, owner, prompt, left_ms)
 
-        def decided(answer: result.Result[permits.Permit, errors.Refusal]) -> None:
+        def decided(
+            answer: result.Result[permits.Permit, errors.Refusal], asked_ms: float
+        ) -> None:
             if isinstance(answer, result.Success):
-                tried = _Try(record, prompt, edge, owner, answer.unwrap())
+                tried = _Try(record, prompt, edge, owner, answer.unwrap(), asked_ms)
                 self._permitted(tried)
             elif len(pools) > 1:
                 self._ask(record, prompt, edge, pools[1:])
@@ -180,7 +183,13 @@
         self.site.timers.after(steps.limit_ms, lambda: end(False))
 
     def _send(self, tried: _Try) -> None:
-        permit = tried.permit
+        permit, now_ms = tried.permit, self.site.timers.now_ms()
+        checked = permits.check(permit, tried.asked_ms, now_ms, permit.boot)
+        if isinstance(checked, result.Failure):
+            del self._tries[tried.record.call.name]
+            tried.owner.release(permit, permits.Outcome.UNUSED)
+            self.offer(tried.record)
+            return
         self.site.send(self, tried.record, permit.target, permit.boot)
 
     def first_token(self, record: site_module.Record, target: str) -> None:
