--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: env test lint format run serve measure bench-placement measure-fairness measure-control
+.PHONY: env test lint format run serve docs measure bench-placement measure-fairness measure-control
 
 env: $(STAMP)
 
@@ -30,6 +30,10 @@
 serve: env
 	$(PYTHON) -m standins.site serve
 
+# The pages of docs/ that follow from the code.
+docs: env
+	$(PYTHON) -m tools.write_docs
+
 measure-fairness: env
 	$(PYTHON) -m tools.measure_fairness
 
--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -2,6 +2,8 @@
 
 import hashlib
 import pathlib
+import re
+import shlex
 import subprocess
 import sys
 import tempfile
@@ -277,3 +279,17 @@
             words = command.usage.replace("...", "").split()
             argv = [word for word in words if not word.startswith("[")]
             self.assertIs(main.parse(argv)["run"], command.run)
+
+    def test_the_operators_pages_name_commands_that_exist(self):
+        pages = sorted((ROOT / "docs" / "operators").glob("*.md"))
+        text = "\n".join(page.read_text() for page in pages).replace("\\\n", " ")
+        found = re.findall(r"^    (cornelreach .+)$|`(cornelreach [^`]+)`", text, re.M)
+        self.assertGreater(len(found), 20)
+        for block, inline in found:
+            line = re.sub(r"\[--.*", "", block or inline)
+            argv = shlex.split(
+                line.replace("...", "x=1").replace("<", "").split(">")[0]
+            )
+            self.assertIsNotNone(main.find(argv[1:]), line)
+            if block:
+                main.parse(argv[1:])
