Keep the claim log's long passes off the path of calls

Cause: a new owner folded its whole history in one go (16 us a claim, 2.4 s for a full shard); each roll passed over all records; opening an attempt copied the list of all. Change: a turn of the loop after each history object; a pass over the records every 30 s at most (24 ms for 150,000); four attempts looked at when one is opened (6 us at 19,000).

--- a/cornelreach/calls/history.py
+++ b/cornelreach/calls/history.py
@@ -5,6 +5,7 @@
 merging writes the merged object at the last of the keys before it deletes the others.
 """
 
+import asyncio
 import typing
 
 import msgspec
@@ -50,7 +51,8 @@
     async def read(self, into: ledger.Ledger, oldest: int) -> bool:
         """Fold what lies behind the ledger into it; False if it cannot be read.
 
-        Entries numbered below ``oldest`` may be missing, others may not.
+        Entries numbered below ``oldest`` may be missing, others may not. The loop
+        gets its turn after each object, so that a long history stalls no stream.
         """
         listed = await self.objects.list(self.prefix, after=self.key(into.applied))
         if isinstance(listed, result.Failure):
@@ -66,6 +68,7 @@
             newest_ms = max(entry.time_ms for entry in content.entries)
             end = content.start + len(content.entries)
             self._know(end, record.version, content, newest_ms)
+            await asyncio.sleep(0)
         return True
 
     def expired(self, oldest_ms: float) -> list[Segment]:
--- a/cornelreach/calls/runs.py
+++ b/cornelreach/calls/runs.py
@@ -7,12 +7,14 @@
 
 import asyncio
 import enum
+import itertools
 import typing
 
 from cornelreach.calls import ledger
 
 KEEP_MS = 600_000
 MAX_RUNS = 20_000
+PRUNE_COUNT = 4
 
 
 class State(enum.StrEnum):
@@ -104,7 +106,8 @@
 
     def _prune(self, before_ms: float) -> None:
         """Forget the oldest attempts that have ended."""
-        for number, run in list(self._runs.items())[:2]:
+        oldest = list(itertools.islice(self._runs.items(), PRUNE_COUNT))
+        for number, run in oldest:
             crowded = len(self._runs) > MAX_RUNS
             if run.settled.is_set() and (crowded or run.opened_ms < before_ms):
                 del self._runs[number]
--- a/cornelreach/calls/shards.py
+++ b/cornelreach/calls/shards.py
@@ -27,7 +27,7 @@
 MAX_BATCH_BYTES = 262_144
 ROLL_BYTES = 16_384
 MAX_RECORDS = 150_000
-EXPIRE_PERIOD_MS = 5_000
+EXPIRE_PERIOD_MS = 30_000
 
 UNREADABLE = events.define(
     1611,
@@ -107,12 +107,17 @@
             return ledger.Unavailable("the platform did not take the claim in time")
 
     def _full(self) -> bool:
-        due = self.used_ms >= self._expired_ms + EXPIRE_PERIOD_MS
-        if due and len(self.ledger.records) >= MAX_RECORDS:
-            self._expired_ms = self.used_ms
-            self.ledger.expire(self.clock.wall_ms() - self.retention_ms())
+        if len(self.ledger.records) >= MAX_RECORDS:
+            self._expire()
         return len(self.ledger.records) >= MAX_RECORDS
 
+    def _expire(self) -> None:
+        """Forget old claims; a pass over all of them is made now and then only."""
+        now_ms = self.clock.now_ms()
+        if now_ms >= self._expired_ms + EXPIRE_PERIOD_MS:
+            self._expired_ms = now_ms
+            self.ledger.expire(self.clock.wall_ms() - self.retention_ms())
+
     @property
     def idle(self) -> bool:
         """Tell whether nothing waits to be written."""
@@ -223,7 +228,7 @@
         if not await self.history.append(ledger.History(start, held), newest_ms):
             return ledger.Tail(start, held + entries, oldest)
         oldest_ms = self.clock.wall_ms() - self.retention_ms()
-        self.ledger.expire(oldest_ms)
+        self._expire()
         for segment in self.history.expired(oldest_ms):
             oldest = max(oldest, segment.end)
         return ledger.Tail(start + len(held), entries, oldest)
