Import the whole prefix of a prompt, and keep what the engine holds of it

Cause: an engine that holds part of a prompt evicts that part while the rest is brought in, so the run computes everything. Change: an import names all pieces up to the last one brought; the stand-in engine keeps those it has until the commit (at most 30 s) and reads the others. The test of a partial write now imports into an empty engine, as the one that holds the block does not read it, and checks that too.

--- a/cornelreach/prompts/placement.py
+++ b/cornelreach/prompts/placement.py
@@ -263,7 +263,7 @@
             target=best.target,
             action=_action(best),
             source=best.source,
-            bring=prompt.pieces.keys[start:end],
+            bring=prompt.pieces.keys[_first(prompt, best) : end],
             bring_bytes=size_bytes,
             transfer_limit_ms=max(policy.stall_floor_ms, best.saved_ms),
             after=best.after,
@@ -323,6 +323,19 @@
             self._moving.pop(run, None)
 
 
+def _first(prompt: _Prompt, best: plans.Cost) -> int:
+    """Return the first piece that an import names.
+
+    Where the source has them, it names those that the engine holds too: they are next
+    to be evicted, and would be by the import itself.
+    """
+    if not best.source:
+        return best.held
+    proved = prompt.held[best.source].proved_bits
+    whole = directory_module.run_length(proved, 0) >= best.held
+    return 0 if whole else best.held
+
+
 def _action(best: plans.Cost) -> plans.Action:
     if best.brought:
         return plans.Action.BRING_IN
--- a/cornelreach/prompts/plans.py
+++ b/cornelreach/prompts/plans.py
@@ -84,7 +84,8 @@
     """Return a plan's steps as the text of a permit, empty if there are none."""
     if not plan.source and not plan.after:
         return ""
-    start, end = plan.cost.held, plan.cost.held + plan.cost.brought
+    end = plan.cost.held + plan.cost.brought
+    start = end - len(plan.bring)
     steps = Steps(
         source=plan.source,
         start=start if plan.source else 0,
--- a/standins/bench/moves.py
+++ b/standins/bench/moves.py
@@ -52,22 +52,26 @@
     keys: typing.Sequence[str],
     done: Done,
 ) -> None:
-    """Import blocks into an engine; ``done`` gets the keys that were committed."""
+    """Import blocks into an engine; ``done`` gets the keys that are readable there.
+
+    The leading ones that the engine has already are kept for it, and not read.
+    """
     engine = site.engines[target]
     boot = engine.boot_id
+    held = engine.hold(keys)
     generations = _readable(site, source, keys)
     tokens = profiles.PIECE_TOKENS
-    size_bytes = len(generations) * tokens * BYTES_PER_TOKEN
+    lacking = list(generations)[len(held) :]
     wait_ms = max(
-        _send_ms(site, source, list(generations)),
-        site.links[target].reserve(size_bytes),
+        _send_ms(site, source, lacking),
+        site.links[target].reserve(len(lacking) * tokens * BYTES_PER_TOKEN),
     )
 
     def arrived() -> None:
         kept = _unmoved(site, source, generations)
         if engine.boot_id != boot:
             kept = []
-        staged = engine.stage(dict.fromkeys(kept, tokens))
+        staged = engine.stage(dict.fromkeys(kept, tokens), held)
         done(engine.commit(staged, kept))
 
     site.timers.after(wait_ms + 2 * site_module.HOP_MS, arrived)
--- a/standins/enginemodel.py
+++ b/standins/enginemodel.py
@@ -18,6 +18,8 @@
 
 FREE_LOADS = 2
 
+STAGED_MS = 30_000.0
+
 
 class Piece(typing.NamedTuple):
     """One piece of a prompt by its chained key."""
@@ -141,6 +143,7 @@
         self._arrivals = itertools.count()
         self._imports = itertools.count(1)
         self._staged: dict[str, dict[str, int]] = {}
+        self._held: dict[str, list[kvcache.Block]] = {}
         self._busy = False
         self.served_ms = 0.0 if settings.starts_cold else settings.cold_ms
         self._report = self._state()
@@ -229,6 +232,7 @@
         self.served_ms = 0.0
         self.cache.clear()
         self._staged.clear()
+        self._held.clear()
 
     def cancel(self, run_id: str) -> bool:
         """Stop a run; returns whether it was still going."""
@@ -364,10 +368,26 @@
         if self.runs.get(run.work.run) is run:
             del self.runs[run.work.run]
 
-    def stage(self, blocks: dict[str, int]) -> str:
-        """Keep imported blocks (key to tokens) unreadable until their commit."""
+    def hold(self, keys: typing.Sequence[str]) -> list[kvcache.Block]:
+        """Keep the leading blocks that are readable here while others are read."""
+        return self.cache.pin(keys[: self.cache.prefix(keys)])
+
+    def let_go(self, held: typing.Iterable[kvcache.Block]) -> None:
+        """End the hold of blocks."""
+        for block in held:
+            block.pins -= 1
+
+    def stage(
+        self, blocks: dict[str, int], held: list[kvcache.Block] | None = None
+    ) -> str:
+        """Keep imported blocks (key to tokens) unreadable until their commit.
+
+        Blocks ``held`` meanwhile are let go at the commit or after ``STAGED_MS``.
+        """
         name = f"import-{self._epoch}-{next(self._imports)}"
         self._staged[name] = blocks
+        self._held[name] = held or []
+        self.timers.after(STAGED_MS, lambda: self.commit(name, ()))
         return name
 
     def commit(self, name: str, keys: typing.Iterable[str]) -> list[str]:
@@ -375,6 +395,7 @@
         staged = self._staged.pop(name, {})
         wanted = [key for key in keys if key in staged]
         stored = [key for key in reversed(wanted) if self.cache.store(key, staged[key])]
+        self.let_go(self._held.pop(name, ()))
         return stored[::-1]
 
 
--- a/test/prompts/test_placement.py
+++ b/test/prompts/test_placement.py
@@ -83,6 +83,17 @@
         self.assertEqual((plan.action, plan.source), ("bring_in", "engine-1"))
         self.assertNotEqual(plan.target, "engine-1")
 
+    def test_an_import_names_the_held_pieces_but_reads_only_the_others(self):
+        wanted = prompt(8)
+        self.hold("engine-1", wanted.keys[:3])
+        self.hold("store", wanted.keys)
+        plan = self.choose(wanted, names=NAMES[1:2])
+        self.assertEqual((plan.bring, plan.bring_bytes), (wanted.keys, 5_000_000))
+        self.assertEqual(plans.decode(plans.encode(plan))[1:3], (0, 8))
+        self.hold("store", wanted.keys[2:])
+        plan = self.choose(wanted, names=NAMES[1:2])
+        self.assertEqual(plan.bring, wanted.keys[3:])
+
     def test_never_transfers_what_prefill_would_compute_sooner(self):
         wanted = prompt(8)
         self.hold("store", wanted.keys)
--- a/test/standins/test_engine.py
+++ b/test/standins/test_engine.py
@@ -94,4 +94,7 @@
         self.assertEqual(1, other.model.cache.prefix(["k"]))
         shell.blocks.partial = True
         _, body, _ = await self.call(there, "POST", "/v1/kv/import", order)
+        self.assertEqual([], msgspec.json.decode(body)["failed"])
+        _, empty = await self.start()
+        _, body, _ = await self.call(empty, "POST", "/v1/kv/import", order)
         self.assertEqual(["k"], msgspec.json.decode(body)["failed"])
--- a/test/standins/test_enginemodel.py
+++ b/test/standins/test_enginemodel.py
@@ -100,6 +100,19 @@
         self.assertEqual([], engine.commit(name, ["y"]))
         self.assertEqual(1, engine.cache.prefix("xy"))
 
+    def test_blocks_held_for_an_import_outlive_what_it_brings(self):
+        engine = self.engine(cache_tokens=3_000)
+        for key in "xqr":
+            engine.cache.store(key, 1_000)
+        held = engine.hold("xyz")
+        name = engine.stage(dict.fromkeys("xyz", 1_000), held)
+        self.assertEqual(["x", "y", "z"], engine.commit(name, "xyz"))
+        self.assertEqual(3, engine.cache.prefix("xyz"))
+        forgotten = engine.stage({"q": 1_000}, engine.hold("x"))
+        self.timers.advance(enginemodel.STAGED_MS)
+        self.assertEqual([], engine.commit(forgotten, ["q"]))
+        self.assertEqual(0, engine.cache.blocks["x"].pins)
+
     def test_the_report_lags_and_can_freeze(self):
         engine = self.engine()
         engine.submit(work("a", answer_tokens=100))
