--- a/cornelreach/fleet/membership.py
+++ b/cornelreach/fleet/membership.py
@@ -207,6 +207,11 @@
         found = [m.identity for m in self.roster.members.values() if m.status in taking]
         return sorted(found)
 
+    def alive(self) -> list[news.Identity]:
+        """Return the instances that nobody suspects, by name."""
+        members = self.roster.members.values()
+        return sorted(m.identity for m in members if m.status == news.Status.ALIVE)
+
     def expected(self) -> set[str]:
         """Return those not suspected and those listed that have not failed to answer.
 
--- a/cornelreach/instance.py
+++ b/cornelreach/instance.py
@@ -203,8 +203,8 @@
         self.clock.every(PUBLISH_MS, self._publish)
         self.state.subscribe(lambda _: self._settings_changed())
 
-    def serving(self) -> list[ownership.Member]:
-        """Return the serving instances of this data centre with their boots."""
+    def alive(self) -> list[ownership.Member]:
+        """Return the unsuspected instances of this data centre with their boots."""
         return self.outlook.members()
 
     def _build_reports(self) -> None:
--- a/cornelreach/pools/outlook.py
+++ b/cornelreach/pools/outlook.py
@@ -73,9 +73,9 @@
         return self.directory.address(instance)
 
     def members(self) -> list[ownership.Member]:
-        """Return the serving instances of this data centre with their boots."""
-        serving = self.node.membership.serving()
-        return [ownership.Member(one.name, one.boot) for one in serving]
+        """Return the unsuspected instances of this data centre with their boots."""
+        alive = self.node.membership.alive()
+        return [ownership.Member(one.name, one.boot) for one in alive]
 
     def publish(self, summary: pool_module.Summary, wait_ms: float) -> None:
         """Tell the fleet of a pool that this instance owns."""
--- a/cornelreach/pools/tenure.py
+++ b/cornelreach/pools/tenure.py
@@ -67,8 +67,8 @@
 class Fleet(typing.Protocol):
     """What tenure asks of the fleet's directory."""
 
-    def serving(self) -> list[ownership.Member]:
-        """Return the serving instances of this data centre with their boots."""
+    def alive(self) -> list[ownership.Member]:
+        """Return the unsuspected instances of this data centre with their boots."""
 
     def address(self, instance: str) -> str:
         """Return the peer address of an instance, empty if it is unknown."""
@@ -203,7 +203,7 @@
     def tick(self) -> None:
         """Let time act on every part, and start what is due."""
         now_ms = self.clock.now_ms()
-        members = self.fleet.serving()
+        members = self.fleet.alive()
         beats: dict[str, list[ownership.Heartbeat]] = {}
         for pool, part in self.parts.items():
             self._observe(pool)
@@ -235,11 +235,11 @@
     ) -> None:
         if part.record is None:
             return
-        serving = {one.name: one.boot for one in members}
+        alive = {one.name: one.boot for one in members}
         for member in (part.record.owner, part.record.successor):
-            if member is None or serving.get(member.name) == member.boot:
+            if member is None or alive.get(member.name) == member.boot:
                 continue
-            if member.name in serving or self._unlisted(member, now_ms):
+            if member.name in alive or self._unlisted(member, now_ms):
                 part.observe_death(member, now_ms)
 
     def _unlisted(self, member: ownership.Member, now_ms: float) -> bool:
--- a/cornelreach/targets/ownership.py
+++ b/cornelreach/targets/ownership.py
@@ -305,17 +305,14 @@
         successor = fresh[0] if fresh else None
         if self._recorded is None or self._recorded.epoch < record.epoch:
             return self._next(1, successor)
-        if successor is None:
-            return None
         if self._alone:
-            return self._next(1, successor)
+            return self._next(1, successor) if successor else None
+        gone = record.successor in self._dead
         if self.vote is Vote.PLATFORM:
+            # With nobody else left, the record without a successor lets it go on alone.
             lost = now_ms - self._successor_heard_ms > SUCCESSOR_LOST_MS
-            gone = record.successor in self._dead
             return self._next(1, successor) if lost or gone else None
-        if record.successor in self._dead:
-            return self._next(2, successor)
-        return None
+        return self._next(2, successor) if gone and successor else None
 
     def _next(self, step: int, successor: Member | None) -> Record:
         """Return the record that replaces this one; a step of 2 passes over an epoch
--- a/cornelreach/ui/admin.py
+++ b/cornelreach/ui/admin.py
@@ -107,7 +107,13 @@
     settings = instance.settings
     now_ms = instance.clock.now_ms()
     held = instance.desk.held.values()
-    pools = [one.owner.summary(now_ms)._asdict() for one in held]
+    pools = [
+        {
+            **one.owner.summary(now_ms)._asdict(),
+            "exclusive": instance.standing(one.owner.name).exclusive,
+        }
+        for one in held
+    ]
     return {
         "name": settings.name,
         "data_centre": settings.data_centre,
