--- a/standins/bench/owner.py
+++ b/standins/bench/owner.py
@@ -99,7 +99,9 @@
         engine = self.site.engines.get(name)
         holder = engine.cache if engine else self.site.stores[name]
         boot = engine.boot_id if engine else self.site.stores[name].boot_id
-        _, seq = self.directory.position(name)
+        known, seq = self.directory.position(name)
+        if (known, seq) == (boot, holder.events.seq) and not self.directory.stale(name):
+            return
         seen, after = holder.events.after(seq)
         batch = [directory_module.CacheEvent(e.seq, e.op, e.key) for e in seen]
         applied = self.directory.events(name, boot, batch, after)
--- a/standins/bench/plot.py
+++ b/standins/bench/plot.py
@@ -27,7 +27,7 @@
     refusals.set_ylabel("calls refused a second")
     refusals.set_xlabel("virtual time, s")
     for axes in (waits, refusals):
-        for at_ms in script:
+        for at_ms in (script.cold_at_ms, script.out_at_ms, script.back_at_ms):
             if at_ms is not None:
                 axes.axvline(at_ms / 1_000, color="grey", linestyle=":")
     waits.set_title(title)
--- a/standins/bench/site.py
+++ b/standins/bench/site.py
@@ -10,6 +10,7 @@
 
 from cornelreach.util import timers as timers_module
 from standins import enginemodel, linkmodel, load, profiles, storemodel
+from standins.bench import faults
 
 HOP_MS = 1.0
 LATE_MS = 3_000.0
@@ -18,12 +19,20 @@
 OUTCOMES = {"stop": "done", "cancelled": "deadline"}
 
 
+class Fault(typing.NamedTuple):
+    """A fault by its name in ``faults.FAULTS``, in virtual time."""
+
+    at_ms: float
+    name: str
+
+
 class Script(typing.NamedTuple):
     """What happens to the site, in virtual time; None for never."""
 
     cold_at_ms: float | None = None
     out_at_ms: float | None = None
     back_at_ms: float | None = None
+    faults: tuple[Fault, ...] = ()
 
 
 class Record:
@@ -179,6 +188,9 @@
             self.timers.after(script.cold_at_ms, self._turn_cold)
         if script.out_at_ms is not None:
             self.timers.after(script.out_at_ms, lambda: self._take_out(policy))
+        for fault in script.faults:
+            strike = faults.FAULTS[fault.name]
+            self.timers.after(fault.at_ms, lambda strike=strike: strike(self))
         if script.back_at_ms is not None:
             self.timers.after(script.back_at_ms, lambda: self._bring_back(policy))
 
