Give each instance of a site a port of its own without probing

Cause: a port that was probed and closed was given out again within the same site; one of 337 tests failed on an address in use. Change: ports come from a counter on the site's own loopback address. Conclusion: sites on one machine and in one process no longer share ports.

--- a/standins/site.py
+++ b/standins/site.py
@@ -20,7 +20,6 @@
 import pathlib
 import shlex
 import signal
-import socket
 import sys
 import tempfile
 import typing
@@ -35,6 +34,7 @@
 DATA_CENTRES = ("lj-north", "lj-south", "kranj")
 ACCOUNT_KEY = "tirnica-demo-key"
 OPERATOR_KEY = "operator-demo-key"
+PORTS = itertools.count(20_001)
 READY_WAIT_S = 20
 SETTLE_WAIT_S = 40
 STOP_WAIT_S = 10
@@ -61,18 +61,16 @@
 def own_host() -> str:
     """Return a loopback address of this process's own.
 
-    Two sites on one machine then never compete for a port between the moment it is
-    found free and the moment an instance listens on it.
+    Two sites on one machine then never compete for a port, and none has to be probed
+    for, which could give one port out twice.
     """
     number = os.getpid()
     return f"127.{1 + number // 62_500 % 250}.{1 + number // 250 % 250}.{number % 250}"
 
 
-def free_port(host: str) -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def next_ports(count: int) -> list[int]:
+    """Return ports that this process has not given out before."""
+    return [next(PORTS) for _ in range(count)]
 
 
 class Site:
@@ -92,7 +90,7 @@
 
     def _addresses(self) -> list[str]:
         host = own_host()
-        return [f"{host}:{free_port(host)}" for _ in range(3)]
+        return [f"{host}:{port}" for port in next_ports(3)]
 
     async def spawn(self, name: str, *arguments: str) -> str:
         """Start a stand-in and return the address that it prints."""
