--- a/cornelreach/targets/rollout.py
+++ b/cornelreach/targets/rollout.py
@@ -36,7 +36,10 @@
 
 
 class Rollout(typing.NamedTuple):
-    """The platform's record; ``new_share`` of the documents use ``version``."""
+    """The platform's record; ``new_share`` of the documents use ``version``.
+
+    Targets in ``closed`` get no new calls from any instance.
+    """
 
     model: str
     previous: str
@@ -44,6 +47,7 @@
     phase: Phase = Phase.FORWARD
     new_share: float = 0.0
     reason: str = ""
+    closed: tuple[str, ...] = ()
 
     @property
     def wanted(self) -> str:
@@ -121,6 +125,17 @@
     return Decision(record, tuple(steps))
 
 
+def with_doors(record: Rollout, steps: typing.Iterable[Step]) -> Rollout:
+    """Return the record with the closings and openings among some steps."""
+    closed = set(record.closed)
+    for step in steps:
+        if isinstance(step, Close):
+            closed.add(step.target)
+        elif isinstance(step, Open):
+            closed.discard(step.target)
+    return record._replace(closed=tuple(sorted(closed)))
+
+
 def _next_record(record: Rollout, views: typing.Sequence[View]) -> Rollout:
     trouble = _trouble(record, views)
     if record.phase is Phase.FORWARD and trouble:
--- /dev/null
+++ b/test/pools/test_rollouts.py
@@ -0,0 +1,117 @@
+"""Tests of a rollout's shell over a fake platform, lease and targets."""
+
+import unittest
+
+from returns import result
+
+from cornelreach.platform import results
+from cornelreach.pools import rollouts
+from cornelreach.targets import orders, rollout
+from cornelreach.util import timers
+
+KEY = rollouts.KEY_PREFIX + "reader"
+
+
+class FakeObjects:
+    """One object; every third answer to a write is lost after it took effect."""
+
+    def __init__(self, record):
+        self.version, self.value, self.writes = 1, rollouts.encode(record), 0
+
+    async def get(self, key):
+        return result.Success(results.Record(key, self.version, self.value))
+
+    async def put(self, key, value, if_version=None, if_absent=False):
+        if if_version != self.version:
+            return result.Failure(results.Conflict(key, self.version))
+        self.version, self.value = self.version + 1, value
+        self.writes += 1
+        if self.writes % 3 == 0:
+            return result.Failure(results.OutcomeUnknown(key, "the answer was lost"))
+        return result.Success(self.version)
+
+
+class FakeLease:
+    """A lease that the test gives and takes."""
+
+    def __init__(self):
+        self.fence, self.left_ms = 1, 9_000.0
+
+    def held(self, now_ms):
+        return self.left_ms > 0
+
+    def remaining_ms(self, now_ms):
+        return self.left_ms
+
+
+class FakeTargets:
+    """Targets that load at once, and some never; they record their orders."""
+
+    def __init__(self, names, failing=()):
+        self.versions = dict.fromkeys(names, "7")
+        self.failing, self.sent = failing, []
+
+    def pools(self):
+        return dict.fromkeys(self.versions, "lj/reader")
+
+    async def observe(self, target):
+        return rollouts.Observed(self.versions[target], True, 0)
+
+    async def send(self, order):
+        self.sent.append(order)
+        if order.target in self.failing and order.version == "8":
+            return orders.Answer.REFUSED
+        self.versions[order.target] = order.version
+        return orders.Answer.LOST
+
+
+class ConductorTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = timers.VirtualTimers()
+        self.objects = FakeObjects(rollout.Rollout("reader", "7", "8"))
+        self.lease = FakeLease()
+        self.targets = FakeTargets(["e1", "e2", "e3"])
+
+    def conductor(self):
+        return rollouts.Conductor(
+            "reader", self.objects, self.lease, self.clock, self.targets
+        )
+
+    async def run_for(self, conductor, ticks):
+        for _ in range(ticks):
+            await conductor.once()
+            self.clock.advance(rollouts.TICK_MS)
+
+    def record(self):
+        return rollouts.decode(self.objects.value)
+
+    async def test_brings_every_target_to_the_version(self):
+        await self.run_for(self.conductor(), 60)
+        self.assertIs(self.record().phase, rollout.Phase.DONE)
+        self.assertEqual(set(self.targets.versions.values()), {"8"})
+        self.assertEqual(self.record().closed, ())
+        self.assertEqual(len(self.targets.sent), 3)
+
+    async def test_another_holder_goes_on(self):
+        await self.run_for(self.conductor(), 6)
+        self.assertIs(self.record().phase, rollout.Phase.FORWARD)
+        self.lease.fence = 2
+        await self.run_for(self.conductor(), 60)
+        self.assertIs(self.record().phase, rollout.Phase.DONE)
+        self.assertEqual(self.targets.sent[-1].fence, 2)
+
+    async def test_failed_load_turns_back(self):
+        self.targets.failing = ("e2",)
+        await self.run_for(self.conductor(), 120)
+        self.assertIs(self.record().phase, rollout.Phase.RETURNED)
+        self.assertEqual(set(self.targets.versions.values()), {"7"})
+        self.assertIn("e2", self.record().reason)
+
+    async def test_sends_nothing_that_the_lease_may_not_outlast(self):
+        self.lease.left_ms = float(orders.ORDER_MS)
+        await self.run_for(self.conductor(), 30)
+        self.assertEqual(self.targets.sent, [])
+        self.lease.left_ms = 0.0
+        before = self.objects.version
+        await self.run_for(self.conductor(), 30)
+        self.assertEqual(self.objects.version, before)
