Settle ownership writes and deaths by proof only

A second try of a write is refused or in conflict where the first was made and its answer lost; taking that as a refusal gave an owner that was alone its right back beside the successor it had just appointed. A conflict is now settled by reading, and a refusal only if no answer was lost. Another boot under a member's name is proof of its end only after 10 s, since a directory may show an earlier boot for a moment.

--- a/cornelreach/pools/tenure.py
+++ b/cornelreach/pools/tenure.py
@@ -22,6 +22,7 @@
 TICK_MS = 500
 BEAT_WAIT_MS = 800
 LISTED_WITHIN_MS = 30_000
+REPLACED_FOR_MS = 10_000
 
 TAKEN = events.define(
     1401,
@@ -135,6 +136,7 @@
         self.parts: dict[str, ownership.Ownership] = {}
         self._roles: dict[str, tuple[ownership.Role, int]] = {}
         self._known_ms: dict[ownership.Member, float] = {}
+        self._replaced_ms: dict[ownership.Member, float] = {}
         self._writing: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         server.register(OWNER_BEAT, self._beat)
@@ -221,11 +223,9 @@
     def _forget_members(self) -> None:
         records = [part.record for part in self.parts.values() if part.record]
         named = {one for record in records for one in (record.owner, record.successor)}
-        self._known_ms = {
-            member: known_ms
-            for member, known_ms in self._known_ms.items()
-            if member in named
-        }
+        for times_ms in (self._known_ms, self._replaced_ms):
+            for member in set(times_ms) - named:
+                del times_ms[member]
 
     def _observe_boots(
         self,
@@ -237,11 +237,26 @@
             return
         alive = {one.name: one.boot for one in members}
         for member in (part.record.owner, part.record.successor):
-            if member is None or alive.get(member.name) == member.boot:
+            if member is None:
                 continue
-            if member.name in alive or self._unlisted(member, now_ms):
+            replaced = self._replaced(member, alive.get(member.name), now_ms)
+            silent = member.name not in alive and self._unlisted(member, now_ms)
+            if replaced or silent:
                 part.observe_death(member, now_ms)
 
+    def _replaced(
+        self, member: ownership.Member, boot: str | None, now_ms: float
+    ) -> bool:
+        """Return whether another boot has served under a member's name for long.
+
+        For a moment it may be an earlier boot, which the directory has yet to forget.
+        """
+        if boot is None or boot == member.boot:
+            self._replaced_ms.pop(member, None)
+            return False
+        since_ms = self._replaced_ms.setdefault(member, now_ms)
+        return now_ms - since_ms >= REPLACED_FOR_MS
+
     def _unlisted(self, member: ownership.Member, now_ms: float) -> bool:
         """Return whether the platform's list proves that a silent member is gone.
 
@@ -276,16 +291,21 @@
             now_ms = self.clock.now_ms()
             if isinstance(outcome, result.Success):
                 self._take(part, outcome.unwrap(), attempt.record)
-            elif isinstance(outcome.failure(), results.OutcomeUnknown):
-                await self._read_back(part)
             else:
-                part.refuse_attempt()
+                self._fail(part, outcome.failure())
                 await self._read_back(part)
             self._tell(part)
             part.advance(now_ms)
         finally:
             self._writing.discard(part.pool)
 
+    def _fail(self, part: ownership.Ownership, error: results.WriteError) -> None:
+        """Tell a part what a failed write settles; a conflict needs reading."""
+        if isinstance(error, results.OutcomeUnknown):
+            part.lose_answer()
+        elif not isinstance(error, results.Conflict):
+            part.refuse_attempt()
+
     async def _read_back(self, part: ownership.Ownership) -> None:
         found = await self.objects.get(KEY_PREFIX + part.pool)
         if isinstance(found, result.Success):
--- a/cornelreach/targets/ownership.py
+++ b/cornelreach/targets/ownership.py
@@ -128,6 +128,7 @@
         self._promised_until_ms = NEVER_MS
         self._exclusive_from_ms = float("inf")
         self._resigned = False
+        self._unsure = False
         self._advanced_ms: float | None = None
 
     def standing(self, now_ms: float) -> admission.Standing:
@@ -246,9 +247,18 @@
         elif self.record is None or record.epoch > self.record.epoch:
             self._follow(record, now_ms)
 
+    def lose_answer(self) -> None:
+        """Take in that a write's answer was lost; the write may still be made."""
+        self._unsure = True
+
     def refuse_attempt(self) -> None:
-        """Take in that the platform has answered that the write was not made."""
-        self.attempt = None
+        """Take in that the platform has answered that the write was not made.
+
+        This settles nothing after a lost answer, when an earlier try of the same write
+        may have been made. A conflict settles nothing either: read the object.
+        """
+        if not self._unsure:
+            self.attempt = None
 
     def advance(self, now_ms: float) -> None:
         """Let time act; to be called every ``HEARTBEAT_MS`` or sooner.
@@ -277,6 +287,7 @@
             if self._holds_alone():
                 self._lease_until_ms = now_ms + LEASE_MS
             self.attempt = Attempt(self._version, record)
+            self._unsure = False
         return self.attempt
 
     def _wanted_record(
--- a/test/targets/test_ownership.py
+++ b/test/targets/test_ownership.py
@@ -82,6 +82,14 @@
         self.b.observe_record(2, self.record, self.now_ms)
         self.assertIsInstance(self.beat(), ownership.Ack)
 
+    def test_refusal_of_a_second_try_settles_nothing_after_a_lost_answer(self):
+        self.wait(PROMISE_MS)
+        attempt = self.b.propose([A, B, C], self.now_ms)
+        self.b.lose_answer()
+        self.b.refuse_attempt()
+        self.assertEqual(self.b.attempt, attempt)
+        self.assertIsNone(self.beat())
+
     def test_successor_settles_while_the_platform_is_away(self):
         self.beat(platform=False)
         self.wait(PROMISE_MS)
