--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: env test lint format run serve docs measure bench-placement measure-fairness measure-control
+.PHONY: env test lint format run serve docs measure bench-placement measure-fairness measure-control check-admission
 
 env: $(STAMP)
 
@@ -37,6 +37,12 @@
 measure-fairness: env
 	$(PYTHON) -m tools.measure_fairness
 
+# Random faults around a cold target; SEEDS of each of three kinds of worlds.
+SEEDS ?= 200
+
+check-admission: env
+	$(PYTHON) -m tools.admission_world $(SEEDS)
+
 measure-control: env
 	$(PYTHON) -m tools.measure_control
 
--- a/test/targets/test_ownership.py
+++ b/test/targets/test_ownership.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from cornelreach.targets import admission, ownership, permits
-from test.targets import world
+from tools import admission_world as world
 
 LEASE_MS = ownership.LEASE_MS
 PROMISE_MS = ownership.PROMISE_MS
--- a/test/targets/world.py
+++ b/tools/admission_world.py
@@ -1,6 +1,6 @@
 """A seeded world of instances that share one always-cold target.
 
-``python -m test.targets.world 1000`` runs many seeds and prints those that fail.
+``python -m tools.admission_world 1000`` runs many seeds and prints those that fail.
 """
 
 import heapq
