--- /dev/null
+++ b/cornelreach/pools/loading.py
@@ -0,0 +1,88 @@
+"""The engines of a model as a rollout sees them, over HTTP."""
+
+import typing
+
+import msgspec
+
+from cornelreach.http import client
+from cornelreach.pools import rollouts
+from cornelreach.settings import items
+from cornelreach.targets import orders
+
+OBSERVE_WAIT_MS = 1_000
+CONFLICT = 409
+
+
+class State(typing.TypedDict, total=False):
+    """What a rollout reads of an engine's answer to ``GET /v1/state``."""
+
+    version: typing.Required[str]
+    cold: bool
+    running: int
+
+
+class HttpTargets:
+    """Observes engines and sends them orders; ``engines`` gives those of the model."""
+
+    def __init__(
+        self,
+        http: client.Client,
+        engines: typing.Callable[[], typing.Mapping[str, items.Target]],
+    ) -> None:
+        self.http = http
+        self.engines = engines
+
+    def pools(self) -> dict[str, str]:
+        """Return the pool of each engine."""
+        return {name: one.pool_name for name, one in self.engines().items()}
+
+    async def observe(self, target: str) -> rollouts.Observed | None:
+        """Return an engine's report, None if it cannot be reached or read."""
+        engine = self.engines().get(target)
+        if engine is None:
+            return None
+        try:
+            status, body, _ = await self.http.call(
+                client.parse_address(engine.address),
+                "GET",
+                "/v1/state",
+                wait_ms=OBSERVE_WAIT_MS,
+            )
+            state = msgspec.json.decode(body, type=State)
+        except (client.RequestNotSent, client.AnswerLost, msgspec.MsgspecError):
+            return None
+        if status != 200:
+            return None
+        warm = not state.get("cold", False)
+        return rollouts.Observed(state["version"], warm, state.get("running", 0))
+
+    async def send(self, order: orders.Order) -> orders.Answer:
+        """Send one order; an answer that does not come whole is lost."""
+        engine = self.engines().get(order.target)
+        if engine is None:
+            return orders.Answer.REFUSED
+        body = msgspec.json.encode(
+            {
+                "order": order.order.value,
+                "model": order.model,
+                "version": order.version,
+                "adapter": order.adapter,
+                "fence": order.fence,
+            }
+        )
+        try:
+            status, _, _ = await self.http.call(
+                client.parse_address(engine.address),
+                "POST",
+                "/v1/orders",
+                body,
+                wait_ms=orders.ORDER_MS,
+            )
+        except client.RequestNotSent:
+            return orders.Answer.REFUSED
+        except client.AnswerLost:
+            return orders.Answer.LOST
+        if status == CONFLICT:
+            return orders.Answer.OLD_FENCE
+        accepted = status < 300
+        return orders.Answer.ACCEPTED if accepted else orders.Answer.REFUSED
