Measure what an instance adds to a stream, and watch stalls with one timer

Cause: the issue asks for the added time and the processor time of an instance. Change: make bench-edge; a stream has one stall timer where each part had a timeout.

--- a/Makefile
+++ b/Makefile
@@ -58,3 +58,6 @@
 measure: env
 	$(PYTHON) -m standins.measure --fleet=$(FLEET) --seed=$(SEED) \
 	    --seconds=$(SECONDS) $(if $(JSON),--json=$(JSON) --plot=$(basename $(JSON)).png)
+
+bench-edge: env
+	$(PYTHON) -m tools.bench_edge
--- a/cornelreach/calls/attempt.py
+++ b/cornelreach/calls/attempt.py
@@ -42,6 +42,27 @@
         self.ran = ran
 
 
+class StallGuard:
+    """Aborts an answer that brings no part for ``STALL_MS`` to twice that.
+
+    One timer a stream costs less than a timeout around each part.
+    """
+
+    def __init__(self, answer: client.Answer, clock: timers.Timers) -> None:
+        self.moved = False
+        self._answer = answer
+        self._subscription = clock.every(STALL_MS, self._check)
+
+    def _check(self) -> None:
+        if not self.moved:
+            self._answer.abort()
+        self.moved = False
+
+    def stop(self) -> None:
+        """End the watch."""
+        self._subscription.cancel()
+
+
 class Attempt:
     """Sends a request to an engine and yields the chunks of its answer.
 
@@ -140,8 +161,10 @@
     async def _read(self, answer: client.Answer) -> typing.AsyncIterator[Item]:
         reader = sse.Reader()
         parts = answer.parts()
+        guard = StallGuard(answer, self.clock)
         try:
-            while (part := await self._next_part(parts)) is not None:
+            async for part in parts:
+                guard.moved = True
                 for event in reader.feed(part):
                     item = self._accept(event)
                     if item is not None:
@@ -149,16 +172,9 @@
         except sse.BrokenStream as error:
             raise Failed(str(error), permits.Outcome.FAILED, ran=True) from None
         finally:
+            guard.stop()
             await parts.aclose()
 
-    async def _next_part(self, parts: typing.AsyncIterator[bytes]) -> bytes | None:
-        try:
-            async with asyncio.timeout(STALL_MS / 1_000):
-                return await anext(parts, None)
-        except TimeoutError:
-            text = f"no event within {STALL_MS} ms"
-            raise client.AnswerLost(text) from None
-
     def _accept(self, event: sse.Event) -> Item | None:
         if event.data == sse.DONE:
             self.finished = True
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -106,6 +106,11 @@
         """Return the whole body."""
         return b"".join([part async for part in self.parts()])
 
+    def abort(self) -> None:
+        """Cut the connection off; whoever reads the body gets AnswerLost."""
+        if self._wire is not None:
+            self._wire.writer.transport.abort()
+
     def close(self) -> None:
         """Give the connection back if the answer is complete, or drop it."""
         if self._wire is not None:
--- a/standins/site.py
+++ b/standins/site.py
@@ -76,6 +76,8 @@
 class Site:
     """The processes of one site and its seeded configuration."""
 
+    daemon = ("-m", "cornelreach.ui.daemon")
+
     def __init__(self, folder: pathlib.Path, instances: int = 1) -> None:
         self.folder = folder
         self.processes: list[Process] = []
@@ -198,8 +200,7 @@
         log = open(self.folder / f"{member.name}.log", "ab")  # noqa: SIM115, the child's
         handle = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "cornelreach.ui.daemon",
+            *self.daemon,
             *(f"--{name}={value}" for name, value in flags.items()),
             stderr=log,
         )
