Measure the fleet, and keep a fresh instance from listing what peers hold

Cause: at a restart an instance that had not read the platform's list counted as alone and listed all settings; a status showed the platform away on every instance that does not watch it; an instance that stopped watching kept its claim to reach the platform.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: env test lint format run serve docs measure bench-placement measure-fairness measure-control check-admission
+.PHONY: env test lint format run serve docs measure bench-placement measure-fairness \
+	measure-control measure-fleet measure-instances check-admission
 
 env: $(STAMP)
 
@@ -61,3 +62,8 @@
 
 bench-edge: env
 	$(PYTHON) -m tools.bench_edge
+measure-fleet: env
+	$(PYTHON) -m tools.measure_fleet
+
+measure-instances: env
+	$(PYTHON) -m tools.measure_instances
--- a/cornelreach/fleet/beats.py
+++ b/cornelreach/fleet/beats.py
@@ -72,7 +72,6 @@
         self.clock = clock
         self.observer = observer
         self.source = random.Random(node.me.boot)
-        self.platform_ok: bool | None = None
         self.listing: frozenset[str] = frozenset()
         self.listing_ms = float("-inf")
         self._listed_ms: float | None = None
@@ -84,9 +83,13 @@
         """Return whether this instance watches the platform for its peers."""
         return self.node.watching(self.clock.now_ms())
 
+    @property
+    def platform_ok(self) -> bool:
+        """Return whether the settings of this data centre follow the platform."""
+        return self.node.platform_reached()
+
     def report(self, reached: bool) -> None:
         """Take note of whether the platform was reached."""
-        self.platform_ok = reached
         self.node.platform_report(reached, self.clock.now_ms())
 
     async def run(self) -> None:
--- a/cornelreach/fleet/membership.py
+++ b/cornelreach/fleet/membership.py
@@ -11,6 +11,7 @@
     membership.may_act(now_ms)
 """
 
+import functools
 import random
 import typing
 
@@ -28,6 +29,7 @@
 AWAY_MS = 8_000
 YOUNG_MS = 10_000
 LOST_TRY_ROUNDS = 3
+PLACES_KEPT = 4_096
 
 
 class Joined(typing.NamedTuple):
@@ -93,6 +95,7 @@
         self._seeds: tuple[str, ...] = ()
         self._misses: dict[str, int] = {}
         self._status_ms: dict[str, float] = {}
+        self._unsettled: set[str] = set()
         self._started_ms = now_ms
         self._ticked_ms = now_ms
         self._doubt_ms: float | None = now_ms
@@ -159,12 +162,8 @@
             self._wake(paused_ms, now_ms)
         if self._doubt_ms is not None and now_ms - self._doubt_ms > ALONE_MS:
             self._confirm(alone=True)
-        for member in list(self.roster.members.values()):
-            age_ms = now_ms - self._status_ms.get(member.identity.name, now_ms)
-            if member.status == news.Status.SUSPECT and age_ms > SUSPECT_MS:
-                self._learn(member._replace(status=news.Status.DEAD), now_ms)
-            elif member.status == news.Status.DEAD and age_ms > FORGET_MS:
-                self.roster.forget(member.identity.name)
+        for name in list(self._unsettled):
+            self._settle(name, now_ms)
 
     def leave(self, now_ms: float) -> None:
         """Announce that this instance takes no new work and will exit."""
@@ -194,6 +193,10 @@
         """Return whether a full view must be fetched from a peer."""
         return self._doubt_ms is not None
 
+    def has_peers(self) -> bool:
+        """Return whether any other instance is thought to be there."""
+        return len(self.roster.present()) > 1
+
     def is_alive(self, name: str, boot: str | None = None) -> bool:
         """Return whether a name, and boot if given, is not known to be dead."""
         member = self.roster.members.get(name)
@@ -266,10 +269,10 @@
     # Rules.
 
     def _ring(self, others: list[news.Member]) -> list[news.Contact]:
-        own = hashing.digest(self.name.encode())
+        own = _place(self.name)
 
         def distance(member: news.Member) -> tuple[bool, bytes]:
-            place = hashing.digest(member.identity.name.encode())
+            place = _place(member.identity.name)
             return place < own, place
 
         nearest = sorted(others, key=distance)[:RING_NEIGHBOURS]
@@ -300,10 +303,24 @@
         if before is None:
             return
         self._status_ms[identity.name] = now_ms
+        if member.status in (news.Status.SUSPECT, news.Status.DEAD):
+            self._unsettled.add(identity.name)
         moved = before.status != member.status or before is member
         if moved or before.identity.boot != identity.boot:
             self._events.append(EVENT_OF[member.status](identity))
 
+    def _settle(self, name: str, now_ms: float) -> None:
+        member = self.roster.members[name]
+        age_ms = now_ms - self._status_ms[name]
+        if member.status == news.Status.SUSPECT:
+            if age_ms > SUSPECT_MS:
+                self._learn(member._replace(status=news.Status.DEAD), now_ms)
+        elif member.status != news.Status.DEAD:
+            self._unsettled.discard(name)
+        elif age_ms > FORGET_MS:
+            self._unsettled.discard(name)
+            self.roster.forget(name)
+
     def _learn_of_me(self, member: news.Member, now_ms: float) -> None:
         mine, theirs = self.me.identity, member.identity
         if theirs.boot == mine.boot:
@@ -338,5 +355,11 @@
         self._events.append(Confirmed(alone))
 
 
+@functools.lru_cache(maxsize=PLACES_KEPT)
+def _place(name: str) -> bytes:
+    """Return where a name lies on the ring."""
+    return hashing.digest(name.encode())
+
+
 def _contact(identity: news.Identity) -> news.Contact:
     return news.Contact(identity.name, identity.address, identity.data_centre)
--- a/cornelreach/fleet/node.py
+++ b/cornelreach/fleet/node.py
@@ -25,6 +25,7 @@
 POKE_BYTES = 3_000
 FAILURES_TO_AWAY = 2
 REMOTE_NEWS = 3
+CHOICE_MS = 500
 
 
 class Send(typing.NamedTuple):
@@ -53,6 +54,9 @@
         self.directives = takeout.Directives(state)
         self.source = source
         self._failures = 0
+        self._listed = False
+        self._chosen = False
+        self._chosen_until_ms = now_ms
         self._fetches: list[relay_module.Fetch] = []
         self._known_directives: tuple[news.Directive, ...] = ()
         self._pushed = state.revision
@@ -71,6 +75,7 @@
 
     def listed(self, instances: tuple[results.Instance, ...]) -> None:
         """Take over the platform's lagging list of instances."""
+        self._listed = True
         self.membership.listed(instances)
         self.sites.listed(instances)
 
@@ -91,14 +96,27 @@
         One that has not heard of its peers yet might list what they could tell it.
         """
         members = self.membership
-        if members.doubtful:
+        if members.doubtful or not (self._listed or members.has_peers()):
             return False
+        if now_ms < self._chosen_until_ms:
+            return self._chosen
+        self._chosen_until_ms = now_ms + CHOICE_MS
         chosen = relay_module.watchers(
             self.me.data_centre,
             members.expected(),
             lambda name: members.watch_rank(name, now_ms),
         )
-        return self.me.name in chosen
+        self._chosen = self.me.name in chosen
+        if not self._chosen and members.me.platform == news.Platform.REACHED:
+            members.platform(news.Platform.UNKNOWN, now_ms)
+        return self._chosen
+
+    def platform_reached(self) -> bool:
+        """Return whether an instance of this data centre reaches the platform."""
+        return any(
+            member.platform == news.Platform.REACHED
+            for member in self.membership.roster.present()
+        )
 
     # Sending.
 
--- a/cornelreach/settings/relay.py
+++ b/cornelreach/settings/relay.py
@@ -5,6 +5,8 @@
 are forgotten collects all pages before it applies them as one whole.
 """
 
+import functools
+import heapq
 import typing
 
 from cornelreach.settings import state as state_module
@@ -14,6 +16,7 @@
 PULL_WAIT_MS = 3_000
 DIFFERENCES_TO_REPAIR = 3
 WATCHERS = 2
+SCORES_KEPT = 4_096
 
 
 class Pull(typing.NamedTuple):
@@ -126,5 +129,13 @@
     Those of a lower ``rank`` come first: who is known to reach the platform before
     who has not tried, and last who has failed.
     """
-    order = hashing.rendezvous(f"watch/{data_centre}".encode(), names)
-    return sorted(order, key=rank)[:WATCHERS]
+
+    def preference(name: str) -> tuple[int, int, str]:
+        return rank(name), -_score(data_centre, name), name
+
+    return heapq.nsmallest(WATCHERS, names, key=preference)
+
+
+@functools.lru_cache(maxsize=SCORES_KEPT)
+def _score(data_centre: str, name: str) -> int:
+    return hashing.score(f"watch/{data_centre}".encode(), name)
--- a/test/fleet/world.py
+++ b/test/fleet/world.py
@@ -98,6 +98,7 @@
         self.stale = STALE_ANSWERS
         self.platform_away = False
         self.messages = 0
+        self.platform_calls = []
         self.on_message = lambda source, target, message: None
         self.waiting = []
         self.boots = 0
@@ -201,6 +202,7 @@
     def poll(self, host):
         """List or watch for a host; answers may be late, lost or from the past."""
         name = host.node.me.name
+        self.platform_calls.append(self.clock.now_ms())
         if self.platform_away or not self.open(name, "platform"):
             away = result.Failure(results.Unavailable("away", 200))
             silence_ms = host.sync.wait_ms + host.sync.margin_ms
