--- a/standins/bench/owner.py
+++ b/standins/bench/owner.py
@@ -66,6 +66,10 @@
     def _report_all(self) -> None:
         for target in self.targets:
             self._report(target)
+        now_ms = self.site.timers.now_ms()
+        for name, store in self.site.stores.items():
+            backlog_bytes = store.state()["link_backlog_bytes"]
+            self.links.report_backlog(name, backlog_bytes, now_ms)
 
     def _report(self, target: str) -> None:
         engine = self.site.engines[target]
