Roll weight versions out in the daemon, under load and a killed holder

Cause: a changed version was in force at once, with the former weights loaded everywhere; the rollout had no place in the daemon. Change: a controller begins a rollout when a model's version changes, two instances contend for its lease, edges take the version from the record, owners keep requests from closed engines and those of another version. Cold engines of the former version no longer block a rollout; pools of one engine count together. The edge asks again for up to 5 s where no pool can admit for a moment.

--- a/cornelreach/calls/chatflow.py
+++ b/cornelreach/calls/chatflow.py
@@ -64,6 +64,7 @@
     observer: Observer
     retries: retries.RetryBudgets
     identity: Identity
+    version: typing.Callable[[items.Model, str], str]
 
 
 class Progress:
@@ -78,6 +79,8 @@
         self.number = 0
         self.offset = 0
         self.failed_targets: tuple[str, ...] = ()
+        self.version = ""
+        self.prompt: pieces.PromptPieces | None = None
 
     @property
     def delivered(self) -> str:
@@ -195,16 +198,17 @@
 
     async def _place(self, progress: Progress) -> ports.Ticket:
         call = progress.call
-        model = self._model(call)
+        progress.prompt = self._prompt(progress)
         spent_ms = self.parts.clock.now_ms() - progress.started_ms
         need = ports.Need(
             call.account,
             call.model,
             call.priority,
-            self._pieces(call, model.version),
+            progress.prompt,
             self._answer_tokens(call),
             max(1, int(self._deadline_ms(call) - spent_ms)),
             progress.failed_targets,
+            progress.version,
         )
         placed = await self.parts.placer.place(need)
         if isinstance(placed, result.Failure):
@@ -217,9 +221,19 @@
             raise server.Refused(_no_model(call.model))
         return model
 
-    def _pieces(self, call: chat.ChatCall, version: str) -> pieces.PromptPieces:
+    def _prompt(self, progress: Progress) -> pieces.PromptPieces:
+        """Return the prompt's pieces under the weight version in use for it.
+
+        An attempt keeps the version of its placement, also when a rollout moves on.
+        """
+        call = progress.call
+        model = self._model(call)
         messages_ = [message._asdict() for message in call.messages]
-        return pieces.split(call.account, call.model, version, messages_)
+        prompt = pieces.split(call.account, call.model, model.version, messages_)
+        progress.version = self.parts.version(model, prompt.root)
+        if progress.version == model.version:
+            return prompt
+        return pieces.split(call.account, call.model, progress.version, messages_)
 
     def _answer_tokens(self, call: chat.ChatCall) -> int:
         most = self._effective("max_answer_tokens", call)
@@ -267,8 +281,7 @@
         source = self.parts.view.targets.get(steps.source)
         if source is None:
             return ticket
-        call = progress.call
-        keys = self._pieces(call, self._model(call).version).keys
+        keys = progress.prompt.keys
         await self.parts.mover.bring(
             client.parse_address(source.address),
             client.parse_address(ticket.target.address),
@@ -279,15 +292,14 @@
 
     def _body(self, progress: Progress, run: str) -> bytes:
         call = progress.call
-        version = self._model(call).version
-        prompt = self._pieces(call, version)
+        prompt = progress.prompt
         described = [
             {"key": key, "tokens": tokens}
             for key, tokens in zip(prompt.keys, prompt.tokens, strict=True)
         ]
         tokens = self._answer_tokens(call)
         return chat.engine_body(
-            call, run, version, described, tokens, progress.delivered
+            call, run, progress.version, described, tokens, progress.delivered
         )
 
     def _received(self, progress: Progress, item: attempt.Item, run: str) -> sse.Event:
--- a/cornelreach/calls/ports.py
+++ b/cornelreach/calls/ports.py
@@ -26,6 +26,7 @@
     """What one request needs of a pool.
 
     ``serves`` names the model or service; ``prompt`` is None for a plain service.
+    ``version`` is the weight version that the target must have loaded.
     """
 
     account: str
@@ -35,6 +36,7 @@
     answer_tokens: int
     wait_ms: int
     avoid: tuple[str, ...] = ()
+    version: str = ""
 
 
 class Placer(typing.Protocol):
--- a/cornelreach/instance.py
+++ b/cornelreach/instance.py
@@ -32,6 +32,7 @@
 from cornelreach.peers import credentials, wire
 from cornelreach.platform import backoff, budget, client as platform_client
 from cornelreach.pools import (
+    controller,
     desk as desk_module,
     methods,
     notices,
@@ -44,12 +45,13 @@
 from cornelreach.reports import metrics, reporter
 from cornelreach.settings import items, state as state_module, sync, view
 from cornelreach.targets import admission, ownership, retries
-from cornelreach.util import events, timers
+from cornelreach.util import events, hashing, timers
 
 RECONFIGURE_MS = 200
 SETTLE_MS = 5
 FORGET_MS = 60_000
 FILES_MS = 2_000
+LEASES_MS = 1_000
 PUBLISH_MS = 500
 NOTICE_WAIT_MS = 500
 PEER_GRACE_MS = 1_000
@@ -189,6 +191,17 @@
             self,
         )
         self.outlook.tenures = self.tenures
+        self.controller = controller.Controller(
+            settings.name,
+            self.boot,
+            self.clock,
+            self.view,
+            self._objects(
+                http_client.parse_address(settings.platform), budget.Purpose.LEASE
+            ),
+            self.http,
+            self._contenders,
+        )
         self.desk = desk_module.Desk(self.clock, self, self.http, self.random)
         self.prober = prober.Prober(
             self.http, self.clock, self.desk, lambda: self.view.targets
@@ -231,6 +244,7 @@
             self.reporter,
             retries.RetryBudgets(self.view.defaults.retry_share),
             identity,
+            self.controller.version,
         )
         self.flow = chatflow.ChatFlow(parts)
         services = serviceflow.ServiceFlow(parts)
@@ -339,7 +353,11 @@
         }
         engines = {target.name: target for target in targets}
         model = self.view.models.get(serves)
-        return desk_module.Owned(place, engines, stores, model)
+        closed = self.controller.closed(serves)
+        return desk_module.Owned(place, engines, stores, model, closed)
+
+    def _contenders(self, model: str) -> list[str]:
+        return hashing.rendezvous(model.encode(), self.members.addresses())
 
     async def _resumed(
         self, sender: wire.Sender, notice: notices.Resumed
@@ -376,6 +394,7 @@
             asyncio.ensure_future(self.beats.run()),
             asyncio.ensure_future(self.beats.follow()),
             asyncio.ensure_future(self._watch_files()),
+            asyncio.ensure_future(self.controller.run()),
         ]
         host, _, port = settings.listen.rpartition(":")
         callers = self.security.callers
@@ -396,6 +415,7 @@
         events.emit(DRAINING, name=name, calls=len(self.server.connections))
         self.server.stop_listening()
         await self.tenures.resign()
+        await self._give_up_leases()
         try:
             async with asyncio.timeout(self.settings.drain_ms / 1_000):
                 await self.server.drained()
@@ -408,6 +428,11 @@
         self.server.abort()
         await self._close()
 
+    async def _give_up_leases(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LEASES_MS / 1_000):
+                await self.controller.close()
+
     async def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/cornelreach/pools/desk.py
+++ b/cornelreach/pools/desk.py
@@ -40,6 +40,7 @@
     targets: dict[str, items.Target]
     stores: dict[str, items.Target]
     model: items.Model | None
+    closed: frozenset[str] = frozenset()
 
 
 class Held:
@@ -49,6 +50,7 @@
         self, name: str, owned: Owned, prompts: poolprompts.PoolPrompts | None
     ) -> None:
         self.prompts = prompts
+        self.versions: dict[str, str] = {}
         limits = {one.name: limits_of(one) for one in owned.targets.values()}
         if prompts is None:
             self.owner = pool.PoolOwner(name, limits)
@@ -58,6 +60,7 @@
 
     def follow(self, owned: Owned) -> None:
         """Follow the settings."""
+        self.closed = owned.closed
         limits = {one.name: limits_of(one) for one in owned.targets.values()}
         self.owner.configure(limits)
         if self.prompts is not None:
@@ -65,6 +68,16 @@
                 owned.place, owned.targets, owned.stores, owned.model
             )
 
+    def fitting(self, request: permits.PermitRequest) -> permits.PermitRequest:
+        """Return a request without the targets closed to it or of another version."""
+        other = {
+            name
+            for name, version in self.versions.items()
+            if request.version and version != request.version
+        }
+        barred = (self.closed | other) - set(request.excluded)
+        return request._replace(excluded=(*request.excluded, *sorted(barred)))
+
     def wait_ms(self, now_ms: float) -> float:
         """Return the expected wait of a new request."""
         summary = self.owner.summary(now_ms)
@@ -129,6 +142,7 @@
         held = self.held.get(request.pool)
         if held is None:
             return methods.Asked(other_owner=self.pools.owner(request.pool))
+        request = held.fitting(request)
         answer = self._request(held.owner, request)
         if answer.queued is None:
             return answer
@@ -184,11 +198,13 @@
                 if waiting is not None and not waiting.done():
                     waiting.set_result(None)
 
-    def report(self, pool_name: str, report: permits.Report) -> None:
-        """Pass a target's report to its pool."""
+    def report(self, pool_name: str, report: permits.Report, version: str = "") -> None:
+        """Pass a target's report, and the weights that it has loaded, to its pool."""
         held = self.held.get(pool_name)
         if held is None:
             return
+        if version:
+            held.versions[report.target] = version
         held.owner.report(report, self.clock.now_ms())
         if held.prompts is not None:
             held.prompts.reported(report.target, report.queued_tokens)
--- a/cornelreach/pools/placer.py
+++ b/cornelreach/pools/placer.py
@@ -18,6 +18,8 @@
 RELEASE_LINGER_MS = 20
 RELEASE_WAIT_MS = 1_000
 MAX_POOLS = 3
+TRANSITION_MS = 5_000
+PAUSE_MS = 250
 KEY_CHARACTERS = 16
 
 
@@ -47,8 +49,26 @@
     async def place(
         self, need: ports.Need
     ) -> result.Result[ports.Ticket, errors.Refusal]:
-        """Ask the owners of the best pools in turn, until one gives a permit."""
-        until_ms = self.clock.now_ms() + need.wait_ms
+        """Ask the owners of the best pools in turn, until one gives a permit.
+
+        Where none can admit at all, as for a moment after an owner's death or in a
+        rollout, it asks again for at most ``TRANSITION_MS``.
+        """
+        now_ms = self.clock.now_ms()
+        until_ms = now_ms + need.wait_ms
+        settled_ms = min(until_ms, now_ms + TRANSITION_MS)
+        while True:
+            outcome = await self._ask_pools(need, until_ms)
+            if isinstance(outcome, result.Success):
+                return outcome
+            passing = outcome.failure().code is errors.Code.UNAVAILABLE
+            if not passing or self.clock.now_ms() + PAUSE_MS >= settled_ms:
+                return outcome
+            await asyncio.sleep(PAUSE_MS / 1_000)
+
+    async def _ask_pools(
+        self, need: ports.Need, until_ms: float
+    ) -> result.Result[ports.Ticket, errors.Refusal]:
         refusal = no_pool(need.serves)
         for pool_name in self.candidates(need)[:MAX_POOLS]:
             outcome = await self._ask_pool(pool_name, need, until_ms)
@@ -127,6 +147,7 @@
             piece_tokens=prompt.tokens,
             root=prompt.root,
             excluded=need.avoid,
+            version=need.version,
         )
 
     async def _ask(self, request: permits.PermitRequest) -> methods.Asked:
--- a/cornelreach/pools/prober.py
+++ b/cornelreach/pools/prober.py
@@ -20,6 +20,7 @@
     """A target's answer to ``GET /v1/state``."""
 
     boot_id: typing.Required[str]
+    version: str
     cold: bool
     running: int
     queued: int
@@ -78,7 +79,8 @@
             self._asked_ms[target.name] = now_ms
         if status == 200:
             boot = dict(headers).get(b"x-boot-id", state["boot_id"].encode()).decode()
-            self.desk.report(pool_name, report_of(target.name, now_ms, boot, state))
+            report = report_of(target.name, now_ms, boot, state)
+            self.desk.report(pool_name, report, state.get("version", ""))
 
 
 def report_of(target: str, asked_ms: float, boot: str, state: State) -> permits.Report:
--- a/cornelreach/targets/rollout.py
+++ b/cornelreach/targets/rollout.py
@@ -146,8 +146,7 @@
         return record._replace(new_share=share)
     if record.phase is Phase.BACK:
         return record._replace(phase=Phase.RETURNED, new_share=0.0)
-    away = any(not view.reachable or not view.warm for view in views)
-    if away:
+    if not all(view.reachable for view in views):
         return record._replace(new_share=share)
     return record._replace(phase=Phase.DONE, new_share=1.0)
 
@@ -162,21 +161,28 @@
 
 
 def _new_share(record: Rollout, views: typing.Sequence[View]) -> float:
-    """Return the share of the warm and open targets that have the new version.
+    """Return the share of the serving targets that have the new version.
 
     It is whole once one target of the old version is left, which can then go too.
-    Every pool has to serve a document's version, so the pool with the least counts. The
-    share never shrinks on the way forward while one of its targets is left.
+    Every pool has to serve a document's version, so the pool with the least counts.
+    Pools of a single target cannot; they count together, and a document goes to one of
+    them that serves its version. The share never shrinks on the way forward while one
+    of its targets is left.
     """
     if record.phase is Phase.BACK:
         return 0.0
-    shares = [_pool_share(record, pool) for pool in _by_pool(views).values()]
+    pools = list(_by_pool(views).values())
+    alone = [view for pool in pools if len(pool) == 1 for view in pool]
+    pools = [pool for pool in pools if len(pool) > 1]
+    if alone:
+        pools.append(alone)
+    shares = [_pool_share(record, pool) for pool in pools]
     least = min(shares, default=0.0)
     return max(least, record.new_share) if least > 0 else 0.0
 
 
 def _pool_share(record: Rollout, views: list[View]) -> float:
-    serving = [one for one in views if one.warm and _is_open(one)]
+    serving = [one for one in views if _is_open(one) and _serves(record, one)]
     if not serving:
         return 0.0
     new = sum(one.loaded == record.version for one in serving)
@@ -184,6 +190,15 @@
     return 1.0 if last_is_next else new / len(serving)
 
 
+def _serves(record: Rollout, view: View) -> bool:
+    """Return whether a target counts as serving.
+
+    A cold one of the new version does, as it gets warm only by calls; the admission
+    bounds what it gets.
+    """
+    return view.warm or view.loaded == record.version
+
+
 def _opened(record: Rollout, views: typing.Sequence[View]) -> list[Step]:
     return [
         Open(view.target)
@@ -211,7 +226,7 @@
     room = MOST_LOADS - under_way
     steps: list[Step] = []
     for pool in _by_pool(views).values():
-        spare = _spare(pool)
+        spare = _spare(record, pool)
         if _keeps_last(record, pool):
             due = sum(_is_due(record, view) and _is_open(view) for view in pool)
             spare = min(spare, due - 1)
@@ -223,11 +238,15 @@
     return steps
 
 
-def _spare(pool: list[View]) -> int:
-    """Return how many more targets of a pool may go away; one of a single target."""
+def _spare(record: Rollout, pool: list[View]) -> int:
+    """Return how many more targets of a pool may go away; one of a single target.
+
+    A cold target of the old version is no loss to the pool, so it does not count.
+    """
     most = max(1, math.floor(len(pool) * MOST_AWAY_SHARE))
-    away = sum(not _is_open(view) or not view.warm or view.loading for view in pool)
-    return most - away
+    warming = sum(not view.warm and view.loaded == record.wanted for view in pool)
+    away = sum(not _is_open(view) or view.loading for view in pool)
+    return most - away - warming
 
 
 def _keeps_last(record: Rollout, pool: list[View]) -> bool:
