Let the settings' revision move past writes of other objects

Change: a watched change continues from the state's own revision, which the watches since then have shown to be complete. Ruled out: the relay and the budget; the log showed changes applied 'up to 31'. Conclusion: fleet tests wrote settings alone, which is why they did not find it.

--- a/cornelreach/settings/sync.py
+++ b/cornelreach/settings/sync.py
@@ -144,7 +144,10 @@
         if not found.records:
             return
         newest = max(record.version for record in found.records)
-        changed = self.state.apply(state_module.Delta(floor, newest, found.records))
+        # Versions between the state's revision and the floor belong to objects other
+        # than settings, as every watch since that revision has shown.
+        since = min(floor, self.state.revision)
+        changed = self.state.apply(state_module.Delta(since, newest, found.records))
         events.emit(APPLIED, count=len(changed), revision=self.state.revision)
 
     def _rewound(self, found: int) -> float:
--- a/test/settings/test_sync.py
+++ b/test/settings/test_sync.py
@@ -32,6 +32,16 @@
         self.assertEqual(len(self.state.live()), 1)
         self.assertEqual(self.fake.calls, ["list", "watch", "watch", "list"])
 
+    async def test_writes_of_other_objects_do_not_hold_the_revision_back(self):
+        store = self.fake.store
+        store.write("settings/model/m", {"name": "m"}, 0)
+        await self.sync.step()
+        store.write("leases/rollout", {}, 0)
+        await self.sync.step()
+        store.write("settings/model/m", {"name": "m", "version": "2"}, 1)
+        await self.sync.step()
+        self.assertEqual((self.state.revision, self.sync.floor), (3, 3))
+
     async def test_backs_off_and_keeps_what_it_holds(self):
         self.fake.store.write("settings/model/m", {"name": "m"}, 0)
         await self.sync.step()
--- a/test/sites.py
+++ b/test/sites.py
@@ -1,8 +1,10 @@
 """Helpers for tests over a site of real processes."""
 
 import asyncio
+import os
 import pathlib
 import signal
+import sys
 import tempfile
 
 import msgspec
@@ -89,6 +91,27 @@
     return status
 
 
+async def tool(started, *arguments):
+    """Run the operators' tool against a site; returns exit status and output."""
+    environment = {
+        **os.environ,
+        "CORNELREACH_PLATFORM": f"http://{started.platform}",
+        "CORNELREACH_INSTANCES": ",".join(one.admin for one in started.members),
+        "CORNELREACH_OPERATOR_KEY_FILE": str(started.folder / "operator"),
+    }
+    run = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "cornelreach.ui.main",
+        *arguments,
+        env=environment,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await run.communicate()
+    return run.returncode, output.decode()
+
+
 async def until(check, tries=150, pause_s=0.2):
     """Wait until an async check returns something true, and return it."""
     for _ in range(tries):
--- a/test/test_faults.py
+++ b/test/test_faults.py
@@ -121,6 +121,8 @@
         self.site = await sites.start(self, instances=2)
         with self.subTest("a paused instance books once"):
             await self.paused_booking()
+        with self.subTest("the tool sees its changes in force"):
+            await self.tool_waits()
         with self.subTest("an owner dies and another admits to its cold target"):
             await self.owner_dies()
         with self.subTest("the platform is away"):
@@ -153,6 +155,14 @@
         executed = await turns.executions(self.site.http, self.site.services)
         self.assertEqual([one["key"] for one in executed], ["key-1"])
 
+    async def tool_waits(self):
+        for change in (
+            ("take-out", "lj-south", "--reason=works", "--wait"),
+            ("bring-back", "lj-south", "--wait"),
+        ):
+            status, output = await sites.tool(self.site, *change)
+            self.assertEqual(status, 0, output)
+
     async def pools_of(self, member):
         """Return the pools that an instance owns, by name."""
         status = await self.site.status(member)
