Give engines the permit's priority, and owners their models' reading speed

The caller's own priority went to the engine, so an account could pass another by calling its calls urgent; the owner's now does. A cancelled run counts as ended only by proof, since it may have been resumed: on a cold target the release had made room beside it.

--- a/cornelreach/calls/chat.py
+++ b/cornelreach/calls/chat.py
@@ -150,10 +150,12 @@
     version: str,
     pieces: typing.Sequence[typing.Mapping[str, object]],
     max_tokens: int,
+    priority: int,
     delivered: str = "",
 ) -> bytes:
     """Return the request body for an engine.
 
+    ``priority`` is the permit's: the caller's own orders only its account's calls.
     ``delivered`` is text of this answer that the caller already has; the engine then
     continues it.
     """
@@ -164,7 +166,7 @@
         "messages": messages,
         "stream": True,
         "max_tokens": max_tokens,
-        "priority": call.priority,
+        "priority": priority,
         "run": run,
         "version": version,
         "pieces": pieces,
--- a/cornelreach/calls/chatflow.py
+++ b/cornelreach/calls/chatflow.py
@@ -256,7 +256,8 @@
         outcome = permits.Outcome.CANCELLED
         try:
             trial.ticket = ticket = await self._prepared(progress, ticket)
-            async for item in trial.chunks(self._body(progress, run)):
+            body = self._body(progress, run, ticket.permit.target_priority)
+            async for item in trial.chunks(body):
                 yield self._received(progress, item, run)
             outcome = permits.Outcome.DONE
             self.parts.observer.answered(
@@ -290,7 +291,7 @@
         )
         return await self.parts.placer.renewed(ticket)
 
-    def _body(self, progress: Progress, run: str) -> bytes:
+    def _body(self, progress: Progress, run: str, priority: int) -> bytes:
         call = progress.call
         prompt = progress.prompt
         described = [
@@ -299,7 +300,7 @@
         ]
         tokens = self._answer_tokens(call)
         return chat.engine_body(
-            call, run, progress.version, described, tokens, progress.delivered
+            call, run, progress.version, described, tokens, priority, progress.delivered
         )
 
     def _received(self, progress: Progress, item: attempt.Item, run: str) -> sse.Event:
@@ -321,11 +322,15 @@
         ticket: ports.Ticket,
         outcome: permits.Outcome,
     ) -> None:
+        # Nothing proves that a cancelled run has ended: it may have been resumed.
+        cancelled = outcome is permits.Outcome.CANCELLED
+        if cancelled and not trial.sent:
+            outcome = permits.Outcome.UNUSED
         release = permits.Release(
             ticket.permit.permit,
             ticket.target.name,
             outcome,
-            trial.boot,
+            "" if cancelled else trial.boot,
             trial.first_token_ms or None,
         )
         self.parts.placer.release(release, ticket.permit.pool)
--- a/cornelreach/pools/desk.py
+++ b/cornelreach/pools/desk.py
@@ -51,7 +51,7 @@
     ) -> None:
         self.prompts = prompts
         self.versions: dict[str, str] = {}
-        limits = {one.name: limits_of(one) for one in owned.targets.values()}
+        limits = limits_of_all(owned)
         if prompts is None:
             self.owner = pool.PoolOwner(name, limits)
         else:
@@ -61,7 +61,7 @@
     def follow(self, owned: Owned) -> None:
         """Follow the settings."""
         self.closed = owned.closed
-        limits = {one.name: limits_of(one) for one in owned.targets.values()}
+        limits = limits_of_all(owned)
         self.owner.configure(limits)
         if self.prompts is not None:
             self.prompts.configure(
@@ -211,14 +211,22 @@
         self.advance()
 
 
-def limits_of(target: items.Target) -> admission.Limits:
-    """Return what a target bears, from its settings."""
+def limits_of_all(owned: Owned) -> dict[str, admission.Limits]:
+    """Return what each target of a pool bears."""
+    targets = owned.targets.values()
+    return {target.name: limits_of(target, owned.model) for target in targets}
+
+
+def limits_of(target: items.Target, model: items.Model | None) -> admission.Limits:
+    """Return what a target bears, from its settings and those of its model."""
+    tokens_per_s = (model or items.Model("")).prefill_tokens_per_s
     return admission.Limits(
         target.max_sequences,
         target.max_tokens,
         target.cold_sequences,
         target.cold_tokens,
         target.cold_ms,
+        tokens_per_s,
     )
 
 
