Measure how the cost of control grows with each size of the fleet

make measure-slopes (27 to 36 s here) prints least-squares lines over four sizes with the standard error of each slope.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,9 @@
 measure-control: env
 	$(PYTHON) -m tools.measure_control
 
+measure-slopes: env
+	$(PYTHON) -m tools.measure_slopes
+
 bench-placement: env
 	$(PYTHON) -m tools.bench_placement
 
