--- a/cornelreach/settings/view.py
+++ b/cornelreach/settings/view.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from cornelreach.settings import items, state as state_module
+from cornelreach.settings import items, pools, state as state_module
 from cornelreach.util import events
 
 UNREADABLE = events.define(
@@ -48,8 +48,7 @@
             kind: {} for kind in items.KINDS
         }
         self._by_digest: dict[str, list[tuple[str, str]]] = {}
-        self._pools: dict[str, dict[str, list[items.Target]]] = {}
-        self._by_pool: dict[str, list[items.Target]] = {}
+        self._pools = pools.Index()
         self._refresh(tuple(state.live()))
         state.subscribe(lambda changed: self._refresh(changed.entries))
 
@@ -79,6 +78,15 @@
         """Return the targets by name."""
         return self._items["target"]
 
+    @property
+    def stores(self) -> dict[str, items.Target]:
+        """Return the prompt stores by name."""
+        return self._pools.stores
+
+    def targets_of(self, data_centre: str) -> dict[str, items.Target]:
+        """Return the targets of a data centre by name."""
+        return self._pools.sites.get(data_centre, {})
+
     @property
     def data_centres(self) -> dict[str, items.DataCentre]:
         """Return the data centres by name, those taken out included."""
@@ -122,20 +130,22 @@
 
     def in_service(self) -> frozenset[str]:
         """Return the data centres that take new work by the settings."""
-        named = set(self.data_centres) | {
-            target.data_centre for target in self.targets.values()
-        }
+        named = self.named_data_centres()
         return frozenset(
             name for name in named if self.data_centre_state(name) == IN_SERVICE
         )
 
+    def named_data_centres(self) -> set[str]:
+        """Return the data centres that have an item or a target."""
+        return {*self.data_centres, *self._pools.sites}
+
     def pools(self, serves: str) -> dict[str, list[items.Target]]:
         """Return the pools of a model or service, each with its targets by name."""
-        return self._pools.get(serves, {})
+        return self._pools.serving.get(serves, {})
 
     def pool(self, name: str) -> list[items.Target]:
         """Return the targets of one pool."""
-        return self._by_pool.get(name, [])
+        return self._pools.pools.get(name, [])
 
     def effective(
         self,
@@ -171,21 +181,26 @@
             self._take(entry)
         if "account" in kinds:
             self._index_accounts()
-        if "target" in kinds:
-            self._index_pools()
 
     def _take(self, entry: state_module.Entry) -> None:
         kind = items.kind_of(entry.key)
         if not kind:
             return
         name = entry.key.removeprefix(items.key_of(kind, ""))
-        if entry.value is None:
-            self._items[kind].pop(name, None)
-            return
         try:
-            self._items[kind][name] = items.convert(entry.key, entry.value)
+            item = entry.value and items.convert(entry.key, entry.value)
         except (msgspec.ValidationError, TypeError, AttributeError) as error:
             events.emit(UNREADABLE, key=entry.key, version=entry.version, error=error)
+            return
+        self._hold(kind, name, item)
+
+    def _hold(self, kind: str, name: str, item: items.Item | None) -> None:
+        held = self._items[kind]
+        former = held.pop(name, None)
+        if item is not None:
+            held[name] = item
+        if kind == "target":
+            self._pools.replace(former, item)
 
     def _index_accounts(self) -> None:
         self._by_digest = {}
@@ -195,14 +210,6 @@
                 bucket = self._by_digest.setdefault(lower[:BUCKET_CHARACTERS], [])
                 bucket.append((lower, account.name))
 
-    def _index_pools(self) -> None:
-        self._pools = {}
-        self._by_pool = {}
-        for target in sorted(self.targets.values()):
-            pools = self._pools.setdefault(target.serves, {})
-            pools.setdefault(target.pool_name, []).append(target)
-            self._by_pool.setdefault(target.pool_name, []).append(target)
-
 
 def ended(override: items.Override, wall_ms: float) -> bool:
     """Return whether an exception's end has passed; one without a zone is in UTC."""
