--- a/cornelreach/fleet/board.py
+++ b/cornelreach/fleet/board.py
@@ -54,10 +54,15 @@
 
     def body(self, topic: str, now_ms: float) -> bytes | None:
         """Return the body of a topic, or None if there is none or it has lapsed."""
+        found = self.find(topic, now_ms)
+        return found[0] if found is not None else None
+
+    def find(self, topic: str, now_ms: float) -> tuple[bytes, float] | None:
+        """Return body and age in milliseconds of a topic's note in force, or None."""
         note = self._notes.get(topic)
         if note is None or now_ms - note.published_ms >= LAPSE_MS:
             return None
-        return note.body
+        return note.body, now_ms - note.published_ms
 
     def notes(self, now_ms: float) -> dict[str, tuple[bytes, float]]:
         """Return body and age in milliseconds of every note in force."""
--- a/cornelreach/pools/outlook.py
+++ b/cornelreach/pools/outlook.py
@@ -54,8 +54,7 @@
 
     def in_service(self) -> frozenset[str]:
         """Return the data centres that take new work, direct orders included."""
-        named = {target.data_centre for target in self.view.targets.values()}
-        named |= set(self.view.data_centres)
+        named = self.view.named_data_centres()
         return frozenset(name for name in named if self._takes_work(name))
 
     def _takes_work(self, data_centre: str) -> bool:
@@ -95,13 +94,18 @@
 
     def note(self, pool: str) -> Note | None:
         """Return the newest note of a pool's owner, or None."""
-        body = self.node.board.body(TOPIC_PREFIX + pool, self.clock.now_ms())
-        if body is None:
-            return None
+        return self._found(pool)[0]
+
+    def _found(self, pool: str) -> tuple[Note | None, float]:
+        """Return the newest readable note of a pool and its age in milliseconds."""
+        found = self.node.board.find(TOPIC_PREFIX + pool, self.clock.now_ms())
+        if found is None:
+            return None, 0.0
+        body, age_ms = found
         try:
-            return DECODER.decode(body)
+            return DECODER.decode(body), age_ms
         except msgspec.MsgspecError:
-            return None
+            return None, age_ms
 
     def owner(self, pool: str) -> str:
         """Return the instance to ask for a pool, empty if none is in reach."""
@@ -129,12 +133,10 @@
         """Return a pool for the edge's choice; without a note, as one with room."""
         targets = self.view.pool(pool)
         data_centre = targets[0].data_centre if targets else ""
-        note = self.note(pool)
+        note, age_ms = self._found(pool)
         if note is None:
             count = max(1, len(targets))
             return affinity.PoolSummary(pool, data_centre, "", 0.0, 1, count)
-        notes = self.node.board.notes(self.clock.now_ms())
-        age_ms = notes[TOPIC_PREFIX + pool][1]
         return affinity.PoolSummary(
             pool,
             data_centre,
--- a/cornelreach/pools/placer.py
+++ b/cornelreach/pools/placer.py
@@ -92,10 +92,11 @@
         A prompt goes where its root belongs; a call to a plain service stays in this
         data centre while that has room.
         """
+        in_service = self.outlook.in_service()
         summaries = [
             self.outlook.summary(name)
             for name, targets in self.view.pools(need.serves).items()
-            if self._usable(targets)
+            if self._usable(targets, in_service)
         ]
         if need.prompt is None:
             own = self.sender().data_centre
@@ -107,8 +108,9 @@
         now_ms = self.clock.now_ms()
         return self.affinity.order(need.prompt.root, summaries, move_ms, now_ms).pools
 
-    def _usable(self, targets: typing.Sequence[items.Target]) -> bool:
-        in_service = self.outlook.in_service()
+    def _usable(
+        self, targets: typing.Sequence[items.Target], in_service: frozenset[str]
+    ) -> bool:
         return any(
             target.data_centre in in_service
             and target.state == view.IN_SERVICE
