--- a/cornelreach/fleet/directory.py
+++ b/cornelreach/fleet/directory.py
@@ -32,7 +32,18 @@
 
     def address(self, instance: str) -> str:
         """Return the peer address of an instance, empty if it is unknown."""
-        return self.addresses().get(instance, "")
+        identity = self.node.membership.serves(instance)
+        if identity is not None:
+            return identity.address
+        contact = self.node.sites.contact(instance)
+        return contact.address if contact is not None else ""
+
+    def knows(self, data_centre: str, instance: str) -> bool:
+        """Return whether an instance is among the ``names`` of a data centre."""
+        if data_centre == self.node.me.data_centre:
+            return self.node.membership.serves(instance) is not None
+        contact = self.node.sites.contact(instance)
+        return contact is not None and contact.data_centre == data_centre
 
     def in_reach(self, data_centre: str) -> bool:
         """Return whether calls to a data centre get through at present."""
--- a/cornelreach/fleet/membership.py
+++ b/cornelreach/fleet/membership.py
@@ -206,8 +206,7 @@
 
     def serving(self) -> list[news.Identity]:
         """Return the instances that take new work, this one included, by name."""
-        taking = (news.Status.ALIVE, news.Status.SUSPECT)
-        found = [m.identity for m in self.roster.members.values() if m.status in taking]
+        found = [m.identity for m in self.roster.members.values() if _takes_work(m)]
         return sorted(found)
 
     def alive(self) -> list[news.Identity]:
@@ -215,6 +214,11 @@
         members = self.roster.members.values()
         return sorted(m.identity for m in members if m.status == news.Status.ALIVE)
 
+    def serves(self, name: str) -> news.Identity | None:
+        """Return the identity of an instance that takes new work, or None."""
+        member = self.roster.members.get(name)
+        return member.identity if member is not None and _takes_work(member) else None
+
     def expected(self) -> set[str]:
         """Return those not suspected and those listed that have not failed to answer.
 
@@ -361,5 +365,9 @@
     return hashing.digest(name.encode())
 
 
+def _takes_work(member: news.Member) -> bool:
+    return member.status in (news.Status.ALIVE, news.Status.SUSPECT)
+
+
 def _contact(identity: news.Identity) -> news.Contact:
     return news.Contact(identity.name, identity.address, identity.data_centre)
--- a/cornelreach/fleet/sites.py
+++ b/cornelreach/fleet/sites.py
@@ -38,6 +38,14 @@
         """Return the known contacts of a data centre by name."""
         return self._listed.get(data_centre, {}) | self._heard.get(data_centre, {})
 
+    def contact(self, instance: str) -> news.Contact | None:
+        """Return the contact of that name in any other data centre, or None."""
+        for known in (self._heard, self._listed):
+            for contacts in known.values():
+                if instance in contacts:
+                    return contacts[instance]
+        return None
+
     def listed(self, instances: typing.Iterable[results.Instance]) -> None:
         """Take over the platform's list."""
         self._listed = {}
--- a/cornelreach/pools/outlook.py
+++ b/cornelreach/pools/outlook.py
@@ -115,9 +115,8 @@
         if not targets:
             return ""
         data_centre = targets[0].data_centre
-        names = self.directory.names(data_centre)
         claimed = self._claimed(pool)
-        if claimed in names:
+        if self.directory.knows(data_centre, claimed):
             return claimed
         return self.directory.owner(pool, data_centre)
 
--- /dev/null
+++ b/test/fleet/test_directory.py
@@ -0,0 +1,35 @@
+"""Tests of who can be called: looking one up agrees with listing all."""
+
+import random
+import unittest
+
+from cornelreach.fleet import directory, news, node
+from cornelreach.platform import results
+from cornelreach.settings import state
+from cornelreach.util import timers
+
+
+def member(name, data_centre, status=news.Status.ALIVE):
+    """Return a statement on an instance."""
+    identity = news.Identity(name, "b", 1, data_centre, f"{name}:1")
+    return news.Member(identity, 1, status)
+
+
+class LookUp(unittest.TestCase):
+    """One instance among peers of its own and another data centre."""
+
+    def test_one_by_one_as_listed(self):
+        me = news.Identity("me", "b", 1, "north", "me:1")
+        made = node.Node(me, state.State(), random.Random(1), 0.0)
+        for name, status in zip("abcd", news.Status, strict=True):
+            made.membership.heard(news.Heartbeat(member(name, "north", status)), 0.0)
+        made.sites.heard(member("e", "south"))
+        made.sites.listed([results.Instance("f", "south", "f:2")])
+        found = directory.Directory(made, timers.VirtualTimers())
+        addresses = found.addresses()
+        self.assertEqual(sorted(addresses), ["a", "c", "e", "f", "me"])
+        for name in ("a", "b", "c", "d", "e", "f", "me", "unknown", ""):
+            self.assertEqual(found.address(name), addresses.get(name, ""))
+            for data_centre in ("north", "south", "west"):
+                listed = name in found.names(data_centre)
+                self.assertEqual(found.knows(data_centre, name), listed)
