--- a/cornelreach/instance.py
+++ b/cornelreach/instance.py
@@ -329,9 +329,8 @@
 
     def _own_pools(self) -> dict[str, list[items.Target]]:
         pools: dict[str, list[items.Target]] = {}
-        for target in self.view.targets.values():
-            own = target.data_centre == self.settings.data_centre
-            if own and target.kind != "store" and target.state == view.IN_SERVICE:
+        for target in self.view.targets_of(self.settings.data_centre).values():
+            if target.kind != "store" and target.state == view.IN_SERVICE:
                 pools.setdefault(target.pool_name, []).append(target)
         return pools
 
@@ -348,8 +347,8 @@
         place = poolprompts.Place(name, data_centre, pools, leaving)
         stores = {
             target.name: target
-            for target in self.view.targets.values()
-            if target.kind == "store" and target.state == view.IN_SERVICE
+            for target in self.view.stores.values()
+            if target.state == view.IN_SERVICE
         }
         engines = {target.name: target for target in targets}
         model = self.view.models.get(serves)
