--- a/cornelreach/pools/tenure.py
+++ b/cornelreach/pools/tenure.py
@@ -139,6 +139,8 @@
         self._replaced_ms: dict[ownership.Member, float] = {}
         self._writing: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._members: list[ownership.Member] = []
+        self._orders: dict[str, list[ownership.Member]] = {}
         server.register(OWNER_BEAT, self._beat)
         server.register(RESIGN, self._resigned)
         state.subscribe(self._changed)
@@ -149,6 +151,7 @@
         wanted = set(pools)
         for name in set(self.parts) - wanted:
             del self.parts[name]
+            self._orders.pop(name, None)
         for name in wanted - set(self.parts):
             self.parts[name] = ownership.Ownership(name, self.me)
             self._observe(name)
@@ -199,19 +202,22 @@
             return
         entry = self.state.get(KEY_PREFIX + pool)
         version = entry.version if entry else 0
+        if version <= self.parts[pool].version:
+            return
         now_ms = self.clock.now_ms()
         self.parts[pool].observe_record(version, self._read(pool), now_ms)
 
     def tick(self) -> None:
         """Let time act on every part, and start what is due."""
         now_ms = self.clock.now_ms()
-        members = self.fleet.alive()
+        self._follow_members(self.fleet.alive())
+        alive = {one.name: one.boot for one in self._members}
         beats: dict[str, list[ownership.Heartbeat]] = {}
         for pool, part in self.parts.items():
             self._observe(pool)
-            self._observe_boots(part, members, now_ms)
+            self._observe_boots(part, alive, now_ms)
             part.advance(now_ms)
-            self._propose(part, members, now_ms)
+            self._propose(part, now_ms)
             beat = part.heartbeat(now_ms, self.fleet.platform_reached())
             if beat is not None:
                 beats.setdefault(beat.record.successor.name, []).append(beat)
@@ -230,12 +236,11 @@
     def _observe_boots(
         self,
         part: ownership.Ownership,
-        members: typing.Sequence[ownership.Member],
+        alive: typing.Mapping[str, str],
         now_ms: float,
     ) -> None:
         if part.record is None:
             return
-        alive = {one.name: one.boot for one in members}
         for member in (part.record.owner, part.record.successor):
             if member is None:
                 continue
@@ -267,15 +272,21 @@
         names, read_ms = self.fleet.listing()
         return read_ms - known_ms > LISTED_WITHIN_MS and member.name not in names
 
-    def _propose(
-        self,
-        part: ownership.Ownership,
-        members: typing.Sequence[ownership.Member],
-        now_ms: float,
-    ) -> None:
-        by_name = {one.name: one for one in members}
-        order = hashing.rendezvous(part.pool.encode(), by_name)
-        attempt = part.propose([by_name[name] for name in order], now_ms)
+    def _follow_members(self, members: list[ownership.Member]) -> None:
+        if members != self._members:
+            self._members = members
+            self._orders.clear()
+
+    def _order(self, pool: str) -> list[ownership.Member]:
+        """Return the instances alive in the pool's order, kept until they change."""
+        if pool not in self._orders:
+            by_name = {one.name: one for one in self._members}
+            order = hashing.rendezvous(pool.encode(), by_name)
+            self._orders[pool] = [by_name[name] for name in order]
+        return self._orders[pool]
+
+    def _propose(self, part: ownership.Ownership, now_ms: float) -> None:
+        attempt = part.propose(self._order(part.pool), now_ms)
         if attempt is not None and part.pool not in self._writing:
             self._writing.add(part.pool)
             self._spawn(self._write(part, attempt))
--- a/cornelreach/targets/ownership.py
+++ b/cornelreach/targets/ownership.py
@@ -131,6 +131,11 @@
         self._unsure = False
         self._advanced_ms: float | None = None
 
+    @property
+    def version(self) -> int:
+        """Return the version of the platform's object that was last taken in."""
+        return self._version
+
     def standing(self, now_ms: float) -> admission.Standing:
         """Return the right to admit to cold targets at this moment."""
         epoch = self.record.epoch if self.record else 0
--- /dev/null
+++ b/test/pools/test_proposals.py
@@ -0,0 +1,93 @@
+"""Tests of the shell of ownership: what it proposes as instances come and go."""
+
+import asyncio
+import unittest
+
+from returns import result
+
+from cornelreach.pools import tenure
+from cornelreach.settings import state as state_module
+from cornelreach.targets import ownership
+from cornelreach.util import timers
+
+ME = ownership.Member("me", "boot-1")
+OTHER = ownership.Member("other", "boot-2")
+
+
+class Objects:
+    """Takes every conditional write."""
+
+    def __init__(self):
+        self.version = 1
+        self.records = []
+
+    async def put(self, key, value, if_version):
+        self.version += 1
+        self.records.append(tenure.decode(value))
+        return result.Success(self.version)
+
+
+class Fleet:
+    """The instances of one data centre."""
+
+    def __init__(self):
+        self.members = [ME]
+
+    def alive(self):
+        return list(self.members)
+
+    def address(self, instance):
+        return ""
+
+    def platform_reached(self):
+        return True
+
+    def listing(self):
+        return frozenset(), float("-inf")
+
+
+class Server:
+    """Registers nothing."""
+
+    def register(self, method, handler):
+        pass
+
+
+class Proposals(unittest.IsolatedAsyncioTestCase):
+    """One instance, then two, of which both may own the pool."""
+
+    def setUp(self):
+        self.objects, self.fleet = Objects(), Fleet()
+        self.clock, self.state = timers.VirtualTimers(), state_module.State()
+        item = state_module.Entry("settings/model/m", 1, {"name": "m"})
+        self.state.apply(state_module.Delta(0, 1, (item,), whole=True))
+        self.tenures = tenure.Tenures(
+            ME, self.clock, self.state, self.objects, None, Server(), self.fleet
+        )
+        self.tenures.configure(["p"])
+
+    async def tick(self, times=1):
+        for _ in range(times):
+            self.clock.advance(tenure.TICK_MS)
+            for _ in range(5):
+                await asyncio.sleep(0)
+
+    async def test_successor_follows_the_members(self):
+        await self.tick(2)
+        self.assertEqual(self.objects.records, [ownership.Record(1, ME, None)])
+        self.fleet.members = sorted([ME, OTHER])
+        await self.tick(2)
+        self.assertEqual(self.objects.records[-1], ownership.Record(2, ME, OTHER))
+
+    async def test_newer_record_is_taken_in_and_an_unreadable_one_passed_over(self):
+        await self.tick(2)
+        self.assertTrue(self.tenures.owns("p"))
+        theirs = ownership.Record(5, OTHER, ME)
+        for value, owns in (({"epoch": "x"}, True), (tenure.encode(theirs), False)):
+            self.objects.version += 1
+            version = self.objects.version
+            entry = state_module.Entry(tenure.KEY_PREFIX + "p", version, value)
+            self.state.apply(state_module.Delta(version - 1, version, (entry,)))
+            await self.tick()
+            self.assertIs(self.tenures.owns("p"), owns)
+        self.assertEqual(self.tenures.recorded("p"), theirs)
