--- a/cornelreach/prompts/plans.py
+++ b/cornelreach/prompts/plans.py
@@ -113,18 +113,26 @@
     return [cost._asdict() for cost in ordered]
 
 
+class _Listed(typing.NamedTuple):
+    """The costs of a choice; made into text only where the line is written."""
+
+    plan: Plan
+
+    def __str__(self) -> str:
+        return ", ".join(
+            f"{cost.target} {cost.total_ms:.0f} ms (wait {cost.wait_ms:.0f}, transfer "
+            f"{cost.transfer_ms:.0f}, prefill {cost.prefill_ms:.0f}, held {cost.held})"
+            for cost in self.plan.costs
+        )
+
+
 def log(run: str, plan: Plan) -> None:
     """Log a choice with its candidates and their costs."""
-    listed = ", ".join(
-        f"{cost.target} {cost.total_ms:.0f} ms (wait {cost.wait_ms:.0f}, transfer "
-        f"{cost.transfer_ms:.0f}, prefill {cost.prefill_ms:.0f}, held {cost.held})"
-        for cost in plan.costs
-    )
     events.emit(
         PLACED,
         run=run,
         target=plan.target,
         action=plan.action.value,
         estimated_ms=plan.cost.first_token_ms,
-        candidates=listed,
+        candidates=_Listed(plan),
     )
--- a/cornelreach/util/events.py
+++ b/cornelreach/util/events.py
@@ -35,9 +35,10 @@
 
 
 def emit(event: Event, **fields: object) -> None:
-    """Log one event with its fields."""
+    """Log one event with its fields, which become text only if the level is logged."""
     bound = loguru.logger.bind(event=event.number, **fields)
-    bound.opt(depth=1).log(event.level, event.template.format(**fields))
+    lazy = bound.opt(depth=1, lazy=True)
+    lazy.log(event.level, "{}", lambda: event.template.format(**fields))
 
 
 def catalogue_markdown() -> str:
