--- a/tools/measure_slopes.py
+++ b/tools/measure_slopes.py
@@ -4,7 +4,7 @@
   measure_slopes [--only=<part>]
 
 Options:
-  --only=<part>  One of edge, settings, fleet, owner, wire.
+  --only=<part>  One of edge, settings, fleet, owner, wire, probes.
 
 Each line is a least-squares fit over four sizes, with the standard error of its slope
 and the largest distance of a point from it. Processor time is that of this process;
@@ -24,7 +24,7 @@
 from cornelreach.fleet import news, node
 from cornelreach.settings import state as state_module, view
 from cornelreach.util import log
-from tools.slopes import fit, owners, sites, wires
+from tools.slopes import fit, owners, probes, sites, wires
 
 TARGETS = (1_500, 3_000, 6_000, 12_000)
 FEW_TARGETS = 1_600
@@ -151,6 +151,7 @@
         "fleet": fleet,
         "owner": owners.measure,
         "wire": lambda: asyncio.run(wires.measure()),
+        "probes": lambda: asyncio.run(probes.measure()),
     }
     for name, part in parts.items():
         if only in (None, name):
--- a/tools/slopes/owners.py
+++ b/tools/slopes/owners.py
@@ -55,6 +55,18 @@
     return fit.cpu_us(one, REQUESTS)
 
 
+def advance_us(targets: int) -> float:
+    """Return the time of one look at a pool in which nothing waits."""
+    made, clock = held(targets)
+    return fit.cpu_us(lambda: made.owner.advance(clock.now_ms()), REQUESTS)
+
+
+def summary_us(targets: int) -> float:
+    """Return the time of the note that an owner publishes."""
+    made, clock = held(targets)
+    return fit.cpu_us(lambda: made.wait_ms(clock.now_ms()), REQUESTS)
+
+
 def filled(piece_count: int) -> directory.Directory:
     """Return a directory of pieces that two sources hold."""
     made = directory.Directory()
@@ -70,5 +82,9 @@
     fit.show("Owner: choice, permit, release, 16 targets, us by pieces", PIECES, times)
     times = [request_us(size, 20) for size in TARGETS]
     fit.show("Owner: the same with 20 pieces, us by targets", TARGETS, times)
+    times = [advance_us(size) for size in TARGETS]
+    fit.show("Owner: a look with nothing waiting, us by targets", TARGETS, times)
+    times = [summary_us(size) for size in TARGETS]
+    fit.show("Owner: its expected wait, us by targets", TARGETS, times)
     sizes = [fit.traced_bytes(lambda n=size: filled(n)) for size in HELD]
     fit.show("Directory: bytes by pieces of two holders", HELD, sizes)
--- a/tools/slopes/wires.py
+++ b/tools/slopes/wires.py
@@ -7,8 +7,8 @@
 
 from cornelreach.fleet import beats, news
 from cornelreach.peers import wire
-from cornelreach.pools import methods, notices
-from cornelreach.targets import permits
+from cornelreach.pools import methods, notices, tenure
+from cornelreach.targets import ownership, permits
 from tools.slopes import fit, sites
 
 CALLS = 300
@@ -18,6 +18,7 @@
 PIECES = (8, 32, 64, 128)
 BATCHES = (1, 4, 16, 64)
 NEWS = (0, 4, 8, 16)
+SHARED_POOLS = (1, 2, 4, 8)
 
 
 class Cost(typing.NamedTuple):
@@ -142,6 +143,16 @@
     )
 
 
+def _beats(count: int) -> tuple[tenure.Beats, tenure.Replies]:
+    """Return an owner's heartbeats to one successor, and the answers."""
+    pair = [ownership.Member(f"dc0-i{n}", f"{n:016x}") for n in range(2)]
+    record = ownership.Record(3, *pair)
+    vote = ownership.Vote.PLATFORM
+    beat = ownership.Heartbeat("dc0/m0/0", record, 900, 1e8, vote)
+    ack = ownership.Ack("dc0/m0/0", 3, 900, 1e8, pair[1], vote)
+    return tenure.Beats([beat] * count), tenure.Replies([ack] * count, [])
+
+
 async def measure() -> None:
     """Print the lines of the three messages."""
     asks = [await cost(methods.ASK, ask(size), _permit()) for size in PIECES]
@@ -153,6 +164,8 @@
         await cost(beats.HEARTBEAT, _heartbeat(size), _heartbeat(size)) for size in NEWS
     ]
     _show("Heartbeat with six notes, against members told of", NEWS, beat)
+    pairs = [await cost(tenure.OWNER_BEAT, *_beats(size)) for size in SHARED_POOLS]
+    _show("Owner's heartbeat, against pools in it", SHARED_POOLS, pairs)
 
 
 def _show(what: str, sizes: typing.Sequence[int], costs: list[Cost]) -> None:
