--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 
 .PHONY: env test lint format run serve docs measure bench-placement measure-fairness \
 	measure-control measure-fleet measure-instances check-admission
+.PHONY: measure-slopes fuzz
 
 env: $(STAMP)
 
@@ -47,6 +48,11 @@
 measure-control: env
 	$(PYTHON) -m tools.measure_control
 
+# SECONDS=60 SEED=1 unless given.
+fuzz: env
+	$(PYTHON) -m tools.fuzz --seed=$(SEED) \
+	    --seconds=$(if $(filter-out file,$(origin SECONDS)),$(SECONDS),60)
+
 measure-slopes: env
 	$(PYTHON) -m tools.measure_slopes
 
--- a/cornelreach/calls/api.py
+++ b/cornelreach/calls/api.py
@@ -6,7 +6,7 @@
 from cornelreach.http import client, messages, server
 from cornelreach.pools import notices
 from cornelreach.settings import items, view
-from cornelreach.util import errors
+from cornelreach.util import decoding, errors
 
 CHAT_PATH = "/v1/chat/completions"
 MODELS_PATH = "/v1/models"
@@ -156,7 +156,7 @@
         stream = self.flow.parts.ring().verify(run, account.name)
         target = self.view.targets.get(stream.target) if stream else None
         after = request.query.get("from", str(NO_NUMBER))
-        if target is None or not after.removeprefix("-").isdigit():
+        if target is None or not decoding.is_number(after.removeprefix("-")):
             raise server.Refused(_no_stream())
         self._announce(stream, run)
         return await self._resume(target, run, int(after))
--- a/cornelreach/calls/chat.py
+++ b/cornelreach/calls/chat.py
@@ -11,7 +11,7 @@
 import msgspec
 from returns import result
 
-from cornelreach.util import errors
+from cornelreach.util import decoding, errors
 
 CHARACTERS_PER_TOKEN = 4
 PRIORITIES = {"high": 0, "normal": 1, "low": 2}
@@ -86,7 +86,7 @@
     try:
         raw = msgspec.json.decode(body)
         fields = msgspec.convert(raw, ChatBody)
-    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
+    except decoding.UNREADABLE as error:
         return bad(
             f"the body is not a chat completion request: {error}",
             "correct the field that the message names",
--- a/cornelreach/calls/sse.py
+++ b/cornelreach/calls/sse.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from cornelreach.util import decoding
+
 MAX_EVENT_BYTES = 1_048_576
 DONE = b"[DONE]"
 
@@ -44,6 +46,9 @@
     data: bytes
 
 
+MAX_NUMBER_DIGITS = 18
+
+
 class BrokenStream(Exception):
     """An answer that does not follow the form of server-sent events."""
 
@@ -55,7 +60,7 @@
     """Return the chunk in an event; raises BrokenStream for anything else."""
     try:
         return CHUNK_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except decoding.UNREADABLE as error:
         raise BrokenStream(f"chunk is not valid: {error}") from None
 
 
@@ -102,7 +107,7 @@
     for line in block.split(b"\n"):
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
-        if name == b"id" and value.isdigit():
+        if name == b"id" and value.isdigit() and len(value) <= MAX_NUMBER_DIGITS:
             number = int(value)
         elif name == b"data":
             data.append(value)
--- a/cornelreach/calls/streams.py
+++ b/cornelreach/calls/streams.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from cornelreach.util import decoding
+
 MAC_BYTES = 16
 PREFIX = "run-"
 
@@ -52,7 +54,7 @@
             return None
         try:
             stream = msgspec.msgpack.decode(payload, type=StreamId)
-        except msgspec.MsgspecError:
+        except decoding.UNREADABLE:
             return None
         return stream if stream.account == account else None
 
--- a/cornelreach/calls/tickets.py
+++ b/cornelreach/calls/tickets.py
@@ -11,6 +11,7 @@
 import typing
 
 from cornelreach.calls import runs
+from cornelreach.util import decoding
 
 PREFIX = "ticket"
 VALID_MS = 3_600_000
@@ -36,7 +37,7 @@
 def parse(key: str) -> Ticket | None:
     """Return the ticket in a key, or None for a key of the caller's own."""
     parts = key.split("~")
-    if len(parts) != 5 or parts[0] != PREFIX or not parts[3].isdigit():
+    if len(parts) != 5 or parts[0] != PREFIX or not decoding.is_number(parts[3]):
         return None
     return Ticket(parts[1], parts[2], int(parts[3]))
 
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -15,6 +15,7 @@
 import h11
 
 from cornelreach.http import messages
+from cornelreach.util import decoding
 
 READ_BYTES = 65_536
 IDLE_KEEP_MS = 20_000
@@ -46,7 +47,7 @@
     tls = text.startswith("https://")
     bare = text.split("://")[-1].rstrip("/")
     host, _, port = bare.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not decoding.is_number(port):
         raise ValueError(f"address {text!r} is not host:port")
     return Address(host, int(port), tls)
 
--- a/cornelreach/peers/wire.py
+++ b/cornelreach/peers/wire.py
@@ -17,7 +17,7 @@
 from returns import result
 
 from cornelreach.peers import credentials as credentials_module
-from cornelreach.util import events
+from cornelreach.util import decoding, events
 
 SERVICE = "cornelreach.Peer"
 RENEW_GRACE_S = 5.0
@@ -92,7 +92,7 @@
         async def serve(data: bytes, context: grpc.aio.ServicerContext) -> bytes:
             try:
                 sender, request = method.request_decoder.decode(data)
-            except msgspec.MsgspecError as error:
+            except decoding.UNREADABLE as error:
                 await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
             self._on_sender(sender)
             reply = await self._run(method, handler, sender, request)
@@ -158,7 +158,7 @@
         except grpc.aio.AioRpcError as error:
             reason = f"{error.code().name}: {error.details()}"
             return result.Failure(PeerLost(address, reason))
-        except msgspec.MsgspecError as error:
+        except decoding.UNREADABLE as error:
             return result.Failure(PeerLost(address, str(error)))
         self._on_sender(sender)
         return result.Success(reply)
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -16,6 +16,7 @@
 
 from cornelreach.http import client as http_client, messages
 from cornelreach.platform import results
+from cornelreach.util import decoding
 
 CALL_WAIT_MS = 2_000
 WATCH_MARGIN_MS = 1_000
@@ -262,7 +263,7 @@
         return result.Failure(results.Rejected(f"read of {key}: {answer.status}"))
     try:
         return result.Success(msgspec.json.decode(answer.body, type=kind))
-    except msgspec.MsgspecError as error:
+    except decoding.UNREADABLE as error:
         text = f"malformed answer for {key}: {error}"
         return result.Failure(results.Unavailable(text))
 
@@ -276,7 +277,7 @@
         return result.Failure(_failed_write(answer, key))
     try:
         version = msgspec.json.decode(answer.body, type=_Written)["version"]
-    except msgspec.MsgspecError as error:
+    except decoding.UNREADABLE as error:
         text = f"malformed answer to a write: {error}"
         return result.Failure(results.OutcomeUnknown(key, text))
     if answer.status == 412:
--- a/cornelreach/pools/loading.py
+++ b/cornelreach/pools/loading.py
@@ -8,6 +8,7 @@
 from cornelreach.pools import rollouts
 from cornelreach.settings import items
 from cornelreach.targets import orders
+from cornelreach.util import decoding
 
 OBSERVE_WAIT_MS = 1_000
 CONFLICT = 409
@@ -49,7 +50,7 @@
                 wait_ms=OBSERVE_WAIT_MS,
             )
             state = msgspec.json.decode(body, type=State)
-        except (client.RequestNotSent, client.AnswerLost, msgspec.MsgspecError):
+        except (client.RequestNotSent, client.AnswerLost, *decoding.UNREADABLE):
             return None
         if status != 200:
             return None
--- a/cornelreach/pools/outlook.py
+++ b/cornelreach/pools/outlook.py
@@ -15,7 +15,7 @@
 from cornelreach.prompts import affinity
 from cornelreach.settings import items, view
 from cornelreach.targets import ownership, pool as pool_module
-from cornelreach.util import timers
+from cornelreach.util import decoding, timers
 
 TOPIC_PREFIX = "pool/"
 
@@ -104,7 +104,7 @@
         body, age_ms = found
         try:
             return DECODER.decode(body), age_ms
-        except msgspec.MsgspecError:
+        except decoding.UNREADABLE:
             return None, age_ms
 
     def owner(self, pool: str) -> str:
--- a/cornelreach/pools/prober.py
+++ b/cornelreach/pools/prober.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from cornelreach.http import client
+from cornelreach.http import client, messages
 from cornelreach.pools import desk as desk_module
 from cornelreach.settings import items
 from cornelreach.targets import permits
-from cornelreach.util import timers
+from cornelreach.util import decoding, timers
 
 REPORT_MS = 500
 URGENT_MS = 50
@@ -73,16 +73,21 @@
                 address, "GET", "/v1/state", wait_ms=PROBE_WAIT_MS
             )
             state = msgspec.json.decode(body, type=State)
-        except (client.RequestNotSent, client.AnswerLost, msgspec.MsgspecError):
+        except (client.RequestNotSent, client.AnswerLost, *decoding.UNREADABLE):
             return
         finally:
             self._asked_ms[target.name] = now_ms
         if status == 200:
-            boot = dict(headers).get(b"x-boot-id", state["boot_id"].encode()).decode()
+            boot = boot_of(headers) or state["boot_id"]
             report = report_of(target.name, now_ms, boot, state)
             self.desk.report(pool_name, report, state.get("version", ""))
 
 
+def boot_of(headers: messages.Headers) -> str:
+    """Return the boot identity in an answer's headers, empty if there is none."""
+    return dict(headers).get(b"x-boot-id", b"").decode("latin-1")
+
+
 def report_of(target: str, asked_ms: float, boot: str, state: State) -> permits.Report:
     """Return the report that a state answer stands for."""
     return permits.Report(
--- a/cornelreach/prompts/follower.py
+++ b/cornelreach/prompts/follower.py
@@ -21,7 +21,7 @@
 from cornelreach.platform import backoff
 from cornelreach.prompts import directory as directory_module, documents
 from cornelreach.settings import items
-from cornelreach.util import events, timers
+from cornelreach.util import decoding, events, timers
 
 POLL_WAIT_MS = 5_000
 CALL_WAIT_MS = 10_000
@@ -85,7 +85,7 @@
 FAILURES = (
     client_module.RequestNotSent,
     client_module.AnswerLost,
-    msgspec.MsgspecError,
+    *decoding.UNREADABLE,
     OSError,
     Failed,
 )
--- a/cornelreach/prompts/mover.py
+++ b/cornelreach/prompts/mover.py
@@ -15,13 +15,14 @@
 
 from cornelreach.http import client as client_module, messages
 from cornelreach.prompts import transfers
+from cornelreach.util import decoding
 
 CALL_WAIT_MS = 10_000
 DROP_WAIT_MS = 2_000
 CALL_FAILURES = (
     client_module.RequestNotSent,
     client_module.AnswerLost,
-    msgspec.MsgspecError,
+    *decoding.UNREADABLE,
     OSError,
 )
 
@@ -99,9 +100,10 @@
         order = {"destination": str(store), "keys": list(keys)}
         try:
             _, body = await self.call(engine, "/v1/kv/export", order, limit_ms)
-            return tuple(msgspec.json.decode(body, type=_Exported)["exported"])
+            exported = msgspec.json.decode(body, type=_Exported)["exported"]
         except (*CALL_FAILURES, Refused):
             return ()
+        return tuple(key for key in keys if key in exported)
 
     async def delete(
         self, store: client_module.Address, keys: typing.Sequence[str]
--- a/cornelreach/prompts/plans.py
+++ b/cornelreach/prompts/plans.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cornelreach.util import events
+from cornelreach.util import decoding, events
 
 PLACED = events.define(
     1501,
@@ -103,7 +103,7 @@
         return Steps()
     try:
         return msgspec.json.decode(text, type=Steps)
-    except msgspec.MsgspecError:
+    except decoding.UNREADABLE:
         return Steps()
 
 
--- a/cornelreach/prompts/transfers.py
+++ b/cornelreach/prompts/transfers.py
@@ -128,6 +128,7 @@
         self.outcome: Outcome | None = None
         self._before: dict[str, Stat] = {}
         self._staged: Staged | None = None
+        self._proved: tuple[str, ...] = ()
 
     def start(self) -> list[Command]:
         """Return the first command."""
@@ -157,7 +158,8 @@
     @on.register
     def _(self, event: Committed) -> list[Command]:
         if self.state is State.COMMITTING:
-            self._end(Ending.DONE, event.keys)
+            readable = tuple(key for key in self._proved if key in event.keys)
+            self._end(Ending.DONE, readable)
         return []
 
     @on.register
@@ -185,7 +187,7 @@
             if after.get(key) == stat
             and self._staged.checksums.get(key) == stat.checksum
         }
-        keys = tuple(_leading(self.keys, proved))
+        keys = self._proved = tuple(_leading(self.keys, proved))
         if keys:
             self.state = State.COMMITTING
         else:
--- a/cornelreach/settings/document.py
+++ b/cornelreach/settings/document.py
@@ -31,6 +31,15 @@
     "targets": "target",
     "exceptions": "exception",
 }
+# The loader raises more than its own errors, as for a date with month 13.
+MALFORMED = (
+    yaml.YAMLError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+)
 Fields = dict[str, typing.Any]
 
 
@@ -48,7 +57,7 @@
     """Return the document that a YAML text holds, or all problems of its form."""
     try:
         loaded = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except MALFORMED as error:
         problem = rules.Problem("document", f"malformed YAML: {error}", "correct it")
         return result.Failure((problem,))
     if not isinstance(loaded, dict):
--- a/cornelreach/settings/rules.py
+++ b/cornelreach/settings/rules.py
@@ -13,6 +13,7 @@
 import typing
 
 from cornelreach.settings import items
+from cornelreach.util import decoding
 
 POOL_TARGETS = 16
 NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
@@ -100,7 +101,7 @@
         text = "cold_sequences is above max_sequences"
         yield Problem(key, text, "lower cold_sequences")
     host, _, port = item.address.removeprefix("http://").rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not decoding.is_number(port):
         text = f"address {item.address!r} is not host:port"
         yield Problem(key, text, "give an IP number and a port")
 
--- a/cornelreach/settings/view.py
+++ b/cornelreach/settings/view.py
@@ -13,8 +13,6 @@
 import hmac
 import typing
 
-import msgspec
-
 from cornelreach.settings import items, pools, state as state_module
 from cornelreach.util import events
 
@@ -188,8 +186,8 @@
             return
         name = entry.key.removeprefix(items.key_of(kind, ""))
         try:
-            item = entry.value and items.convert(entry.key, entry.value)
-        except (msgspec.ValidationError, TypeError, AttributeError) as error:
+            item = _item(entry)
+        except (ValueError, TypeError, AttributeError) as error:
             events.emit(UNREADABLE, key=entry.key, version=entry.version, error=error)
             return
         self._hold(kind, name, item)
@@ -211,6 +209,16 @@
                 bucket.append((lower, account.name))
 
 
+def _item(entry: state_module.Entry) -> items.Item | None:
+    """Return the item of an entry, None for a deletion; raises if it is unreadable."""
+    if entry.value is None:
+        return None
+    item = items.convert(entry.key, entry.value)
+    if isinstance(item, items.Override):
+        datetime.datetime.fromisoformat(item.ends)
+    return item
+
+
 def ended(override: items.Override, wall_ms: float) -> bool:
     """Return whether an exception's end has passed; one without a zone is in UTC."""
     ends = datetime.datetime.fromisoformat(override.ends)
--- a/cornelreach/ui/admin.py
+++ b/cornelreach/ui/admin.py
@@ -9,7 +9,7 @@
 from cornelreach import instance as instance_module
 from cornelreach.http import messages, server
 from cornelreach.settings import items
-from cornelreach.util import errors
+from cornelreach.util import decoding, errors
 
 DATA_CENTRE_PREFIX = "/admin/data-centres/"
 METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -78,7 +78,7 @@
     def _direct(self, request: messages.Request) -> messages.Response:
         try:
             order = msgspec.json.decode(request.body, type=Order)
-        except msgspec.MsgspecError as error:
+        except decoding.UNREADABLE as error:
             raise server.Refused(_bad(f"the body does not fit: {error}")) from None
         name = request.path.removeprefix(DATA_CENTRE_PREFIX)
         given = self.instance.node.directives.give(
--- a/cornelreach/ui/options.py
+++ b/cornelreach/ui/options.py
@@ -5,7 +5,6 @@
 """
 
 import os
-import pathlib
 import re
 import typing
 
@@ -189,7 +188,7 @@
 def check_address(spec: Spec, text: str, _: str) -> str:
     """Accept host:port."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65_535:
+    if not host or not re.fullmatch(r"[0-9]{1,5}", port) or int(port) > 65_535:
         refuse(spec, text, "write host:port, such as 127.0.0.1:8080")
     return text
 
@@ -203,14 +202,14 @@
 
 def check_file(spec: Spec, text: str, _: str) -> str:
     """Accept the path of a readable file."""
-    if not pathlib.Path(text).is_file() or not os.access(text, os.R_OK):
+    if not os.path.isfile(text) or not os.access(text, os.R_OK):
         refuse(spec, text, "name a file that exists and can be read")
     return text
 
 
 def check_count(spec: Spec, text: str, _: str) -> int:
     """Accept a whole number above zero."""
-    if not text.isdigit() or int(text) == 0:
+    if not re.fullmatch(r"[0-9]{1,15}", text) or int(text) == 0:
         refuse(spec, text, "write a whole number above 0")
     return int(text)
 
--- a/cornelreach/ui/tool.py
+++ b/cornelreach/ui/tool.py
@@ -15,6 +15,7 @@
 from cornelreach.platform import client as platform_client, results
 from cornelreach.settings import items
 from cornelreach.ui import exits
+from cornelreach.util import decoding
 
 PLATFORM_VARIABLE = "CORNELREACH_PLATFORM"
 INSTANCES_VARIABLE = "CORNELREACH_INSTANCES"
@@ -91,7 +92,7 @@
         except (
             http_client.RequestNotSent,
             http_client.AnswerLost,
-            msgspec.DecodeError,
+            *decoding.UNREADABLE,
         ) as error:
             return Answer(address, error=str(error))
         if status >= 300:
--- /dev/null
+++ b/test/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzing of what faces callers, targets, peers and operators."""
