--- a/cornelreach/pools/tenure.py
+++ b/cornelreach/pools/tenure.py
@@ -212,13 +212,14 @@
         now_ms = self.clock.now_ms()
         self._follow_members(self.fleet.alive())
         alive = {one.name: one.boot for one in self._members}
+        reached = self.fleet.platform_reached()
         beats: dict[str, list[ownership.Heartbeat]] = {}
         for pool, part in self.parts.items():
             self._observe(pool)
             self._observe_boots(part, alive, now_ms)
             part.advance(now_ms)
             self._propose(part, now_ms)
-            beat = part.heartbeat(now_ms, self.fleet.platform_reached())
+            beat = part.heartbeat(now_ms, reached)
             if beat is not None:
                 beats.setdefault(beat.record.successor.name, []).append(beat)
             self._tell(part)
