--- a/tools/measure_slopes.py
+++ b/tools/measure_slopes.py
@@ -48,6 +48,7 @@
     acts = {
         "Edge: owner of a pool and its address": _owner,
         "Instance: tick of tenures with ten pools, each 500 ms": _tick,
+        "Instance: contenders of every model's rollout, each second": _rank,
     }
     for what, act in acts.items():
         times = [fit.cpu_us(act(one), 10) for one in made.values()]
@@ -79,6 +80,10 @@
     return made.tenures.tick
 
 
+def _rank(made: typing.Any) -> typing.Callable[[], object]:
+    return lambda: [made._contenders(model) for model in made.view.models]
+
+
 def _owner(made: typing.Any) -> typing.Callable[[], object]:
     outlook = made.outlook
     return lambda: outlook.address(outlook.owner("dc0/m0/0"))
