Keep a rollout going on small and idle fleets, and wire accounts' terms

Cause: repeated runs of test_rollout failed: two of three pools of one engine were closed at once while the third had lost its instance; and a loaded engine that nobody calls stays cold, for which the rollout waited for ever. The fleet was ranked for each model every second. Owners ignored the accounts' budgets in the settings. Change: pools of one engine form a group that gives up one at a time; a call is also asked for under the other version of a rollout; the holder waits 10 s for warmth; contenders are ranked when the known instances change; terms reach the pools. Ruled out: a longer wait at the edge, which would only hide the closed pools.

--- a/cornelreach/calls/chatflow.py
+++ b/cornelreach/calls/chatflow.py
@@ -64,7 +64,7 @@
     observer: Observer
     retries: retries.RetryBudgets
     identity: Identity
-    version: typing.Callable[[items.Model, str], str]
+    versions: typing.Callable[[items.Model, str], tuple[str, ...]]
 
 
 class Progress:
@@ -197,23 +197,34 @@
                     raise server.Refused(_broken(failure, ran)) from None
 
     async def _place(self, progress: Progress) -> ports.Ticket:
+        prompts = self._prompts(progress.call)
+        needs = [
+            self._need(progress, version, prompt) for version, prompt in prompts.items()
+        ]
+        placed = await self.parts.placer.place(*needs)
+        if isinstance(placed, result.Failure):
+            raise server.Refused(placed.failure())
+        ticket = placed.unwrap()
+        # The attempt keeps the version of its placement, also if a rollout moves on.
+        progress.version = ticket.request.version
+        progress.prompt = prompts[progress.version]
+        return ticket
+
+    def _need(
+        self, progress: Progress, version: str, prompt: pieces.PromptPieces
+    ) -> ports.Need:
         call = progress.call
-        progress.prompt = self._prompt(progress)
         spent_ms = self.parts.clock.now_ms() - progress.started_ms
-        need = ports.Need(
+        return ports.Need(
             call.account,
             call.model,
             call.priority,
-            progress.prompt,
+            prompt,
             self._answer_tokens(call),
             max(1, int(self._deadline_ms(call) - spent_ms)),
             progress.failed_targets,
-            progress.version,
+            version,
         )
-        placed = await self.parts.placer.place(need)
-        if isinstance(placed, result.Failure):
-            raise server.Refused(placed.failure())
-        return placed.unwrap()
 
     def _model(self, call: chat.ChatCall) -> items.Model:
         model = self.parts.view.models.get(call.model)
@@ -221,19 +232,17 @@
             raise server.Refused(_no_model(call.model))
         return model
 
-    def _prompt(self, progress: Progress) -> pieces.PromptPieces:
-        """Return the prompt's pieces under the weight version in use for it.
-
-        An attempt keeps the version of its placement, also when a rollout moves on.
-        """
-        call = progress.call
+    def _prompts(self, call: chat.ChatCall) -> dict[str, pieces.PromptPieces]:
+        """Return the prompt's pieces under each weight version in use, best first."""
         model = self._model(call)
-        messages_ = [message._asdict() for message in call.messages]
-        prompt = pieces.split(call.account, call.model, model.version, messages_)
-        progress.version = self.parts.version(model, prompt.root)
-        if progress.version == model.version:
-            return prompt
-        return pieces.split(call.account, call.model, progress.version, messages_)
+        texts = [message._asdict() for message in call.messages]
+        held = pieces.split(call.account, call.model, model.version, texts)
+        return {
+            version: held
+            if version == model.version
+            else pieces.split(call.account, call.model, version, texts)
+            for version in self.parts.versions(model, held.root)
+        }
 
     def _answer_tokens(self, call: chat.ChatCall) -> int:
         most = self._effective("max_answer_tokens", call)
--- a/cornelreach/calls/ports.py
+++ b/cornelreach/calls/ports.py
@@ -42,8 +42,13 @@
 class Placer(typing.Protocol):
     """Chooses a pool and asks its owner; hands permits back."""
 
-    async def place(self, need: Need) -> result.Result[Ticket, errors.Refusal]:
-        """Return leave to send, or a refusal that is true: nothing was run."""
+    async def place(
+        self, need: Need, *others: Need
+    ) -> result.Result[Ticket, errors.Refusal]:
+        """Return leave to send, or a refusal that is true: nothing was run.
+
+        ``others`` are second choices for where nothing can admit the first.
+        """
 
     async def renewed(self, ticket: Ticket) -> Ticket:
         """Return a ticket with a fresh expiry where its own is near, or the same."""
--- a/cornelreach/instance.py
+++ b/cornelreach/instance.py
@@ -44,8 +44,8 @@
 from cornelreach.prompts import mover, poolprompts
 from cornelreach.reports import metrics, reporter
 from cornelreach.settings import items, state as state_module, sync, view
-from cornelreach.targets import admission, ownership, retries
-from cornelreach.util import events, hashing, timers
+from cornelreach.targets import admission, fairness, ownership, retries
+from cornelreach.util import events, timers
 
 RECONFIGURE_MS = 200
 SETTLE_MS = 5
@@ -104,6 +104,7 @@
         self.settings = settings
         self.boot = os.urandom(8).hex()
         self.draining = False
+        self._terms: dict[str, fairness.Terms] = {}
         self.superseded = asyncio.Event()
         self._reconfiguring = False
         self.security = security or Security()
@@ -200,7 +201,7 @@
                 http_client.parse_address(settings.platform), budget.Purpose.LEASE
             ),
             self.http,
-            self._contenders,
+            self.members.addresses,
         )
         self.desk = desk_module.Desk(self.clock, self, self.http, self.random)
         self.prober = prober.Prober(
@@ -244,7 +245,7 @@
             self.reporter,
             retries.RetryBudgets(self.view.defaults.retry_share),
             identity,
-            self.controller.version,
+            self.controller.versions,
         )
         self.flow = chatflow.ChatFlow(parts)
         services = serviceflow.ServiceFlow(parts)
@@ -291,6 +292,18 @@
         """Return this instance's right to admit to cold targets of a pool."""
         return self.tenures.standing(pool_name)
 
+    def terms(self, account: str) -> fairness.Terms:
+        """Return what an account may use of a pool; read anew twice a second."""
+        if account not in self._terms:
+            wall_ms = self.clock.wall_ms()
+            settings = ("account_tokens_per_s", "account_burst_tokens")
+            rate, burst, calls = (
+                self.view.effective(one, wall_ms, account)
+                for one in (*settings, "account_queue_calls")
+            )
+            self._terms[account] = fairness.Terms(rate, burst, calls)
+        return self._terms[account]
+
     def address(self, instance: str) -> str:
         """Return the peer address of an instance, empty if it is unknown."""
         return self.outlook.address(instance)
@@ -304,6 +317,7 @@
         return self.beats.listing, self.beats.listing_ms
 
     def _publish(self) -> None:
+        self._terms.clear()
         now_ms = self.clock.now_ms()
         for held in self.desk.held.values():
             summary = held.owner.summary(now_ms)
@@ -355,9 +369,6 @@
         closed = self.controller.closed(serves)
         return desk_module.Owned(place, engines, stores, model, closed)
 
-    def _contenders(self, model: str) -> list[str]:
-        return hashing.rendezvous(model.encode(), self.members.addresses())
-
     async def _resumed(
         self, sender: wire.Sender, notice: notices.Resumed
     ) -> notices.Nothing:
--- a/cornelreach/pools/controller.py
+++ b/cornelreach/pools/controller.py
@@ -17,10 +17,11 @@
 from cornelreach.pools import loading, rollouts
 from cornelreach.settings import items, state as state_module, view
 from cornelreach.targets import rollout
-from cornelreach.util import events, timers
+from cornelreach.util import events, hashing, timers
 
 CONTENDERS = 2
 LOOK_MS = 1_000
+ENDED = (rollout.Phase.DONE, rollout.Phase.RETURNED)
 
 BEGUN = events.define(
     1412,
@@ -55,7 +56,7 @@
         settings: view.View,
         objects: results.Objects,
         http: client.Client,
-        contenders: typing.Callable[[str], list[str]],
+        names: typing.Callable[[], typing.Iterable[str]],
     ) -> None:
         self.name = name
         self.boot = boot
@@ -63,7 +64,9 @@
         self.view = settings
         self.objects = objects
         self.http = http
-        self.contenders = contenders
+        self.names = names
+        self._names: frozenset[str] = frozenset()
+        self._chosen: dict[str, list[str]] = {}
         self._closing = False
         self._contentions: dict[str, Contention] = {}
         self._records: dict[str, rollout.Rollout] = {}
@@ -85,10 +88,20 @@
         except (msgspec.ValidationError, AttributeError) as error:
             events.emit(UNREADABLE, model=model, error=error)
 
-    def version(self, model: items.Model, root: str) -> str:
-        """Return the weight version for a new request of a document."""
+    def versions(self, model: items.Model, root: str) -> tuple[str, ...]:
+        """Return the weight versions for a new request of a document, best first.
+
+        During a rollout there are two: where no engine can admit under the first, such
+        as while one is closed and the owner of another has died, the second serves.
+        """
         record = self._records.get(model.name)
-        return rollout.version_for(record, root) if record else model.version
+        if record is None:
+            return (model.version,)
+        first = rollout.version_for(record, root)
+        if record.phase in ENDED:
+            return (first,)
+        both = (record.version, record.previous)
+        return (first, *(other for other in both if other != first))
 
     def closed(self, model: str) -> frozenset[str]:
         """Return the engines that a rollout keeps from new requests."""
@@ -98,12 +111,26 @@
     async def run(self) -> None:
         """Contend for the rollouts of models until cancelled."""
         while not self._closing:
+            self._follow_names()
             for model in list(self.view.models):
-                chosen = self.contenders(model)[:CONTENDERS]
-                if (self.name in chosen) != (model in self._contentions):
+                chosen = self.name in self._contenders(model)
+                if chosen != (model in self._contentions):
                     await self._switch(model)
             await asyncio.sleep(LOOK_MS / 1_000)
 
+    def _follow_names(self) -> None:
+        # Ranking a whole fleet costs milliseconds a model, so it is done on a change.
+        names = frozenset(self.names())
+        if names != self._names:
+            self._names = names
+            self._chosen.clear()
+
+    def _contenders(self, model: str) -> list[str]:
+        if model not in self._chosen:
+            ranked = hashing.rendezvous(model.encode(), self._names)
+            self._chosen[model] = ranked[:CONTENDERS]
+        return self._chosen[model]
+
     async def _switch(self, model: str) -> None:
         held = self._contentions.pop(model, None)
         if held is not None:
@@ -163,8 +190,10 @@
             first = rollout.Rollout(model, loaded, loaded, done, 1.0)
             await self._write(first, 0)
             return
-        over = record.phase in (rollout.Phase.DONE, rollout.Phase.RETURNED)
-        if over and wanted.version not in (record.version, record.wanted):
+        if record.phase in ENDED and wanted.version not in (
+            record.version,
+            record.wanted,
+        ):
             entry = self.view.state.get(rollouts.KEY_PREFIX + model)
             following = rollout.Rollout(model, record.wanted, wanted.version)
             await self._write(following, entry.version)
--- a/cornelreach/pools/desk.py
+++ b/cornelreach/pools/desk.py
@@ -16,7 +16,7 @@
 from cornelreach.pools import methods, notices
 from cornelreach.prompts import poolprompts
 from cornelreach.settings import items
-from cornelreach.targets import admission, permits, pool
+from cornelreach.targets import admission, fairness, permits, pool
 from cornelreach.util import errors, timers
 
 ADVANCE_MS = 20
@@ -32,6 +32,9 @@
     def standing(self, pool_name: str) -> admission.Standing:
         """Return this instance's right to admit to cold targets of a pool."""
 
+    def terms(self, account: str) -> fairness.Terms:
+        """Return what an account may use of a pool."""
+
 
 class Owned(typing.NamedTuple):
     """What the settings say of an owned pool; ``model`` is None for a service."""
@@ -47,15 +50,19 @@
     """The aggregates of one owned pool."""
 
     def __init__(
-        self, name: str, owned: Owned, prompts: poolprompts.PoolPrompts | None
+        self,
+        name: str,
+        owned: Owned,
+        prompts: poolprompts.PoolPrompts | None,
+        terms: typing.Callable[[str], fairness.Terms],
     ) -> None:
         self.prompts = prompts
         self.versions: dict[str, str] = {}
         limits = limits_of_all(owned)
         if prompts is None:
-            self.owner = pool.PoolOwner(name, limits)
+            self.owner = pool.PoolOwner(name, limits, terms=terms)
         else:
-            self.owner = pool.PoolOwner(name, limits, prompts.choose)
+            self.owner = pool.PoolOwner(name, limits, prompts.choose, terms)
         self.follow(owned)
 
     def follow(self, owned: Owned) -> None:
@@ -113,7 +120,7 @@
             if name in self.held:
                 self.held[name].follow(one)
             else:
-                self.held[name] = Held(name, one, self._prompts(one))
+                self.held[name] = Held(name, one, self._prompts(one), self.pools.terms)
 
     def _prompts(self, owned: Owned) -> poolprompts.PoolPrompts | None:
         if owned.model is None:
--- a/cornelreach/pools/placer.py
+++ b/cornelreach/pools/placer.py
@@ -47,10 +47,12 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def place(
-        self, need: ports.Need
+        self, need: ports.Need, *others: ports.Need
     ) -> result.Result[ports.Ticket, errors.Refusal]:
         """Ask the owners of the best pools in turn, until one gives a permit.
 
+        ``others`` are second choices, such as the same call under another weight
+        version, which are asked for where nothing can admit the first.
         Where none can admit at all, as for a moment after an owner's death or in a
         rollout, it asks again for at most ``TRANSITION_MS``.
         """
@@ -58,11 +60,12 @@
         until_ms = now_ms + need.wait_ms
         settled_ms = min(until_ms, now_ms + TRANSITION_MS)
         while True:
-            outcome = await self._ask_pools(need, until_ms)
-            if isinstance(outcome, result.Success):
-                return outcome
-            passing = outcome.failure().code is errors.Code.UNAVAILABLE
-            if not passing or self.clock.now_ms() + PAUSE_MS >= settled_ms:
+            for one in (need, *others):
+                outcome = await self._ask_pools(one, until_ms)
+                passing = _is_passing(outcome)
+                if not passing:
+                    return outcome
+            if self.clock.now_ms() + PAUSE_MS >= settled_ms:
                 return outcome
             await asyncio.sleep(PAUSE_MS / 1_000)
 
@@ -230,6 +233,13 @@
             await asyncio.wait(self._tasks)
 
 
+def _is_passing(outcome: result.Result[ports.Ticket, errors.Refusal]) -> bool:
+    """Return whether a refusal may be over in a moment."""
+    if isinstance(outcome, result.Success):
+        return False
+    return outcome.failure().code is errors.Code.UNAVAILABLE
+
+
 def no_pool(serves: str) -> errors.Refusal:
     """Return the refusal of a call for which no pool is in service and in reach."""
     return errors.Refusal(
--- a/cornelreach/pools/rollouts.py
+++ b/cornelreach/pools/rollouts.py
@@ -24,6 +24,7 @@
 
 KEY_PREFIX = items.PREFIX + "rollout/"
 TICK_MS = 250
+WARM_WAIT_MS = 10_000
 
 PHASE = events.define(
     1411,
@@ -85,6 +86,7 @@
         self.targets = targets
         self._orders: dict[str, orders.TargetOrder] = {}
         self._closed_ms: dict[str, float] = {}
+        self._loaded_ms: dict[str, float] = {}
         self._fence: int | None = None
 
     async def once(self) -> None:
@@ -95,6 +97,7 @@
             self._fence = self.lease.fence
             self._orders.clear()
             self._closed_ms.clear()
+            self._loaded_ms.clear()
         found = await self.objects.get(self.key)
         if isinstance(found, result.Success) and found.unwrap().value is not None:
             await self._work(found.unwrap())
@@ -129,6 +132,20 @@
             name: self._closed_ms.get(name, now_ms) for name in record.closed
         }
 
+    def _is_warm(
+        self, name: str, seen: Observed | None, record: rollout.Rollout
+    ) -> bool:
+        """Return whether a target is warm, or has had its time to get warm.
+
+        Without calls it stays cold, and must not hold the rollout up for ever.
+        """
+        if seen is None or seen.version != record.wanted:
+            self._loaded_ms.pop(name, None)
+            return seen is not None and seen.warm
+        now_ms = self.clock.now_ms()
+        loaded_ms = self._loaded_ms.setdefault(name, now_ms)
+        return seen.warm or now_ms - loaded_ms >= WARM_WAIT_MS
+
     def _view(
         self, name: str, seen: Observed | None, record: rollout.Rollout
     ) -> rollout.View:
@@ -140,7 +157,7 @@
             target=name,
             pool=self.targets.pools()[name],
             loaded=seen.version if seen else "",
-            warm=seen is not None and seen.warm,
+            warm=self._is_warm(name, seen, record),
             running=seen.running if seen else 0,
             closed_for_ms=(
                 None if closed_ms is None else self.clock.now_ms() - closed_ms
--- a/cornelreach/targets/rollout.py
+++ b/cornelreach/targets/rollout.py
@@ -171,12 +171,7 @@
     """
     if record.phase is Phase.BACK:
         return 0.0
-    pools = list(_by_pool(views).values())
-    alone = [view for pool in pools if len(pool) == 1 for view in pool]
-    pools = [pool for pool in pools if len(pool) > 1]
-    if alone:
-        pools.append(alone)
-    shares = [_pool_share(record, pool) for pool in pools]
+    shares = [_pool_share(record, pool) for pool in _groups(views)]
     least = min(shares, default=0.0)
     return max(least, record.new_share) if least > 0 else 0.0
 
@@ -225,7 +220,7 @@
     under_way = sum(view.loading or not _is_open(view) for view in views)
     room = MOST_LOADS - under_way
     steps: list[Step] = []
-    for pool in _by_pool(views).values():
+    for pool in _groups(views):
         spare = _spare(record, pool)
         if _keeps_last(record, pool):
             due = sum(_is_due(record, view) and _is_open(view) for view in pool)
@@ -263,8 +258,15 @@
     return view.closed_for_ms is None
 
 
-def _by_pool(views: typing.Sequence[View]) -> dict[str, list[View]]:
+def _groups(views: typing.Sequence[View]) -> list[list[View]]:
+    """Return the targets that stand in for each other.
+
+    Those are the targets of a pool. Pools of a single target cannot spare it, so they
+    stand in for one another and form one group.
+    """
     pools: dict[str, list[View]] = {}
     for view in views:
         pools.setdefault(view.pool, []).append(view)
-    return pools
+    groups = [pool for pool in pools.values() if len(pool) > 1]
+    alone = [view for pool in pools.values() if len(pool) == 1 for view in pool]
+    return [*groups, alone] if alone else groups
--- a/test/pools/test_rollouts.py
+++ b/test/pools/test_rollouts.py
@@ -47,6 +47,8 @@
 class FakeTargets:
     """Targets that load at once, and some never; they record their orders."""
 
+    warm = True
+
     def __init__(self, names, failing=()):
         self.versions = dict.fromkeys(names, "7")
         self.failing, self.sent = failing, []
@@ -55,7 +57,7 @@
         return dict.fromkeys(self.versions, "lj/reader")
 
     async def observe(self, target):
-        return rollouts.Observed(self.versions[target], True, 0)
+        return rollouts.Observed(self.versions[target], self.warm, 0)
 
     async def send(self, order):
         self.sent.append(order)
@@ -92,6 +94,21 @@
         self.assertEqual(self.record().closed, ())
         self.assertEqual(len(self.targets.sent), 3)
 
+    async def test_targets_that_nobody_calls_and_stay_cold_do_not_stop_it(self):
+        self.targets.warm = False
+        ticks = 4 * int(rollouts.WARM_WAIT_MS / rollouts.TICK_MS)
+        await self.run_for(self.conductor(), ticks)
+        self.assertIs(self.record().phase, rollout.Phase.DONE)
+
+    async def test_pools_of_one_target_are_not_away_together(self):
+        self.targets.pools = lambda: {name: name for name in self.targets.versions}
+        conductor = self.conductor()
+        for _ in range(80):
+            await conductor.once()
+            self.assertLessEqual(len(self.record().closed), 1)
+            self.clock.advance(rollouts.TICK_MS)
+        self.assertIs(self.record().phase, rollout.Phase.DONE)
+
     async def test_another_holder_goes_on(self):
         await self.run_for(self.conductor(), 6)
         self.assertIs(self.record().phase, rollout.Phase.FORWARD)
