--- a/standins/bench/baselines.py
+++ b/standins/bench/baselines.py
@@ -5,6 +5,7 @@
 report says that it is cold.
 """
 
+import abc
 import collections
 import itertools
 import typing
@@ -16,7 +17,7 @@
 RETRY_MS = 25.0
 
 
-class _Balancer:
+class _Balancer(abc.ABC):
     """Queues calls that no engine is open to, in order of arrival."""
 
     name = ""
@@ -35,7 +36,8 @@
         self._drain(record.call.model)
 
     def first_token(self, record: site_module.Record, target: str) -> None:
-        pass
+        """Learn nothing from a first token."""
+        return
 
     def ended(self, record: site_module.Record, target: str) -> None:
         self.in_flight[target] -= 1
@@ -75,8 +77,9 @@
             return True
         return self.in_flight[name] < engine.settings.cold_sequences
 
+    @abc.abstractmethod
     def choose(self, call: load.Call, targets: list[str]) -> str | None:
-        raise NotImplementedError
+        """Return the engine for a call, None if it has to wait."""
 
 
 class RoundRobin(_Balancer):
--- a/standins/bench/owner.py
+++ b/standins/bench/owner.py
@@ -16,7 +16,7 @@
     plans,
 )
 from cornelreach.targets import admission, choice, permits, pool as pool_module
-from cornelreach.util import hashing, timers
+from cornelreach.util import timers
 from standins import kvcache, profiles, storemodel
 from standins.bench import keeper, moves, site as site_module
 
@@ -222,17 +222,6 @@
             self.keeper.computed(prompt)
         self.plans.pop(permit.permit, None)
 
-    def export(self, keys, source) -> None:
-        """Trial."""
-        held = self.directory.held(keys)
-        store = hashing.rendezvous(bytes.fromhex(keys[0]), self.site.stores)[0]
-        have = held.get(store)
-        prefix = have.prefix if have else 0
-        now_ms = self.site.timers.now_ms()
-        rest = keys[prefix:]
-        if rest and self.links.spend((source, store), len(rest) * 1_000_000, now_ms):
-            moves.export(self.site, source, store, rest, lambda done: None)
-
     def first_token(self, run: str) -> None:
         """Note a first token, for which other runs may wait."""
         self.placement.first_token(run, self.site.timers.now_ms())
