--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -81,11 +81,7 @@
 
     def header(self, name: str) -> str | None:
         """Return the value of a header by its lower-case name, or None."""
-        wanted = name.encode()
-        for key, value in self.headers:
-            if key == wanted:
-                return value.decode("latin-1")
-        return None
+        return messages.header_of(self.headers, name)
 
     async def parts(self) -> typing.AsyncIterator[bytes]:
         """Yield the body as it arrives; raises AnswerLost if it is cut off."""
--- a/cornelreach/http/messages.py
+++ b/cornelreach/http/messages.py
@@ -8,6 +8,15 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
+def header_of(headers: Headers, name: str) -> str | None:
+    """Return the value of the first header with a lower-case name, or None."""
+    wanted = name.encode()
+    for key, value in headers:
+        if key == wanted:
+            return value.decode("latin-1")
+    return None
+
+
 class Request(typing.NamedTuple):
     """One complete request that a server received."""
 
@@ -19,11 +28,7 @@
 
     def header(self, name: str) -> str | None:
         """Return the value of a header by its lower-case name, or None."""
-        wanted = name.encode()
-        for key, value in self.headers:
-            if key == wanted:
-                return value.decode("latin-1")
-        return None
+        return header_of(self.headers, name)
 
 
 class Response(typing.NamedTuple):
