--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -267,5 +267,9 @@
         if isinstance(outcome, passages.NotRun):
             pause_ms = MOVED_PAUSE_MS if outcome.moved else SHED_PAUSE_MS
             roster.pause(target, now_ms + pause_ms)
-        elif isinstance(outcome, passages.Lost) or isinstance(outcome, passages.NotSent) and outcome.at_fault:
+        elif (
+            isinstance(outcome, passages.Lost)
+            or isinstance(outcome, passages.NotSent)
+            and outcome.at_fault
+        ):
             roster.failed(target, outcome.reason, now_ms)
