Keep shared parts of prompts in the stores and fetch them from there

Ruled out: moving parts between engines, whose memory holds about eight prompts; fetching without the stores' events, since a managed store does not check that a part is whole.

Change: each instance follows the stores' events; a part is a source only while its store's present incarnation has reported it whole and answered within 1.5 s; new parts go to a store by weighted rendezvous.

--- a/cornelreach/gateway/calls.py
+++ b/cornelreach/gateway/calls.py
@@ -29,7 +29,10 @@
 
 
 class Directions(typing.NamedTuple):
-    """What the system tells a target beside the caller's own request."""
+    """What the system tells a target beside the caller's own request.
+
+    ``fetch_from`` and ``save_to`` name a prompt store, or none, for each part.
+    """
 
     target: str
     deadline_ms: float
@@ -37,8 +40,8 @@
     priority: int | None = None
     salt: str | None = None
     version: int | None = None
-    fetch_from: str | None = None
-    save_to: str | None = None
+    fetch_from: tuple[str | None, ...] = ()
+    save_to: tuple[str | None, ...] = ()
     last_event: str | None = None
 
 
--- a/cornelreach/gateway/choice.py
+++ b/cornelreach/gateway/choice.py
@@ -16,6 +16,7 @@
 LOAD_FADES_MS = 1_500.0  # an answer's load tells little after a mean run
 HOME_DISCOUNT = 0.5  # a prompt's home holds it about as often as not
 OVERFLOW_COST = 2.0  # a token beyond the memory is read twice
+FETCH_COST = 0.25  # of reading the same tokens, over the links of engines and stores
 NEAR_SHARE = 0.1
 PARTS_KEPT = 4_096
 
@@ -42,13 +43,9 @@
             _, tokens = self._parts.popitem(last=False)
             self._sum -= tokens
 
-    def missing(self, salt: str, parts: typing.Iterable[calls.Part]) -> int:
-        """Return the tokens behind the leading parts that are held."""
-        missing = 0
-        for part in parts:
-            if missing or (salt, part.key) not in self._parts:
-                missing += part.tokens
-        return missing
+    def holds(self, salt: str, part: calls.Part) -> bool:
+        """Return whether a part was read here lately."""
+        return (salt, part.key) in self._parts
 
 
 class Wanted(typing.NamedTuple):
@@ -96,6 +93,7 @@
         targets: typing.Sequence[roster_module.Target],
         wants: Wanted,
         salt_of: typing.Callable[[roster_module.Target], str],
+        kept: typing.Callable[[calls.Part, str], bool],
         service: catalogue.Service,
         extra: typing.Callable[[roster_module.Target], float],
         now_ms: float,
@@ -105,10 +103,7 @@
         memory = service.engine.memory_tokens
 
         def cost(target: roster_module.Target) -> float:
-            held = self.held.get(target.id)
-            missing = wants.prompt_tokens
-            if held is not None:
-                missing = held.missing(salt_of(target), wants.parts)
+            missing = self._missing(target, wants, salt_of(target), kept)
             if target.id == homes[0]:
                 missing *= HOME_DISCOUNT
             pressure = self._pressure(target, wants, memory, now_ms)
@@ -116,6 +111,27 @@
 
         return min(targets, key=cost)
 
+    def _missing(
+        self,
+        target: roster_module.Target,
+        wants: Wanted,
+        salt: str,
+        kept: typing.Callable[[calls.Part, str], bool],
+    ) -> float:
+        """Return the tokens to be read, those to be fetched at their lower cost."""
+        held = self.held.get(target.id)
+        if not wants.parts:
+            return wants.prompt_tokens
+        missing = 0.0
+        reading = False
+        for part in wants.parts:
+            if not reading and held is not None and held.holds(salt, part):
+                continue
+            fetched = not reading and kept(part, salt)
+            reading = reading or not fetched
+            missing += part.tokens * (FETCH_COST if fetched else 1.0)
+        return missing
+
     def _pressure(
         self,
         target: roster_module.Target,
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -15,6 +15,7 @@
     choice,
     following,
     forwarding,
+    library as library_module,
     readers,
     rollouts,
     selection,
@@ -25,6 +26,7 @@
     client as platform_client,
     engines,
     leases,
+    promptstores,
     results,
     site as site_module,
 )
@@ -105,9 +107,18 @@
             silence_ms=ENGINE_SILENCE_MS,
         )
         self.chooser = choice.Chooser(self.beliefs.roster, self.site.zone, self.random)
+        self.library = library_module.Library()
+        self.librarian = library_module.Librarian(
+            self.library,
+            promptstores.Stores(self.http),
+            self.clock,
+            lambda: self.beliefs.fleet,
+            self.random,
+        )
         self.selector = selection.Selector(
             self.beliefs,
             self.chooser,
+            self.library,
             self.http,
             self.site.bounds,
             self.site.regions,
@@ -152,6 +163,7 @@
         )
 
     def _configured(self) -> None:
+        self.librarian.configure(self.beliefs.catalogue)
         found = self.beliefs.catalogue.limits
         self.front.limits = limits.Limits(
             header_bytes=found.header_bytes,
@@ -247,5 +259,6 @@
                 await self.front.drained()
         events.emit(STOPPED, name=self.site.name, active=self.forwarder.active)
         self.front.abort()
+        self.librarian.close()
         for task in self._tasks:
             task.cancel()
--- /dev/null
+++ b/cornelreach/gateway/library.py
@@ -0,0 +1,210 @@
+"""Which parts of prompts lie whole in which store of kept prompts.
+
+A store checks nothing when an engine fetches from it, so a part is named as a source
+only while the store's own events prove it: it was reported complete, in the present
+incarnation, and the store has answered a moment ago. Where to keep a new part follows
+from its name and the stores' sizes, so that instances agree without talking::
+
+    shelf = library.source(part, salt, now_ms)    # an address, or None
+    library.place(part, salt)                     # where to keep it, or None
+"""
+
+import asyncio
+import random
+import typing
+
+from cornelreach.gateway import allowances, calls, catalogue
+from cornelreach.platform import promptstores
+from cornelreach.util import events, hashing, timers
+
+POLL_WAIT_MS = 800
+PACE_MS = 120.0
+RETRY_MS = 300.0
+TRUST_MS = 1_500.0  # the wait of a poll, and the call's margin
+FULL_SHARE = 0.95
+SAVING_MS = 3_000.0  # a save under way that shows no end by then is tried again
+WATCHERS = 8  # per store; stores bear a bounded number of waiting calls
+HASH_RANGE = float(1 << 64)
+
+SHELF_LOST = events.define(
+    1520,
+    "WARNING",
+    "Prompt store {store} cannot be followed: {reason}.",
+    "Look at the store; prompts are read again meanwhile.",
+)
+SHELF_FOUND = events.define(
+    1521, "INFO", "Prompt store {store} is followed: {parts} parts.", "Nothing."
+)
+
+
+class Shelf:
+    """What is known of one store."""
+
+    def __init__(self, store: catalogue.PromptStore) -> None:
+        self.store = store
+        self.epoch: int | None = None
+        self.position = 0
+        self.parts: dict[promptstores.PartKey, int] = {}
+        self.tokens = 0
+        self.answered_ms: float | None = None
+        self.saving: dict[promptstores.PartKey, float] = {}
+
+    def is_trusted(self, now_ms: float) -> bool:
+        """Return whether what is known of the store still holds."""
+        return (
+            self.epoch is not None
+            and self.answered_ms is not None
+            and now_ms - self.answered_ms <= TRUST_MS
+        )
+
+    def clear(self) -> None:
+        """Forget everything: another incarnation may hold nothing of it."""
+        self.epoch = None
+        self.parts.clear()
+        self.tokens = 0
+        self.saving.clear()
+
+    def take_listing(self, batch: promptstores.Batch, now_ms: float) -> None:
+        """Take over all that a store holds."""
+        self.clear()
+        self.epoch, self.position = batch.epoch, batch.position
+        self._apply(batch.changes)
+        self.answered_ms = now_ms
+
+    def take_events(self, batch: promptstores.Batch, now_ms: float) -> bool:
+        """Take over changes; return False if a listing is needed first."""
+        if batch.epoch != self.epoch or batch.gap:
+            self.clear()
+            return False
+        self.position = batch.position
+        self._apply(batch.changes)
+        self.answered_ms = now_ms
+        return True
+
+    def _apply(self, changes: typing.Iterable[promptstores.Stored]) -> None:
+        for part, tokens in changes:
+            self.tokens += tokens - self.parts.pop(part, 0)
+            self.saving.pop(part, None)
+            if tokens:
+                self.parts[part] = tokens
+
+    def has_room(self, tokens: int) -> bool:
+        """Return whether a part of a size still fits."""
+        return self.tokens + tokens <= self.store.tokens * FULL_SHARE
+
+
+class Library:
+    """All stores of kept prompts."""
+
+    def __init__(self) -> None:
+        self.shelves: dict[str, Shelf] = {}
+
+    def configure(self, stores: typing.Iterable[catalogue.PromptStore]) -> None:
+        """Follow exactly these stores from now on."""
+        found = {one.address: one for one in stores}
+        for address in [one for one in self.shelves if one not in found]:
+            del self.shelves[address]
+        for address, store in found.items():
+            if address not in self.shelves:
+                self.shelves[address] = Shelf(store)
+
+    def source(self, part: calls.Part, salt: str, now_ms: float) -> str | None:
+        """Return the store from which a part can be fetched, the fastest first."""
+        key = promptstores.PartKey(salt, part.key)
+        holders = [
+            shelf
+            for shelf in self.shelves.values()
+            if shelf.parts.get(key, 0) >= part.tokens and shelf.is_trusted(now_ms)
+        ]
+        if not holders:
+            return None
+        return max(holders, key=lambda one: one.store.link_mbps).store.address
+
+    def place(self, part: calls.Part, salt: str, now_ms: float) -> str | None:
+        """Return the store that is to keep a part that none holds, or None."""
+        key = promptstores.PartKey(salt, part.key)
+        trusted = [one for one in self.shelves.values() if one.is_trusted(now_ms)]
+        if any(key in one.parts for one in trusted):
+            return None
+        free = [one for one in trusted if one.has_room(part.tokens)]
+        if not free:
+            return None
+        chosen = max(free, key=lambda one: self._weight(key, one.store))
+        if now_ms - chosen.saving.get(key, -SAVING_MS) < SAVING_MS:
+            return None
+        chosen.saving[key] = now_ms
+        return chosen.store.address
+
+    @staticmethod
+    def _weight(key: promptstores.PartKey, store: catalogue.PromptStore) -> float:
+        # Weighted rendezvous: each store gets parts in proportion to its size.
+        name = f"{key.salt}/{key.key}".encode()
+        chance = (hashing.score(name, store.name) + 0.5) / HASH_RANGE
+        return chance ** (1.0 / max(1, store.tokens))
+
+
+class Librarian:
+    """Follows the events of the stores into the library."""
+
+    def __init__(
+        self,
+        library: Library,
+        stores: promptstores.Stores,
+        clock: timers.Timers,
+        fleet: typing.Callable[[], allowances.Fleet],
+        source: random.Random,
+    ) -> None:
+        self.library = library
+        self.stores = stores
+        self.clock = clock
+        self.fleet = fleet
+        self.random = source
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def configure(self, found: catalogue.Catalogue) -> None:
+        """Follow the stores of a configuration."""
+        self.library.configure(found.stores)
+        for address in [one for one in self._tasks if one not in self.library.shelves]:
+            self._tasks.pop(address).cancel()
+        for address, shelf in self.library.shelves.items():
+            if address not in self._tasks:
+                task = asyncio.ensure_future(self._follow(shelf))
+                self._tasks[address] = task
+
+    def close(self) -> None:
+        """Stop following."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _watches(self, shelf: Shelf) -> bool:
+        fleet = self.fleet()
+        if fleet.size <= WATCHERS:
+            return True
+        names = set(fleet.names) | {fleet.name}
+        ranked = hashing.rendezvous(shelf.store.name.encode(), names)
+        return fleet.name in ranked[:WATCHERS]
+
+    async def _follow(self, shelf: Shelf) -> None:
+        while True:
+            if not self._watches(shelf):
+                await asyncio.sleep(TRUST_MS / 1_000)
+                continue
+            try:
+                await self._step(shelf)
+                pause_ms = PACE_MS
+            except (*promptstores.FAILURES, promptstores.Busy) as error:
+                if shelf.epoch is not None:
+                    events.emit(SHELF_LOST, store=shelf.store.name, reason=str(error))
+                shelf.clear()
+                pause_ms = RETRY_MS
+            await asyncio.sleep(pause_ms * self.random.uniform(0.8, 1.2) / 1_000)
+
+    async def _step(self, shelf: Shelf) -> None:
+        address = shelf.store.address
+        if shelf.epoch is None:
+            batch = await self.stores.listing(address)
+            shelf.take_listing(batch, self.clock.now_ms())
+            events.emit(SHELF_FOUND, store=shelf.store.name, parts=len(shelf.parts))
+            return
+        batch = await self.stores.events(address, shelf.position, POLL_WAIT_MS)
+        shelf.take_events(batch, self.clock.now_ms())
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -8,6 +8,7 @@
     calls,
     catalogue,
     choice,
+    library as library_module,
     passages,
     roster as roster_module,
 )
@@ -43,12 +44,16 @@
         salt: str | None,
         version: int | None,
         now_ms: typing.Callable[[], float],
+        fetch_from: tuple[str | None, ...] = (),
+        save_to: tuple[str | None, ...] = (),
     ) -> None:
         self.target = target
         self.state = state
         self.tokens = tokens
         self.salt = salt
         self.version = version
+        self.fetch_from = fetch_from
+        self.save_to = save_to
         self._now_ms = now_ms
         self._occupied = False
 
@@ -81,6 +86,8 @@
             priority=min(MOST_PRIORITY, passage.priority) if self.salt else None,
             salt=self.salt,
             version=self.version,
+            fetch_from=self.fetch_from,
+            save_to=self.save_to,
             last_event=passage.last_event,
         )
 
@@ -92,6 +99,7 @@
         self,
         beliefs: beliefs_module.Beliefs,
         chooser: choice.Chooser,
+        library: library_module.Library,
         http: http_client.Client,
         bounds: site_module.Bounds,
         regions: typing.Mapping[str, str],
@@ -99,6 +107,7 @@
     ) -> None:
         self.beliefs = beliefs
         self.chooser = chooser
+        self.library = library
         self.http = http
         self.bounds = bounds
         self.regions = regions
@@ -215,6 +224,7 @@
             targets,
             wants,
             lambda one: self._salt(one, passage),
+            lambda part, salt: self.library.source(part, salt, now_ms) is not None,
             service,
             lambda one: self._age_cost(one, passage.model, now_ms),
             now_ms,
@@ -228,8 +238,22 @@
             salt,
             target.versions.get(passage.model),
             self.clock.now_ms,
+            *self._stores(wants.parts, salt, now_ms),
         )
 
+    def _stores(
+        self, parts: tuple[calls.Part, ...], salt: str, now_ms: float
+    ) -> tuple[tuple[str | None, ...], tuple[str | None, ...]]:
+        """Return where each part is fetched from and kept; the last is not shared."""
+        shared = parts[:-1]
+        library = self.library
+        sources = [library.source(part, salt, now_ms) for part in shared]
+        places = [
+            None if source else library.place(part, salt, now_ms)
+            for part, source in zip(shared, sources, strict=True)
+        ]
+        return (*sources, None), (*places, None)
+
     def _age_cost(
         self, target: roster_module.Target, model: str, now_ms: float
     ) -> float:
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -119,8 +119,8 @@
         (PRIORITY, directions.priority),
         (SALT, directions.salt),
         (VERSION, directions.version),
-        (FETCH, directions.fetch_from),
-        (SAVE, directions.save_to),
+        (FETCH, _by_part(directions.fetch_from)),
+        (SAVE, _by_part(directions.save_to)),
         (LAST_EVENT, directions.last_event),
     )
     kept.extend(
@@ -129,6 +129,12 @@
     return tuple(kept)
 
 
+def _by_part(stores: tuple[str | None, ...]) -> str | None:
+    if not any(stores):
+        return None
+    return ",".join(one or "-" for one in stores)
+
+
 def returned(headers: messages.Headers) -> messages.Headers:
     """Return the headers of a target's answer as they go to the caller."""
     dropped = _named_by_connection(headers)
