Tell peers what is under way at each engine

Cause: an instance saw an eighth of the traffic and took engines for idle that its peers had just filled; 20 to 30% of the prompts waited behind others on calm seconds. Ruled out: asking engines for reports, which are priced and lag; one owner a pool, a further hop for each request.

Change: datagrams with requests, unread tokens and memory under way at each engine, at a bounded rate; engines are compared by unread tokens, runs and overflow of memory. A lease read that finds nothing no longer waits 300 ms.

--- a/cornelreach/gateway/choice.py
+++ b/cornelreach/gateway/choice.py
@@ -10,10 +10,17 @@
 import random
 import typing
 
-from cornelreach.gateway import calls, catalogue, roster as roster_module
+from cornelreach.gateway import (
+    calls,
+    catalogue,
+    gossip as gossip_module,
+    roster as roster_module,
+)
 from cornelreach.util import hashing
 
-LOAD_FADES_MS = 1_500.0  # an answer's load tells little after a mean run
+LOAD_FADES_MS = 300.0  # an answer's load tells little after a mean run
+RUN_COST = 150.0  # a run lengthens each step as reading some tokens does
+MEMORY_SHARE = 0.9  # the rest holds what is cached and read by most prompts
 HOME_DISCOUNT = 0.5  # a prompt's home holds it about as often as not
 OVERFLOW_COST = 2.0  # a token beyond the memory is read twice
 FETCH_COST = 0.25  # of reading the same tokens, over the links of engines and stores
@@ -69,9 +76,14 @@
     """Picks targets; keeps what it has sent where."""
 
     def __init__(
-        self, roster: roster_module.Roster, zone: str, source: random.Random
+        self,
+        roster: roster_module.Roster,
+        gossip: gossip_module.Gossip,
+        zone: str,
+        source: random.Random,
     ) -> None:
         self.roster = roster
+        self.gossip = gossip
         self.zone = zone
         self.random = source
         self.held: dict[str, Held] = {}
@@ -97,19 +109,24 @@
         service: catalogue.Service,
         extra: typing.Callable[[roster_module.Target], float],
         now_ms: float,
-    ) -> roster_module.Target:
-        """Return the engine that would read the prompt soonest."""
+    ) -> tuple[roster_module.Target, float]:
+        """Return the engine that would read the prompt soonest, and what it reads."""
         homes = hashing.rendezvous(wants.home.encode(), [one.id for one in targets])
         memory = service.engine.memory_tokens
 
+        missing = {
+            one.id: self._missing(one, wants, salt_of(one), kept) for one in targets
+        }
+
         def cost(target: roster_module.Target) -> float:
-            missing = self._missing(target, wants, salt_of(target), kept)
+            reads = missing[target.id]
             if target.id == homes[0]:
-                missing *= HOME_DISCOUNT
+                reads *= HOME_DISCOUNT
             pressure = self._pressure(target, wants, memory, now_ms)
-            return missing + pressure + extra(target)
+            return reads + pressure + extra(target)
 
-        return min(targets, key=cost)
+        chosen = min(targets, key=cost)
+        return chosen, missing[chosen.id]
 
     def _missing(
         self,
@@ -140,21 +157,22 @@
         now_ms: float,
     ) -> float:
         state = self.roster.state(target.id)
-        busy = self._busy(target, now_ms)
-        own = state.in_flight_tokens / max(1, state.in_flight)
-        each = own or wants.context_tokens
-        filled = busy * each + wants.context_tokens
-        waiting = state.load.waiting if state.load else 0
-        overflow = max(0.0, filled - memory)
-        return waiting * each + busy * each * NEAR_SHARE + overflow * OVERFLOW_COST
+        others = self.gossip.others(target.id, now_ms)
+        unread = state.unread_tokens + others.unread_tokens
+        context = state.in_flight_tokens + others.context_tokens
+        running = state.in_flight + others.requests
+        overflow = max(0.0, context + wants.context_tokens - memory * MEMORY_SHARE)
+        return unread + running * RUN_COST + overflow * OVERFLOW_COST
 
     def _busy(self, target: roster_module.Target, now_ms: float) -> float:
         state = self.roster.state(target.id)
+        others = self.gossip.others(target.id, now_ms)
+        known = state.in_flight + others.requests
         if state.load is None:
-            return state.in_flight
+            return known
         fade = max(0.0, 1.0 - (now_ms - state.load_ms) / LOAD_FADES_MS)
         reported = (state.load.running + state.load.waiting) * fade
-        return max(state.in_flight, reported)
+        return max(known, reported)
 
     def sent(self, target: str, salt: str, wants: Wanted, memory: int) -> None:
         """Note that an engine has read a prompt."""
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -15,6 +15,7 @@
     choice,
     following,
     forwarding,
+    gossip as gossip_module,
     library as library_module,
     readers,
     rollouts,
@@ -80,6 +81,7 @@
         self.path = path
         self.clock = SuspendTimers()
         self.random = random.Random()
+        self.boot = self.random.randbytes(6).hex()
         bounds = site.bounds
         self.beliefs = beliefs_module.Beliefs(
             site.name, bounds.revoke_ms, bounds.revoke_strict
@@ -106,7 +108,12 @@
             idle_keep_ms=ENGINE_IDLE_MS,
             silence_ms=ENGINE_SILENCE_MS,
         )
-        self.chooser = choice.Chooser(self.beliefs.roster, self.site.zone, self.random)
+        self.gossip = gossip_module.Gossip(
+            self.site.name, self.boot, self.beliefs.roster, self.clock
+        )
+        self.chooser = choice.Chooser(
+            self.beliefs.roster, self.gossip, self.site.zone, self.random
+        )
         self.library = library_module.Library()
         self.librarian = library_module.Librarian(
             self.library,
@@ -133,9 +140,8 @@
     def _build_followers(self) -> None:
         bounds = self.site.bounds
         quiet_ms = int(bounds.lease_ms) + rollouts.QUIET_MARGIN_MS
-        boot = self.random.randbytes(6).hex()
         lease = leases.Lease(
-            rollouts.LEASE, self.site.name, boot, rollouts.TERM_MS, quiet_ms
+            rollouts.LEASE, self.site.name, self.boot, rollouts.TERM_MS, quiet_ms
         )
         keeper = leases.Keeper(self.objects, lease, self.clock)
         self.rollouts = rollouts.Rollouts(
@@ -150,7 +156,7 @@
             readers.TargetReader(self.beliefs, self.clock),
             readers.EvacuationReader(self.beliefs, self.clock),
             readers.VersionReader(self.beliefs, self.clock, bounds.version_ms),
-            readers.FleetReader(self.beliefs, self.clock),
+            readers.FleetReader(self.beliefs, self.clock, self.gossip.addresses),
             readers.LeaseReader(self.beliefs, self.clock, lease),
         ]
         others = [self._follower(one, LONG_WATCH_MS) for one in rest]
@@ -181,6 +187,8 @@
         self._tasks = [
             asyncio.ensure_future(one.run()) for one in (*self.followers, self.rollouts)
         ]
+        await self.gossip.listen(self.site.ip, self.site.ports[0])
+        self._tasks.append(asyncio.ensure_future(self.gossip.run()))
         self._tasks.append(asyncio.ensure_future(self._register()))
         self._tasks.append(asyncio.ensure_future(self._watch_settings()))
         events.emit(
--- /dev/null
+++ b/cornelreach/gateway/gossip.py
@@ -0,0 +1,151 @@
+"""What every instance has under way at each target, told in datagrams.
+
+Each instance tells its peers a few times a second what it has sent and what of it is
+not yet read. A lost datagram is made up for by the next; what a silent peer last told
+is forgotten after a moment. The rate of datagrams is bounded for each instance, so the
+interval grows with the fleet::
+
+    loads = gossip.others("engine-1", now_ms)
+"""
+
+import asyncio
+import typing
+
+import msgspec
+
+from cornelreach.gateway import roster as roster_module
+from cornelreach.util import decoding, events, timers
+
+DATAGRAMS_PER_S = 70.0
+LEAST_INTERVAL_MS = 60.0
+FORGET_INTERVALS = 6
+LEAST_FORGET_MS = 700.0
+MOST_DATAGRAM_BYTES = 1_400
+
+GARBLED = events.define(
+    1710,
+    "WARNING",
+    "A datagram from {address} is unreadable: {error}.",
+    "If it repeats: find out who else sends to this port.",
+)
+
+
+class Underway(typing.NamedTuple):
+    """Requests at one target: their count, tokens not yet read, and memory."""
+
+    requests: int = 0
+    unread_tokens: int = 0
+    context_tokens: int = 0
+
+
+class Told(typing.NamedTuple):
+    """One datagram: who sent it, its number in the sender's boot, and the loads."""
+
+    name: str
+    boot: str
+    number: int
+    loads: dict[str, Underway]
+
+
+DECODER = msgspec.msgpack.Decoder(Told)
+
+
+class Peer(typing.NamedTuple):
+    """The last datagram of a peer."""
+
+    told: Told
+    at_ms: float
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """Sends this instance's loads and keeps those of its peers."""
+
+    def __init__(
+        self,
+        name: str,
+        boot: str,
+        roster: roster_module.Roster,
+        clock: timers.Timers,
+    ) -> None:
+        self.name = name
+        self.boot = boot
+        self.roster = roster
+        self.clock = clock
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.peers: dict[str, Peer] = {}
+        self._number = 0
+        self._quiet = False
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            told = DECODER.decode(data)
+        except decoding.UNREADABLE as error:
+            events.emit(GARBLED, address=address[0], error=str(error))
+            return
+        self.take(told, self.clock.now_ms())
+
+    def error_received(self, error: OSError) -> None:
+        """Take no note: a peer that is down is told again when it is back."""
+
+    def take(self, told: Told, now_ms: float) -> None:
+        """Keep what a peer tells, unless it came out of order."""
+        held = self.peers.get(told.name)
+        same_boot = held is not None and held.told.boot == told.boot
+        if same_boot and held.told.number >= told.number:
+            return
+        self.peers[told.name] = Peer(told, now_ms)
+
+    def interval_ms(self) -> float:
+        """Return the time between two rounds of datagrams."""
+        peers = len(self.addresses)
+        return max(LEAST_INTERVAL_MS, peers / DATAGRAMS_PER_S * 1_000)
+
+    def others(self, target: str, now_ms: float) -> Underway:
+        """Return what the peers together have under way at a target."""
+        forget_ms = max(LEAST_FORGET_MS, FORGET_INTERVALS * self.interval_ms())
+        requests = unread = context = 0
+        for told, at_ms in self.peers.values():
+            load = told.loads.get(target)
+            if load is not None and now_ms - at_ms <= forget_ms:
+                requests += load.requests
+                unread += load.unread_tokens
+                context += load.context_tokens
+        return Underway(requests, unread, context)
+
+    def own(self) -> dict[str, Underway]:
+        """Return what this instance has under way."""
+        return {
+            name: Underway(state.in_flight, state.unread_tokens, state.in_flight_tokens)
+            for name, state in self.roster.states.items()
+            if state.in_flight
+        }
+
+    def tell(self) -> None:
+        """Send one round; a quiet instance falls silent after saying so once."""
+        loads = self.own()
+        if not loads and self._quiet:
+            return
+        self._quiet = not loads
+        self._number += 1
+        told = Told(self.name, self.boot, self._number, loads)
+        data = msgspec.msgpack.encode(told)
+        if self._transport is None or len(data) > MOST_DATAGRAM_BYTES:
+            return
+        for name, address in self.addresses.items():
+            if name != self.name:
+                self._transport.sendto(data, address)
+
+    async def run(self) -> None:
+        """Tell until cancelled."""
+        while True:
+            await asyncio.sleep(self.interval_ms() / 1_000)
+            self.tell()
+
+    async def listen(self, host: str, port: int) -> None:
+        """Receive on an address."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
--- a/cornelreach/gateway/readers.py
+++ b/cornelreach/gateway/readers.py
@@ -3,7 +3,13 @@
 import typing
 
 from cornelreach.gateway import allowances, beliefs as beliefs_module
-from cornelreach.platform import leases, records as records_module, results
+from cornelreach.http import client as http_client
+from cornelreach.platform import (
+    client as platform_client,
+    leases,
+    records as records_module,
+    results,
+)
 from cornelreach.util import timers
 
 # A version that was named before this process began may be old already; the old one
@@ -148,19 +154,33 @@
     prefix = "instances/"
     kind = "fleet"
 
-    def __init__(self, beliefs: beliefs_module.Beliefs, clock: timers.Timers) -> None:
+    def __init__(
+        self,
+        beliefs: beliefs_module.Beliefs,
+        clock: timers.Timers,
+        addresses: dict[str, tuple[str, int]],
+    ) -> None:
         super().__init__(beliefs, clock)
+        self.addresses = addresses
         self._names: set[str] = {beliefs.name}
 
     def changed(self, record: results.Record) -> None:
         name = record.key.removeprefix(self.prefix)
         if record.value is None:
             self._names.discard(name)
+            self.addresses.pop(name, None)
         else:
             self._names.add(name)
+            self._locate(name, record)
         names = tuple(sorted(self._names | {self.beliefs.name}))
         self.beliefs.fleet = allowances.Fleet(self.beliefs.name, names)
 
+    def _locate(self, name: str, record: results.Record) -> None:
+        instance = platform_client.read_instance(record)
+        if instance is not None:
+            where = http_client.parse_address(instance.peer_address)
+            self.addresses[name] = (where.host, where.port)
+
 
 class LeaseReader(Reader):
     """The leases, so that a contender knows how long one has stood still."""
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -41,6 +41,7 @@
         target: roster_module.Target,
         state: roster_module.State,
         tokens: int,
+        unread: int,
         salt: str | None,
         version: int | None,
         now_ms: typing.Callable[[], float],
@@ -50,6 +51,7 @@
         self.target = target
         self.state = state
         self.tokens = tokens
+        self.unread = unread
         self.salt = salt
         self.version = version
         self.fetch_from = fetch_from
@@ -62,10 +64,18 @@
         self._occupied = True
         self.state.in_flight += 1
         self.state.in_flight_tokens += self.tokens
+        self.state.unread_tokens += self.unread
+
+    def was_read(self) -> None:
+        """Count the prompt as read: the first token came, or none will."""
+        if self._occupied:
+            self.state.unread_tokens -= self.unread
+            self.unread = 0
 
     def release(self) -> None:
         """Count the request no more; doing it twice is harmless."""
         if self._occupied:
+            self.was_read()
             self._occupied = False
             self.state.in_flight -= 1
             self.state.in_flight_tokens -= self.tokens
@@ -218,9 +228,9 @@
         if service.engine is None or not passage.model:
             target = self.chooser.plain(targets, now_ms)
             state = roster.state(target.id)
-            return Choice(target, state, 0, None, None, self.clock.now_ms)
+            return Choice(target, state, 0, 0, None, None, self.clock.now_ms)
         wants = choice.wanted(passage.call)
-        target = self.chooser.engine(
+        target, unread = self.chooser.engine(
             targets,
             wants,
             lambda one: self._salt(one, passage),
@@ -235,6 +245,7 @@
             target,
             roster.state(target.id),
             wants.context_tokens,
+            int(unread),
             salt,
             target.versions.get(passage.model),
             self.clock.now_ms,
@@ -281,6 +292,7 @@
     def replied(self, chosen: Choice, reply: calls.Reply) -> None:
         """Learn from the head of an answer."""
         now_ms = self.clock.now_ms()
+        chosen.was_read()
         self.beliefs.roster.answered(chosen.target.id, reply, now_ms)
 
     def ended(self, chosen: Choice, outcome: passages.Outcome) -> None:
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -209,7 +209,7 @@
             lambda found: tuple(
                 instance
                 for record in found.records
-                if (instance := _instance(record)) is not None
+                if (instance := read_instance(record)) is not None
             )
         )
 
@@ -286,7 +286,8 @@
     return record._replace(value=None) if event["deleted"] else record
 
 
-def _instance(record: results.Record) -> results.Instance | None:
+def read_instance(record: results.Record) -> results.Instance | None:
+    """Return the instance in an entry of the list; None if it is unreadable."""
     try:
         fields = msgspec.convert(record.value, _Instance)
     except decoding.UNREADABLE as error:
--- a/cornelreach/platform/leases.py
+++ b/cornelreach/platform/leases.py
@@ -255,7 +255,9 @@
             outcome = await self._put(step)
             lease.written(step, outcome, self.timers.now_ms())
         self._tell(fence)
-        if isinstance(outcome, result.Success):
+        if isinstance(outcome, result.Success) or isinstance(
+            outcome.failure(), results.NotFound
+        ):
             return 0
         retry_ms = getattr(outcome.failure(), "retry_after_ms", 0)
         return min(READ_MS, max(RETRY_MS, retry_ms))
