Swap weights fast: closed engines, runs that go on, versions told to peers

Cause: an order that waits for runs held a loaded engine empty of new work for four to five seconds, twice over on a third of the engines, while peers went on sending to it and were shed (371 of 1,932 arrivals). The list then named the old version for another two seconds.

Change: the holder closes an engine in its datagrams, lets it empty for up to 600 ms, orders with runs going on, and tells peers the version that the engine reports.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -145,7 +145,12 @@
         )
         keeper = leases.Keeper(self.objects, lease, self.clock)
         self.rollouts = rollouts.Rollouts(
-            self.beliefs, lease, keeper, engines.Engines(self.http), self.clock
+            self.beliefs,
+            lease,
+            keeper,
+            engines.Engines(self.http),
+            self.clock,
+            self.gossip,
         )
         proof_ms = int(bounds.revoke_ms * PROOF_SHARE)
         first = self._follower(
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -21,6 +21,7 @@
 FORGET_INTERVALS = 6
 LEAST_FORGET_MS = 700.0
 MOST_DATAGRAM_BYTES = 1_400
+REPORT_MS = 2_500.0  # the platform's list has caught up by then
 
 GARBLED = events.define(
     1710,
@@ -39,17 +40,30 @@
 
 
 class Told(typing.NamedTuple):
-    """One datagram: who sent it, its number in the sender's boot, and the loads."""
+    """One datagram: who sent it, its number in the sender's boot, and the loads.
+
+    ``closed`` names the targets that are being given an order, ``versions`` the model
+    versions that targets lately reported to the sender.
+    """
 
     name: str
     boot: str
     number: int
     loads: dict[str, Underway]
+    closed: tuple[str, ...] = ()
+    versions: dict[str, dict[str, int]] = {}
 
 
 DECODER = msgspec.msgpack.Decoder(Told)
 
 
+class Reported(typing.NamedTuple):
+    """Model versions that a target reported."""
+
+    versions: dict[str, int]
+    at_ms: float
+
+
 class Peer(typing.NamedTuple):
     """The last datagram of a peer."""
 
@@ -73,6 +87,8 @@
         self.clock = clock
         self.addresses: dict[str, tuple[str, int]] = {}
         self.peers: dict[str, Peer] = {}
+        self.closed: set[str] = set()
+        self._versions: dict[str, Reported] = {}
         self._number = 0
         self._quiet = False
         self._transport: asyncio.DatagramTransport | None = None
@@ -98,6 +114,21 @@
         if same_boot and held.told.number >= told.number:
             return
         self.peers[told.name] = Peer(told, now_ms)
+        for target, versions in told.versions.items():
+            self.roster.learn_versions(target, versions)
+
+    def report(self, target: str, versions: dict[str, int]) -> None:
+        """Take over what a target reported, and tell the peers."""
+        self.roster.learn_versions(target, versions)
+        self._versions[target] = Reported(versions, self.clock.now_ms())
+
+    def _reported(self) -> dict[str, dict[str, int]]:
+        oldest_ms = self.clock.now_ms() - REPORT_MS
+        for target in [
+            name for name, one in self._versions.items() if one.at_ms < oldest_ms
+        ]:
+            del self._versions[target]
+        return {name: one.versions for name, one in self._versions.items()}
 
     def interval_ms(self) -> float:
         """Return the time between two rounds of datagrams."""
@@ -106,7 +137,7 @@
 
     def others(self, target: str, now_ms: float) -> Underway:
         """Return what the peers together have under way at a target."""
-        forget_ms = max(LEAST_FORGET_MS, FORGET_INTERVALS * self.interval_ms())
+        forget_ms = self._forget_ms()
         requests = unread = context = 0
         for told, at_ms in self.peers.values():
             load = told.loads.get(target)
@@ -116,6 +147,19 @@
                 context += load.context_tokens
         return Underway(requests, unread, context)
 
+    def is_closed(self, target: str, now_ms: float) -> bool:
+        """Return whether an instance is giving a target an order."""
+        if target in self.closed:
+            return True
+        forget_ms = self._forget_ms()
+        return any(
+            target in told.closed and now_ms - at_ms <= forget_ms
+            for told, at_ms in self.peers.values()
+        )
+
+    def _forget_ms(self) -> float:
+        return max(LEAST_FORGET_MS, FORGET_INTERVALS * self.interval_ms())
+
     def own(self) -> dict[str, Underway]:
         """Return what this instance has under way."""
         return {
@@ -127,11 +171,14 @@
     def tell(self) -> None:
         """Send one round; a quiet instance falls silent after saying so once."""
         loads = self.own()
-        if not loads and self._quiet:
+        versions = self._reported()
+        idle = not loads and not self.closed and not versions
+        if idle and self._quiet:
             return
-        self._quiet = not loads
+        self._quiet = idle
         self._number += 1
-        told = Told(self.name, self.boot, self._number, loads)
+        closed = tuple(sorted(self.closed))
+        told = Told(self.name, self.boot, self._number, loads, closed, versions)
         data = msgspec.msgpack.encode(told)
         if self._transport is None or len(data) > MOST_DATAGRAM_BYTES:
             return
--- a/cornelreach/gateway/rollouts.py
+++ b/cornelreach/gateway/rollouts.py
@@ -12,7 +12,11 @@
 import math
 import typing
 
-from cornelreach.gateway import beliefs as beliefs_module, roster as roster_module
+from cornelreach.gateway import (
+    beliefs as beliefs_module,
+    gossip as gossip_module,
+    roster as roster_module,
+)
 from cornelreach.platform import engines as engines_module, leases
 from cornelreach.util import events, hashing, timers
 
@@ -25,6 +29,8 @@
 LEAST_LOADING = 2
 POLL_MS = 120.0
 SETTLE_MS = 250.0
+CLOSING_MS = 150.0  # two rounds of datagrams, and requests on their way
+EMPTYING_MS = 600.0  # most answers end within it; the rest go on under new weights
 PATIENCE_MS = 4_000.0
 
 ORDERED = events.define(
@@ -75,8 +81,10 @@
         keeper: leases.Keeper,
         engines: engines_module.Engines,
         clock: timers.Timers,
+        gossip: gossip_module.Gossip,
     ) -> None:
         self.beliefs = beliefs
+        self.gossip = gossip
         self.lease = lease
         self.keeper = keeper
         self.engines = engines
@@ -136,27 +144,54 @@
         return load.running + load.waiting if load else 0
 
     async def _bring(self, one: Behind) -> None:
-        """Order one engine and wait until it has the version, or give up for now."""
-        report = await self.engines.report(one.target.address)
-        if report is None or report.versions.get(one.model, 0) >= one.version:
-            await asyncio.sleep(SETTLE_MS / 1_000)
+        """Order one engine while no instance sends to it, or give up for now."""
+        self.gossip.closed.add(one.target.id)
+        try:
+            await asyncio.sleep(CLOSING_MS / 1_000)
+            await self._bring_closed(one)
+        finally:
+            self.gossip.closed.discard(one.target.id)
+
+    async def _bring_closed(self, one: Behind) -> None:
+        report = await self._emptied(one)
+        if report is None or self._is_done(report, one):
             return
         if not report.busy:
             await self._order(one, report.orders)
         until_ms = self.clock.now_ms() + PATIENCE_MS
-        while self.clock.now_ms() < until_ms and self.lease.held(self.clock.now_ms()):
+        while self.clock.now_ms() < until_ms:
             await asyncio.sleep(POLL_MS / 1_000)
-            if not any(still[:1] == one[:1] for still in self._still(one)):
+            report = await self._report(one)
+            if report is None or self._is_done(report, one):
                 return
-            report = await self.engines.report(one.target.address)
-            if report is None or not report.busy:
+            if not report.busy:
+                # The order is on its way, lost or refused: look again later.
                 await asyncio.sleep(SETTLE_MS / 1_000)
                 return
 
-    def _still(self, one: Behind) -> list[Behind]:
-        return [
-            still for still in behind(self.beliefs) if still.target.id == one.target.id
-        ]
+    async def _emptied(self, one: Behind) -> engines_module.Report | None:
+        """Return a closed engine's report once it is empty, or has had its time."""
+        until_ms = self.clock.now_ms() + EMPTYING_MS
+        while True:
+            report = await self._report(one)
+            late = self.clock.now_ms() >= until_ms
+            if report is None or late or report.busy or not report.requests:
+                return report
+            if self._is_done(report, one):
+                return report
+            await asyncio.sleep(POLL_MS / 1_000)
+
+    async def _report(self, one: Behind) -> engines_module.Report | None:
+        report = await self.engines.report(one.target.address)
+        if report is None:
+            await asyncio.sleep(SETTLE_MS / 1_000)
+        return report
+
+    def _is_done(self, report: engines_module.Report, one: Behind) -> bool:
+        done = report.versions.get(one.model, 0) >= one.version
+        if done:
+            self.gossip.report(one.target.id, dict(report.versions))
+        return done
 
     async def _order(self, one: Behind, accepted: int) -> None:
         order = engines_module.Order(
@@ -166,6 +201,7 @@
             self.lease.holder,
             self.lease.fence or 0,
             accepted,
+            engines_module.Runs.GO_ON,
         )
         with contextlib.suppress(LeaseLost):
             status = await self.engines.order(one.target.address, order, self._begin)
--- a/cornelreach/gateway/roster.py
+++ b/cornelreach/gateway/roster.py
@@ -19,6 +19,7 @@
 )
 FIRST_EJECT_MS = 600
 MOST_EJECT_MS = 5_000
+MOST_SHED_MS = 1_000
 
 TARGET_CHANGED = events.define(
     1410,
@@ -60,6 +61,7 @@
         self.sent_cold_ms: list[float] = []
         self.ejected_until_ms = 0.0
         self.failures = 0
+        self.sheds = 0
         self.leaving = False
 
     def is_cold(self, now_ms: float) -> bool:
@@ -67,6 +69,15 @@
         return now_ms < self.cold_until_ms
 
 
+def _newest_versions(target: Target, known: typing.Mapping[str, int]) -> Target:
+    # Weights of one birth only get newer; an entry of the list lags behind.
+    newest = {
+        model: max(version, known.get(model, 0))
+        for model, version in target.versions.items()
+    }
+    return target._replace(versions=newest)
+
+
 class Roster:
     """All known targets, by id and by service."""
 
@@ -89,6 +100,8 @@
         if before is not None and before.born_ms != target.born_ms:
             self._forget(target.id)
             before = None
+        if before is not None:
+            target = _newest_versions(target, before.versions)
         if before is not None and before.service != target.service:
             self._by_service[before.service].pop(target.id, None)
         self.targets[target.id] = target
@@ -98,6 +111,19 @@
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
         self._tell(before, target)
 
+    def learn_versions(
+        self, target_id: str, versions: typing.Mapping[str, int]
+    ) -> None:
+        """Take over versions that a target itself told, ahead of its entry."""
+        before = self.targets.get(target_id)
+        if before is None:
+            return
+        target = _newest_versions(before, versions)
+        if target.versions != before.versions:
+            self.targets[target_id] = target
+            self._by_service[target.service][target_id] = target
+            self._tell(before, target)
+
     def _tell(self, before: Target | None, target: Target) -> None:
         if before is None:
             change = "draining" if target.draining else "ready"
@@ -180,11 +206,13 @@
         state.ejected_until_ms = now_ms + wait_ms
         events.emit(EJECTED, target=target_id, wait_ms=wait_ms, reason=reason)
 
-    def pause(self, target_id: str, until_ms: float) -> None:
-        """Prefer other targets until a time."""
+    def shed(self, target_id: str, pause_ms: float, now_ms: float) -> None:
+        """Prefer other targets for a moment that doubles with each refusal in a row."""
         if target_id in self.targets:
             state = self.state(target_id)
-            state.ejected_until_ms = max(state.ejected_until_ms, until_ms)
+            wait_ms = min(MOST_SHED_MS, pause_ms * 2**state.sheds)
+            state.sheds += 1
+            state.ejected_until_ms = max(state.ejected_until_ms, now_ms + wait_ms)
 
     def answered(self, target_id: str, reply: calls.Reply, now_ms: float) -> None:
         """Learn from the head of an answer."""
@@ -196,5 +224,5 @@
         if reply.cold_ms:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + reply.cold_ms)
         if not reply.not_run:
-            state.failures = 0
+            state.failures = state.sheds = 0
             state.ejected_until_ms = 0.0
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -203,6 +203,8 @@
         service: catalogue.Service,
         now_ms: float,
     ) -> bool:
+        if self.chooser.gossip.is_closed(target.id, now_ms):
+            return False
         state = self.beliefs.roster.state(target.id)
         fleet = self.beliefs.fleet
         if state.is_cold(now_ms) and service.cold_per_s:
@@ -302,7 +304,7 @@
         target = chosen.target.id
         if isinstance(outcome, passages.NotRun):
             pause_ms = MOVED_PAUSE_MS if outcome.moved else SHED_PAUSE_MS
-            roster.pause(target, now_ms + pause_ms)
+            roster.shed(target, pause_ms, now_ms)
         elif (
             isinstance(outcome, passages.Lost)
             or isinstance(outcome, passages.NotSent)
--- a/cornelreach/platform/engines.py
+++ b/cornelreach/platform/engines.py
@@ -1,5 +1,6 @@
 """Calls to model engines beside requests: their report, and orders to them."""
 
+import enum
 import typing
 
 import msgspec
@@ -13,12 +14,23 @@
 CALL_WAIT_MS = 1_000
 
 
+class Runs(enum.StrEnum):
+    """What becomes of the runs that an order meets."""
+
+    FINISH = "wait"
+    GO_ON = "retain"
+
+
 class Report(typing.NamedTuple):
-    """What an engine says of itself; ``orders`` counts those it accepted."""
+    """What an engine says of itself, some hundred ms ago.
+
+    ``orders`` counts those it accepted, ``requests`` those that run or wait.
+    """
 
     versions: typing.Mapping[str, int]
     busy: bool
     orders: int
+    requests: int
 
 
 class _Model(typing.TypedDict):
@@ -32,6 +44,8 @@
     models: list[_Model]
     busy: bool
     sequence: int
+    queued: int
+    running: int
 
 
 class Order(typing.NamedTuple):
@@ -46,6 +60,7 @@
     holder: str
     fence: int
     after: int
+    runs: Runs
 
 
 class Engines:
@@ -71,7 +86,8 @@
         ):
             return None
         versions = {one["name"]: one["version"] for one in found["models"]}
-        return Report(versions, found["busy"], found["sequence"])
+        requests = found["queued"] + found["running"]
+        return Report(versions, found["busy"], found["sequence"], requests)
 
     async def order(
         self, address: str, order: Order, begin: typing.Callable[[], None]
@@ -84,7 +100,7 @@
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "method": "wait",
+            "method": order.runs.value,
             "holder": order.holder,
             "fence": order.fence,
             "precondition": order.after,
