--- a/cornelreach/gateway/beliefs.py
+++ b/cornelreach/gateway/beliefs.py
@@ -15,12 +15,12 @@
 PROOF_MARGIN_MS = 200  # covers the check's distance from the first byte at the target
 
 CATALOGUE_APPLIED = events.define(
-    1110, "INFO", "Configuration version {version} is in force.", "Nothing."
+    2101, "INFO", "Configuration version {version} is in force.", "Nothing."
 )
 VERSION_NAMED = events.define(
-    1111, "INFO", "Model {model} is to have weights version {version}.", "Nothing."
+    2102, "INFO", "Model {model} is to have weights version {version}.", "Nothing."
 )
-EVACUATED = events.define(1112, "INFO", "Evacuated data centres: {zones}.", "Nothing.")
+EVACUATED = events.define(2103, "INFO", "Evacuated data centres: {zones}.", "Nothing.")
 
 
 class Named(typing.NamedTuple):
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -48,21 +48,21 @@
 CALLER_CONNECTIONS = 2_000
 
 STARTED = events.define(
-    1310, "INFO", "Instance {name} in {zone} listens at {address}.", "Nothing."
+    2001, "INFO", "Instance {name} in {zone} listens at {address}.", "Nothing."
 )
-READY = events.define(1311, "INFO", "Readiness: {ready} ({reason}).", "Nothing.")
+READY = events.define(2002, "INFO", "Readiness: {ready} ({reason}).", "Nothing.")
 STOPPING = events.define(
-    1312, "INFO", "Instance {name} stops; requests under way: {active}.", "Nothing."
+    2003, "INFO", "Instance {name} stops; requests under way: {active}.", "Nothing."
 )
 STOPPED = events.define(
-    1313,
+    2004,
     "INFO",
     "Instance {name} stopped; requests cut off: {active}.",
     "If any: compare the longest request with the grace time.",
 )
-RELOADED = events.define(1314, "INFO", "Settings file read anew: {change}.", "Nothing.")
+RELOADED = events.define(2005, "INFO", "Settings file read anew: {change}.", "Nothing.")
 RELOAD_FAILED = events.define(
-    1315, "WARNING", "Settings file not taken over: {error}.", "Correct the file."
+    2006, "WARNING", "Settings file not taken over: {error}.", "Correct the file."
 )
 
 
--- a/cornelreach/gateway/following.py
+++ b/cornelreach/gateway/following.py
@@ -21,13 +21,13 @@
 MARGIN_MS = 800
 
 LOST = events.define(
-    1220,
+    2111,
     "WARNING",
     "The platform's records {prefix} cannot be followed: {reason}.",
     "Look at the platform; requests go on with what is known while that is allowed.",
 )
 REGAINED = events.define(
-    1221,
+    2112,
     "INFO",
     "The platform's records {prefix} are followed again after {lost_ms} ms.",
     "Nothing.",
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -29,13 +29,13 @@
 PROMISES = frozenset((408, 421, 429, 503))  # statuses that say "not run"
 
 ENDED = events.define(
-    1610,
+    2401,
     "INFO",
     "Request {id} on {route}: {outcome}, status {status}, tries {tries}.",
     "Follow the identifier through the lines; docs/OPERATIONS.md.",
 )
 TRY_ENDED = events.define(
-    1611,
+    2402,
     "INFO",
     "Request {id} at {target}: {outcome} ({reason}).",
     "If many at one target: look at it.",
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -24,7 +24,7 @@
 REPORT_MS = 2_500.0  # the platform's list has caught up by then
 
 GARBLED = events.define(
-    1710,
+    2501,
     "WARNING",
     "A datagram from {address} is unreadable: {error}.",
     "If it repeats: find out who else sends to this port.",
--- a/cornelreach/gateway/library.py
+++ b/cornelreach/gateway/library.py
@@ -27,13 +27,13 @@
 HASH_RANGE = float(1 << 64)
 
 SHELF_LOST = events.define(
-    1520,
+    2301,
     "WARNING",
     "Prompt store {store} cannot be followed: {reason}.",
     "Look at the store; prompts are read again meanwhile.",
 )
 SHELF_FOUND = events.define(
-    1521, "INFO", "Prompt store {store} is followed: {parts} parts.", "Nothing."
+    2302, "INFO", "Prompt store {store} is followed: {parts} parts.", "Nothing."
 )
 
 
--- a/cornelreach/gateway/rollouts.py
+++ b/cornelreach/gateway/rollouts.py
@@ -34,7 +34,7 @@
 PATIENCE_MS = 4_000.0
 
 ORDERED = events.define(
-    1420,
+    2211,
     "INFO",
     "Ordered {target} to version {version} of {model}, fence {fence}: {status}.",
     "If it repeats: look at the target.",
--- a/cornelreach/gateway/roster.py
+++ b/cornelreach/gateway/roster.py
@@ -22,13 +22,13 @@
 MOST_SHED_MS = 1_000
 
 TARGET_CHANGED = events.define(
-    1410,
+    2201,
     "INFO",
     "Target {target} of {service} at {address}: {change}.",
     "Nothing.",
 )
 EJECTED = events.define(
-    1411,
+    2202,
     "WARNING",
     "Target {target} is not used for {wait_ms} ms: {reason}.",
     "If it lasts: look at the target.",
--- a/cornelreach/platform/records.py
+++ b/cornelreach/platform/records.py
@@ -47,12 +47,12 @@
     timeout_ms: float
     target_latency_ms: typing.NotRequired[float]
     max_attempts: typing.NotRequired[int]
-    priority: typing.NotRequired[int]
-    service: typing.NotRequired[str]
-    traffic_split: typing.NotRequired[list[_Share]]
+    priority: typing.NotRequired[int | None]
+    service: typing.NotRequired[str | None]
+    traffic_split: typing.NotRequired[list[_Share] | None]
     allow_anonymous: typing.NotRequired[bool]
     resumable: typing.NotRequired[bool]
-    allowed_regions: typing.NotRequired[list[str]]
+    allowed_regions: typing.NotRequired[list[str] | None]
 
 
 class _Model(typing.TypedDict):
@@ -69,11 +69,11 @@
     """A service; one with ``kv_store_addr`` is a prompt store and has no targets."""
 
     name: str
-    health_path: typing.NotRequired[str]
+    health_path: typing.NotRequired[str | None]
     max_connections: typing.NotRequired[int]
     cold_per_s: typing.NotRequired[float]
-    engine: typing.NotRequired[_Engine]
-    kv_store_addr: typing.NotRequired[str]
+    engine: typing.NotRequired[_Engine | None]
+    kv_store_addr: typing.NotRequired[str | None]
     zone: typing.NotRequired[str]
     kv_capacity_tokens: typing.NotRequired[int]
     link_mbps: typing.NotRequired[float]
@@ -84,8 +84,8 @@
     name: str
     api_keys: list[str]
     isolated: typing.NotRequired[bool]
-    priority: typing.NotRequired[int]
-    allowed_regions: typing.NotRequired[list[str]]
+    priority: typing.NotRequired[int | None]
+    allowed_regions: typing.NotRequired[list[str] | None]
 
 
 class _Limits(typing.TypedDict):
@@ -181,7 +181,7 @@
 
 def _route(found: _Route) -> catalogue.Route:
     split = found.get("traffic_split") or [
-        _Share(service=found.get("service", ""), weight=1)
+        _Share(service=found.get("service") or "", weight=1)
     ]
     return catalogue.Route(
         name=found["name"],
@@ -192,10 +192,10 @@
         timeout_ms=found["timeout_ms"],
         objective_ms=found.get("target_latency_ms", found["timeout_ms"]),
         attempts=found.get("max_attempts", 1),
-        priority=found.get("priority", 0),
+        priority=found.get("priority") or 0,
         anonymous=found.get("allow_anonymous", False),
         resumable=found.get("resumable", False),
-        regions=frozenset(found.get("allowed_regions", ())),
+        regions=frozenset(found.get("allowed_regions") or ()),
     )
 
 
@@ -207,7 +207,7 @@
     engine = found.get("engine")
     return catalogue.Service(
         name=found["name"],
-        health_path=found.get("health_path", "/"),
+        health_path=found.get("health_path") or "/",
         connections=found.get("max_connections", 1),
         cold_per_s=found.get("cold_per_s", 0.0),
         engine=None
@@ -242,7 +242,7 @@
             found["name"],
             found.get("isolated", False),
             found.get("priority"),
-            frozenset(found.get("allowed_regions", ())),
+            frozenset(found.get("allowed_regions") or ()),
         )
         accounts.update(dict.fromkeys(found["api_keys"], account))
     return accounts
--- /dev/null
+++ b/test/gateway/test_allowances.py
@@ -0,0 +1,66 @@
+"""Limits that instances hold together, tried over fleets of every size."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cornelreach.gateway import allowances
+
+
+def fleet(name, size):
+    """Return the fleet as one instance sees it."""
+    return allowances.Fleet(name, tuple(f"i{number}" for number in range(size)))
+
+
+class Shares(unittest.TestCase):
+    """The shares of all instances add up to no more than the bound."""
+
+    @hypothesis.given(
+        strategies.integers(1, 120), strategies.floats(1.5, 90), strategies.text()
+    )
+    def test_cold_shares_stay_within_the_bound(self, size, bound, target):
+        views = [fleet(f"i{number}", size) for number in range(size)]
+        shares = [allowances.cold_share(view, target, bound) for view in views]
+        self.assertLessEqual(sum(shares), bound)
+        self.assertGreaterEqual(sum(shares), 1)
+
+    @hypothesis.given(strategies.lists(strategies.floats(0, 3_000), max_size=60))
+    def test_no_window_of_a_second_holds_more_than_the_share(self, times):
+        sent, admitted = [], []
+        for now_ms in sorted(times):
+            if allowances.admits_cold(sent, 3, now_ms):
+                sent.append(now_ms)
+                admitted.append(now_ms)
+        for start in admitted:
+            inside = [one for one in admitted if start <= one < start + 1_000]
+            self.assertLessEqual(len(inside), 3)
+
+    def test_connections_are_divided(self):
+        self.assertEqual(allowances.connection_share(fleet("i0", 8), 300), 30)
+        self.assertEqual(allowances.connection_share(fleet("i0", 500), 300), 1)
+
+
+class Budget(unittest.TestCase):
+    """Repeats follow requests, with a slack that instances divide."""
+
+    def test_repeats_of_all_instances_stay_within_ratio_and_slack(self):
+        total = 0
+        for number in range(8):
+            view = fleet(f"i{number}", 8)
+            budget = allowances.Retries(0.2, 56, 10_000)
+            for step in range(100):
+                budget.first(step * 90.0)
+            while budget.admits(view, 9_000):
+                budget.repeated(9_000)
+                total += 1
+        self.assertLessEqual(total, 0.2 * 800 + 56)
+        self.assertGreaterEqual(total, 0.7 * (0.2 * 800 + 56))
+
+    def test_the_budget_comes_back_after_the_window(self):
+        view = fleet("i0", 8)
+        budget = allowances.Retries(0.2, 16, 10_000)
+        while budget.admits(view, 0):
+            budget.repeated(0)
+        self.assertFalse(budget.admits(view, 9_999))
+        self.assertTrue(budget.admits(view, 11_001))
--- /dev/null
+++ b/test/gateway/test_eventstream.py
@@ -0,0 +1,47 @@
+"""Cutting a stream at the ends of its events."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cornelreach.gateway import eventstream
+
+
+class Cutting(unittest.TestCase):
+    """However the bytes arrive, whole events come out once and in order."""
+
+    @hypothesis.given(
+        strategies.lists(strategies.integers(1, 40), max_size=12),
+        strategies.sampled_from([b"\n", b"\r\n"]),
+    )
+    def test_any_split_gives_the_same_events(self, sizes, line):
+        events = [
+            b"id: %d" % number + line + b"data: x" + line + line
+            for number in range(1, 6)
+        ]
+        data = b"".join(events)
+        cutter = eventstream.Cutter()
+        out, at = b"", 0
+        for size in sizes:
+            out += cutter.feed(data[at : at + size])
+            at += size
+            whole = out.count(b"data: x")
+            self.assertEqual(out, b"".join(events[:whole]))
+            self.assertEqual(cutter.last_id, str(whole) if whole else None)
+        out += cutter.feed(data[at:])
+        self.assertEqual(out, data)
+        self.assertEqual(cutter.last_id, "5")
+
+    def test_a_rest_is_dropped_when_the_stream_goes_on_elsewhere(self):
+        cutter = eventstream.Cutter("3")
+        self.assertEqual(cutter.feed(b"id: 4\ndata: ha"), b"")
+        self.assertEqual(cutter.last_id, "3")
+        cutter.restart()
+        self.assertEqual(cutter.feed(b"id: 4\n\n"), b"id: 4\n\n")
+
+    def test_an_event_may_begin_with_another_line(self):
+        cutter = eventstream.Cutter()
+        event = b"x-weights: 2\nid: 9\ndata: y\n\n"
+        self.assertEqual(cutter.feed(event), event)
+        self.assertEqual(cutter.last_id, "9")
--- /dev/null
+++ b/test/gateway/test_following.py
@@ -0,0 +1,155 @@
+"""Following records: lists, watches, outages, compaction, and the age of the proof."""
+
+import random
+import unittest
+
+from returns import result
+
+from cornelreach.gateway import beliefs as beliefs_module, following, readers
+from cornelreach.platform import records, results
+from cornelreach.util import timers
+
+CONFIG = {
+    "version": 3,
+    "routes": [],
+    "services": [],
+    "limits": {
+        "max_header_bytes": 1,
+        "max_body_bytes": 1,
+        "header_timeout_ms": 1,
+        "idle_timeout_ms": 1,
+    },
+    "tenants": [],
+}
+
+
+def config(version, revision):
+    """Return the configuration's record."""
+    return results.Record(records.CONFIG_MAIN, revision, {**CONFIG, "version": version})
+
+
+class Objects:
+    """Answers calls from a script and moves the clock by each call's time."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.script = []
+        self.calls = []
+
+    async def list(self, prefix, after=""):
+        return self._next(("list", prefix))
+
+    async def watch(self, prefix, since, wait_ms, margin_ms=0):
+        return self._next(("watch", since))
+
+    def _next(self, call):
+        self.calls.append(call)
+        took_ms, answer = self.script.pop(0)
+        self.clock.advance(took_ms)
+        return answer
+
+
+class Following(unittest.IsolatedAsyncioTestCase):
+    """The configuration's follower under a scripted platform."""
+
+    def setUp(self):
+        self.clock = timers.VirtualTimers(start_ms=1_000)
+        self.objects = Objects(self.clock)
+        self.beliefs = beliefs_module.Beliefs("e", 5_000, True)
+        self.applied = 0
+        reader = readers.CatalogueReader(self.beliefs, self.clock, self.apply)
+        self.follower = following.Follower(
+            self.objects, reader, 1_500, self.clock, random.Random(1)
+        )
+
+    def apply(self):
+        self.applied += 1
+
+    async def play(self, *script):
+        """Let the follower make one call for each line of the script."""
+        self.objects.script = list(script)
+        for _ in script:
+            await self.follower.once()
+
+    async def test_a_list_proves_the_moment_of_its_sending(self):
+        listing = results.Listing(9, (config(3, 9),))
+        await self.play((40, result.Success(listing)))
+        self.assertEqual(self.beliefs.proof_ms, 1_000)
+        self.assertEqual(self.beliefs.catalogue.version, 3)
+
+    async def test_an_empty_watch_proves_the_end_of_its_wait(self):
+        listing = result.Success(results.Listing(9, (config(3, 9),)))
+        empty = result.Success(results.Changes(9, ()))
+        await self.play((0, listing), (1_520, empty))
+        self.assertEqual(self.beliefs.proof_ms, 2_500)
+        await self.play((10, empty))
+        self.assertEqual(self.beliefs.proof_ms, 2_520)
+
+    async def test_a_compacted_history_is_listed_anew(self):
+        listing = result.Success(results.Listing(9, (config(3, 9),)))
+        newer = result.Success(results.Listing(30, (config(5, 30),)))
+        gone = result.Failure(results.Compacted(9))
+        await self.play((0, listing), (0, gone), (0, newer))
+        self.assertEqual([name for name, _ in self.objects.calls][-1], "list")
+        self.assertEqual(self.beliefs.catalogue.version, 5)
+
+    async def test_nothing_goes_back(self):
+        listing = result.Success(results.Listing(9, (config(5, 9),)))
+        older = result.Success(results.Changes(10, (config(4, 10),)))
+        await self.play((0, listing), (0, older))
+        self.assertEqual((self.beliefs.catalogue.version, self.applied), (5, 1))
+
+    async def test_an_outage_ages_the_proof_and_restarts_the_others(self):
+        restarted = []
+        self.follower.on_regained = lambda: restarted.append(True)
+        listing = result.Success(results.Listing(9, (config(3, 9),)))
+        away = result.Failure(results.Unavailable("away", 1))
+        empty = result.Success(results.Changes(9, ()))
+        await self.play((0, listing), (4_700, away))
+        self.assertTrue(self.beliefs.may_use_keys(1_000 + 3_000))
+        self.assertFalse(self.beliefs.may_use_keys(self.clock.now_ms() + 300))
+        await self.play((10, empty))
+        self.assertEqual(restarted, [True])
+        self.assertTrue(self.beliefs.may_use_keys(self.clock.now_ms()))
+
+    async def test_a_torn_record_changes_nothing(self):
+        listing = result.Success(results.Listing(9, (config(3, 9),)))
+        torn = results.Record(records.CONFIG_MAIN, 10, {"version": "x"})
+        changes = result.Success(results.Changes(10, (torn,)))
+        await self.play((0, listing), (0, changes))
+        self.assertEqual(self.beliefs.catalogue.version, 3)
+
+
+class Kinds(unittest.TestCase):
+    """The readers of the other kinds."""
+
+    def setUp(self):
+        self.clock = timers.VirtualTimers(start_ms=60_000)
+        self.beliefs = beliefs_module.Beliefs("e", 5_000, True)
+
+    def test_a_version_named_before_the_start_is_taken_for_old(self):
+        reader = readers.VersionReader(self.beliefs, self.clock, 8_000)
+        record = results.Record("versions/m", 4, {"model": "m", "version": 2})
+        reader.listed((record,), False)
+        learnt_ms = self.beliefs.versions["m"].learnt_ms
+        self.assertEqual(learnt_ms, 60_000 + readers.START_GRACE_MS - 8_000)
+        newer = record._replace(value={"model": "m", "version": 3})
+        reader.changed(newer)
+        self.assertEqual(self.beliefs.versions["m"], (3, 60_000))
+
+    def test_evacuations_come_and_go(self):
+        reader = readers.EvacuationReader(self.beliefs, self.clock)
+        reader.listed((results.Record("evacuations/lj", 1, {}),), False)
+        reader.changed(results.Record("evacuations/kr", 2, {}))
+        self.assertEqual(self.beliefs.roster.evacuated, {"lj", "kr"})
+        reader.changed(results.Record("evacuations/lj", 3, None))
+        self.assertEqual(self.beliefs.roster.evacuated, {"kr"})
+
+    def test_the_fleet_counts_every_instance_once(self):
+        addresses = {}
+        reader = readers.FleetReader(self.beliefs, self.clock, addresses)
+        value = {"data_centre": "x", "peer_address": "10.0.0.9:1", "state": "live"}
+        reader.listed((results.Record("instances/f", 1, value),), False)
+        reader.changed(results.Record("instances/g", 2, {"forged": True}))
+        self.assertEqual(self.beliefs.fleet.names, ("e", "f", "g"))
+        self.assertEqual(addresses, {"f": ("10.0.0.9", 1)})
--- /dev/null
+++ b/test/gateway/test_forwarding.py
@@ -0,0 +1,350 @@
+"""Forwarding against engines that answer well, badly, late or not at all."""
+
+import asyncio
+import time
+import unittest
+
+from cornelreach.gateway import catalogue
+from test.gateway import world as world_module
+
+Kind = catalogue.Kind
+
+
+class Case(unittest.IsolatedAsyncioTestCase):
+    """One service behind routes of each kind."""
+
+    async def start(self, *scripts, **changes):
+        """Start engines with a script each, and the forwarder."""
+        self.engines = [
+            world_module.Engine(f"e{number}", script)
+            for number, script in enumerate(scripts)
+        ]
+        for engine in self.engines:
+            await engine.start()
+        routes = [
+            world_module.route("/safe/", "s", Kind.IDEMPOTENT, **changes),
+            world_module.route("/once/", "s", Kind.AT_MOST_ONCE, **changes),
+            world_module.route("/stream/", "s", Kind.STREAM, **changes),
+            world_module.route("/resume/", "s", Kind.STREAM, resumable=True),
+            world_module.route("/open/", "s", Kind.IDEMPOTENT, anonymous=True),
+        ]
+        found = world_module.make_catalogue(routes, [world_module.plain_service("s")])
+        self.world = world_module.World(found, self.engines, "s")
+        await self.world.start()
+        self.addAsyncCleanup(self.world.stop)
+
+    def runs(self):
+        """Return how many requests reached the engines."""
+        return sum(len(engine.requests) for engine in self.engines)
+
+
+class Forwarding(Case):
+    """Answers of a whole body."""
+
+    async def test_request_and_answer_pass_unchanged(self):
+        await self.start(world_module.fine)
+        status, answer = await self.world.ask(
+            "/safe/a%2Fb?q=%20x",
+            x_api_key=world_module.KEY,
+            x_cornelreach_tenant="forged",
+            x_cornelreach_cache_salt="forged",
+            x_cornelreach_kv_hold="forged",
+            kv_from="forged",
+            x_other="kept",
+            connection="keep-alive, x-private",
+            x_private="dropped",
+        )
+        self.assertEqual(status, 200)
+        self.assertIn(b"x-cornelreach-response-signature: sig.e0", answer.lower())
+        head, body = self.engines[0].requests[0]
+        self.assertEqual(head[""], "POST /safe/a%2Fb?q=%20x HTTP/1.1")
+        self.assertEqual((head["host"], body), (world_module.HOST, b"hello"))
+        self.assertEqual(head["x-cornelreach-tenant"], "tirnica")
+        self.assertEqual(head["x-cornelreach-target-instance"], "e0")
+        self.assertEqual(head["x-other"], "kept")
+        for name in ("x-api-key", "x-cornelreach-cache-salt", "x-private"):
+            self.assertNotIn(name, head)
+        for name in ("x-cornelreach-kv-hold", "kv-from"):
+            self.assertNotIn(name, head)
+        left_ms = int(head["x-cornelreach-deadline-ms"])
+        self.assertTrue(1_000 < left_ms <= 2_000, left_ms)
+
+    async def test_a_body_in_chunks_arrives_whole(self):
+        await self.start(world_module.fine)
+        data = world_module.request_bytes(
+            "/once/x", body=b"", content_length=None, transfer_encoding="chunked"
+        )
+        answer = await self.world.raw(data + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        self.assertIn(b"200", answer.split(b"\r\n")[0])
+        self.assertEqual(self.engines[0].requests[0][1], b"abcde")
+
+    async def test_a_smuggled_request_is_refused(self):
+        await self.start(world_module.fine)
+        data = world_module.request_bytes("/once/x", transfer_encoding="chunked")
+        answer = await self.world.raw(data)
+        self.assertIn(b" 400 ", answer.split(b"\r\n")[0])
+        self.assertEqual(self.runs(), 0)
+
+    async def test_routes_keys_and_stale_proof(self):
+        await self.start(world_module.fine)
+        self.assertEqual((await self.world.ask("/nowhere/"))[0], 404)
+        self.assertEqual((await self.world.ask("/safe/", x_api_key="no"))[0], 401)
+        self.assertEqual((await self.world.ask("/safe/", x_api_key=None))[0], 401)
+        self.world.beliefs.proof_ms = self.world.clock.now_ms() - 5_000
+        status, answer = await self.world.ask("/safe/")
+        self.assertEqual(status, 503)
+        self.assertIn(b"retry-after: ", answer.lower())
+        self.assertEqual(self.runs(), 0)
+        self.assertEqual((await self.world.ask("/open/", x_api_key=None))[0], 200)
+
+    async def test_without_a_configuration_nothing_is_denied(self):
+        await self.start(world_module.fine)
+        self.world.beliefs.catalogue = None
+        self.assertEqual((await self.world.ask("/nowhere/"))[0], 503)
+
+    async def test_a_target_that_did_not_run_it_yields_to_another(self):
+        await self.start(world_module.shed, world_module.shed, world_module.fine)
+        for number in range(5):
+            status, _ = await self.world.ask(
+                "/once/x", x_cornelreach_request_id=f"id-{number}"
+            )
+            self.assertEqual(status, 200)
+        self.assertEqual(len(self.engines[2].requests), 5)
+
+    async def test_not_run_anywhere_is_said_at_once_with_a_return(self):
+        await self.start(world_module.shed, world_module.shed)
+        began_s = time.monotonic()
+        status, answer = await self.world.ask("/once/x")
+        self.assertEqual(status, 503)
+        self.assertIn(b"retry-after: 0.", answer.lower())
+        self.assertNotIn(b"signature", answer.lower())
+        self.assertLess(time.monotonic() - began_s, 0.5)
+
+    async def test_failures_are_repeated_only_where_allowed(self):
+        async def failing(engine, head, body, writer):
+            writer.write(engine.answer(head, 500, b"bad"))
+
+        await self.start(failing, failing)
+        status, answer = await self.world.ask("/once/x")
+        self.assertEqual((status, self.runs()), (500, 1))
+        self.assertIn(b"signature: sig.", answer.lower())
+        status, _ = await self.world.ask("/safe/x", x_cornelreach_request_id="id-2")
+        self.assertEqual((status, self.runs()), (500, 3))
+
+    async def test_a_lost_answer_is_never_called_not_run(self):
+        async def reset(engine, head, body, writer):
+            writer.transport.abort()
+            return False
+
+        await self.start(reset, reset)
+        self.assertEqual((await self.world.ask("/once/x"))[0], 502)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_an_answer_to_another_request_is_skipped(self):
+        async def extra(engine, head, body, writer):
+            other = {**head, "x-cornelreach-request-id": "other"}
+            writer.write(engine.answer(other, body=b"not yours"))
+            await asyncio.sleep(0.01)
+            writer.write(engine.answer(head, body=b"yours"))
+
+        await self.start(extra)
+        for number in range(3):
+            _, answer = await self.world.ask(
+                "/once/x", x_cornelreach_request_id=f"id-{number}"
+            )
+            self.assertTrue(answer.endswith(b"yours"))
+
+    async def test_bytes_behind_an_answer_end_the_connection(self):
+        async def doubled(engine, head, body, writer):
+            writer.write(engine.answer(head) * 2)
+
+        await self.start(doubled)
+        for number in range(3):
+            status, answer = await self.world.ask(
+                "/once/x", x_cornelreach_request_id=f"id-{number}"
+            )
+            self.assertEqual((status, answer[-2:]), (200, b"ok"))
+        self.assertEqual(self.engines[0].connections, 3)
+
+    async def test_a_success_without_signature_is_none(self):
+        async def unsigned(engine, head, body, writer):
+            writer.write(engine.answer(head, signed=False))
+
+        await self.start(unsigned)
+        self.assertEqual((await self.world.ask("/once/x"))[0], 502)
+
+    async def test_a_promise_that_the_target_did_not_make_is_not_passed_on(self):
+        async def vague(engine, head, body, writer):
+            writer.write(engine.answer(head, 503))
+
+        await self.start(vague)
+        self.assertEqual((await self.world.ask("/once/x"))[0], 502)
+
+    async def test_a_cut_answer_does_not_look_complete(self):
+        async def cut(engine, head, body, writer):
+            writer.write(engine.answer(head, body=b"x" * 100)[:-50])
+            await writer.drain()
+            writer.transport.abort()
+            return False
+
+        await self.start(cut)
+        self.assertEqual((await self.world.ask("/once/x"))[0], 502)
+
+    async def test_an_answer_without_length_ends_with_its_connection(self):
+        async def unframed(engine, head, body, writer):
+            whole = engine.answer(head, body=b"all of it")
+            writer.write(whole.replace(b"content-length: 9\r\n", b""))
+            await writer.drain()
+            return False
+
+        await self.start(unframed)
+        status, answer = await self.world.ask("/once/x")
+        self.assertEqual((status, answer[-9:]), (200, b"all of it"))
+
+    async def test_silence_ends_at_the_deadline_with_the_truth(self):
+        async def mute(engine, head, body, writer):
+            await engine.gone.wait()
+            return False
+
+        await self.start(mute)
+        began_s = time.monotonic()
+        status, _ = await self.world.ask("/once/x", x_cornelreach_deadline_ms="300")
+        self.assertEqual(status, 504)
+        self.assertLess(time.monotonic() - began_s, 0.4)
+        await asyncio.wait_for(self.engines[0].gone.wait(), 0.5)
+
+    async def test_the_routes_own_time_binds_too(self):
+        async def mute(engine, head, body, writer):
+            await engine.gone.wait()
+            return False
+
+        await self.start(mute, timeout_ms=200)
+        began_s = time.monotonic()
+        self.assertEqual((await self.world.ask("/once/x"))[0], 504)
+        self.assertLess(time.monotonic() - began_s, 0.35)
+
+    async def test_a_caller_that_leaves_is_followed_by_its_run(self):
+        async def mute(engine, head, body, writer):
+            await engine.gone.wait()
+            return False
+
+        await self.start(mute)
+        _, writer = await asyncio.open_connection("127.0.0.1", self.world.server.port)
+        writer.write(world_module.request_bytes("/once/x"))
+        while not self.engines[0].requests:
+            await asyncio.sleep(0.01)
+        writer.close()
+        await asyncio.wait_for(self.engines[0].gone.wait(), 0.5)
+
+    async def test_a_dead_target_costs_nothing_but_a_try(self):
+        await self.start(world_module.fine, world_module.fine)
+        self.engines[0].server.close()
+        for number in range(6):
+            status, _ = await self.world.ask(
+                "/once/x", x_cornelreach_request_id=f"id-{number}"
+            )
+            self.assertEqual(status, 200)
+
+    async def test_a_draining_target_gets_nothing(self):
+        await self.start(world_module.fine, world_module.fine)
+        self.world.list(self.engines[0], "s", draining=True)
+        for number in range(4):
+            await self.world.ask("/safe/x", x_cornelreach_request_id=f"id-{number}")
+        self.assertEqual(len(self.engines[0].requests), 0)
+
+    async def test_an_address_used_again_is_not_mistaken(self):
+        async def moved(engine, head, body, writer):
+            writer.write(b"HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n")
+
+        await self.start(moved, world_module.fine)
+        for number in range(4):
+            status, _ = await self.world.ask(
+                "/once/x", x_cornelreach_request_id=f"id-{number}"
+            )
+            self.assertEqual(status, 200)
+
+
+class Streams(Case):
+    """Event streams: passed on as they come, continued or ended with the truth."""
+
+    async def test_events_arrive_before_the_stream_ends(self):
+        release = asyncio.Event()
+
+        async def slow(engine, head, body, writer):
+            writer.write(engine.stream_head(head) + world_module.chunk(b"id: 1\n\n"))
+            await release.wait()
+            writer.write(world_module.chunk(b"id: 2\n\n") + b"0\r\n\r\n")
+
+        await self.start(slow)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.world.server.port
+        )
+        writer.write(world_module.request_bytes("/stream/x"))
+        got = await asyncio.wait_for(reader.readuntil(b"id: 1\n\n"), 1)
+        self.assertIn(b"signature: sig.e0", got.lower())
+        release.set()
+        await asyncio.wait_for(reader.readuntil(b"0\r\n\r\n"), 1)
+        writer.close()
+
+    async def test_a_broken_stream_goes_on_elsewhere_without_a_seam(self):
+        async def stream(engine, head, body, writer):
+            last = int(head.get("last-event-id", 0))
+            writer.write(engine.stream_head(head))
+            if not last:
+                part = world_module.event(1) + world_module.event(2)
+                writer.write(world_module.chunk(part + b"id: 3\ndata: tok"))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                writer.transport.abort()
+                return False
+            for number in range(last + 1, 5):
+                writer.write(world_module.chunk(world_module.event(number)))
+            writer.write(b"0\r\n\r\n")
+            return None
+
+        await self.start(stream, stream)
+        got = await self.world.stream("/resume/x")
+        body = got.partition(b"\r\n\r\n")[2]
+        numbers = [int(part.split(b"\n")[0]) for part in body.split(b"id: ")[1:]]
+        self.assertEqual(numbers, [1, 2, 3, 4])
+        self.assertTrue(got.endswith(b"0\r\n\r\n"))
+        self.assertEqual(self.runs(), 2)
+        self.assertEqual(got.lower().count(b"response-signature"), 1)
+
+    async def test_a_stream_that_may_not_resume_ends_visibly_broken(self):
+        async def stream(engine, head, body, writer):
+            writer.write(
+                engine.stream_head(head) + world_module.chunk(world_module.event(1))
+            )
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+            return False
+
+        await self.start(stream, stream)
+        got = await self.world.stream("/stream/x")
+        self.assertIn(b"id: 1", got)
+        self.assertFalse(got.endswith(b"0\r\n\r\n"))
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_caller_may_resume_by_itself(self):
+        async def stream(engine, head, body, writer):
+            writer.write(engine.stream_head(head) + b"0\r\n\r\n")
+
+        await self.start(stream)
+        await self.world.stream("/resume/x", last_event_id="7")
+        self.assertEqual(self.engines[0].requests[0][0]["last-event-id"], "7")
+
+    async def test_a_stream_past_its_routes_time_is_ended(self):
+        async def endless(engine, head, body, writer):
+            writer.write(engine.stream_head(head))
+            while not engine.gone.is_set():
+                writer.write(world_module.chunk(world_module.event(1)))
+                await asyncio.sleep(0.02)
+            return False
+
+        await self.start(endless, timeout_ms=300)
+        began_s = time.monotonic()
+        got = await self.world.stream("/stream/x")
+        self.assertLess(time.monotonic() - began_s, 0.6)
+        self.assertFalse(got.endswith(b"0\r\n\r\n"))
--- /dev/null
+++ b/test/gateway/test_library.py
@@ -0,0 +1,104 @@
+"""What lies in the prompt stores, and when a part may be fetched from one."""
+
+import unittest
+
+from cornelreach.gateway import calls, catalogue, library
+from cornelreach.platform import promptstores
+
+Part = calls.Part
+Stored = promptstores.Stored
+Key = promptstores.PartKey
+
+
+def store(name, tokens=10_000, link_mbps=1_000.0):
+    """Return a store at an address of its name."""
+    return catalogue.PromptStore(name, f"{name}:1", "lj", tokens, link_mbps, 1.0)
+
+
+def batch(position, *changes, epoch=7, gap=False):
+    """Return a batch of events or a listing."""
+    return promptstores.Batch(epoch, position, gap, changes)
+
+
+class Sources(unittest.TestCase):
+    """A part is fetched only where it is proved to lie whole."""
+
+    def setUp(self):
+        self.library = library.Library()
+        self.library.configure([store("a"), store("b", link_mbps=9_000.0)])
+        self.a, self.b = self.library.shelves.values()
+        for shelf in (self.a, self.b):
+            shelf.take_listing(batch(0), 0)
+
+    def source(self, now_ms=1, tokens=500, salt="v1."):
+        return self.library.source(Part("p", tokens), salt, now_ms)
+
+    def test_a_part_is_a_source_once_it_is_reported_whole(self):
+        self.assertIsNone(self.source())
+        self.a.take_events(batch(1, Stored(Key("v1.", "p"), 500)), 1)
+        self.assertEqual(self.source(), "a:1")
+        self.assertIsNone(self.source(salt="v2."))
+        self.assertIsNone(self.source(tokens=501))
+
+    def test_the_faster_store_goes_first(self):
+        for shelf in (self.a, self.b):
+            shelf.take_events(batch(1, Stored(Key("v1.", "p"), 500)), 1)
+        self.assertEqual(self.source(), "b:1")
+
+    def test_a_freed_part_is_no_source(self):
+        self.a.take_events(batch(1, Stored(Key("v1.", "p"), 500)), 1)
+        self.a.take_events(batch(2, Stored(Key("v1.", "p"), 0)), 2)
+        self.assertIsNone(self.source())
+        self.assertEqual(self.a.tokens, 0)
+
+    def test_a_store_that_fell_silent_is_no_source(self):
+        self.a.take_events(batch(1, Stored(Key("v1.", "p"), 500)), 1)
+        self.assertEqual(self.source(1 + library.TRUST_MS), "a:1")
+        self.assertIsNone(self.source(2 + library.TRUST_MS))
+
+    def test_another_incarnation_or_a_gap_empties_the_shelf(self):
+        for changed in ({"epoch": 8}, {"gap": True}):
+            self.a.take_listing(batch(0, Stored(Key("v1.", "p"), 500)), 1)
+            self.assertEqual(self.source(), "a:1")
+            self.assertFalse(self.a.take_events(batch(1, **changed), 2))
+            self.assertIsNone(self.source(2))
+
+
+class Places(unittest.TestCase):
+    """Where new parts are kept."""
+
+    def setUp(self):
+        self.library = library.Library()
+        self.library.configure([store("small", 10_000), store("large", 90_000)])
+        for shelf in self.library.shelves.values():
+            shelf.take_listing(batch(0), 0)
+
+    def test_parts_spread_by_size_and_the_same_everywhere(self):
+        counts = {"small:1": 0, "large:1": 0}
+        for number in range(400):
+            part = Part(f"p{number}", 1)
+            place = self.library.place(part, "v1.", 1)
+            counts[place] += 1
+        self.assertTrue(20 <= counts["small:1"] <= 70, counts)
+
+    def test_a_kept_part_or_one_being_kept_is_not_sent_again(self):
+        part = Part("p", 100)
+        place = self.library.place(part, "v1.", 1)
+        self.assertIsNone(self.library.place(part, "v1.", 2))
+        again = self.library.place(part, "v1.", 1_000)
+        self.assertIsNone(again)
+        shelf = self.library.shelves[place]
+        shelf.take_events(batch(1, Stored(Key("v1.", "p"), 100)), 1_100)
+        self.assertIsNone(self.library.place(part, "v1.", 1_200))
+
+    def test_a_full_store_gets_nothing_more(self):
+        large = self.library.shelves["large:1"]
+        small = self.library.shelves["small:1"]
+        large.take_events(batch(1, Stored(Key("v1.", "x"), 89_000)), 1)
+        places = {
+            self.library.place(Part(f"p{number}", 100), "v1.", 2)
+            for number in range(30)
+        }
+        self.assertEqual(places, {"small:1"})
+        small.take_events(batch(1, Stored(Key("v1.", "y"), 9_900)), 1)
+        self.assertIsNone(self.library.place(Part("q", 1_000), "v1.", 2))
--- /dev/null
+++ b/test/gateway/test_roster.py
@@ -0,0 +1,110 @@
+"""The roster of targets: entries that come, lapse, are born anew, fail and recover."""
+
+import unittest
+
+from cornelreach.gateway import calls, roster
+
+
+def target(name="t1", **changes):
+    """Return an entry."""
+    fields = {
+        "id": name,
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "lj",
+        "slots": 8,
+        "draining": False,
+        "versions": {"m": 1},
+        "born_ms": 1,
+    }
+    return roster.Target(**{**fields, **changes})
+
+
+class Entries(unittest.TestCase):
+    """What the platform's list says."""
+
+    def setUp(self):
+        self.roster = roster.Roster()
+        self.roster.put(target(), 0, 0)
+
+    def test_a_draining_or_evacuated_target_is_closed(self):
+        self.assertTrue(self.roster.is_open("t1", "s"))
+        self.roster.put(target(draining=True), 0, 1)
+        self.assertFalse(self.roster.is_open("t1", "s"))
+        self.roster.put(target(), 0, 2)
+        self.roster.evacuated = frozenset({"lj"})
+        self.assertEqual(self.roster.usable("s", 3), [])
+
+    def test_an_entry_that_goes_in_calm_is_gone_at_once(self):
+        self.roster.remove("t1", 60_000)
+        self.assertFalse(self.roster.is_open("t1", "s"))
+
+    def test_an_entry_that_lapsed_in_an_outage_has_a_moment_to_come_back(self):
+        self.roster.regained_ms = 60_000
+        self.roster.replace(set(), 60_010)
+        self.assertTrue(self.roster.is_open("t1", "s"))
+        self.roster.expire(60_000 + roster.LAPSED_KEPT_MS - 1)
+        self.assertTrue(self.roster.is_open("t1", "s"))
+        self.roster.expire(60_000 + roster.LAPSED_KEPT_MS)
+        self.assertFalse(self.roster.is_open("t1", "s"))
+
+    def test_a_lapsed_entry_that_comes_back_stays(self):
+        self.roster.regained_ms = 60_000
+        self.roster.remove("t1", 60_010)
+        self.roster.put(target(), 0, 60_500)
+        self.roster.expire(90_000)
+        self.assertTrue(self.roster.is_open("t1", "s"))
+
+    def test_a_new_birth_under_the_same_id_starts_anew(self):
+        self.roster.state("t1").failures = 4
+        self.roster.learn_versions("t1", {"m": 3})
+        self.roster.put(target(born_ms=2), 0, 5)
+        self.assertEqual(self.roster.state("t1").failures, 0)
+        self.assertEqual(self.roster.targets["t1"].versions, {"m": 1})
+
+    def test_a_lagging_entry_does_not_undo_a_reported_version(self):
+        self.roster.learn_versions("t1", {"m": 2, "other": 5})
+        self.roster.put(target(), 0, 5)
+        self.assertEqual(self.roster.targets["t1"].versions, {"m": 2})
+
+    def test_an_address_that_another_service_took_belongs_to_it(self):
+        self.roster.put(target(service="other"), 0, 5)
+        self.assertFalse(self.roster.is_open("t1", "s"))
+        self.assertTrue(self.roster.is_open("t1", "other"))
+
+
+class Failures(unittest.TestCase):
+    """What this instance's own calls say."""
+
+    def setUp(self):
+        self.roster = roster.Roster()
+        self.roster.put(target("a"), 0, 0)
+        self.roster.put(target("b"), 0, 0)
+
+    def test_a_failing_target_is_passed_over_longer_each_time(self):
+        self.roster.failed("a", "reset", 0)
+        self.assertEqual([one.id for one in self.roster.usable("s", 1)], ["b"])
+        later_ms = roster.FIRST_EJECT_MS
+        self.assertEqual(len(self.roster.usable("s", later_ms)), 2)
+        self.roster.failed("a", "reset", later_ms)
+        self.assertEqual(len(self.roster.usable("s", 2 * later_ms)), 1)
+
+    def test_all_are_used_where_all_have_failed(self):
+        self.roster.failed("a", "reset", 0)
+        self.roster.failed("b", "reset", 0)
+        self.assertEqual(len(self.roster.usable("s", 1)), 2)
+
+    def test_an_answer_ends_the_ejection(self):
+        self.roster.failed("a", "reset", 0)
+        reply = calls.Reply(200, "id", True, False, False, calls.Load(1, 2, 8), 900)
+        self.roster.answered("a", reply, 1)
+        self.assertEqual(len(self.roster.usable("s", 1)), 2)
+        state = self.roster.state("a")
+        self.assertEqual((state.load.waiting, state.is_cold(900)), (2, True))
+        self.assertFalse(state.is_cold(901))
+
+    def test_refusals_in_a_row_pause_longer(self):
+        self.roster.shed("a", 100, 0)
+        self.assertEqual(len(self.roster.usable("s", 100)), 2)
+        self.roster.shed("a", 100, 100)
+        self.assertEqual(len(self.roster.usable("s", 250)), 1)
--- /dev/null
+++ b/test/gateway/world.py
@@ -0,0 +1,273 @@
+"""Engines on loopback that answer by script, and a forwarder in front of them."""
+
+import asyncio
+import random
+
+from cornelreach.gateway import (
+    allowances,
+    beliefs as beliefs_module,
+    catalogue,
+    choice,
+    forwarding,
+    gossip as gossip_module,
+    library,
+    roster,
+    selection,
+)
+from cornelreach.http import client as http_client, server
+from cornelreach.platform import site
+from cornelreach.util import timers
+
+BOUNDS = site.Bounds(
+    drain_ms=2_000,
+    grace_ms=8_000,
+    config_ms=2_000,
+    revoke_ms=5_000,
+    revoke_strict=True,
+    retry_ratio=0.2,
+    retry_window_ms=10_000,
+    retry_slack=50,
+    cold_overage=1.5,
+    cold_slack=5,
+    lease_ms=3_000,
+    thaw_ms=300,
+    version_ms=8_000,
+)
+LIMITS = catalogue.Limits(16_384, 1_048_576, 3_000, 15_000)
+HOST = "pool.example"
+KEY = "key-1"
+
+
+def route(prefix, service, kind, **changes):
+    """Return a route with plain defaults."""
+    fields = {
+        "name": f"r{prefix}",
+        "host": HOST,
+        "prefix": prefix,
+        "shares": (catalogue.Share(service, 1),),
+        "kind": kind,
+        "timeout_ms": 5_000,
+        "objective_ms": 300,
+        "attempts": 2,
+        "priority": 1,
+        "anonymous": False,
+        "resumable": False,
+        "regions": frozenset(),
+    }
+    return catalogue.Route(**{**fields, **changes})
+
+
+def plain_service(name, **changes):
+    """Return a plain service."""
+    service = catalogue.Service(name, "/health", 100, 0.0, None)
+    return service._replace(**changes)
+
+
+def make_catalogue(routes, services, version=1, accounts=None, stores=()):
+    """Return a catalogue with one account unless told otherwise."""
+    if accounts is None:
+        accounts = {KEY: catalogue.Account("tirnica", False, None, frozenset())}
+    return catalogue.Catalogue(version, routes, services, stores, accounts, LIMITS)
+
+
+class Engine:
+    """A target on loopback; ``script`` maps the n-th request to a coroutine.
+
+    A script takes the engine, the head (dict of lower-case names), the body and a
+    writer, and writes raw bytes.
+    """
+
+    def __init__(self, name, script):
+        self.name = name
+        self.script = script
+        self.requests = []
+        self.gone = asyncio.Event()
+        self.connections = 0
+        self.server = None
+
+    async def start(self):
+        """Listen on a free port of loopback."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def serve(self, reader, writer):
+        """Answer the requests of one connection."""
+        self.connections += 1
+        try:
+            while await self.serve_one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.gone.set()
+            writer.close()
+
+    async def serve_one(self, reader, writer):
+        """Read one request, run the script; returns whether to go on."""
+        raw = await reader.readuntil(b"\r\n\r\n")
+        first, *lines = raw.decode("latin-1").split("\r\n")
+        head = {"": first}
+        for line in lines:
+            name, _, value = line.partition(":")
+            if name:
+                head[name.lower()] = value.strip()
+        body = await reader.readexactly(int(head.get("content-length", 0)))
+        self.requests.append((head, body))
+        watch = asyncio.ensure_future(self._watch(reader))
+        try:
+            result = await self.script(self, head, body, writer)
+            await writer.drain()
+        finally:
+            watch.cancel()
+        return result is not False
+
+    async def _watch(self, reader):
+        # Without reading, a closed peer shows only as an end of the stream.
+        while not reader.at_eof():
+            await asyncio.sleep(0.005)
+        self.gone.set()
+
+    def answer(self, head, status=200, body=b"ok", signed=True, extra=""):
+        """Return the bytes of a whole answer."""
+        fields = f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n"
+        fields += f"x-cornelreach-request-id: {head['x-cornelreach-request-id']}\r\n"
+        if signed:
+            fields += f"x-cornelreach-response-signature: sig.{self.name}\r\n"
+        return (fields + extra + "\r\n").encode() + body
+
+    def stream_head(self, head):
+        """Return the head of an event stream in chunks."""
+        fields = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+        fields += "content-type: text/event-stream\r\n"
+        fields += f"x-cornelreach-request-id: {head['x-cornelreach-request-id']}\r\n"
+        fields += f"x-cornelreach-response-signature: sig.{self.name}\r\n\r\n"
+        return fields.encode()
+
+
+def chunk(data):
+    """Return bytes as one chunk."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def event(number):
+    """Return one event."""
+    return f"id: {number}\ndata: token{number}\n\n".encode()
+
+
+async def fine(engine, head, body, writer):
+    """Answer well."""
+    writer.write(engine.answer(head))
+
+
+async def shed(engine, head, body, writer):
+    """Say that the request was not run."""
+    writer.write(
+        engine.answer(head, 503, b"", False, "x-cornelreach-not-executed: 1\r\n")
+    )
+
+
+class World:
+    """A forwarder behind a server on loopback, in front of engines."""
+
+    def __init__(self, found, engines, service):
+        self.clock = timers.LoopTimers()
+        self.beliefs = beliefs_module.Beliefs("edge-1", 5_000, True)
+        self.beliefs.synced = set(beliefs_module.NEEDED)
+        if found is not None:
+            self.beliefs.apply_catalogue(found)
+        self.beliefs.fleet = allowances.Fleet("edge-1", ("edge-1",))
+        self.beliefs.prove(self.clock.now_ms())
+        self.engines = engines
+        self.http = http_client.Client(connect_wait_ms=200, silence_ms=900)
+        self.gossip = gossip_module.Gossip(
+            "edge-1", "b", self.beliefs.roster, self.clock
+        )
+        source = random.Random(1)
+        chooser = choice.Chooser(self.beliefs.roster, self.gossip, "lj", source)
+        self.library = library.Library()
+        self.selector = selection.Selector(
+            self.beliefs, chooser, self.library, self.http, BOUNDS, {}, self.clock
+        )
+        parts = forwarding.Parts(
+            self.beliefs, self.selector, self.http, self.clock, source
+        )
+        self.forwarder = forwarding.Forwarder(parts)
+        for engine in engines:
+            self.list(engine, service)
+
+    def list(self, engine, service, **changes):
+        """Put an engine on the roster."""
+        fields = {
+            "id": engine.name,
+            "service": service,
+            "address": engine.address,
+            "zone": "lj",
+            "slots": 8,
+            "draining": False,
+            "versions": {},
+            "born_ms": 1,
+        }
+        target = roster.Target(**{**fields, **changes})
+        self.beliefs.roster.put(target, 0, self.clock.now_ms())
+
+    async def start(self):
+        """Listen for callers."""
+        self.server = await server.start("127.0.0.1", 0, self.forwarder.handle)
+
+    async def stop(self):
+        """Close everything."""
+        self.server.stop_listening()
+        self.server.abort()
+        await self.http.close()
+        for engine in self.engines:
+            engine.server.close()
+
+    async def raw(self, data, until_closed=False, wait_s=5):
+        """Send bytes to the forwarder and return all that comes back."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(data)
+        try:
+            async with asyncio.timeout(wait_s):
+                return await self._read(reader, until_closed)
+        finally:
+            writer.close()
+
+    async def _read(self, reader, until_closed):
+        if until_closed:
+            return await reader.read()
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = 0
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        return head + await reader.readexactly(length)
+
+    async def ask(self, path, method="POST", body=b"hello", wait_s=5, **fields):
+        """Send one request and return status and the whole answer's bytes."""
+        answer = await self.raw(
+            request_bytes(path, method, body, **fields), wait_s=wait_s
+        )
+        return int(answer.split(b" ")[1]), answer
+
+    async def stream(self, path, **fields):
+        """Send one request and return all bytes until the connection ends."""
+        fields["connection"] = "close"
+        return await self.raw(request_bytes(path, "POST", b"", **fields), True)
+
+
+def request_bytes(path, method="POST", body=b"hello", **fields):
+    """Return the bytes of a request; fields replace the usual headers."""
+    headers = {
+        "host": HOST,
+        "x-cornelreach-request-id": "id-1",
+        "x-cornelreach-deadline-ms": "2000",
+        "x-api-key": KEY,
+        "content-length": str(len(body)),
+    }
+    for name, value in fields.items():
+        headers[name.replace("_", "-")] = value
+    lines = [f"{name}: {value}" for name, value in headers.items() if value is not None]
+    return f"{method} {path} HTTP/1.1\r\n".encode() + (
+        "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+    )
--- /dev/null
+++ b/test/platform/test_headers.py
@@ -0,0 +1,72 @@
+"""Headers of callers and targets, well-formed and not."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cornelreach.gateway import calls
+from cornelreach.platform import headers
+
+FIELDS = (
+    (b"host", b"Pool.example:80"),
+    (b"x-cornelreach-request-id", b"9c41"),
+    (b"x-cornelreach-token-counts", b"1460,80"),
+    (b"x-cornelreach-prompt-prefix", b"5c1e:800,91bd:410"),
+    (b"x-cornelreach-deadline-ms", b"5000"),
+)
+
+
+class Callers(unittest.TestCase):
+    """What callers say."""
+
+    def test_a_call_is_read(self):
+        call = headers.read_call(FIELDS)
+        self.assertEqual(call.deadline_ms, 5_000)
+        self.assertEqual((call.prompt_tokens, call.output_tokens), (1_460, 80))
+        self.assertEqual(call.parts[1], calls.Part("91bd", 410))
+        self.assertIsNone(call.api_key)
+        self.assertEqual(headers.host_of(FIELDS), "pool.example")
+
+    @hypothesis.given(strategies.binary(max_size=40))
+    def test_no_value_raises(self, value):
+        headers.read_call(tuple((name, value) for name, _ in FIELDS))
+        headers.read_reply(200, ((headers.LOAD, value), (headers.COLD, value)))
+
+    def test_directions_are_written_and_nothing_of_the_callers_kept(self):
+        given = (*FIELDS, (b"x-cornelreach-kv-source", b"evil:1"))
+        directions = calls.Directions(
+            "i-1", 812.7, "t1", 1, "v2.", 2, ("a:1", None), (None, None), "4"
+        )
+        found = dict(headers.outgoing(given, directions))
+        self.assertEqual(found[b"x-cornelreach-kv-source"], b"a:1,-")
+        self.assertNotIn(b"x-cornelreach-kv-target", found)
+        self.assertEqual(found[b"x-cornelreach-deadline-ms"], b"812")
+        self.assertEqual(found[b"x-cornelreach-expected-version"], b"2")
+        self.assertEqual(found[b"last-event-id"], b"4")
+
+    def test_a_connection_header_cannot_take_the_identifier_away(self):
+        given = (*FIELDS, (b"connection", b"X-Cornelreach-Request-Id"))
+        found = dict(headers.outgoing(given, calls.Directions("i-1", 1)))
+        self.assertEqual(found[b"x-cornelreach-request-id"], b"9c41")
+
+
+class Targets(unittest.TestCase):
+    """What targets answer."""
+
+    def test_a_reply_is_read(self):
+        fields = (
+            (b"x-cornelreach-not-executed", b"1"),
+            (b"x-cornelreach-server-load", b"3,0,8"),
+        )
+        reply = headers.read_reply(503, fields)
+        self.assertTrue(reply.not_run)
+        self.assertEqual(reply.load, calls.Load(3, 0, 8))
+        self.assertTrue(headers.read_reply(421, ()).moved)
+        self.assertIsNone(headers.read_reply(200, ((headers.LOAD, b"3,x,8"),)).load)
+
+    def test_answers_are_told_apart_by_identifier(self):
+        matches = headers.answers("9c41")
+        self.assertTrue(matches(((headers.REQUEST_ID, b"9c41"),)))
+        self.assertTrue(matches(()))
+        self.assertFalse(matches(((headers.REQUEST_ID, b"other"),)))
