Tell peers at once of each prompt that goes to an engine

Ruled out: too little engine time (27% of it read prompts).

Change: a round of datagrams with each prompt sent, within a rate and a burst; the periodic round is slower. The log says first_ms and what a choice rested on.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -146,6 +146,7 @@
         self, passage: passages.Passage, chosen: selection.Choice
     ) -> passages.Outcome:
         chosen.occupy()
+        self.parts.selector.sent(chosen)
         outcome: passages.Outcome | None = None
         try:
             outcome = await self._exchange(passage, chosen)
@@ -153,6 +154,7 @@
             if not isinstance(outcome, passages.Opened):
                 chosen.release()
         passage.note(chosen.target.id, outcome)
+        passage.chosen = chosen.describe()
         if not isinstance(outcome, passages.Answered | passages.Opened):
             self._try_failed(passage, chosen, outcome)
         return outcome
@@ -245,6 +247,7 @@
     ) -> passages.Outcome:
         reply = headers.read_reply(answer.status, answer.headers)
         self.parts.selector.replied(chosen, reply)
+        passage.first_byte_s = asyncio.get_running_loop().time()
         if reply.not_run:
             await answer.read()
             return passages.NotRun(f"status {reply.status}", reply.moved)
@@ -367,12 +370,14 @@
         fields: dict[str, typing.Any] = {"route": "-", "tries": ""}
         if passage is not None:
             request_id = passage.call.request_id
-            spent_s = asyncio.get_running_loop().time() - passage.request.received_s
             fields = {
                 "route": passage.route.name,
                 "tries": " ".join(passage.tries),
                 "service": passage.service,
-                "total_ms": round(spent_s * 1_000),
+                "chosen": passage.chosen,
+                "prompt_tokens": passage.call.prompt_tokens,
+                "first_ms": passage.spent_ms(passage.first_byte_s),
+                "total_ms": passage.spent_ms(asyncio.get_running_loop().time()),
             }
         events.emit(
             ENDED,
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -1,9 +1,9 @@
 """What every instance has under way at each target, told in datagrams.
 
-Each instance tells its peers a few times a second what it has sent and what of it is
-not yet read. A lost datagram is made up for by the next; what a silent peer last told
-is forgotten after a moment. The rate of datagrams is bounded for each instance, so the
-interval grows with the fleet::
+Each instance tells its peers at once when it has sent a prompt, and a few times a
+second besides, what it has under way and what of it is not yet read. A lost datagram is
+made up for by the next; what a silent peer last told is forgotten after a moment. The
+rate of datagrams is bounded for each instance, so a large fleet is told later::
 
     loads = gossip.others("engine-1", now_ms)
 """
@@ -16,8 +16,9 @@
 from cornelreach.gateway import roster as roster_module
 from cornelreach.util import decoding, events, timers
 
-DATAGRAMS_PER_S = 70.0
-LEAST_INTERVAL_MS = 60.0
+DATAGRAMS_PER_S = 150.0
+BURST_ROUNDS = 4
+LEAST_INTERVAL_MS = 150.0
 FORGET_INTERVALS = 6
 LEAST_FORGET_MS = 700.0
 MOST_DATAGRAM_BYTES = 1_400
@@ -90,6 +91,8 @@
         self.closed: set[str] = set()
         self._versions: dict[str, Reported] = {}
         self._number = 0
+        self._allowed = 0.0
+        self._allowed_ms = clock.now_ms()
         self._quiet = False
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -132,8 +135,23 @@
 
     def interval_ms(self) -> float:
         """Return the time between two rounds of datagrams."""
-        peers = len(self.addresses)
-        return max(LEAST_INTERVAL_MS, peers / DATAGRAMS_PER_S * 1_000)
+        return max(LEAST_INTERVAL_MS, self._round() / DATAGRAMS_PER_S * 1_000)
+
+    def _round(self) -> int:
+        return max(1, len(self.addresses) - 1)
+
+    def _may_tell(self) -> bool:
+        now_ms = self.clock.now_ms()
+        gained = (now_ms - self._allowed_ms) * DATAGRAMS_PER_S / 1_000
+        most = self._round() * BURST_ROUNDS
+        self._allowed = min(most, self._allowed + gained)
+        self._allowed_ms = now_ms
+        return self._allowed >= self._round()
+
+    def sent(self) -> None:
+        """Tell at once that a prompt went out, if the rate allows."""
+        if self._may_tell():
+            self.tell()
 
     def others(self, target: str, now_ms: float) -> Underway:
         """Return what the peers together have under way at a target."""
@@ -182,6 +200,7 @@
         data = msgspec.msgpack.encode(told)
         if self._transport is None or len(data) > MOST_DATAGRAM_BYTES:
             return
+        self._allowed -= self._round()
         for name, address in self.addresses.items():
             if name != self.name:
                 self._transport.sendto(data, address)
--- a/cornelreach/gateway/passages.py
+++ b/cornelreach/gateway/passages.py
@@ -85,7 +85,9 @@
         self.maybe_ran = 0
         self.last_event = call.last_event
         self.failure: messages.Response | None = None
+        self.first_byte_s: float | None = None
         self.reason = ""
+        self.chosen = ""
 
     @property
     def model(self) -> str:
@@ -103,6 +105,12 @@
         """Return the time until the caller must have its answer."""
         return (self.due_s - now_s) * 1_000
 
+    def spent_ms(self, at_s: float | None) -> int | None:
+        """Return the time from the caller's header to a moment."""
+        if at_s is None:
+            return None
+        return round((at_s - self.request.received_s) * 1_000)
+
     def note(self, target: str, outcome: Outcome) -> None:
         """Take the outcome of a try at a target."""
         name = type(outcome).__name__.lower()
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -59,6 +59,15 @@
         self._now_ms = now_ms
         self._occupied = False
 
+    def describe(self) -> str:
+        """Return what the choice rested on, for the log."""
+        fetched = sum(one is not None for one in self.fetch_from)
+        saved = sum(one is not None for one in self.save_to)
+        return (
+            f"{self.target.id} v{self.version or 0} unread {self.unread} "
+            f"fetched {fetched} kept {saved}"
+        )
+
     def occupy(self) -> None:
         """Count the request at its target."""
         self._occupied = True
@@ -283,6 +292,11 @@
         wall = account.name if account is not None and account.isolated else ""
         return f"v{version}.{wall}"
 
+    def sent(self, chosen: Choice) -> None:
+        """Let the peers know of a prompt that goes to an engine."""
+        if chosen.salt is not None:
+            self.chooser.gossip.sent()
+
     def still_open(self, chosen: Choice) -> bool:
         """Return whether a chosen target still takes requests."""
         target = chosen.target
--- a/test/gateway/test_gossip.py
+++ b/test/gateway/test_gossip.py
@@ -9,6 +9,13 @@
 Underway = gossip.Underway
 
 
+class Sink:
+    """Takes datagrams and forgets them."""
+
+    def sendto(self, data, address):
+        """Drop a datagram."""
+
+
 class Telling(unittest.TestCase):
     """Datagrams in and out, without a network."""
 
@@ -27,7 +34,7 @@
         self.take("c", 1)
         now_ms = self.clock.now_ms()
         self.assertEqual(self.gossip.others("t1", now_ms), (4, 600, 1_800))
-        late_ms = now_ms + gossip.LEAST_FORGET_MS + 1
+        late_ms = now_ms + gossip.FORGET_INTERVALS * self.gossip.interval_ms() + 1
         self.assertEqual(self.gossip.others("t1", late_ms), (0, 0, 0))
 
     def test_an_older_datagram_does_not_undo_a_newer_one(self):
@@ -54,5 +61,18 @@
 
     def test_the_interval_grows_with_the_fleet(self):
         self.gossip.addresses = {f"i{number}": ("h", 1) for number in range(1_100)}
-        per_s = 1_100 / (self.gossip.interval_ms() / 1_000)
+        per_s = 1_099 / (self.gossip.interval_ms() / 1_000)
         self.assertLessEqual(per_s, gossip.DATAGRAMS_PER_S * 1.01)
+
+    def test_a_burst_of_prompts_does_not_pass_the_rate(self):
+        rounds = []
+        self.gossip.addresses = {f"i{number}": ("h", 1) for number in range(8)}
+        tell, self.gossip.tell = self.gossip.tell, lambda: rounds.append(1) or tell()
+        self.gossip._transport = Sink()
+        self.gossip.closed.add("t1")
+        for _ in range(1_000):
+            self.gossip.sent()
+            self.clock.advance(5)
+        most = 5 * gossip.DATAGRAMS_PER_S + 8 * gossip.BURST_ROUNDS
+        self.assertLessEqual(len(rounds) * 7, most)
+        self.assertGreater(len(rounds) * 7, most / 2)
