Learn engines' pace and stores' delays, and probe suspects

Cause: while a store's links were slow, prompts waited for fetches that took longer than reading (windows at 16 to 18 s: a third late); a dark engine was found anew by each instance with a caller's request; a plain target that failed or slowed down kept its share. Ruled out: giving each fetch an end time, since a fetch that is given up has cost the wait and the reading.

Change: pace of each engine and delay of each store from first tokens; a store that delays well beyond reading is left alone until that fades; suspects are told to peers and probed by health calls; plain targets are compared with the best.

--- a/cornelreach/gateway/choice.py
+++ b/cornelreach/gateway/choice.py
@@ -14,6 +14,7 @@
     calls,
     catalogue,
     gossip as gossip_module,
+    pace,
     roster as roster_module,
 )
 from cornelreach.util import hashing
@@ -25,6 +26,11 @@
 OVERFLOW_COST = 2.0  # a token beyond the memory is read twice
 FETCH_COST = 0.25  # of reading the same tokens, over the links of engines and stores
 NEAR_SHARE = 0.1
+SUSPECT_COST = 20_000.0  # prompt tokens; an engine that does not answer some peer
+SUSPECT_SHARE = 1.0
+USUAL_SPREAD = 0.25  # of the shares of errors of sound targets, from few answers
+USUAL_SLOWNESS = 1.0  # sound targets take up to twice as long as the fastest
+FAILING_COST = 4.0
 PARTS_KEPT = 4_096
 
 
@@ -87,19 +93,33 @@
         self.zone = zone
         self.random = source
         self.held: dict[str, Held] = {}
+        self.paces = pace.Paces()
 
     def plain(
         self, targets: typing.Sequence[roster_module.Target], now_ms: float
     ) -> roster_module.Target:
         """Return the target of a plain service with the most room."""
 
+        states = [self.roster.state(one.id) for one in targets]
+        best_ms = min((one.answer_ms for one in states if one.answer_ms), default=1.0)
+        fewest = min(one.error_share for one in states)
+
         def cost(target: roster_module.Target) -> float:
+            state = self.roster.state(target.id)
             busy = self._busy(target, now_ms) / max(1, target.slots)
+            slow = (state.answer_ms or best_ms) / best_ms - 1.0
+            failing = max(0.0, state.error_share - fewest - USUAL_SPREAD)
             away = 0.0 if target.zone == self.zone else NEAR_SHARE
-            return busy + away + self.random.random() * NEAR_SHARE
+            outlier = max(0.0, slow - USUAL_SLOWNESS) + failing * FAILING_COST
+            suspect = SUSPECT_SHARE if self._is_suspected(target, now_ms) else 0.0
+            chance = self.random.random() * NEAR_SHARE
+            return busy + outlier + suspect + away + chance
 
         return min(targets, key=cost)
 
+    def _is_suspected(self, target: roster_module.Target, now_ms: float) -> bool:
+        return self.gossip.is_suspected(target.id, now_ms)
+
     def engine(
         self,
         targets: typing.Sequence[roster_module.Target],
@@ -123,11 +143,18 @@
             if target.id == homes[0]:
                 reads *= HOME_DISCOUNT
             pressure = self._pressure(target, wants, memory, now_ms)
-            return reads + pressure + extra(target)
+            suspect = SUSPECT_COST if self._is_suspected(target, now_ms) else 0.0
+            slow = self.paces.ratio(target.id)
+            return (reads + pressure) * slow + suspect + extra(target)
 
         chosen = min(targets, key=cost)
         return chosen, missing[chosen.id]
 
+    def unread(self, target: str, now_ms: float) -> float:
+        """Return the tokens that wait to be read at an engine, of all instances."""
+        others = self.gossip.others(target, now_ms)
+        return self.roster.state(target).unread_tokens + others.unread_tokens
+
     def _missing(
         self,
         target: roster_module.Target,
@@ -185,3 +212,4 @@
         """Forget what targets held that have gone."""
         for target in [one for one in self.held if one not in targets]:
             del self.held[target]
+            self.paces.forget(target)
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -17,6 +17,7 @@
     forwarding,
     gossip as gossip_module,
     library as library_module,
+    probing,
     readers,
     rollouts,
     selection,
@@ -33,8 +34,8 @@
 )
 from cornelreach.util import errors, events, timers
 
-ENGINE_CONNECT_MS = 300
-ENGINE_SILENCE_MS = 900
+ENGINE_CONNECT_MS = 200
+ENGINE_SILENCE_MS = 700
 ENGINE_IDLE_MS = 5_000
 PLATFORM_SILENCE_MS = 1_500
 PLATFORM_CALL_MS = 1_000
@@ -193,6 +194,8 @@
             asyncio.ensure_future(one.run()) for one in (*self.followers, self.rollouts)
         ]
         await self.gossip.listen(self.site.ip, self.site.ports[0])
+        prober = probing.Prober(self.beliefs, self.http, self.clock)
+        self._tasks.append(asyncio.ensure_future(prober.run()))
         self._tasks.append(asyncio.ensure_future(self.gossip.run()))
         self._tasks.append(asyncio.ensure_future(self._register()))
         self._tasks.append(asyncio.ensure_future(self._watch_settings()))
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -44,7 +44,8 @@
     """One datagram: who sent it, its number in the sender's boot, and the loads.
 
     ``closed`` names the targets that are being given an order, ``versions`` the model
-    versions that targets lately reported to the sender.
+    versions that targets lately reported to the sender, ``suspected`` the targets that
+    do not answer it.
     """
 
     name: str
@@ -53,6 +54,7 @@
     loads: dict[str, Underway]
     closed: tuple[str, ...] = ()
     versions: dict[str, dict[str, int]] = {}
+    suspected: tuple[str, ...] = ()
 
 
 DECODER = msgspec.msgpack.Decoder(Told)
@@ -155,11 +157,10 @@
 
     def others(self, target: str, now_ms: float) -> Underway:
         """Return what the peers together have under way at a target."""
-        forget_ms = self._forget_ms()
         requests = unread = context = 0
-        for told, at_ms in self.peers.values():
+        for told in self._fresh(now_ms):
             load = told.loads.get(target)
-            if load is not None and now_ms - at_ms <= forget_ms:
+            if load is not None:
                 requests += load.requests
                 unread += load.unread_tokens
                 context += load.context_tokens
@@ -169,11 +170,17 @@
         """Return whether an instance is giving a target an order."""
         if target in self.closed:
             return True
+        return any(target in told.closed for told in self._fresh(now_ms))
+
+    def is_suspected(self, target: str, now_ms: float) -> bool:
+        """Return whether a target does not answer some peer."""
+        return any(target in told.suspected for told in self._fresh(now_ms))
+
+    def _fresh(self, now_ms: float) -> typing.Iterator[Told]:
         forget_ms = self._forget_ms()
-        return any(
-            target in told.closed and now_ms - at_ms <= forget_ms
-            for told, at_ms in self.peers.values()
-        )
+        for told, at_ms in self.peers.values():
+            if now_ms - at_ms <= forget_ms:
+                yield told
 
     def _forget_ms(self) -> float:
         return max(LEAST_FORGET_MS, FORGET_INTERVALS * self.interval_ms())
@@ -190,13 +197,18 @@
         """Send one round; a quiet instance falls silent after saying so once."""
         loads = self.own()
         versions = self._reported()
-        idle = not loads and not self.closed and not versions
+        suspected = tuple(
+            name for name, state in self.roster.states.items() if state.suspected
+        )
+        idle = not (loads or self.closed or versions or suspected)
         if idle and self._quiet:
             return
         self._quiet = idle
         self._number += 1
         closed = tuple(sorted(self.closed))
-        told = Told(self.name, self.boot, self._number, loads, closed, versions)
+        told = Told(
+            self.name, self.boot, self._number, loads, closed, versions, suspected
+        )
         data = msgspec.msgpack.encode(told)
         if self._transport is None or len(data) > MOST_DATAGRAM_BYTES:
             return
--- a/cornelreach/gateway/library.py
+++ b/cornelreach/gateway/library.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import math
 import random
 import typing
 
@@ -22,6 +23,11 @@
 RETRY_MS = 300.0
 TRUST_MS = 1_500.0  # the wait of a poll, and the call's margin
 FULL_SHARE = 0.95
+LEAST_DELAY_MS = 80.0  # less is the engines' own unevenness
+WORTH_SHARE = 2.0  # a part read again also takes the engine's time from others
+SLOW_MS = 120.0  # a store that delays fetches so long is not given more to keep
+DELAY_WEIGHT = 0.2
+DELAY_FADES_MS = 2_500.0
 SAVING_MS = 3_000.0  # a save under way that shows no end by then is tried again
 WATCHERS = 8  # per store; stores bear a bounded number of waiting calls
 HASH_RANGE = float(1 << 64)
@@ -48,6 +54,18 @@
         self.tokens = 0
         self.answered_ms: float | None = None
         self.saving: dict[promptstores.PartKey, float] = {}
+        self._delay_ms = 0.0
+        self._delay_at_ms = 0.0
+
+    def note_delay(self, delay_ms: float, now_ms: float) -> None:
+        """Learn how much longer than reading nothing a fetch from here took."""
+        held_ms = self.delay_ms(now_ms)
+        self._delay_ms = held_ms + DELAY_WEIGHT * (max(0.0, delay_ms) - held_ms)
+        self._delay_at_ms = now_ms
+
+    def delay_ms(self, now_ms: float) -> float:
+        """Return the delay of fetches lately; it fades, so that it is tried again."""
+        return self._delay_ms * math.exp((self._delay_at_ms - now_ms) / DELAY_FADES_MS)
 
     def is_trusted(self, now_ms: float) -> bool:
         """Return whether what is known of the store still holds."""
@@ -108,13 +126,22 @@
             if address not in self.shelves:
                 self.shelves[address] = Shelf(store)
 
-    def source(self, part: calls.Part, salt: str, now_ms: float) -> str | None:
-        """Return the store from which a part can be fetched, the fastest first."""
+    def source(
+        self, part: calls.Part, salt: str, now_ms: float, pace: float = math.inf
+    ) -> str | None:
+        """Return the store from which a part can be fetched, the fastest first.
+
+        A store that lately delayed fetches by far more than an engine takes to read
+        the part at ``pace``, in tokens a millisecond, is none.
+        """
         key = promptstores.PartKey(salt, part.key)
+        worth_ms = part.tokens / pace if pace < math.inf else math.inf
         holders = [
             shelf
             for shelf in self.shelves.values()
-            if shelf.parts.get(key, 0) >= part.tokens and shelf.is_trusted(now_ms)
+            if shelf.parts.get(key, 0) >= part.tokens
+            and shelf.is_trusted(now_ms)
+            and shelf.delay_ms(now_ms) <= max(LEAST_DELAY_MS, WORTH_SHARE * worth_ms)
         ]
         if not holders:
             return None
@@ -126,7 +153,11 @@
         trusted = [one for one in self.shelves.values() if one.is_trusted(now_ms)]
         if any(key in one.parts for one in trusted):
             return None
-        free = [one for one in trusted if one.has_room(part.tokens)]
+        free = [
+            one
+            for one in trusted
+            if one.has_room(part.tokens) and one.delay_ms(now_ms) <= SLOW_MS
+        ]
         if not free:
             return None
         chosen = max(free, key=lambda one: self._weight(key, one.store))
@@ -135,6 +166,11 @@
         chosen.saving[key] = now_ms
         return chosen.store.address
 
+    def delayed(self, addresses: set[str], delay_ms: float, now_ms: float) -> None:
+        """Learn the delay of a prompt that was fetched in part from stores."""
+        for address in addresses & set(self.shelves):
+            self.shelves[address].note_delay(delay_ms, now_ms)
+
     @staticmethod
     def _weight(key: promptstores.PartKey, store: catalogue.PromptStore) -> float:
         # Weighted rendezvous: each store gets parts in proportion to its size.
--- a/cornelreach/gateway/roster.py
+++ b/cornelreach/gateway/roster.py
@@ -20,6 +20,7 @@
 FIRST_EJECT_MS = 600
 MOST_EJECT_MS = 5_000
 MOST_SHED_MS = 1_000
+LEARN_SHARE = 0.1  # of the newest answer in what is known of a target
 
 TARGET_CHANGED = events.define(
     2201,
@@ -62,6 +63,9 @@
         self.ejected_until_ms = 0.0
         self.failures = 0
         self.sheds = 0
+        self.suspected = False
+        self.error_share = 0.0
+        self.answer_ms: float | None = None
         self.leaving = False
 
     def is_cold(self, now_ms: float) -> bool:
@@ -193,9 +197,18 @@
     def usable(self, service: str, now_ms: float) -> list[Target]:
         """Return the open targets that are not ejected; all open ones if all are."""
         opened = self.open_targets(service)
-        kept = [one for one in opened if self.state(one.id).ejected_until_ms <= now_ms]
+        kept = [one for one in opened if self._is_trusted(one.id, now_ms)]
         return kept or opened
 
+    def _is_trusted(self, target_id: str, now_ms: float) -> bool:
+        state = self.state(target_id)
+        return not state.suspected and state.ejected_until_ms <= now_ms
+
+    def cleared(self, target_id: str) -> None:
+        """End the suspicion of a target that has answered."""
+        if target_id in self.targets:
+            self.state(target_id).suspected = False
+
     def failed(self, target_id: str, reason: str, now_ms: float) -> None:
         """Eject a target after a call that it lost; longer with each in a row."""
         if target_id not in self.targets:
@@ -203,9 +216,19 @@
         state = self.state(target_id)
         wait_ms = min(MOST_EJECT_MS, FIRST_EJECT_MS * 2**state.failures)
         state.failures += 1
+        state.suspected = True
         state.ejected_until_ms = now_ms + wait_ms
         events.emit(EJECTED, target=target_id, wait_ms=wait_ms, reason=reason)
 
+    def ended(self, target_id: str, ok: bool, answer_ms: float) -> None:
+        """Learn how a plain request ended, and how long it took."""
+        if target_id not in self.targets:
+            return
+        state = self.state(target_id)
+        state.error_share += LEARN_SHARE * ((not ok) - state.error_share)
+        held_ms = answer_ms if state.answer_ms is None else state.answer_ms
+        state.answer_ms = held_ms + LEARN_SHARE * (answer_ms - held_ms)
+
     def shed(self, target_id: str, pause_ms: float, now_ms: float) -> None:
         """Prefer other targets for a moment that doubles with each refusal in a row."""
         if target_id in self.targets:
@@ -225,4 +248,5 @@
             state.cold_until_ms = max(state.cold_until_ms, now_ms + reply.cold_ms)
         if not reply.not_run:
             state.failures = state.sheds = 0
+            state.suspected = False
             state.ejected_until_ms = 0.0
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -56,6 +56,8 @@
         self.version = version
         self.fetch_from = fetch_from
         self.save_to = save_to
+        self.sent_ms = 0.0
+        self.ahead = 0.0
         self._now_ms = now_ms
         self._occupied = False
 
@@ -91,7 +93,7 @@
 
     def begun(self) -> None:
         """Note that the first byte goes out."""
-        now_ms = self._now_ms()
+        now_ms = self.sent_ms = self._now_ms()
         if self.state.is_cold(now_ms):
             self.state.sent_cold_ms.append(now_ms)
 
@@ -245,7 +247,7 @@
             targets,
             wants,
             lambda one: self._salt(one, passage),
-            lambda part, salt: self.library.source(part, salt, now_ms) is not None,
+            lambda part, salt: self._source(part, salt, now_ms) is not None,
             service,
             lambda one: self._age_cost(one, passage.model, now_ms),
             now_ms,
@@ -263,13 +265,17 @@
             *self._stores(wants.parts, salt, now_ms),
         )
 
+    def _source(self, part: calls.Part, salt: str, now_ms: float) -> str | None:
+        middle = self.chooser.paces.middle()
+        return self.library.source(part, salt, now_ms, middle)
+
     def _stores(
         self, parts: tuple[calls.Part, ...], salt: str, now_ms: float
     ) -> tuple[tuple[str | None, ...], tuple[str | None, ...]]:
         """Return where each part is fetched from and kept; the last is not shared."""
         shared = parts[:-1]
         library = self.library
-        sources = [library.source(part, salt, now_ms) for part in shared]
+        sources = [self._source(part, salt, now_ms) for part in shared]
         places = [
             None if source else library.place(part, salt, now_ms)
             for part, source in zip(shared, sources, strict=True)
@@ -295,6 +301,8 @@
     def sent(self, chosen: Choice) -> None:
         """Let the peers know of a prompt that goes to an engine."""
         if chosen.salt is not None:
+            target = chosen.target.id
+            chosen.ahead = self.chooser.unread(target, self.clock.now_ms())
             self.chooser.gossip.sent()
 
     def still_open(self, chosen: Choice) -> bool:
@@ -308,9 +316,25 @@
     def replied(self, chosen: Choice, reply: calls.Reply) -> None:
         """Learn from the head of an answer."""
         now_ms = self.clock.now_ms()
+        if not reply.not_run:
+            self._learn(chosen, reply, now_ms)
         chosen.was_read()
         self.beliefs.roster.answered(chosen.target.id, reply, now_ms)
 
+    def _learn(self, chosen: Choice, reply: calls.Reply, now_ms: float) -> None:
+        target = chosen.target.id
+        elapsed_ms = now_ms - chosen.sent_ms
+        if chosen.salt is None:
+            self.beliefs.roster.ended(target, reply.status < 500, elapsed_ms)
+            return
+        stores = {one for one in chosen.fetch_from if one}
+        paces = self.chooser.paces
+        if stores:
+            delay_ms = elapsed_ms - paces.expected_ms(chosen.ahead)
+            self.library.delayed(stores, delay_ms, now_ms)
+        else:
+            paces.read(target, chosen.ahead, elapsed_ms)
+
     def ended(self, chosen: Choice, outcome: passages.Outcome) -> None:
         """Learn from a try that gave no answer to pass on."""
         now_ms = self.clock.now_ms()
--- /dev/null
+++ b/test/gateway/test_choice.py
@@ -0,0 +1,193 @@
+"""Choice of targets: by prompts held, by load of all instances, past outliers."""
+
+import collections
+import random
+import unittest
+
+from cornelreach.gateway import calls, catalogue, choice, gossip, pace, roster
+from cornelreach.util import timers
+from test.gateway import test_roster
+
+SERVICE = catalogue.Service("s", "/h", 100, 0.0, catalogue.Engine(48, 60_000, ("m",)))
+
+
+def wants(*parts, output=100):
+    """Return what a request with these parts asks for."""
+    found = tuple(calls.Part(key, tokens) for key, tokens in parts)
+    prompt = sum(part.tokens for part in found)
+    call = calls.Call("id", None, None, "m", prompt, output, found, None)
+    return choice.wanted(call)
+
+
+class Case(unittest.TestCase):
+    """Four targets."""
+
+    def setUp(self):
+        self.clock = timers.VirtualTimers(start_ms=10_000)
+        self.roster = roster.Roster()
+        self.gossip = gossip.Gossip("me", "b", self.roster, self.clock)
+        self.chooser = choice.Chooser(self.roster, self.gossip, "lj", random.Random(3))
+        for number in range(4):
+            self.roster.put(test_roster.target(f"e{number}"), 0, 0)
+        self.targets = self.roster.usable("s", 0)
+
+    def engine(self, wanted, kept=lambda part, salt: False):
+        """Return the engine that is chosen."""
+        chosen, _ = self.chooser.engine(
+            self.targets, wanted, lambda _: "v1.", kept, SERVICE, lambda _: 0.0, 10_000
+        )
+        return chosen.id
+
+    def told(self, peer, **loads):
+        """Take a peer's datagram."""
+        told = gossip.Told(peer, "b", 1, loads)
+        self.gossip.take(told, self.clock.now_ms())
+
+
+class Engines(Case):
+    """Model engines."""
+
+    def test_a_prompt_returns_to_the_engine_that_holds_it(self):
+        prompt = wants(("doc", 8_000), ("own", 500))
+        first = self.engine(prompt)
+        self.chooser.sent(first, "v1.", prompt, 60_000)
+        again = wants(("doc", 8_000), ("other", 500))
+        self.assertEqual(self.engine(again), first)
+
+    def test_instances_agree_on_the_home_of_a_prompt(self):
+        prompt = wants(("doc", 8_000), ("own", 500))
+        other = choice.Chooser(self.roster, self.gossip, "kr", random.Random(9))
+        chosen, _ = other.engine(
+            self.targets,
+            prompt,
+            lambda _: "v1.",
+            lambda part, salt: False,
+            SERVICE,
+            lambda _: 0.0,
+            10_000,
+        )
+        self.assertEqual(self.engine(prompt), chosen.id)
+
+    def test_what_peers_have_sent_counts(self):
+        prompt = wants(("doc", 8_000), ("own", 500))
+        first = self.engine(prompt)
+        self.told("peer", **{first: gossip.Underway(2, 18_000, 20_000)})
+        self.assertNotEqual(self.engine(prompt), first)
+
+    def test_a_kept_prompt_goes_where_there_is_room(self):
+        prompt = wants(("doc", 8_000), ("own", 500))
+        first = self.engine(prompt)
+        self.chooser.sent(first, "v1.", prompt, 60_000)
+        self.told("peer", **{first: gossip.Underway(1, 4_000, 20_000)})
+        kept = self.engine(prompt, kept=lambda part, salt: part.key == "doc")
+        self.assertNotEqual(kept, first)
+
+    def test_full_memory_is_avoided(self):
+        prompt = wants(("doc", 8_000), ("own", 500))
+        first = self.engine(prompt)
+        self.told("peer", **{first: gossip.Underway(6, 0, 58_000)})
+        self.assertNotEqual(self.engine(prompt), first)
+
+    def test_a_slow_engine_is_given_less(self):
+        for _ in range(30):
+            for number in range(4):
+                slow = 6.0 if number == 0 else 1.0
+                self.chooser.paces.read(f"e{number}", 9_000, 90 * slow)
+        counts = collections.Counter(
+            self.engine(wants((f"d{number}", 5_000), ("x", 500)))
+            for number in range(200)
+        )
+        self.assertEqual(counts["e0"], 0)
+
+    def test_an_engine_that_a_peer_cannot_reach_is_avoided(self):
+        prompt = wants(("doc", 8_000), ("own", 500))
+        first = self.engine(prompt)
+        told = gossip.Told("peer", "b", 1, {}, suspected=(first,))
+        self.gossip.take(told, self.clock.now_ms())
+        self.assertNotEqual(self.engine(prompt), first)
+
+    def test_what_is_remembered_of_an_engine_is_bounded_by_its_memory(self):
+        held = choice.Held(10_000)
+        parts = [calls.Part(f"p{number}", 4_000) for number in range(4)]
+        held.read("v1.", parts)
+        kept = [held.holds("v1.", part) for part in parts]
+        self.assertEqual(kept, [False, False, True, True])
+
+
+class Herd(Case):
+    """Pattern: many instances place prompts in the same moment."""
+
+    def place(self, told_at_once):
+        """Place bursts from eight instances; return the fullest engine's share."""
+        fullest = 0
+        for burst in range(20):
+            loads = collections.Counter()
+            for number in range(8):
+                view = dict(loads) if told_at_once else {}
+                told = {
+                    name: gossip.Underway(1, tokens, tokens)
+                    for name, tokens in view.items()
+                }
+                self.gossip.peers.clear()
+                self.told("peers", **told)
+                prompt = wants((f"d{burst}.{number}", 6_000), ("x", 1_000))
+                loads[self.engine(prompt)] += 7_000
+            fullest += max(loads.values())
+        return fullest / 20 / (8 * 7_000)
+
+    def test_telling_at_once_spreads_a_burst(self):
+        at_once, late = self.place(True), self.place(False)
+        self.assertLessEqual(at_once, 0.26)
+        self.assertGreater(late, at_once * 1.3)
+
+
+class Plain(Case):
+    """Plain services."""
+
+    def counts(self):
+        """Return how often each target is chosen."""
+        return collections.Counter(
+            self.chooser.plain(self.targets, 10_000).id for _ in range(200)
+        )
+
+    def test_the_emptiest_is_chosen(self):
+        for number in range(3):
+            self.roster.state(f"e{number}").in_flight = 4
+        self.assertEqual(self.counts()["e3"], 200)
+
+    def test_a_target_that_fails_far_more_than_its_peers_is_avoided(self):
+        for _ in range(40):
+            for number in range(4):
+                bad = number == 0 and self.chooser.random.random() < 0.5
+                self.roster.ended(f"e{number}", not bad, 20)
+        self.assertLess(self.counts()["e0"], 10)
+
+    def test_failures_of_all_alike_exclude_none(self):
+        for _ in range(40):
+            for number in range(4):
+                ok = self.chooser.random.random() > 0.14
+                self.roster.ended(f"e{number}", ok, 20)
+        self.assertGreater(min(self.counts().values()), 20)
+
+    def test_a_slow_target_is_avoided(self):
+        for _ in range(40):
+            for number in range(4):
+                self.roster.ended(f"e{number}", True, 150 if number == 0 else 20)
+        self.assertEqual(self.counts()["e0"], 0)
+
+
+class Paces(unittest.TestCase):
+    """The pace of engines."""
+
+    def test_short_prompts_tell_nothing(self):
+        paces = pace.Paces()
+        paces.read("e", 500, 5_000)
+        self.assertEqual(paces.ratio("e"), 1.0)
+
+    def test_the_expected_time_follows_the_middle(self):
+        paces = pace.Paces()
+        for name, elapsed_ms in (("a", 100), ("b", 110), ("c", 900)):
+            for _ in range(30):
+                paces.read(name, 10_000, elapsed_ms)
+        self.assertAlmostEqual(paces.expected_ms(10_000), 110, delta=1)
+        self.assertGreater(paces.ratio("c"), 7)
--- a/test/gateway/test_library.py
+++ b/test/gateway/test_library.py
@@ -63,6 +63,15 @@
             self.assertFalse(self.a.take_events(batch(1, **changed), 2))
             self.assertIsNone(self.source(2))
 
+    def test_a_store_that_delays_is_left_alone_for_a_while(self):
+        self.a.take_events(batch(1, Stored(Key("v1.", "p"), 500)), 1)
+        for _ in range(20):
+            self.library.delayed({"a:1", "unknown:1"}, 400.0, 1)
+        part = Part("p", 500)
+        self.assertIsNone(self.library.source(part, "v1.", 1, pace=100.0))
+        self.a.answered_ms = 8_000
+        self.assertEqual(self.library.source(part, "v1.", 8_000, pace=100.0), "a:1")
+
 
 class Places(unittest.TestCase):
     """Where new parts are kept."""
--- /dev/null
+++ b/test/gateway/test_probing.py
@@ -0,0 +1,49 @@
+"""Suspected targets are asked before callers' requests go to them."""
+
+from cornelreach.gateway import catalogue, probing
+from test.gateway import test_forwarding, world as world_module
+
+
+class Probing(test_forwarding.Case):
+    """One target of two fails and comes back."""
+
+    async def test_a_suspect_waits_for_its_probe(self):
+        async def health(engine, head, body, writer):
+            if head[""].startswith("GET /health"):
+                writer.write(b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n")
+                return
+            await world_module.fine(engine, head, body, writer)
+
+        await self.start(health, health)
+        roster = self.world.beliefs.roster
+        prober = probing.Prober(self.world.beliefs, self.world.http, self.world.clock)
+        roster.failed("e0", "silence", 0)
+        self.assertEqual(prober.due(), ["e0"])
+        usable = [one.id for one in roster.usable("s", self.world.clock.now_ms())]
+        self.assertEqual(usable, ["e1"])
+        await prober.probe("e0")
+        self.assertEqual(prober.due(), [])
+        self.assertEqual(len(roster.usable("s", self.world.clock.now_ms())), 2)
+
+    async def test_a_suspect_that_stays_away_is_asked_less_often(self):
+        await self.start(world_module.fine, world_module.fine)
+        roster = self.world.beliefs.roster
+        self.engines[0].server.close()
+        await self.engines[0].server.wait_closed()
+        prober = probing.Prober(self.world.beliefs, self.world.http, self.world.clock)
+        roster.failed("e0", "silence", 0)
+        await prober.probe("e0")
+        state = roster.state("e0")
+        self.assertEqual((state.failures, state.suspected), (2, True))
+        self.assertEqual(prober.due(), [])
+
+    async def test_suspects_of_unknown_services_are_left(self):
+        await self.start(world_module.fine)
+        found = world_module.make_catalogue([], [], version=2)
+        self.assertEqual(found.services, {})
+        self.world.beliefs.apply_catalogue(found)
+        prober = probing.Prober(self.world.beliefs, self.world.http, self.world.clock)
+        self.world.beliefs.roster.failed("e0", "silence", 0)
+        await prober.probe("e0")
+        self.assertEqual(self.runs(), 0)
+        self.assertIsInstance(found, catalogue.Catalogue)
--- a/test/gateway/test_roster.py
+++ b/test/gateway/test_roster.py
@@ -81,12 +81,15 @@
         self.roster.put(target("a"), 0, 0)
         self.roster.put(target("b"), 0, 0)
 
-    def test_a_failing_target_is_passed_over_longer_each_time(self):
+    def test_a_failing_target_is_passed_over_until_a_probe_clears_it(self):
         self.roster.failed("a", "reset", 0)
         self.assertEqual([one.id for one in self.roster.usable("s", 1)], ["b"])
         later_ms = roster.FIRST_EJECT_MS
+        self.assertEqual(len(self.roster.usable("s", later_ms)), 1)
+        self.roster.cleared("a")
         self.assertEqual(len(self.roster.usable("s", later_ms)), 2)
         self.roster.failed("a", "reset", later_ms)
+        self.roster.cleared("a")
         self.assertEqual(len(self.roster.usable("s", 2 * later_ms)), 1)
 
     def test_all_are_used_where_all_have_failed(self):
