Let a few instances follow each store for a larger fleet, and pace the watches

Change: two instances of those alive follow a store and relay; sums are kept as datagrams come; changes of entries within 300 ms are taken with one call, leases within 900 ms; the configuration is proved every 0.4 of the bound.

--- a/cornelreach/gateway/choice.py
+++ b/cornelreach/gateway/choice.py
@@ -111,15 +111,12 @@
             failing = max(0.0, state.error_share - fewest - USUAL_SPREAD)
             away = 0.0 if target.zone == self.zone else NEAR_SHARE
             outlier = max(0.0, slow - USUAL_SLOWNESS) + failing * FAILING_COST
-            suspect = SUSPECT_SHARE if self._is_suspected(target, now_ms) else 0.0
+            suspect = SUSPECT_SHARE if self.gossip.is_suspected(target.id) else 0.0
             chance = self.random.random() * NEAR_SHARE
             return busy + outlier + suspect + away + chance
 
         return min(targets, key=cost)
 
-    def _is_suspected(self, target: roster_module.Target, now_ms: float) -> bool:
-        return self.gossip.is_suspected(target.id, now_ms)
-
     def engine(
         self,
         targets: typing.Sequence[roster_module.Target],
@@ -128,7 +125,6 @@
         kept: typing.Callable[[calls.Part, str], bool],
         service: catalogue.Service,
         extra: typing.Callable[[roster_module.Target], float],
-        now_ms: float,
     ) -> tuple[roster_module.Target, float]:
         """Return the engine that would read the prompt soonest, and what it reads."""
         homes = hashing.rendezvous(wants.home.encode(), [one.id for one in targets])
@@ -142,17 +138,17 @@
             reads = missing[target.id]
             if target.id == homes[0]:
                 reads *= HOME_DISCOUNT
-            pressure = self._pressure(target, wants, memory, now_ms)
-            suspect = SUSPECT_COST if self._is_suspected(target, now_ms) else 0.0
+            pressure = self._pressure(target, wants, memory)
+            suspect = SUSPECT_COST if self.gossip.is_suspected(target.id) else 0.0
             slow = self.paces.ratio(target.id)
             return (reads + pressure) * slow + suspect + extra(target)
 
         chosen = min(targets, key=cost)
         return chosen, missing[chosen.id]
 
-    def unread(self, target: str, now_ms: float) -> float:
+    def unread(self, target: str) -> float:
         """Return the tokens that wait to be read at an engine, of all instances."""
-        others = self.gossip.others(target, now_ms)
+        others = self.gossip.others(target)
         return self.roster.state(target).unread_tokens + others.unread_tokens
 
     def _missing(
@@ -181,10 +177,9 @@
         target: roster_module.Target,
         wants: Wanted,
         memory: int,
-        now_ms: float,
     ) -> float:
         state = self.roster.state(target.id)
-        others = self.gossip.others(target.id, now_ms)
+        others = self.gossip.others(target.id)
         unread = state.unread_tokens + others.unread_tokens
         context = state.in_flight_tokens + others.context_tokens
         running = state.in_flight + others.requests
@@ -193,7 +188,7 @@
 
     def _busy(self, target: roster_module.Target, now_ms: float) -> float:
         state = self.roster.state(target.id)
-        others = self.gossip.others(target.id, now_ms)
+        others = self.gossip.others(target.id)
         known = state.in_flight + others.requests
         if state.load is None:
             return known
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -39,7 +39,10 @@
 ENGINE_IDLE_MS = 5_000
 PLATFORM_SILENCE_MS = 1_500
 PLATFORM_CALL_MS = 1_000
-PROOF_SHARE = 0.3  # of the bound on revoked keys, between two proofs
+TARGETS_PACE_MS = 300.0
+LEASES_PACE_MS = 900.0
+FLEET_PACE_MS = 1_500.0
+PROOF_SHARE = 0.4  # of the bound on revoked keys, between two proofs
 READY_SHARE = 0.6  # of the same bound; beyond it answers with a key are worth nothing
 LONG_WATCH_MS = 15_000
 LEAVE_MS = 2_800  # two readiness questions a second apart, and the balancer's delay
@@ -120,7 +123,7 @@
             self.library,
             promptstores.Stores(self.http),
             self.clock,
-            lambda: self.beliefs.fleet,
+            self.gossip,
             self.random,
         )
         self.selector = selection.Selector(
@@ -158,20 +161,23 @@
             readers.CatalogueReader(self.beliefs, self.clock, self._configured),
             proof_ms,
         )
+        beliefs, clock = self.beliefs, self.clock
         rest = [
-            readers.TargetReader(self.beliefs, self.clock),
-            readers.EvacuationReader(self.beliefs, self.clock),
-            readers.VersionReader(self.beliefs, self.clock, bounds.version_ms),
-            readers.FleetReader(self.beliefs, self.clock, self.gossip.addresses),
-            readers.LeaseReader(self.beliefs, self.clock, lease),
+            (readers.TargetReader(beliefs, clock), TARGETS_PACE_MS),
+            (readers.EvacuationReader(beliefs, clock), 0.0),
+            (readers.VersionReader(beliefs, clock, bounds.version_ms), 0.0),
+            (readers.FleetReader(beliefs, clock, self.gossip.addresses), FLEET_PACE_MS),
+            (readers.LeaseReader(beliefs, clock, lease), LEASES_PACE_MS),
         ]
-        others = [self._follower(one, LONG_WATCH_MS) for one in rest]
+        others = [self._follower(one, LONG_WATCH_MS, pace_ms) for one, pace_ms in rest]
         first.on_regained = lambda: [one.restart() for one in others]
         self.followers = [first, *others]
 
-    def _follower(self, reader: readers.Reader, wait_ms: int) -> following.Follower:
+    def _follower(
+        self, reader: readers.Reader, wait_ms: int, pace_ms: float = 0.0
+    ) -> following.Follower:
         return following.Follower(
-            self.objects, reader, wait_ms, self.clock, self.random
+            self.objects, reader, wait_ms, self.clock, self.random, pace_ms
         )
 
     def _configured(self) -> None:
--- a/cornelreach/gateway/following.py
+++ b/cornelreach/gateway/following.py
@@ -54,7 +54,10 @@
 
 
 class Follower:
-    """Keeps one reader up to date; ``wait_ms`` bounds how old its proof gets."""
+    """Keeps one reader up to date; ``wait_ms`` bounds how old its proof gets.
+
+    Changes that come within ``pace_ms`` of others are taken with one call.
+    """
 
     def __init__(
         self,
@@ -63,7 +66,9 @@
         wait_ms: int,
         clock: timers.Timers,
         source: random.Random,
+        pace_ms: float = 0.0,
     ) -> None:
+        self.pace_ms = pace_ms
         self.objects = objects
         self.reader = reader
         self.wait_ms = wait_ms
@@ -93,7 +98,10 @@
                 raise
             return
         if isinstance(outcome, result.Success):
-            self._succeeded(outcome.unwrap(), sent_ms)
+            found = outcome.unwrap()
+            self._succeeded(found, sent_ms)
+            if found.records and self.pace_ms:
+                await asyncio.sleep(self.pace_ms / 1_000)
         else:
             await self._failed(outcome.failure())
 
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -5,10 +5,11 @@
 made up for by the next; what a silent peer last told is forgotten after a moment. The
 rate of datagrams is bounded for each instance, so a large fleet is told later::
 
-    loads = gossip.others("engine-1", now_ms)
+    loads = gossip.others("engine-1")
 """
 
 import asyncio
+import collections
 import typing
 
 import msgspec
@@ -16,11 +17,13 @@
 from cornelreach.gateway import roster as roster_module
 from cornelreach.util import decoding, events, timers
 
-DATAGRAMS_PER_S = 150.0
+DATAGRAMS_PER_S = 300.0
 BURST_ROUNDS = 4
 LEAST_INTERVAL_MS = 150.0
+ALIVE_MS = 800.0  # the longest that an idle instance is silent
 FORGET_INTERVALS = 6
 LEAST_FORGET_MS = 700.0
+DEAD_MS = 2_500.0  # three silences of an idle peer
 MOST_DATAGRAM_BYTES = 1_400
 REPORT_MS = 2_500.0  # the platform's list has caught up by then
 
@@ -40,8 +43,11 @@
     context_tokens: int = 0
 
 
+NOTHING = Underway()
+
+
 class Told(typing.NamedTuple):
-    """One datagram: who sent it, its number in the sender's boot, and the loads.
+    """What one instance tells; ``number`` rises within the sender's boot.
 
     ``closed`` names the targets that are being given an order, ``versions`` the model
     versions that targets lately reported to the sender, ``suspected`` the targets that
@@ -57,7 +63,24 @@
     suspected: tuple[str, ...] = ()
 
 
-DECODER = msgspec.msgpack.Decoder(Told)
+class ShelfNews(typing.NamedTuple):
+    """What lies in a prompt store, relayed by an instance that follows it.
+
+    ``age_ms`` is how long ago the store answered the relaying instance; the parts are
+    (salt, identifier, tokens).
+    """
+
+    name: str
+    store: str
+    epoch: int
+    age_ms: float
+    parts: tuple[tuple[str, str, int], ...]
+
+
+DECODERS = {
+    b"t": msgspec.msgpack.Decoder(Told),
+    b"s": msgspec.msgpack.Decoder(ShelfNews),
+}
 
 
 class Reported(typing.NamedTuple):
@@ -68,10 +91,36 @@
 
 
 class Peer(typing.NamedTuple):
-    """The last datagram of a peer."""
+    """The last datagram of a peer; ``counted`` while its loads are in the sums."""
 
     told: Told
     at_ms: float
+    counted: bool
+
+
+class Sums:
+    """What all peers together have under way, kept as datagrams come and go."""
+
+    def __init__(self) -> None:
+        self.loads: dict[str, Underway] = {}
+        self.closed: collections.Counter[str] = collections.Counter()
+        self.suspected: collections.Counter[str] = collections.Counter()
+
+    def add(self, told: Told, sign: int) -> None:
+        """Add a peer's loads, or with a sign of -1 take them away."""
+        for target, load in told.loads.items():
+            held = self.loads.get(target, NOTHING)
+            total = Underway(*(a + sign * b for a, b in zip(held, load, strict=True)))
+            if total == NOTHING:
+                self.loads.pop(target, None)
+            else:
+                self.loads[target] = total
+        for counts, names in (
+            (self.closed, told.closed),
+            (self.suspected, told.suspected),
+        ):
+            for name in names:
+                counts[name] += sign
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -91,10 +140,13 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.peers: dict[str, Peer] = {}
         self.closed: set[str] = set()
+        self.on_shelf: typing.Callable[[ShelfNews], None] = lambda news: None
+        self._sums = Sums()
         self._versions: dict[str, Reported] = {}
         self._number = 0
         self._allowed = 0.0
         self._allowed_ms = clock.now_ms()
+        self._told_ms = 0.0
         self._quiet = False
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -102,26 +154,65 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        decoder = DECODERS.get(data[:1])
         try:
-            told = DECODER.decode(data)
+            if decoder is None:
+                raise msgspec.DecodeError("no kind of datagram begins like that")
+            found = decoder.decode(data[1:])
         except decoding.UNREADABLE as error:
             events.emit(GARBLED, address=address[0], error=str(error))
             return
-        self.take(told, self.clock.now_ms())
+        if isinstance(found, ShelfNews):
+            self.on_shelf(found)
+        else:
+            self.take(found)
 
     def error_received(self, error: OSError) -> None:
         """Take no note: a peer that is down is told again when it is back."""
 
-    def take(self, told: Told, now_ms: float) -> None:
+    def take(self, told: Told) -> None:
         """Keep what a peer tells, unless it came out of order."""
         held = self.peers.get(told.name)
         same_boot = held is not None and held.told.boot == told.boot
         if same_boot and held.told.number >= told.number:
             return
-        self.peers[told.name] = Peer(told, now_ms)
+        if held is not None and held.counted:
+            self._sums.add(held.told, -1)
+        self._sums.add(told, 1)
+        self.peers[told.name] = Peer(told, self.clock.now_ms(), True)
         for target, versions in told.versions.items():
             self.roster.learn_versions(target, versions)
 
+    def expire(self) -> None:
+        """Forget the loads of peers that fell silent."""
+        oldest_ms = self.clock.now_ms() - self.forget_ms()
+        for name, peer in self.peers.items():
+            if peer.counted and peer.at_ms < oldest_ms:
+                self._sums.add(peer.told, -1)
+                self.peers[name] = peer._replace(counted=False)
+
+    def forget_ms(self) -> float:
+        """Return how long what a peer told is believed."""
+        return max(LEAST_FORGET_MS, FORGET_INTERVALS * self.interval_ms())
+
+    def others(self, target: str) -> Underway:
+        """Return what the peers together have under way at a target."""
+        return self._sums.loads.get(target, NOTHING)
+
+    def is_closed(self, target: str) -> bool:
+        """Return whether an instance is giving a target an order."""
+        return target in self.closed or self._sums.closed[target] > 0
+
+    def is_suspected(self, target: str) -> bool:
+        """Return whether a target does not answer some peer."""
+        return self._sums.suspected[target] > 0
+
+    def alive(self) -> list[str]:
+        """Return this instance and the peers heard of lately, by name."""
+        oldest_ms = self.clock.now_ms() - DEAD_MS
+        heard = [name for name, peer in self.peers.items() if peer.at_ms >= oldest_ms]
+        return [self.name, *heard]
+
     def report(self, target: str, versions: dict[str, int]) -> None:
         """Take over what a target reported, and tell the peers."""
         self.roster.learn_versions(target, versions)
@@ -155,38 +246,7 @@
         if self._may_tell():
             self.tell()
 
-    def others(self, target: str, now_ms: float) -> Underway:
-        """Return what the peers together have under way at a target."""
-        requests = unread = context = 0
-        for told in self._fresh(now_ms):
-            load = told.loads.get(target)
-            if load is not None:
-                requests += load.requests
-                unread += load.unread_tokens
-                context += load.context_tokens
-        return Underway(requests, unread, context)
-
-    def is_closed(self, target: str, now_ms: float) -> bool:
-        """Return whether an instance is giving a target an order."""
-        if target in self.closed:
-            return True
-        return any(target in told.closed for told in self._fresh(now_ms))
-
-    def is_suspected(self, target: str, now_ms: float) -> bool:
-        """Return whether a target does not answer some peer."""
-        return any(target in told.suspected for told in self._fresh(now_ms))
-
-    def _fresh(self, now_ms: float) -> typing.Iterator[Told]:
-        forget_ms = self._forget_ms()
-        for told, at_ms in self.peers.values():
-            if now_ms - at_ms <= forget_ms:
-                yield told
-
-    def _forget_ms(self) -> float:
-        return max(LEAST_FORGET_MS, FORGET_INTERVALS * self.interval_ms())
-
-    def own(self) -> dict[str, Underway]:
-        """Return what this instance has under way."""
+    def _own(self) -> dict[str, Underway]:
         return {
             name: Underway(state.in_flight, state.unread_tokens, state.in_flight_tokens)
             for name, state in self.roster.states.items()
@@ -194,25 +254,36 @@
         }
 
     def tell(self) -> None:
-        """Send one round; a quiet instance falls silent after saying so once."""
-        loads = self.own()
-        versions = self._reported()
+        """Send one round; an instance with nothing to tell only shows that it lives."""
         suspected = tuple(
             name for name, state in self.roster.states.items() if state.suspected
         )
+        loads, versions = self._own(), self._reported()
+        now_ms = self.clock.now_ms()
         idle = not (loads or self.closed or versions or suspected)
-        if idle and self._quiet:
+        if idle and self._quiet and now_ms - self._told_ms < ALIVE_MS:
             return
-        self._quiet = idle
+        self._quiet, self._told_ms = idle, now_ms
         self._number += 1
-        closed = tuple(sorted(self.closed))
         told = Told(
-            self.name, self.boot, self._number, loads, closed, versions, suspected
+            self.name,
+            self.boot,
+            self._number,
+            loads,
+            tuple(sorted(self.closed)),
+            versions,
+            suspected,
         )
-        data = msgspec.msgpack.encode(told)
+        self._allowed -= self._round()
+        self._send(b"t" + msgspec.msgpack.encode(told))
+
+    def relay(self, news: ShelfNews) -> None:
+        """Send what lies in a store to all peers."""
+        self._send(b"s" + msgspec.msgpack.encode(news))
+
+    def _send(self, data: bytes) -> None:
         if self._transport is None or len(data) > MOST_DATAGRAM_BYTES:
             return
-        self._allowed -= self._round()
         for name, address in self.addresses.items():
             if name != self.name:
                 self._transport.sendto(data, address)
@@ -221,6 +292,7 @@
         """Tell until cancelled."""
         while True:
             await asyncio.sleep(self.interval_ms() / 1_000)
+            self.expire()
             self.tell()
 
     async def listen(self, host: str, port: int) -> None:
--- a/cornelreach/gateway/library.py
+++ b/cornelreach/gateway/library.py
@@ -14,7 +14,7 @@
 import random
 import typing
 
-from cornelreach.gateway import allowances, calls, catalogue
+from cornelreach.gateway import calls, catalogue, gossip as gossip_module
 from cornelreach.platform import promptstores
 from cornelreach.util import events, hashing, timers
 
@@ -29,7 +29,10 @@
 DELAY_WEIGHT = 0.2
 DELAY_FADES_MS = 2_500.0
 SAVING_MS = 3_000.0  # a save under way that shows no end by then is tried again
-WATCHERS = 8  # per store; stores bear a bounded number of waiting calls
+ALL_WATCH = 9  # instances; each follows every store itself in a fleet so small
+WATCHERS = 2  # per store in larger fleets; they relay to the others
+RELAY_MS = 250.0
+PARTS_A_DATAGRAM = 20
 HASH_RANGE = float(1 << 64)
 
 SHELF_LOST = events.define(
@@ -99,6 +102,22 @@
         self.answered_ms = now_ms
         return True
 
+    def take_relayed(self, news: gossip_module.ShelfNews, now_ms: float) -> None:
+        """Take over what a peer that follows the store relays.
+
+        Parts that a lost datagram named are missed: they are read again. Nothing
+        leaves a store but with its incarnation, or with a version of weights.
+        """
+        if news.epoch != self.epoch:
+            self.clear()
+            self.epoch = news.epoch
+        self._apply(
+            promptstores.Stored(promptstores.PartKey(salt, key), tokens)
+            for salt, key, tokens in news.parts
+        )
+        answered_ms = now_ms - news.age_ms
+        self.answered_ms = max(self.answered_ms or answered_ms, answered_ms)
+
     def _apply(self, changes: typing.Iterable[promptstores.Stored]) -> None:
         for part, tokens in changes:
             self.tokens += tokens - self.parts.pop(part, 0)
@@ -180,22 +199,28 @@
 
 
 class Librarian:
-    """Follows the events of the stores into the library."""
+    """Follows the events of the stores into the library.
+
+    In a larger fleet a few instances follow each store and relay what they learn, so
+    that the stores bear the calls; who they are follows from who is alive. An instance
+    lists a store once itself before it takes what is relayed.
+    """
 
     def __init__(
         self,
         library: Library,
         stores: promptstores.Stores,
         clock: timers.Timers,
-        fleet: typing.Callable[[], allowances.Fleet],
+        gossip: gossip_module.Gossip,
         source: random.Random,
     ) -> None:
         self.library = library
         self.stores = stores
         self.clock = clock
-        self.fleet = fleet
+        self.gossip = gossip
         self.random = source
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        gossip.on_shelf = self.take_relayed
 
     def configure(self, found: catalogue.Catalogue) -> None:
         """Follow the stores of a configuration."""
@@ -212,22 +237,27 @@
         for task in self._tasks.values():
             task.cancel()
 
-    def _watches(self, shelf: Shelf) -> bool:
-        fleet = self.fleet()
-        if fleet.size <= WATCHERS:
+    def take_relayed(self, news: gossip_module.ShelfNews) -> None:
+        """Take over what a peer relays, unless this instance follows the store."""
+        for shelf in self.library.shelves.values():
+            if shelf.store.name == news.store and not self.watches(shelf):
+                shelf.take_relayed(news, self.clock.now_ms())
+
+    def relays(self) -> bool:
+        """Return whether stores are followed by a few instances for all."""
+        return len(self.gossip.addresses) > ALL_WATCH
+
+    def watches(self, shelf: Shelf) -> bool:
+        """Return whether this instance follows a store itself."""
+        if not self.relays():
             return True
-        names = set(fleet.names) | {fleet.name}
-        ranked = hashing.rendezvous(shelf.store.name.encode(), names)
-        return fleet.name in ranked[:WATCHERS]
+        ranked = hashing.rendezvous(shelf.store.name.encode(), self.gossip.alive())
+        return self.gossip.name in ranked[:WATCHERS]
 
     async def _follow(self, shelf: Shelf) -> None:
         while True:
-            if not self._watches(shelf):
-                await asyncio.sleep(TRUST_MS / 1_000)
-                continue
             try:
-                await self._step(shelf)
-                pause_ms = PACE_MS
+                pause_ms = await self._step(shelf)
             except (*promptstores.FAILURES, promptstores.Busy) as error:
                 if shelf.epoch is not None:
                     events.emit(SHELF_LOST, store=shelf.store.name, reason=str(error))
@@ -235,12 +265,30 @@
                 pause_ms = RETRY_MS
             await asyncio.sleep(pause_ms * self.random.uniform(0.8, 1.2) / 1_000)
 
-    async def _step(self, shelf: Shelf) -> None:
+    async def _step(self, shelf: Shelf) -> float:
+        """Learn what is new at a store, and return the pause until the next time."""
         address = shelf.store.address
         if shelf.epoch is None:
             batch = await self.stores.listing(address)
             shelf.take_listing(batch, self.clock.now_ms())
             events.emit(SHELF_FOUND, store=shelf.store.name, parts=len(shelf.parts))
-            return
+            return PACE_MS
+        if not self.watches(shelf):
+            return RETRY_MS
         batch = await self.stores.events(address, shelf.position, POLL_WAIT_MS)
-        shelf.take_events(batch, self.clock.now_ms())
+        if shelf.take_events(batch, self.clock.now_ms()) and self.relays():
+            self._relay(shelf, batch)
+            return RELAY_MS
+        return PACE_MS
+
+    def _relay(self, shelf: Shelf, batch: promptstores.Batch) -> None:
+        parts = [(part.salt, part.key, tokens) for part, tokens in batch.changes]
+        for start in range(0, max(1, len(parts)), PARTS_A_DATAGRAM):
+            news = gossip_module.ShelfNews(
+                self.gossip.name,
+                shelf.store.name,
+                shelf.epoch,
+                0.0,
+                tuple(parts[start : start + PARTS_A_DATAGRAM]),
+            )
+            self.gossip.relay(news)
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -214,7 +214,7 @@
         service: catalogue.Service,
         now_ms: float,
     ) -> bool:
-        if self.chooser.gossip.is_closed(target.id, now_ms):
+        if self.chooser.gossip.is_closed(target.id):
             return False
         state = self.beliefs.roster.state(target.id)
         fleet = self.beliefs.fleet
@@ -250,7 +250,6 @@
             lambda part, salt: self._source(part, salt, now_ms) is not None,
             service,
             lambda one: self._age_cost(one, passage.model, now_ms),
-            now_ms,
         )
         salt = self._salt(target, passage)
         self.chooser.sent(target.id, salt, wants, service.engine.memory_tokens)
@@ -302,7 +301,7 @@
         """Let the peers know of a prompt that goes to an engine."""
         if chosen.salt is not None:
             target = chosen.target.id
-            chosen.ahead = self.chooser.unread(target, self.clock.now_ms())
+            chosen.ahead = self.chooser.unread(target)
             self.chooser.gossip.sent()
 
     def still_open(self, chosen: Choice) -> bool:
--- a/test/gateway/test_choice.py
+++ b/test/gateway/test_choice.py
@@ -34,14 +34,14 @@
     def engine(self, wanted, kept=lambda part, salt: False):
         """Return the engine that is chosen."""
         chosen, _ = self.chooser.engine(
-            self.targets, wanted, lambda _: "v1.", kept, SERVICE, lambda _: 0.0, 10_000
+            self.targets, wanted, lambda _: "v1.", kept, SERVICE, lambda _: 0.0
         )
         return chosen.id
 
-    def told(self, peer, **loads):
+    def told(self, peer, number=1, **loads):
         """Take a peer's datagram."""
-        told = gossip.Told(peer, "b", 1, loads)
-        self.gossip.take(told, self.clock.now_ms())
+        told = gossip.Told(peer, "b", number, loads)
+        self.gossip.take(told)
 
 
 class Engines(Case):
@@ -64,7 +64,6 @@
             lambda part, salt: False,
             SERVICE,
             lambda _: 0.0,
-            10_000,
         )
         self.assertEqual(self.engine(prompt), chosen.id)
 
@@ -103,7 +102,7 @@
         prompt = wants(("doc", 8_000), ("own", 500))
         first = self.engine(prompt)
         told = gossip.Told("peer", "b", 1, {}, suspected=(first,))
-        self.gossip.take(told, self.clock.now_ms())
+        self.gossip.take(told)
         self.assertNotEqual(self.engine(prompt), first)
 
     def test_what_is_remembered_of_an_engine_is_bounded_by_its_memory(self):
@@ -117,6 +116,8 @@
 class Herd(Case):
     """Pattern: many instances place prompts in the same moment."""
 
+    numbers = 0
+
     def place(self, told_at_once):
         """Place bursts from eight instances; return the fullest engine's share."""
         fullest = 0
@@ -128,8 +129,8 @@
                     name: gossip.Underway(1, tokens, tokens)
                     for name, tokens in view.items()
                 }
-                self.gossip.peers.clear()
-                self.told("peers", **told)
+                self.numbers += 1
+                self.told("peers", self.numbers, **told)
                 prompt = wants((f"d{burst}.{number}", 6_000), ("x", 1_000))
                 loads[self.engine(prompt)] += 7_000
             fullest += max(loads.values())
--- a/test/gateway/test_gossip.py
+++ b/test/gateway/test_gossip.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from cornelreach.gateway import gossip, roster
 from cornelreach.util import timers
 from test.gateway import test_roster
@@ -10,10 +13,14 @@
 
 
 class Sink:
-    """Takes datagrams and forgets them."""
+    """Takes datagrams."""
+
+    def __init__(self):
+        self.sent = []
 
     def sendto(self, data, address):
-        """Drop a datagram."""
+        """Note a datagram."""
+        self.sent.append((data, address))
 
 
 class Telling(unittest.TestCase):
@@ -27,32 +34,73 @@
     def take(self, name, number, boot="b", **fields):
         loads = fields.pop("loads", {"t1": Underway(2, 300, 900)})
         told = gossip.Told(name, boot, number, loads, **fields)
-        self.gossip.take(told, self.clock.now_ms())
+        self.gossip.take(told)
 
     def test_peers_add_up_and_fall_silent(self):
         self.take("b", 1)
         self.take("c", 1)
-        now_ms = self.clock.now_ms()
-        self.assertEqual(self.gossip.others("t1", now_ms), (4, 600, 1_800))
-        late_ms = now_ms + gossip.FORGET_INTERVALS * self.gossip.interval_ms() + 1
-        self.assertEqual(self.gossip.others("t1", late_ms), (0, 0, 0))
+        self.assertEqual(self.gossip.others("t1"), (4, 600, 1_800))
+        self.clock.advance(self.gossip.forget_ms() + 1)
+        self.take("c", 2)
+        self.gossip.expire()
+        self.assertEqual(self.gossip.others("t1"), (2, 300, 900))
+        self.take("b", 2)
+        self.assertEqual(self.gossip.others("t1"), (4, 600, 1_800))
 
     def test_an_older_datagram_does_not_undo_a_newer_one(self):
         self.take("b", 2, loads={})
         self.take("b", 1)
-        self.assertEqual(self.gossip.others("t1", 5_000).requests, 0)
+        self.assertEqual(self.gossip.others("t1").requests, 0)
         self.take("b", 1, boot="restarted")
-        self.assertEqual(self.gossip.others("t1", 5_000).requests, 2)
+        self.assertEqual(self.gossip.others("t1").requests, 2)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from("abc"),
+                strategies.integers(0, 5),
+                strategies.integers(0, 1_500),
+            )
+        )
+    )
+    def test_sums_equal_what_fresh_peers_told(self, steps):
+        self.setUp()
+        for number, (name, requests, wait_ms) in enumerate(steps):
+            loads = {"t1": Underway(requests, 1, 1)} if requests else {}
+            self.take(name, number, loads=loads, closed=("t1",) if requests else ())
+            self.clock.advance(wait_ms)
+            self.gossip.expire()
+        oldest_ms = self.clock.now_ms() - self.gossip.forget_ms()
+        fresh = [
+            one.told for one in self.gossip.peers.values() if one.at_ms >= oldest_ms
+        ]
+        requests = sum(one.loads["t1"].requests for one in fresh if one.loads)
+        self.assertEqual(self.gossip.others("t1").requests, requests)
+        self.assertEqual(self.gossip.is_closed("t1"), requests > 0)
 
     def test_unreadable_datagrams_are_dropped(self):
-        for data in (b"", b"\xc1", b"\x93\x01\x02\x03", bytes(2_000)):
+        for data in (b"", b"t\xc1", b"s\x93\x01\x02\x03", b"x", bytes(2_000)):
             self.gossip.datagram_received(data, ("10.0.0.1", 9))
         self.assertEqual(self.gossip.peers, {})
 
     def test_a_target_under_an_order_is_closed_for_all(self):
         self.take("b", 1, closed=("t1",))
-        self.assertTrue(self.gossip.is_closed("t1", 5_000))
-        self.assertFalse(self.gossip.is_closed("t1", 9_000))
+        self.assertTrue(self.gossip.is_closed("t1"))
+        self.clock.advance(4_000)
+        self.gossip.expire()
+        self.assertFalse(self.gossip.is_closed("t1"))
+
+    def test_an_idle_instance_shows_that_it_lives(self):
+        self.gossip._transport = Sink()
+        self.gossip.addresses = {"a": ("h", 1), "b": ("h", 2)}
+        for _ in range(100):
+            self.clock.advance(100)
+            self.gossip.tell()
+        self.assertTrue(10 <= len(self.gossip._transport.sent) <= 13)
+        self.take("b", 1)
+        self.assertEqual(self.gossip.alive(), ["a", "b"])
+        self.clock.advance(gossip.DEAD_MS + 1)
+        self.assertEqual(self.gossip.alive(), ["a"])
 
     def test_a_reported_version_runs_ahead_of_the_list(self):
         self.roster.put(test_roster.target("t1"), 0, 0)
--- a/test/gateway/test_library.py
+++ b/test/gateway/test_library.py
@@ -1,9 +1,11 @@
 """What lies in the prompt stores, and when a part may be fetched from one."""
 
+import random
 import unittest
 
-from cornelreach.gateway import calls, catalogue, library
+from cornelreach.gateway import calls, catalogue, gossip, library, roster
 from cornelreach.platform import promptstores
+from cornelreach.util import timers
 
 Part = calls.Part
 Stored = promptstores.Stored
@@ -111,3 +113,61 @@
         self.assertEqual(places, {"small:1"})
         small.take_events(batch(1, Stored(Key("v1.", "y"), 9_900)), 1)
         self.assertIsNone(self.library.place(Part("q", 1_000), "v1.", 2))
+
+
+class Relaying(unittest.TestCase):
+    """A few instances follow each store of a larger fleet, for all."""
+
+    def librarian(self, name, alive):
+        """Return an instance's librarian that hears the other instances."""
+        clock = timers.VirtualTimers(start_ms=5_000)
+        heard = gossip.Gossip(name, "b", roster.Roster(), clock)
+        for number, peer in enumerate(alive):
+            heard.addresses[peer] = ("h", number)
+            if peer != name:
+                heard.take(gossip.Told(peer, "b", 1, {}))
+        found = library.Library()
+        found.configure([store("a"), store("b")])
+        return library.Librarian(found, None, clock, heard, random.Random(1))
+
+    def test_all_follow_in_a_small_fleet_and_two_in_a_large_one(self):
+        for size, expected in ((8, 8), (40, library.WATCHERS)):
+            names = [f"i{number}" for number in range(size)]
+            watching = sum(
+                one.watches(one.library.shelves["a:1"])
+                for one in (self.librarian(name, names) for name in names)
+            )
+            self.assertEqual(watching, expected)
+
+    def test_others_take_over_when_the_followers_fall_silent(self):
+        names = [f"i{number}" for number in range(40)]
+        everyone = {name: self.librarian(name, names) for name in names}
+        first = {
+            name
+            for name, one in everyone.items()
+            if one.watches(one.library.shelves["a:1"])
+        }
+        left = [name for name in names if name not in first]
+        second = {
+            name
+            for name in left
+            if (one := self.librarian(name, left)).watches(one.library.shelves["a:1"])
+        }
+        self.assertEqual(len(second), library.WATCHERS)
+
+    def test_relayed_parts_are_sources_while_the_relay_speaks(self):
+        names = [f"i{number}" for number in range(40)]
+        one = next(
+            found
+            for found in (self.librarian(name, names) for name in names)
+            if not found.watches(found.library.shelves["a:1"])
+        )
+        news = gossip.ShelfNews("x", "a", 7, 0.0, (("v1.", "p", 500),))
+        one.take_relayed(news)
+        part = Part("p", 500)
+        now_ms = one.clock.now_ms()
+        self.assertEqual(one.library.source(part, "v1.", now_ms), "a:1")
+        late_ms = now_ms + library.TRUST_MS + 1
+        self.assertIsNone(one.library.source(part, "v1.", late_ms))
+        one.take_relayed(news._replace(epoch=8, parts=()))
+        self.assertIsNone(one.library.source(part, "v1.", now_ms))
