Expose the edge's metrics

Counters of endings and tries, a histogram of first bytes by route, gauges of beliefs, targets, peers and parts known, on the port that the deploy file names.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -32,6 +32,7 @@
     results,
     site as site_module,
 )
+from cornelreach.reports import metrics
 from cornelreach.util import errors, events, timers
 
 ENGINE_CONNECT_MS = 200
@@ -47,6 +48,7 @@
 LONG_WATCH_MS = 15_000
 LEAVE_MS = 2_800  # two readiness questions a second apart, and the balancer's delay
 STOP_MARGIN_MS = 900
+METRICS_PORT, METRICS_PATH = 9_464, "/metrics"  # as in deploy/system.toml
 SETTINGS_POLL_MS = 1_000
 BODY_WAIT_MS = 30_000
 CALLER_CONNECTIONS = 2_000
@@ -90,12 +92,14 @@
         self.beliefs = beliefs_module.Beliefs(
             site.name, bounds.revoke_ms, bounds.revoke_strict
         )
+        self.metrics = metrics.Metrics()
         self.stopping = False
         self._said_ready = ""
         self._tasks: list[asyncio.Task[typing.Any]] = []
         self._build_platform()
         self._build_forwarding()
         self._build_followers()
+        self._build_metrics()
 
     def _build_platform(self) -> None:
         self.platform_http = http_client.Client(
@@ -137,7 +141,12 @@
         )
         self.forwarder = forwarding.Forwarder(
             forwarding.Parts(
-                self.beliefs, self.selector, self.http, self.clock, self.random
+                self.beliefs,
+                self.selector,
+                self.http,
+                self.clock,
+                self.random,
+                self.metrics,
             )
         )
 
@@ -173,6 +182,32 @@
         first.on_regained = lambda: [one.restart() for one in others]
         self.followers = [first, *others]
 
+    def _build_metrics(self) -> None:
+        gauge = self.metrics.gauge
+        beliefs, roster = self.beliefs, self.beliefs.roster
+        gauge("requests_under_way", lambda: self.forwarder.active)
+        gauge("catalogue_version", lambda: getattr(beliefs.catalogue, "version", 0))
+        gauge("proof_age_ms", lambda: beliefs.proof_age_ms(self.clock.now_ms()))
+        gauge(
+            "targets_open",
+            lambda: sum(roster.is_open(*one[:2]) for one in roster.targets.values()),
+        )
+        gauge(
+            "targets_suspected",
+            lambda: sum(one.suspected for one in roster.states.values()),
+        )
+        gauge(
+            "parts_known",
+            lambda: sum(len(one.parts) for one in self.library.shelves.values()),
+        )
+        gauge("peers_alive", lambda: len(self.gossip.alive()) - 1)
+
+    async def _show_metrics(self, request: messages.Request) -> messages.Response:
+        if request.path != METRICS_PATH:
+            return messages.json_response(404, {"error": f"ask for {METRICS_PATH}"})
+        kind = ((b"content-type", b"text/plain; version=0.0.4"),)
+        return messages.Response(200, self.metrics.render(), kind)
+
     def _follower(
         self, reader: readers.Reader, wait_ms: int, pace_ms: float = 0.0
     ) -> following.Follower:
@@ -196,6 +231,9 @@
         """Listen, register, and follow the platform."""
         self.front = await self._listen(self.site.front, self.forwarder.handle)
         self.readiness = await self._listen(self.site.readiness, self._ready)
+        self.scraped = await self._listen(
+            f"{self.site.ip}:{METRICS_PORT}", self._show_metrics
+        )
         self._tasks = [
             asyncio.ensure_future(one.run()) for one in (*self.followers, self.rollouts)
         ]
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -22,6 +22,7 @@
 )
 from cornelreach.http import client as http_client, messages, server
 from cornelreach.platform import headers
+from cornelreach.reports import metrics as metrics_module
 from cornelreach.util import events, timers
 
 DEADLINE_MARGIN_S = 0.015  # the way back to the caller
@@ -54,6 +55,7 @@
     http: http_client.Client
     clock: timers.Timers
     random: random.Random
+    metrics: metrics_module.Metrics
 
 
 class Forwarder:
@@ -62,7 +64,6 @@
     def __init__(self, parts: Parts) -> None:
         self.parts = parts
         self.active = 0
-        self.counts: dict[tuple[str, int], int] = {}
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answer one request of a caller."""
@@ -155,6 +156,7 @@
                 chosen.release()
         passage.note(chosen.target.id, outcome)
         passage.chosen = chosen.describe()
+        self.parts.metrics.add("tries_total", 1, type(outcome).__name__.lower())
         if not isinstance(outcome, passages.Answered | passages.Opened):
             self._try_failed(passage, chosen, outcome)
         return outcome
@@ -363,8 +365,11 @@
         status: int,
         request_id: str = "",
     ) -> None:
-        key = (outcome, status)
-        self.counts[key] = self.counts.get(key, 0) + 1
+        metrics = self.parts.metrics
+        metrics.add("requests_total", 1, outcome, str(status))
+        if passage is not None and passage.first_byte_s is not None:
+            first_ms = passage.spent_ms(passage.first_byte_s)
+            metrics.observe("first_byte_ms", first_ms, route=passage.route.name)
         now_ms = self.parts.clock.now_ms()
         beliefs = self.parts.beliefs
         fields: dict[str, typing.Any] = {"route": "-", "tries": ""}
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -11,10 +11,11 @@
 from aioprometheus import renderer
 
 PREFIX = "cornelreach_"
+BUCKETS_MS = [10, 20, 50, 100, 200, 300, 500, 1_000, 2_000, 5_000, 15_000]
 
 
 class Spec(typing.NamedTuple):
-    """One metric: kind ``counter`` or ``gauge``, its labels and meaning."""
+    """One metric: kind ``counter``, ``gauge`` or ``histogram``, labels and meaning."""
 
     name: str
     kind: str
@@ -39,6 +40,21 @@
     Spec("platform_reachable", "gauge", (), "1 if the last platform call succeeded."),
     Spec("connections", "gauge", (), "Open connections of callers."),
     Spec("peers", "gauge", (), "Instances known to be alive."),
+    Spec(
+        "requests_total", "counter", ("outcome", "status"), "Edge: requests by ending."
+    ),
+    Spec("tries_total", "counter", ("outcome",), "Edge: tries at targets by outcome."),
+    Spec(
+        "first_byte_ms", "histogram", ("route",), "Edge: request header to first byte."
+    ),
+    Spec("requests_under_way", "gauge", (), "Edge: requests being answered."),
+    Spec("catalogue_version", "gauge", (), "Edge: configuration version in force."),
+    Spec("proof_age_ms", "gauge", (), "Edge: age of the configuration's proof."),
+    Spec("targets_open", "gauge", (), "Edge: targets that take new requests."),
+    Spec("targets_suspected", "gauge", (), "Edge: targets that do not answer."),
+    Spec("parts_known", "gauge", (), "Edge: prompt parts known in stores."),
+    Spec("peers_alive", "gauge", (), "Edge: peers heard of in the last seconds."),
+    Spec("log_lines_dropped", "gauge", (), "Edge: log lines that found no room."),
     Spec("pools_owned", "gauge", (), "Pools that this instance admits for."),
 )
 
@@ -57,11 +73,23 @@
             spec.name: collections.defaultdict(float) for spec in SPECS
         }
         self._gauges: dict[str, typing.Callable[[], float]] = {}
+        own = aioprometheus.Registry()
+        self._histograms = {
+            spec.name: aioprometheus.Histogram(
+                PREFIX + spec.name, spec.help, registry=own, buckets=BUCKETS_MS
+            )
+            for spec in SPECS
+            if spec.kind == "histogram"
+        }
 
     def add(self, name: str, amount: float, *labels: str) -> None:
         """Add to a counter; labels in the order of its spec."""
         self._values[name][labels] += amount
 
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Add a value to a histogram."""
+        self._histograms[name].observe(labels, value)
+
     def gauge(self, name: str, read: typing.Callable[[], float]) -> None:
         """Read a gauge from a function at each scrape."""
         if name not in self._values:
@@ -72,7 +100,10 @@
         """Return the text exposition of every metric that has a value."""
         registry = aioprometheus.Registry()
         for spec in SPECS:
-            self._register(spec, registry)
+            if spec.kind == "histogram":
+                registry.register(self._histograms[spec.name])
+            else:
+                self._register(spec, registry)
         body, _ = renderer.render(registry, ["text/plain"])
         return body
 
@@ -98,8 +129,9 @@
     head = [
         "# Metrics",
         "",
-        "Served at `/metrics` of the admin address; a test compares this page with the",
-        "code. Times are in milliseconds.",
+        "Served at `/metrics` of the daemon's admin address and on the port that",
+        "deploy/system.toml names for the edge, whose metrics begin with Edge. A test",
+        "compares this page with the code. Times are in milliseconds.",
         "",
         "| name | kind | labels | meaning |",
         "| --- | --- | --- | --- |",
--- a/cornelreach/ui/edge.py
+++ b/cornelreach/ui/edge.py
@@ -39,6 +39,7 @@
         loop.add_signal_handler(number, stop.set)
     edge = edge_module.Edge(site, path)
     loop.add_signal_handler(signal.SIGHUP, edge.reload)
+    edge.metrics.gauge("log_lines_dropped", lambda: outlet.dropped)
     await edge.start()
     edge.clock.every(FLUSH_MS, outlet.flush)
     await stop.wait()
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -69,6 +69,15 @@
         left_ms = int(head["x-cornelreach-deadline-ms"])
         self.assertTrue(1_000 < left_ms <= 2_000, left_ms)
 
+    async def test_endings_and_first_bytes_are_counted(self):
+        await self.start(world_module.fine)
+        await self.world.ask("/safe/x")
+        await self.world.ask("/nowhere/")
+        text = self.world.metrics.render().decode()
+        self.assertIn('requests_total{outcome="answered",status="200"} 1', text)
+        self.assertIn('requests_total{outcome="no-route",status="404"} 1', text)
+        self.assertIn('first_byte_ms_count{route="r/safe/"} 1', text)
+
     async def test_a_body_in_chunks_arrives_whole(self):
         await self.start(world_module.fine)
         data = world_module.request_bytes(
--- a/test/gateway/world.py
+++ b/test/gateway/world.py
@@ -16,6 +16,7 @@
 )
 from cornelreach.http import client as http_client, server
 from cornelreach.platform import site
+from cornelreach.reports import metrics
 from cornelreach.util import timers
 
 BOUNDS = site.Bounds(
@@ -189,8 +190,9 @@
         self.selector = selection.Selector(
             self.beliefs, chooser, self.library, self.http, BOUNDS, {}, self.clock
         )
+        self.metrics = metrics.Metrics()
         parts = forwarding.Parts(
-            self.beliefs, self.selector, self.http, self.clock, source
+            self.beliefs, self.selector, self.http, self.clock, source, self.metrics
         )
         self.forwarder = forwarding.Forwarder(parts)
         for engine in engines:
