Make the test of a dying holder find a missing pause

Now the first holder's orders are lost on the way; without the pause the test fails with 2,340 ms between two holders' orders (bound 3,000), with it it passes.

--- a/test/gateway/test_rollouts.py
+++ b/test/gateway/test_rollouts.py
@@ -133,12 +133,15 @@
     def test_another_goes_on_when_the_holder_dies(self):
         async def scenario(clock):
             self.build(clock)
+            self.engines.late = list(self.engines.versions)
             for member in self.members.values():
                 member.name_version(2)
             while not self.engines.orders:
                 await asyncio.sleep(0.01)
             holder = self.engines.orders[0][1].holder
+            await asyncio.sleep(0.1)
             self.tasks[holder].cancel()
+            self.engines.late = []
             await asyncio.sleep(20)
             self.close()
 
