--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -40,7 +40,7 @@
 ENGINE_IDLE_MS = 5_000
 PLATFORM_SILENCE_MS = 1_500
 PLATFORM_CALL_MS = 1_000
-TARGETS_PACE_MS = 300.0
+TARGETS_PACE_SHARE = 0.2  # of the bound on targets that leave
 LEASES_PACE_MS = 900.0
 FLEET_PACE_MS = 1_500.0
 PROOF_SHARE = 0.4  # of the bound on revoked keys, between two proofs
@@ -172,7 +172,10 @@
         )
         beliefs, clock = self.beliefs, self.clock
         rest = [
-            (readers.TargetReader(beliefs, clock), TARGETS_PACE_MS),
+            (
+                readers.TargetReader(beliefs, clock),
+                bounds.drain_ms * TARGETS_PACE_SHARE,
+            ),
             (readers.EvacuationReader(beliefs, clock), 0.0),
             (readers.VersionReader(beliefs, clock, bounds.version_ms), 0.0),
             (readers.FleetReader(beliefs, clock, self.gossip.addresses), FLEET_PACE_MS),
