--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -264,7 +264,7 @@
         }
         while True:
             outcome = await self.objects.put(
-                f"instances/{site.name}", value, if_absent=True
+                f"{platform_client.INSTANCES}{site.name}", value, if_absent=True
             )
             known = getattr(outcome, "failure", lambda: None)()
             if not isinstance(known, results.Unavailable | results.OutcomeUnknown):
@@ -323,5 +323,6 @@
         events.emit(STOPPED, name=self.site.name, active=self.forwarder.active)
         self.front.abort()
         self.librarian.close()
+        self.rollouts.close()
         for task in self._tasks:
             task.cancel()
--- a/cornelreach/gateway/readers.py
+++ b/cornelreach/gateway/readers.py
@@ -153,7 +153,7 @@
 class FleetReader(Reader):
     """The instances that ever registered."""
 
-    prefix = "instances/"
+    prefix = platform_client.INSTANCES
     kind = "fleet"
 
     def __init__(
--- a/cornelreach/gateway/rollouts.py
+++ b/cornelreach/gateway/rollouts.py
@@ -106,6 +106,12 @@
             if self.lease.held(self.clock.now_ms()):
                 self._start(work)
 
+    def close(self) -> None:
+        """Give no more orders."""
+        self.stopping = True
+        for task in self._busy.values():
+            task.cancel()
+
     async def _contend(self) -> None:
         now_ms = self.clock.now_ms()
         if self._due_ms is None:
--- a/cornelreach/gateway/roster.py
+++ b/cornelreach/gateway/roster.py
@@ -66,7 +66,6 @@
         self.suspected = False
         self.error_share = 0.0
         self.answer_ms: float | None = None
-        self.leaving = False
 
     def is_cold(self, now_ms: float) -> bool:
         """Return whether the target bears only a bounded rate of requests."""
@@ -186,7 +185,6 @@
             and target.service == service
             and not target.draining
             and target.zone not in self.evacuated
-            and not self.state(target_id).leaving
         )
 
     def open_targets(self, service: str) -> list[Target]:
--- a/cornelreach/platform/promptstores.py
+++ b/cornelreach/platform/promptstores.py
@@ -9,7 +9,6 @@
 
 EVENTS = "/api/kv-events"
 LISTING = "/api/kv-list"
-FREE = "/api/kv-free"
 WAIT_HEADER = b"wait-ms"
 CALL_MARGIN_MS = 400
 
@@ -99,24 +98,6 @@
         )
         return Batch(found["epoch"], found["next"], False, held)
 
-    async def free(
-        self, address: str, epoch: int, parts: typing.Iterable[PartKey]
-    ) -> bool:
-        """Free parts of one incarnation of a store; return whether it was done."""
-        body = {"epoch": epoch, "parts": [list(one) for one in parts]}
-        try:
-            status, _, _ = await self.http.call(
-                http_client.parse_address(address),
-                "POST",
-                FREE,
-                msgspec.json.encode(body),
-                ((b"content-type", b"application/json"),),
-                CALL_MARGIN_MS * 2,
-            )
-        except FAILURES:
-            return False
-        return status == 200
-
     async def _get(
         self, address: str, path: str, fields: typing.Any, wait_ms: int
     ) -> bytes:
--- a/test/gateway/test_rollouts.py
+++ b/test/gateway/test_rollouts.py
@@ -116,6 +116,8 @@
         """End every task."""
         for task in self.tasks.values():
             task.cancel()
+        for member in self.members.values():
+            member.rollouts.close()
 
     def test_every_engine_gets_the_version_from_one_holder(self):
         async def scenario(clock):
