Try the edge as a process, from its start to a graceful stop

Before the stand-in of the store (which speaks the published protocol) and an engine on loopback: ready, served, metrics, a key revoked and given back, a target that drains and returns, a forged entry, SIGHUP, SIGTERM with a request under way. Also: a connection is not used past the time its target states.

--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -175,6 +175,16 @@
             self.assertEqual((status, answer[-2:]), (200, b"ok"))
         self.assertEqual(self.engines[0].connections, 3)
 
+    async def test_a_connection_is_not_used_past_the_time_its_target_states(self):
+        async def brief(engine, head, body, writer):
+            writer.write(engine.answer(head, extra="keep-alive: timeout=1\r\n"))
+
+        await self.start(brief)
+        for number, pause_s in enumerate((0, 0, 0.5)):
+            await asyncio.sleep(pause_s)
+            await self.world.ask("/once/x", x_cornelreach_request_id=f"id-{number}")
+        self.assertEqual(self.engines[0].connections, 2)
+
     async def test_a_success_without_signature_is_none(self):
         async def unsigned(engine, head, body, writer):
             writer.write(engine.answer(head, signed=False))
--- /dev/null
+++ b/test/ui/test_edge.py
@@ -0,0 +1,213 @@
+"""The edge as a process, before the stand-in of the store and engines on loopback."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import unittest
+
+import msgspec
+
+from cornelreach.http import client as http_client, server
+from standins import platform as platform_module
+from test.gateway import world as world_module
+from test.platform import test_records
+
+SETTINGS = """
+node_name = "edge-1"
+zone = "lj"
+ip = "{host}"
+internal_ports = [7580, 7595]
+[zones]
+lj = "central"
+[listen]
+front = "{host}:7601"
+readiness = "{host}:7602"
+[bounds]
+drain_ms = 2000
+grace_s = 5
+config_apply_ms = 2000
+revoke_strict = true
+revoke_ms = 5000
+retry_budget = 0.2
+budget_window_s = 10
+retry_slack = 56
+[platform]
+address = "{store}"
+reads_per_s = 2000
+writes_per_s = 400
+"""
+READY_WAIT_S = 10
+
+
+def config(version, keys=(world_module.KEY,)):
+    """Return a configuration with one plain service."""
+    route = {
+        "name": "r",
+        "hostname": world_module.HOST,
+        "path_prefix": "/once/",
+        "route_type": "non_idempotent",
+        "timeout_ms": 4_000,
+        "service": "s",
+    }
+    service = {"name": "s", "health_path": "/health", "max_connections": 50}
+    return {
+        "version": version,
+        "routes": [route],
+        "services": [service],
+        "limits": test_records.CONFIG["limits"],
+        "tenants": [{"name": "tirnica", "api_keys": list(keys)}],
+    }
+
+
+class Edge(unittest.IsolatedAsyncioTestCase):
+    """One process from its start to its end."""
+
+    async def asyncSetUp(self):
+        pid = os.getpid()
+        self.host = f"127.{1 + pid // 62_500 % 250}.{1 + pid // 250 % 250}.{pid % 250}"
+        self.store = platform_module.Platform()
+        self.store_server = await server.start("127.0.0.1", 0, self.store.handle)
+        self.http = http_client.Client()
+        self.engine = world_module.Engine("e1", self.script)
+        await self.engine.start()
+        self.delay_s = 0.0
+        self.addAsyncCleanup(self.close)
+
+    async def script(self, engine, head, body, writer):
+        """Answer after a delay."""
+        await asyncio.sleep(self.delay_s)
+        writer.write(engine.answer(head))
+
+    async def close(self):
+        """End all that was started."""
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        await self.http.close()
+        self.store_server.stop_listening()
+        self.store_server.abort()
+        self.engine.server.close()
+
+    def seed(self, key, value):
+        """Write an object as the operator or an engine does."""
+        self.store.model.seed(key, msgspec.json.encode(value))
+        self.store._wake()
+
+    async def start(self):
+        """Start the process and wait until it is ready."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.settings = pathlib.Path(folder.name) / "settings.toml"
+        store = f"127.0.0.1:{self.store_server.port}"
+        text = SETTINGS.format(host=self.host, store=store)
+        self.settings.write_text(text)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "cornelreach.ui.edge",
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "CORNELREACH_CONFIG": str(self.settings)},
+        )
+        self.lines = []
+        self.reading = asyncio.ensure_future(self._read())
+        await self.until(self.ready)
+
+    async def _read(self):
+        async for line in self.process.stdout:
+            self.lines.append(msgspec.json.decode(line))
+
+    async def until(self, met):
+        """Wait until a condition holds."""
+        end_s = time.monotonic() + READY_WAIT_S
+        while not await met():
+            self.assertLess(time.monotonic(), end_s, "not met in time")
+            await asyncio.sleep(0.05)
+
+    async def call(self, port, method, path, headers=()):
+        """Send a request to a port of the process; return status and body."""
+        address = http_client.Address(self.host, port)
+        try:
+            status, body, _ = await self.http.call(
+                address, method, path, b"", headers, wait_ms=5_000
+            )
+        except http_client.RequestNotSent:
+            return 0, b""
+        return status, body
+
+    async def ready(self):
+        """Return whether the process says that it is ready."""
+        return (await self.call(7602, "GET", "/api/ready"))[0] == 200
+
+    async def ask(self, number):
+        """Send a caller's request and return its status."""
+        headers = (
+            (b"host", world_module.HOST.encode()),
+            (b"x-cornelreach-request-id", f"id-{number}".encode()),
+            (b"x-api-key", world_module.KEY.encode()),
+            (b"x-cornelreach-deadline-ms", b"3000"),
+        )
+        return (await self.call(7601, "POST", "/once/x", headers))[0]
+
+    def entry(self, **changes):
+        """Write the engine's entry."""
+        entry = {**test_records.SERVER, "service": "s", "models": [], **changes}
+        self.seed("servers/e1", {**entry, "address": self.engine.address})
+
+    async def test_life_of_an_edge(self):
+        self.seed("config/main", config(3))
+        self.entry(cold_remaining_ms=0)
+        self.seed("servers/forged", {"service": 7})
+        await self.start()
+        self.assertEqual(await self.ask(1), 200)
+        status, text = await self.call(9_464, "GET", "/metrics")
+        self.assertEqual(status, 200)
+        self.assertIn(b"cornelreach_catalogue_version 3", text)
+
+        self.seed("config/main", config(4, keys=("other",)))
+        await self.until(self.refused_key)
+        self.seed("config/main", config(5))
+        await self.until(self.served)
+
+        self.entry(state="draining", cold_remaining_ms=0)
+        await self.until(self.no_target)
+        self.entry(cold_remaining_ms=0)
+        await self.until(self.served)
+
+        self.settings.write_text(
+            self.settings.read_text().replace("grace_s = 5", "grace_s = 6")
+        )
+        self.process.send_signal(signal.SIGHUP)
+        await self.until(self.reloaded)
+
+        self.delay_s = 0.5
+        under_way = asyncio.ensure_future(self.ask("last"))
+        await asyncio.sleep(0.1)
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(await under_way, 200)
+        self.assertFalse(await self.ready())
+        self.delay_s = 0.0
+        self.assertEqual(await self.ask("after the signal"), 200)
+        self.assertEqual(await asyncio.wait_for(self.process.wait(), 8), 0)
+        await self.reading
+        numbers = {line["event"] for line in self.lines}
+        self.assertTrue({1210, 2001, 2003, 2004, 2101, 2201, 2401} <= numbers)
+
+    async def refused_key(self):
+        """Return whether the key is refused."""
+        return await self.ask("revoked") == 401
+
+    async def served(self):
+        """Return whether requests are served."""
+        return await self.ask("served") == 200
+
+    async def no_target(self):
+        """Return whether nothing is sent to the target."""
+        return await self.ask("drained") == 503
+
+    async def reloaded(self):
+        """Return whether the bounds were taken over."""
+        return any(line["event"] == 2005 for line in self.lines)
