Name each library's version in one place

requirements-edge.txt holds what the edge needs (and the users' build installs); requirements.txt the rest of the daemon's and tools'; both are the package's.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 env: $(STAMP)
 
-$(STAMP): requirements.txt requirements-dev.txt
+$(STAMP): requirements-edge.txt requirements.txt requirements-dev.txt
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps -e .
