Refuse a header over the limit however it arrives

Cause, found by a new test: h11 bounds only a header that is still incomplete, so one that arrived whole passed whatever its size. Ruled out: the limits of the settings (a body over its limit was refused).

Also tried now: pipelined requests, slow headers, and an answer given before the body was read (the rest of the body stays in its place, three times on one connection).

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -154,6 +154,7 @@
             return None
         received_s = asyncio.get_running_loop().time()
         headers = tuple((bytes(key), bytes(value)) for key, value in head.headers)
+        self._refuse_large_header(head)
         self._refuse_ambiguous_length(headers)
         body = await self._timed(
             self._read_body(), self.limits.body_wait_ms, "the request body"
@@ -169,6 +170,17 @@
             received_s,
         )
 
+    def _refuse_large_header(self, head: h11.Request) -> None:
+        # h11 bounds only a header that is not complete yet.
+        fields_bytes = sum(len(name) + len(value) + 4 for name, value in head.headers)
+        if len(head.target) + fields_bytes > self.limits.header_bytes:
+            refusal = errors.Refusal(
+                errors.Code.TOO_LARGE,
+                f"the header exceeds {self.limits.header_bytes} bytes",
+                "send a shorter header",
+            )
+            raise Refused(refusal)
+
     def _refuse_ambiguous_length(self, headers: messages.Headers) -> None:
         # h11 lets Transfer-Encoding win over Content-Length; a proxy in front may
         # not, which is how requests are smuggled.
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -5,6 +5,7 @@
 import unittest
 
 from cornelreach.gateway import catalogue
+from cornelreach.http import limits
 from test.gateway import world as world_module
 
 Kind = catalogue.Kind
@@ -283,6 +284,78 @@
             self.assertEqual(status, 200)
 
 
+class Ingress(Case):
+    """What callers may do to a connection."""
+
+    async def test_pipelined_requests_are_answered_in_turn(self):
+        await self.start(world_module.fine)
+        data = b"".join(
+            world_module.request_bytes(
+                "/once/x",
+                x_cornelreach_request_id=f"id-{number}",
+                connection="close" if number == 3 else "keep-alive",
+            )
+            for number in range(1, 4)
+        )
+        got = (await self.world.raw(data, until_closed=True)).lower()
+        places = [got.index(b"request-id: id-%d" % number) for number in (1, 2, 3)]
+        self.assertEqual(places, sorted(places))
+        self.assertEqual((got.count(b"http/1.1 200"), self.runs()), (3, 3))
+
+    async def test_a_header_that_comes_too_slowly_is_refused_as_not_run(self):
+        await self.start(world_module.fine)
+        self.world.server.limits = limits.Limits(header_wait_ms=100)
+        data = world_module.request_bytes("/once/x")[:60]
+        got = await self.world.raw(data, until_closed=True)
+        self.assertIn(b" 408 ", got.split(b"\r\n")[0])
+        self.assertEqual(self.runs(), 0)
+
+    async def test_too_large_headers_and_bodies_are_refused(self):
+        await self.start(world_module.fine)
+        self.world.server.limits = limits.Limits(header_bytes=500, body_bytes=100)
+        status, _ = await self.world.ask("/once/x", body=b"x" * 101)
+        self.assertEqual(status, 413)
+        data = world_module.request_bytes("/once/x", x_long="y" * 600)
+        got = await self.world.raw(data, until_closed=True)
+        self.assertIn(got.split(b" ")[1], (b"413", b"431"))
+        self.assertEqual(self.runs(), 0)
+
+    async def test_an_answer_before_the_body_is_read_leaves_its_rest_in_place(self):
+        early = Early("e0", None)
+        await early.start()
+        await self.start()
+        self.world.engines.append(early)
+        self.world.list(early, "s")
+        body = bytes(range(256)) * 4_000
+        for number in range(3):
+            status, _ = await self.world.ask(
+                "/once/x", body=body, x_cornelreach_request_id=f"id-{number}"
+            )
+            self.assertEqual(status, 200)
+        await asyncio.sleep(0.2)
+        self.assertEqual(early.bodies, [body] * 3)
+
+
+class Early(world_module.Engine):
+    """Answers at the header and reads the body later, on a connection that it keeps."""
+
+    bodies = ()
+
+    async def serve_one(self, reader, writer):
+        raw = await reader.readuntil(b"\r\n\r\n")
+        fields = dict(
+            line.lower().split(": ", 1)
+            for line in raw.decode().split("\r\n")[1:]
+            if line
+        )
+        writer.write(self.answer(fields))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        body = await reader.readexactly(int(fields["content-length"]))
+        self.bodies = [*self.bodies, body]
+        return True
+
+
 class Streams(Case):
     """Event streams: passed on as they come, continued or ended with the truth."""
 
