--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 .PHONY: env test lint format run serve docs measure bench-placement measure-fairness \
 	measure-control measure-fleet measure-instances check-admission
-.PHONY: measure-slopes fuzz
+.PHONY: measure-slopes fuzz soak
 
 env: $(STAMP)
 
@@ -53,6 +53,14 @@
 	$(PYTHON) -m tools.fuzz --seed=$(SEED) \
 	    --seconds=$(if $(filter-out file,$(origin SECONDS)),$(SECONDS),60)
 
+# Random faults against real processes; SEED=1 SEEDS=1 SECONDS=25 PROCESSES=4 unless given.
+SEEDS_OF_SOAK = $(if $(filter-out file,$(origin SEEDS)),$(SEEDS),1)
+
+soak: env
+	$(PYTHON) -m tools.soak --seed=$(SEED) --seeds=$(SEEDS_OF_SOAK) \
+	    --seconds=$(if $(filter-out file,$(origin SECONDS)),$(SECONDS),25) \
+	    --processes=$(or $(PROCESSES),4)
+
 measure-slopes: env
 	$(PYTHON) -m tools.measure_slopes
 
--- a/standins/platformmodel.py
+++ b/standins/platformmodel.py
@@ -260,9 +260,15 @@
         """Return an object that is there, at no cost."""
         return self._objects[key]
 
-    def seed(self, key: str, value: bytes) -> None:
-        """Store a value before the start, past preconditions and faults."""
-        self._apply(key, value)
+    def seed(self, key: str, value: bytes | None) -> None:
+        """Store a value past preconditions and faults; None takes the object away."""
+        if value is not None or key in self._objects:
+            self._apply(key, value)
+
+    def compact(self) -> None:
+        """Drop the change log, so that watches from before must list anew."""
+        self._log.clear()
+        self._compacted = self.revision
 
     def _admit(self, bucket: Bucket, now_ms: float) -> Refused | None:
         if now_ms < self._outage_until_ms:
--- /dev/null
+++ b/standins/wireengine.py
@@ -0,0 +1,374 @@
+"""Stand-in engine that speaks the users' published protocol, with faults.
+
+Engines share one ``Ledger``, which keeps every arrival, so that a trial can say
+afterwards which request ran where and how often::
+
+    ledger = Ledger()
+    engine = WireEngine("engine-1", "pool", ledger, model="m", version=1)
+    await engine.start("127.0.0.1")
+    engine.entry("lj")      # what it writes to the platform's store
+"""
+
+import asyncio
+import contextlib
+import random
+import time
+import typing
+
+import msgspec
+
+from cornelreach.platform import engines, headers
+from cornelreach.util import hashing
+
+WORK_S = 0.012
+EVENT_GAP_S = 0.004
+EVENTS = 12
+LOAD_S = 0.3
+QUEUE = 12
+LATE_ORDER_S = (2.0, 4.0)
+
+
+class Arrival(typing.NamedTuple):
+    """One request as an engine saw it; ``refused`` if it was not run."""
+
+    request_id: str
+    engine: str
+    at_s: float
+    refused: bool
+    account: str
+    version: int
+    cold: bool
+    resumed_from: int
+
+
+class OrderSeen(typing.NamedTuple):
+    """One order as an engine saw it."""
+
+    engine: str
+    born: int
+    holder: str
+    fence: int
+    at_s: float
+
+
+class Ledger:
+    """What all engines have seen."""
+
+    def __init__(self) -> None:
+        self.arrivals: list[Arrival] = []
+        self.orders: list[OrderSeen] = []
+        self.leaked_keys: list[str] = []
+
+    def runs(self) -> dict[str, list[Arrival]]:
+        """Return the arrivals that ran, by request."""
+        found: dict[str, list[Arrival]] = {}
+        for one in self.arrivals:
+            if not one.refused:
+                found.setdefault(one.request_id, []).append(one)
+        return found
+
+
+class Faults:
+    """Shares of requests that an engine spoils, and whether it stands silent."""
+
+    def __init__(self) -> None:
+        self.errors = 0.0
+        self.lost = 0.0
+        self.garbled = 0.0
+        self.late_orders = 0.0
+        self.dark = False
+
+
+def body_of(request_id: str, engine: str) -> bytes:
+    """Return the whole body of a plain answer."""
+    return f"{request_id} at {engine}".encode()
+
+
+def signature_of(body: bytes) -> str:
+    """Return the signature of a plain answer's body."""
+    return f"{hashing.score(body, 'engine'):x}"
+
+
+def event(request_id: str, number: int) -> bytes:
+    """Return one event of a stream; the last one says so."""
+    last = " end" if number == EVENTS else ""
+    return f"id: {number}\ndata: {request_id} {number}{last}\n\n".encode()
+
+
+class Head(typing.NamedTuple):
+    """The head of a request."""
+
+    method: str
+    target: str
+    fields: dict[str, str]
+
+    def get(self, name: bytes) -> str:
+        """Return a header's value, empty if absent."""
+        return self.fields.get(name.decode(), "")
+
+
+async def read_head(reader: asyncio.StreamReader) -> Head:
+    """Read the head of the next request; raises IncompleteReadError at the end."""
+    raw = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = raw.decode("latin-1").split("\r\n")
+    method, target, _ = first.split(" ", 2)
+    fields = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        if name:
+            fields[name.lower()] = value.strip()
+    return Head(method, target, fields)
+
+
+class WireEngine:
+    """One engine on loopback."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        ledger: Ledger,
+        source: random.Random,
+        model: str = "",
+        version: int = 1,
+        slots: int = 8,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.ledger = ledger
+        self.random = source
+        self.model = model
+        self.version = version
+        self.slots = slots
+        self.faults = Faults()
+        self.address = ""
+        self.born = 0
+        self.cold_until_s = 0.0
+        self.draining = False
+        self.running = 0
+        self.sequence = 0
+        self.loading = False
+        self.on_change: typing.Callable[[], None] = lambda: None
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._orders: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str, cold_s: float = 0.0) -> None:
+        """Start a lifetime; it knows nothing of the one before but its version."""
+        port = int(self.address.rpartition(":")[2]) if self.address else 0
+        self._server = await asyncio.start_server(self._serve, host, port)
+        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
+        self.born += 1
+        self.sequence = self.running = 0
+        self.loading = self.draining = False
+        self.cold_until_s = time.monotonic() + cold_s if cold_s else 0.0
+
+    def crash(self) -> None:
+        """End the lifetime at once."""
+        self._server.close()
+        for task in self._orders:
+            task.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def entry(self, zone: str, address: str) -> dict[str, typing.Any]:
+        """Return what the engine writes about itself."""
+        cold_s = max(0.0, self.cold_until_s - time.monotonic())
+        hosted = [{"name": self.model, "version": self.version}] if self.model else []
+        return {
+            "service": self.service,
+            "address": address,
+            "zone": zone,
+            "version": "1.0",
+            "slots": self.slots,
+            "state": "draining" if self.draining else "ready",
+            "cold_remaining_ms": cold_s * 1_000,
+            "models": hosted,
+            "born": self.born,
+            "sequence": self.sequence,
+        }
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                head = await read_head(reader)
+                length = int(head.fields.get("content-length", 0))
+                body = await reader.readexactly(length)
+                while self.faults.dark:
+                    await asyncio.sleep(0.05)
+                await self._answer(head, body, writer)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the caller or a fault ended the connection
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, head: Head, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        if head.target == engines.REPORT:
+            self._reply(writer, 200, msgspec.json.encode(self._report()))
+        elif head.target == engines.ORDER:
+            status = self._order(msgspec.json.decode(body))
+            if status:
+                self._reply(writer, status, b"")
+            else:
+                writer.transport.abort()
+        elif head.target == "/health":
+            self._reply(writer, 503 if self.draining else 200, b"", self._load())
+        else:
+            await self._request(head, writer)
+
+    def _load(self) -> str:
+        return f"{headers.LOAD.decode()}: {self.running},0,{self.slots}\r\n"
+
+    def _reply(
+        self, writer: asyncio.StreamWriter, status: int, body: bytes, extra: str = ""
+    ) -> None:
+        fields = f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n{extra}\r\n"
+        writer.write(fields.encode() + body)
+
+    async def _request(self, head: Head, writer: asyncio.StreamWriter) -> None:
+        status = self._refusal(head)
+        self._note(head, status != 0)
+        if status:
+            request_id = head.get(headers.REQUEST_ID)
+            extra = f"{headers.REQUEST_ID.decode()}: {request_id}\r\n" + self._load()
+            if status != headers.MISDIRECTED:
+                extra += f"{headers.NOT_RUN.decode()}: 1\r\n"
+            self._reply(writer, status, b"", extra)
+            return
+        self.running += 1
+        try:
+            await self._run(head, writer)
+        finally:
+            self.running -= 1
+
+    def _refusal(self, head: Head) -> int:
+        if head.get(headers.TARGET) not in ("", self.name):
+            return headers.MISDIRECTED
+        wanted = head.get(headers.VERSION)
+        if wanted and int(wanted) != self.version:
+            return headers.MISDIRECTED
+        if self.loading or self.running >= self.slots + QUEUE:
+            return 503
+        return 0
+
+    def _note(self, head: Head, refused: bool) -> None:
+        now_s = time.monotonic()
+        arrival = Arrival(
+            head.get(headers.REQUEST_ID),
+            self.name,
+            now_s,
+            refused,
+            head.get(headers.TENANT),
+            self.version,
+            now_s < self.cold_until_s,
+            int(head.get(headers.LAST_EVENT) or 0),
+        )
+        self.ledger.arrivals.append(arrival)
+        if head.get(headers.API_KEY):
+            self.ledger.leaked_keys.append(arrival.request_id)
+
+    async def _run(self, head: Head, writer: asyncio.StreamWriter) -> None:
+        full = max(1.0, self.running / self.slots)
+        await asyncio.sleep(WORK_S * full * self.random.uniform(0.5, 1.5))
+        request_id = head.get(headers.REQUEST_ID)
+        extra = f"{headers.REQUEST_ID.decode()}: {request_id}\r\n" + self._load()
+        chance = self.random.random()
+        if chance < self.faults.lost:
+            writer.transport.abort()
+            return
+        if self.random.random() < self.faults.errors:
+            body = b"failed"
+            extra += f"{headers.SIGNATURE.decode()}: {signature_of(body)}\r\n"
+            self._reply(writer, 500, body, extra)
+            return
+        if head.get(headers.MODEL):
+            await self._stream(head, writer, extra)
+            return
+        body = body_of(request_id, self.name)
+        extra += f"{headers.SIGNATURE.decode()}: {signature_of(body)}\r\n"
+        if self.random.random() < self.faults.garbled:
+            fields = f"HTTP/1.1 200 X\r\ncontent-length: {len(body)}\r\n{extra}\r\n"
+            writer.write(fields.encode() + body[: len(body) // 2])
+            await writer.drain()
+            writer.transport.abort()
+            return
+        self._reply(writer, 200, body, extra)
+
+    async def _stream(
+        self, head: Head, writer: asyncio.StreamWriter, extra: str
+    ) -> None:
+        request_id = head.get(headers.REQUEST_ID)
+        fields = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+        fields += "content-type: text/event-stream\r\n" + extra
+        fields += f"{headers.SIGNATURE.decode()}: stream.{request_id}\r\n\r\n"
+        writer.write(fields.encode())
+        broken = self.random.random() < self.faults.garbled
+        start = int(head.get(headers.LAST_EVENT) or 0) + 1
+        for number in range(start, EVENTS + 1):
+            data = event(request_id, number)
+            if broken and number > EVENTS // 2:
+                writer.write(f"{len(data):x}\r\n".encode() + data[:5])
+                await writer.drain()
+                writer.transport.abort()
+                return
+            writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(EVENT_GAP_S)
+        writer.write(b"0\r\n\r\n")
+
+    def _report(self) -> dict[str, typing.Any]:
+        return {
+            "stage": "unified",
+            "models": [{"name": self.model, "version": self.version, "adapters": []}],
+            "busy": self.loading,
+            "sequence": self.sequence,
+            "queued": 0,
+            "running": self.running,
+            "kv_used": 0,
+            "kv_total": 1,
+            "handles": 0,
+        }
+
+    def _order(self, order: dict[str, typing.Any]) -> int:
+        """Take an order; 0 stands for one that is carried out late, unanswered."""
+        seen = OrderSeen(
+            self.name, self.born, order["holder"], order["fence"], time.monotonic()
+        )
+        self.ledger.orders.append(seen)
+        if self.random.random() < self.faults.late_orders:
+            self._spawn(self._apply_late(order))
+            return 0
+        return self._accept(order)
+
+    def _accept(self, order: dict[str, typing.Any]) -> int:
+        if order["version"] <= self.version:
+            return 200
+        if self.loading or order.get("precondition", self.sequence) != self.sequence:
+            return 409
+        self.sequence += 1
+        self.loading = True
+        self._spawn(self._carry_out(order["version"]))
+        return 202
+
+    def _spawn(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _apply_late(self, order: dict[str, typing.Any]) -> None:
+        await asyncio.sleep(self.random.uniform(*LATE_ORDER_S))
+        self._accept(order)
+
+    async def _carry_out(self, version: int) -> None:
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(LOAD_S)
+            self.version = max(self.version, version)
+            self.loading = False
+            self.on_change()
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak: real programs as processes on one machine."""
--- /dev/null
+++ b/tools/soak/schedule.py
@@ -0,0 +1,68 @@
+"""Seeded schedules of faults: what happens to whom, when, and for how long."""
+
+import random
+import typing
+
+QUIET_START_S = 1.5
+SERIES_GAP_S = 0.6
+
+
+class Fault(typing.NamedTuple):
+    """One fault; ``subject`` is an edge, an engine, a data centre or empty."""
+
+    at_s: float
+    kind: str
+    subject: str
+    for_s: float
+
+    def __str__(self) -> str:
+        where = f" {self.subject}" if self.subject else ""
+        return f"{self.at_s:5.1f} s {self.kind}{where} for {self.for_s:.1f} s"
+
+
+EDGE_KINDS = ("kill", "pause", "term", "reload", "store-silent", "store-deaf")
+EDGE_KINDS += ("store-reset", "store-slow", "cut")
+STORE_KINDS = ("outage", "slow", "lose-answers", "compact")
+ENGINE_KINDS = ("crash", "dark", "errors", "lost", "garbled", "drain", "cold")
+ENGINE_KINDS += ("late-orders", "link-silent", "link-reset", "forged")
+OPERATOR_KINDS = ("revoke", "route", "version", "evacuate")
+WEIGHTS = ((EDGE_KINDS, 4), (STORE_KINDS, 2), (ENGINE_KINDS, 4), (OPERATOR_KINDS, 3))
+
+
+def draw(
+    source: random.Random,
+    seconds: float,
+    edges: typing.Sequence[str],
+    engines: typing.Sequence[str],
+    zones: typing.Sequence[str],
+) -> list[Fault]:
+    """Return a schedule whose faults overlap, some of them in series."""
+    subjects = {EDGE_KINDS: edges, ENGINE_KINDS: engines}
+    found: list[Fault] = []
+    groups = [group for group, _ in WEIGHTS]
+    weights = [weight for _, weight in WEIGHTS]
+    while len(found) < seconds:
+        group = source.choices(groups, weights)[0]
+        kind = source.choice(group)
+        subject = source.choice(subjects.get(group, ("",)))
+        if kind == "evacuate":
+            subject = source.choice(zones)
+        at_s = source.uniform(QUIET_START_S, seconds)
+        for_s = source.choice((0.4, 1.0, 2.5, 6.0))
+        fault = Fault(round(at_s, 1), kind, subject, for_s)
+        found.append(fault)
+        if source.random() < 0.25 and group is not OPERATOR_KINDS:
+            later_s = round(at_s + for_s + SERIES_GAP_S, 1)
+            others = subjects.get(group, ("",))
+            found.append(fault._replace(at_s=later_s, subject=source.choice(others)))
+    return sorted(found)
+
+
+def smaller(faults: typing.Sequence[Fault]) -> typing.Iterator[list[Fault]]:
+    """Yield schedules with a part left out, halves first, then single faults."""
+    half = len(faults) // 2
+    if half:
+        yield list(faults[:half])
+        yield list(faults[half:])
+    for index in range(len(faults)):
+        yield [*faults[:index], *faults[index + 1 :]]
