--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -117,7 +117,11 @@
             silence_ms=ENGINE_SILENCE_MS,
         )
         self.gossip = gossip_module.Gossip(
-            self.site.name, self.boot, self.beliefs.roster, self.clock
+            self.site.name,
+            self.boot,
+            self.beliefs.roster,
+            self.clock,
+            self.site.zone,
         )
         self.chooser = choice.Chooser(
             self.beliefs.roster, self.gossip, self.site.zone, self.random
@@ -178,7 +182,7 @@
             ),
             (readers.EvacuationReader(beliefs, clock), 0.0),
             (readers.VersionReader(beliefs, clock, bounds.version_ms), 0.0),
-            (readers.FleetReader(beliefs, clock, self.gossip.addresses), FLEET_PACE_MS),
+            (readers.FleetReader(beliefs, clock, self.gossip.members), FLEET_PACE_MS),
             (readers.LeaseReader(beliefs, clock, lease), LEASES_PACE_MS),
         ]
         others = [self._follower(one, LONG_WATCH_MS, pace_ms) for one, pace_ms in rest]
@@ -244,6 +248,7 @@
         prober = probing.Prober(self.beliefs, self.http, self.clock)
         self._tasks.append(asyncio.ensure_future(prober.run()))
         self._tasks.append(asyncio.ensure_future(self.gossip.run()))
+        self._tasks.append(asyncio.ensure_future(self.gossip.run_hub()))
         self._tasks.append(asyncio.ensure_future(self._register()))
         self._tasks.append(asyncio.ensure_future(self._watch_settings()))
         events.emit(
@@ -261,6 +266,7 @@
             "data_centre": site.zone,
             "peer_address": f"{site.ip}:{site.ports[0]}",
             "state": "live",
+            "power": site.power,
         }
         while True:
             outcome = await self.objects.put(
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -1,20 +1,23 @@
 """What every instance has under way at each target, told in datagrams.
 
-Each instance tells its peers at once when it has sent a prompt, and a few times a
-second besides, what it has under way and what of it is not yet read. A lost datagram is
+Each instance tells at once when it has sent a prompt, and a few times a second besides,
+what it has under way and what of it is not yet read: in a small fleet to every other,
+in a larger one to the hubs of its data centre, which pass sums on. A lost datagram is
 made up for by the next; what a silent peer last told is forgotten after a moment. The
-rate of datagrams is bounded for each instance, so a large fleet is told later::
+rate of datagrams is bounded for each instance::
 
     loads = gossip.others("engine-1")
 """
 
 import asyncio
-import collections
 import typing
 
-import msgspec
-
-from cornelreach.gateway import roster as roster_module
+from cornelreach.gateway import (
+    datagrams,
+    hubs as hubs_module,
+    relays,
+    roster as roster_module,
+)
 from cornelreach.util import decoding, events, timers
 
 DATAGRAMS_PER_S = 500.0
@@ -24,9 +27,11 @@
 ALIVE_MS = 800.0  # the longest that an idle instance is silent
 FORGET_INTERVALS = 6
 LEAST_FORGET_MS = 700.0
-DEAD_MS = 2_500.0  # three silences of an idle peer
-MOST_DATAGRAM_BYTES = 1_400
 REPORT_MS = 2_500.0  # the platform's list has caught up by then
+HUB_DATAGRAMS_PER_S = 1_000.0
+DIGEST_MS = 25.0
+SLOW_DIGEST_MS = 250.0  # to those that follow another hub, and without news
+BUNDLE_MS = 100.0
 
 GARBLED = events.define(
     2501,
@@ -34,54 +39,15 @@
     "A datagram from {address} is unreadable: {error}.",
     "If it repeats: find out who else sends to this port.",
 )
-
-
-class Underway(typing.NamedTuple):
-    """Requests at one target: their count, tokens not yet read, and memory."""
-
-    requests: int = 0
-    unread_tokens: int = 0
-    context_tokens: int = 0
-
-
-NOTHING = Underway()
-
-
-class Told(typing.NamedTuple):
-    """What one instance tells; ``number`` rises within the sender's boot.
-
-    ``closed`` names the targets that are being given an order, ``versions`` the model
-    versions that targets lately reported to the sender, ``suspected`` the targets that
-    do not answer it.
-    """
-
-    name: str
-    boot: str
-    number: int
-    loads: dict[str, Underway]
-    closed: tuple[str, ...] = ()
-    versions: dict[str, dict[str, int]] = {}
-    suspected: tuple[str, ...] = ()
-
-
-class ShelfNews(typing.NamedTuple):
-    """What lies in a prompt store, relayed by an instance that follows it.
-
-    ``age_ms`` is how long ago the store answered the relaying instance; the parts are
-    (salt, identifier, tokens).
-    """
-
-    name: str
-    store: str
-    epoch: int
-    age_ms: float
-    parts: tuple[tuple[str, str, int], ...]
-
-
-DECODERS = {
-    b"t": msgspec.msgpack.Decoder(Told),
-    b"s": msgspec.msgpack.Decoder(ShelfNews),
-}
+TOO_LONG = events.define(
+    2502,
+    "WARNING",
+    "A datagram of {length} bytes is too long and was not sent.",
+    "Report it with the log line.",
+)
+FOLLOWS = events.define(
+    2503, "INFO", "Loads of other instances come from {hub} now.", "Nothing."
+)
 
 
 class Reported(typing.NamedTuple):
@@ -94,36 +60,11 @@
 class Peer(typing.NamedTuple):
     """The last datagram of a peer; ``counted`` while its loads are in the sums."""
 
-    told: Told
+    told: datagrams.Told
     at_ms: float
     counted: bool
 
 
-class Sums:
-    """What all peers together have under way, kept as datagrams come and go."""
-
-    def __init__(self) -> None:
-        self.loads: dict[str, Underway] = {}
-        self.closed: collections.Counter[str] = collections.Counter()
-        self.suspected: collections.Counter[str] = collections.Counter()
-
-    def add(self, told: Told, sign: int) -> None:
-        """Add a peer's loads, or with a sign of -1 take them away."""
-        for target, load in told.loads.items():
-            held = self.loads.get(target, NOTHING)
-            total = Underway(*(a + sign * b for a, b in zip(held, load, strict=True)))
-            if total == NOTHING:
-                self.loads.pop(target, None)
-            else:
-                self.loads[target] = total
-        for counts, names in (
-            (self.closed, told.closed),
-            (self.suspected, told.suspected),
-        ):
-            for name in names:
-                counts[name] += sign
-
-
 class Gossip(asyncio.DatagramProtocol):
     """Sends this instance's loads and keeps those of its peers."""
 
@@ -133,45 +74,63 @@
         boot: str,
         roster: roster_module.Roster,
         clock: timers.Timers,
+        zone: str = "",
     ) -> None:
         self.name = name
         self.boot = boot
+        self.zone = zone
         self.roster = roster
         self.clock = clock
-        self.addresses: dict[str, tuple[str, int]] = {}
+        self.members: dict[str, hubs_module.Member] = {}
+        self.hubs = hubs_module.Hubs(name, zone, self.members, clock)
+        self.relay_state = relays.Relay(clock)
         self.peers: dict[str, Peer] = {}
         self.closed: set[str] = set()
-        self.on_shelf: typing.Callable[[ShelfNews], None] = lambda news: None
-        self._sums = Sums()
+        self.on_shelf: typing.Callable[[datagrams.ShelfNews], None] = lambda news: None
+        self._sums = relays.Sums()
+        self._digested = relays.Sums()
+        self._digested_ms = 0.0
+        self._combined = relays.Sums()
+        self._revision = 1  # of what others told and this instance sent
+        self._combined_of = 0
+        self._passed_on_of = 0
+        self._followed = name
+        self._assemblies: dict[tuple[str, bool], relays.Assembly] = {}
         self._versions: dict[str, Reported] = {}
         self._number = 0
         self._allowed = 0.0
         self._allowed_ms = clock.now_ms()
         self._told_ms = 0.0
         self._quiet = False
+        self._due_ms: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         self._transport = transport
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
-        decoder = DECODERS.get(data[:1])
         try:
-            if decoder is None:
-                raise msgspec.DecodeError("no kind of datagram begins like that")
-            found = decoder.decode(data[1:])
+            found = datagrams.decode(data)
         except decoding.UNREADABLE as error:
             events.emit(GARBLED, address=address[0], error=str(error))
             return
-        if isinstance(found, ShelfNews):
-            self.on_shelf(found)
-        else:
-            self.take(found)
+        match found:
+            case datagrams.Told():
+                self.take(found)
+            case datagrams.Digest():
+                self.take_digest(found)
+            case datagrams.Reports():
+                self.take_reports(found)
+            case datagrams.Bundle(_, news):
+                for one in news:
+                    self.on_shelf(one)
 
     def error_received(self, error: OSError) -> None:
         """Take no note: a peer that is down is told again when it is back."""
 
-    def take(self, told: Told) -> None:
+    # What others tell.
+
+    def take(self, told: datagrams.Told) -> None:
         """Keep what a peer tells, unless it came out of order."""
         held = self.peers.get(told.name)
         same_boot = held is not None and held.told.boot == told.boot
@@ -179,40 +138,97 @@
             return
         if held is not None and held.counted:
             self._sums.add(held.told, -1)
-        self._sums.add(told, 1)
+        self._sums.add(told)
+        self._revision += 1
         self.peers[told.name] = Peer(told, self.clock.now_ms(), True)
-        for target, versions in told.versions.items():
-            self.roster.learn_versions(target, versions)
+
+    def take_reports(self, reports: datagrams.Reports) -> None:
+        """Take over model versions; what is news to a hub it tells for a while too."""
+        for target, versions in reports.versions.items():
+            if self.roster.learn_versions(target, versions) and self.hubs.is_needed():
+                self._versions[target] = Reported(versions, self.clock.now_ms())
+
+    def take_digest(self, part: datagrams.Digest) -> None:
+        """Take a part of what a hub passes on."""
+        self.hubs.heard(part.hub)
+        sender = (part.hub, bool(part.zone))
+        assembly = self._assemblies.setdefault(sender, relays.Assembly())
+        digest = assembly.take(part)
+        if digest is None:
+            return
+        if digest.zone:
+            self.relay_state.take_zone(digest)
+            self._revision += 1
+            return
+        self._follow()
+        if digest.hub == self._followed:
+            self._digested = relays.Sums()
+            self._digested.add(digest)
+            self._digested_ms = self.clock.now_ms()
+
+    def _follow(self) -> None:
+        found = self.hubs.followed() if self.hubs.is_needed() else self.name
+        if found != self._followed:
+            self._followed = found
+            events.emit(FOLLOWS, hub=found)
 
     def expire(self) -> None:
-        """Forget the loads of peers that fell silent."""
-        oldest_ms = self.clock.now_ms() - self.forget_ms()
+        """Forget the loads of those that fell silent."""
+        now_ms = self.clock.now_ms()
+        oldest_ms = now_ms - self.forget_ms()
         for name, peer in self.peers.items():
             if peer.counted and peer.at_ms < oldest_ms:
                 self._sums.add(peer.told, -1)
                 self.peers[name] = peer._replace(counted=False)
+                self._revision += 1
+        if self._digested_ms < oldest_ms:
+            self._digested = relays.Sums()
+        self._follow()
 
     def forget_ms(self) -> float:
         """Return how long what a peer told is believed."""
         return max(LEAST_FORGET_MS, FORGET_INTERVALS * self.interval_ms())
 
-    def others(self, target: str) -> Underway:
+    # What is known of others.
+
+    def _view(self) -> relays.Sums:
+        if not self.hubs.is_needed():
+            return self._sums
+        return self._all() if self._followed == self.name else self._digested
+
+    def _all(self) -> relays.Sums:
+        """Return what a hub knows of others: of its data centre and of the rest."""
+        if self._combined_of != self._revision:
+            self._combined_of = self._revision
+            self._combined = relays.Sums()
+            self._combined.add(self._sums)
+            for digest in self.relay_state.zones():
+                self._combined.add(digest)
+        return self._combined
+
+    def others(self, target: str) -> datagrams.Underway:
         """Return what the peers together have under way at a target."""
-        return self._sums.loads.get(target, NOTHING)
+        return self._view().loads.get(target, datagrams.NOTHING)
 
     def is_closed(self, target: str) -> bool:
         """Return whether an instance is giving a target an order."""
-        return target in self.closed or self._sums.closed[target] > 0
+        return target in self.closed or self._view().closed[target] > 0
 
     def is_suspected(self, target: str) -> bool:
         """Return whether a target does not answer some peer."""
-        return self._sums.suspected[target] > 0
+        return self._view().suspected[target] > 0
+
+    def _heard(self) -> list[str]:
+        oldest_ms = self.clock.now_ms() - relays.DEAD_MS
+        return [name for name, peer in self.peers.items() if peer.at_ms >= oldest_ms]
 
     def alive(self) -> list[str]:
-        """Return this instance and the peers heard of lately, by name."""
-        oldest_ms = self.clock.now_ms() - DEAD_MS
-        heard = [name for name, peer in self.peers.items() if peer.at_ms >= oldest_ms]
-        return [self.name, *heard]
+        """Return this instance and those that it heard of lately, by name."""
+        return [self.name, *self._heard()]
+
+    def leads(self) -> bool:
+        """Return whether this instance is the hub of a data centre."""
+        return self.hubs.is_needed() and self._followed == self.name
 
     def report(self, target: str, versions: dict[str, int]) -> None:
         """Take over what a target reported, and tell the peers."""
@@ -227,13 +243,22 @@
             del self._versions[target]
         return {name: one.versions for name, one in self._versions.items()}
 
+    # What this instance tells.
+
     def interval_ms(self) -> float:
         """Return the time between two rounds of datagrams."""
         per_s = DATAGRAMS_PER_S * PERIODIC_SHARE
         return max(LEAST_INTERVAL_MS, self._round() / per_s * 1_000)
 
     def _round(self) -> int:
-        return max(1, len(self.addresses) - 1)
+        if self.hubs.is_needed():
+            return hubs_module.HUBS
+        return max(1, len(self.members) - 1)
+
+    def _listeners(self) -> list[str]:
+        if self.hubs.is_needed():
+            return self.hubs.tell_to(self.zone)
+        return [name for name in self.members if name != self.name]
 
     def _may_tell(self) -> bool:
         now_ms = self.clock.now_ms()
@@ -245,50 +270,143 @@
 
     def sent(self) -> None:
         """Tell at once that a prompt went out, if the rate allows."""
+        self._revision += 1
         if self._may_tell():
             self.tell()
 
-    def _own(self) -> dict[str, Underway]:
-        return {
-            name: Underway(state.in_flight, state.unread_tokens, state.in_flight_tokens)
+    def _own(self) -> dict[str, datagrams.Underway]:
+        """Return the own loads, the heaviest if they do not fit into a datagram."""
+        loads = {
+            name: datagrams.Underway(
+                state.in_flight, state.unread_tokens, state.in_flight_tokens
+            )
             for name, state in self.roster.states.items()
             if state.in_flight
         }
+        if len(loads) <= datagrams.LOADS_A_DATAGRAM:
+            return loads
+        heaviest = sorted(loads, key=lambda name: -loads[name].context_tokens)
+        return {name: loads[name] for name in heaviest[: datagrams.LOADS_A_DATAGRAM]}
+
+    def _told(self) -> datagrams.Told:
+        self._number += 1
+        return datagrams.Told(
+            self.name,
+            self.boot,
+            self._number,
+            self._own(),
+            tuple(sorted(self.closed)),
+            tuple(n for n, state in self.roster.states.items() if state.suspected),
+            self._followed,
+        )
 
     def tell(self) -> None:
         """Send one round; an instance with nothing to tell only shows that it lives."""
-        suspected = tuple(
-            name for name, state in self.roster.states.items() if state.suspected
-        )
-        loads, versions = self._own(), self._reported()
+        told = self._told()
         now_ms = self.clock.now_ms()
-        idle = not (loads or self.closed or versions or suspected)
+        versions = self._reported()
+        idle = not (told.loads or told.closed or versions or told.suspected)
         if idle and self._quiet and now_ms - self._told_ms < ALIVE_MS:
             return
         self._quiet, self._told_ms = idle, now_ms
-        self._number += 1
-        told = Told(
-            self.name,
-            self.boot,
-            self._number,
-            loads,
-            tuple(sorted(self.closed)),
-            versions,
-            suspected,
+        listeners = self._listeners()
+        self._allowed -= len(listeners)
+        self._send(told, listeners)
+        for reports in datagrams.reports(self.name, versions):
+            self._send(reports, listeners)
+
+    def relay(self, news: datagrams.ShelfNews) -> None:
+        """Pass on what lies in a store to those that listen to this hub."""
+        self.relay_state.take_news(news)
+
+    def _send(self, datagram: datagrams.Datagram, names: typing.Iterable[str]) -> None:
+        if self._transport is None:
+            return
+        data = datagrams.encode(datagram)
+        if len(data) > datagrams.MOST_BYTES:
+            events.emit(TOO_LONG, length=len(data))
+            return
+        for name in names:
+            member = self.members[name]
+            self._transport.sendto(data, (member.host, member.port))
+
+    # What a hub passes on.
+
+    def _is_due(self, what: str, pause_ms: float) -> bool:
+        now_ms = self.clock.now_ms()
+        if now_ms < self._due_ms.get(what, 0.0):
+            return False
+        self._due_ms[what] = now_ms + pause_ms
+        return True
+
+    def _served(self) -> dict[str, datagrams.Told]:
+        """Return the instances of this data centre that tell this one."""
+        return {
+            name: peer.told
+            for name, peer in self.peers.items()
+            if peer.counted
+            and name in self.members
+            and self.members[name].zone == self.zone
+        }
+
+    def pass_on(self) -> float:
+        """Send digests to those that listen; returns the pause until the next time."""
+        served = self._served()
+        followers = [n for n, told in served.items() if told.follows == self.name]
+        leads = bool(followers) or self._followed == self.name
+        if not self.hubs.is_needed() or not (served or leads):
+            return SLOW_DIGEST_MS
+        slow = self._is_due("slow", SLOW_DIGEST_MS)
+        if slow or (leads and self._passed_on_of != self._revision):
+            self._passed_on_of = self._revision
+            listeners = list(served) if slow else followers
+            self._send_digests(listeners, served)
+        if slow:
+            self._send_reports(list(served))
+        if self._is_due("bundle", BUNDLE_MS):
+            for bundle in datagrams.bundles(self.name, self.relay_state.news()):
+                self._send(bundle, followers)
+        return max(DIGEST_MS, len(followers) / HUB_DATAGRAMS_PER_S * 1_000)
+
+    def _send_digests(
+        self, listeners: list[str], served: typing.Mapping[str, datagrams.Told]
+    ) -> None:
+        own = self._told()
+        total, ours = relays.Sums(), relays.Sums()
+        for sums, others in ((total, self._all()), (ours, self._sums)):
+            sums.add(others)
+            sums.add(own)
+        members = sum(told.follows == self.name for told in served.values())
+        digest = datagrams.Digest(
+            self.name, self.boot, own.number, "", members, 0, 1, {}
+        )
+        named = digest._replace(closed=tuple(total.closed))
+        named = named._replace(suspected=tuple(total.suspected))
+        for name in listeners:
+            loads = total.without(served[name].loads)
+            for part in datagrams.split(named._replace(loads=loads)):
+                self._send(part, (name,))
+        zone = digest._replace(
+            zone=self.zone,
+            loads=ours.loads,
+            closed=tuple(ours.closed),
+            suspected=tuple(ours.suspected),
         )
-        self._allowed -= self._round()
-        self._send(b"t" + msgspec.msgpack.encode(told))
+        for part in datagrams.split(zone):
+            self._send_to_hubs(part)
 
-    def relay(self, news: ShelfNews) -> None:
-        """Send what lies in a store to all peers."""
-        self._send(b"s" + msgspec.msgpack.encode(news))
+    def _send_to_hubs(self, datagram: datagrams.Datagram) -> None:
+        """Send a datagram to the hubs of the other data centres."""
+        for zone in self.hubs.zones():
+            if zone != self.zone:
+                self._send(datagram, self.hubs.tell_to(zone))
 
-    def _send(self, data: bytes) -> None:
-        if self._transport is None or len(data) > MOST_DATAGRAM_BYTES:
-            return
-        for name, address in self.addresses.items():
-            if name != self.name:
-                self._transport.sendto(data, address)
+    def _send_reports(self, served: list[str]) -> None:
+        for reports in datagrams.reports(self.name, self._reported()):
+            self._send(reports, served)
+            self._send_to_hubs(reports)
+
+    # Running.
 
     async def run(self) -> None:
         """Tell until cancelled."""
@@ -297,6 +415,11 @@
             self.expire()
             self.tell()
 
+    async def run_hub(self) -> None:
+        """Pass on what others tell, until cancelled."""
+        while True:
+            await asyncio.sleep(self.pass_on() / 1_000)
+
     async def listen(self, host: str, port: int) -> None:
         """Receive on an address."""
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/cornelreach/gateway/hubs.py
@@ -0,0 +1,121 @@
+"""Which instances pass on what the others tell, as one instance sees it.
+
+In a small fleet everybody tells everybody. In a larger one each data centre has hubs:
+the strongest of its registered instances, and among equals the first by rendezvous, so
+that all agree without talking. An instance tells the first two that are not silent and
+listens to the first that it hears; one that is silent is told now and then, so that its
+return shows::
+
+    hubs.tell_to("kranj")     # names of hubs
+    hubs.followed()           # whose digests count, one's own name if none is heard
+"""
+
+import typing
+
+from cornelreach.util import hashing, timers
+
+ALL_DIRECT = 9  # instances; each tells every other in a fleet so small
+HUBS = 2
+SILENT_MS = 700.0  # two digests of an idle hub and a lost datagram
+PROBE_MS = 1_000.0  # a silent one is told so often, to see it return
+
+
+class Member(typing.NamedTuple):
+    """A registered instance: where it takes datagrams, and how strong it is.
+
+    ``power`` is its share of processors.
+    """
+
+    host: str
+    port: int
+    zone: str = ""
+    power: float = 1.0
+
+
+class Hubs:
+    """The hubs of all data centres, in order."""
+
+    def __init__(
+        self, name: str, zone: str, members: dict[str, Member], clock: timers.Timers
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.members = members
+        self.clock = clock
+        self._heard_ms: dict[str, float] = {}
+        self._told_ms: dict[str, float] = {}
+        self._probe_ms: dict[str, float] = {}
+        self._ranked: dict[str, list[str]] = {}
+        self._ranked_of: frozenset[str] = frozenset()
+
+    def is_needed(self) -> bool:
+        """Return whether the fleet is too large for everybody to tell everybody."""
+        return len(self.members) > ALL_DIRECT
+
+    def zones(self) -> list[str]:
+        """Return the data centres of all registered instances."""
+        self._rank()
+        return list(self._ranked)
+
+    def _rank(self) -> None:
+        names = frozenset(self.members)
+        if names == self._ranked_of:
+            return
+        self._ranked_of = names
+        by_zone: dict[str, list[str]] = {}
+        for name in hashing.rendezvous(b"hubs", names):
+            by_zone.setdefault(self.members[name].zone, []).append(name)
+        for found in by_zone.values():
+            found.sort(key=lambda name: -self.members[name].power)
+        self._ranked = by_zone
+
+    def heard(self, name: str) -> None:
+        """Take note that an instance acts as a hub."""
+        self._heard_ms[name] = self.clock.now_ms()
+
+    def _is_heard(self, name: str) -> bool:
+        heard_ms = self._heard_ms.get(name)
+        return heard_ms is not None and self.clock.now_ms() - heard_ms <= SILENT_MS
+
+    def _is_silent(self, name: str) -> bool:
+        told_ms = self._told_ms.get(name)
+        waited = told_ms is not None and self.clock.now_ms() - told_ms > SILENT_MS
+        return waited and not self._is_heard(name)
+
+    def tell_to(self, zone: str) -> list[str]:
+        """Return the hubs of a data centre that are to be told, this one left out."""
+        self._rank()
+        now_ms = self.clock.now_ms()
+        found: list[str] = []
+        walked: set[str] = set()
+        sound = 0
+        for name in self._ranked.get(zone, ()):
+            if sound == HUBS:
+                break
+            walked.add(name)
+            if name == self.name:
+                sound += 1
+            elif not self._is_silent(name):
+                sound += 1
+                self._told_ms.setdefault(name, now_ms)
+                found.append(name)
+            elif now_ms >= self._probe_ms.get(name, 0.0):
+                self._probe_ms[name] = now_ms + PROBE_MS
+                found.append(name)
+        self._forget_others(zone, walked)
+        return found
+
+    def _forget_others(self, zone: str, walked: set[str]) -> None:
+        for name in [one for one in self._told_ms if one not in walked]:
+            member = self.members.get(name)
+            if member is None or member.zone == zone:
+                del self._told_ms[name]
+                self._probe_ms.pop(name, None)
+
+    def followed(self) -> str:
+        """Return the first hub of this data centre that is heard, or this instance."""
+        self._rank()
+        for name in self._ranked.get(self.zone, ()):
+            if name == self.name or self._is_heard(name):
+                return name
+        return self.name
--- a/cornelreach/gateway/library.py
+++ b/cornelreach/gateway/library.py
@@ -14,7 +14,12 @@
 import random
 import typing
 
-from cornelreach.gateway import calls, catalogue, gossip as gossip_module
+from cornelreach.gateway import (
+    calls,
+    catalogue,
+    datagrams,
+    gossip as gossip_module,
+)
 from cornelreach.platform import promptstores
 from cornelreach.util import events, hashing, timers
 
@@ -29,10 +34,7 @@
 DELAY_WEIGHT = 0.2
 DELAY_FADES_MS = 2_500.0
 SAVING_MS = 3_000.0  # a save under way that shows no end by then is tried again
-ALL_WATCH = 9  # instances; each follows every store itself in a fleet so small
-WATCHERS = 2  # per store in larger fleets; they relay to the others
 RELAY_MS = 250.0
-PARTS_A_DATAGRAM = 20
 HASH_RANGE = float(1 << 64)
 
 SHELF_LOST = events.define(
@@ -102,7 +104,7 @@
         self.answered_ms = now_ms
         return True
 
-    def take_relayed(self, news: gossip_module.ShelfNews, now_ms: float) -> None:
+    def take_relayed(self, news: datagrams.ShelfNews, now_ms: float) -> None:
         """Take over what a peer that follows the store relays.
 
         Parts that a lost datagram named are missed: they are read again. Nothing
@@ -111,6 +113,7 @@
         if news.epoch != self.epoch:
             self.clear()
             self.epoch = news.epoch
+        self.position = news.position
         self._apply(
             promptstores.Stored(promptstores.PartKey(salt, key), tokens)
             for salt, key, tokens in news.parts
@@ -201,9 +204,9 @@
 class Librarian:
     """Follows the events of the stores into the library.
 
-    In a larger fleet a few instances follow each store and relay what they learn, so
-    that the stores bear the calls; who they are follows from who is alive. An instance
-    lists a store once itself before it takes what is relayed.
+    In a larger fleet the hub of each data centre follows the stores and relays what it
+    learns, so that the stores bear the calls. An instance lists a store once itself
+    before it takes what is relayed.
     """
 
     def __init__(
@@ -237,22 +240,19 @@
         for task in self._tasks.values():
             task.cancel()
 
-    def take_relayed(self, news: gossip_module.ShelfNews) -> None:
+    def take_relayed(self, news: datagrams.ShelfNews) -> None:
         """Take over what a peer relays, unless this instance follows the store."""
         for shelf in self.library.shelves.values():
-            if shelf.store.name == news.store and not self.watches(shelf):
+            if shelf.store.name == news.store and not self.watches():
                 shelf.take_relayed(news, self.clock.now_ms())
 
     def relays(self) -> bool:
         """Return whether stores are followed by a few instances for all."""
-        return len(self.gossip.addresses) > ALL_WATCH
+        return self.gossip.hubs.is_needed()
 
-    def watches(self, shelf: Shelf) -> bool:
-        """Return whether this instance follows a store itself."""
-        if not self.relays():
-            return True
-        ranked = hashing.rendezvous(shelf.store.name.encode(), self.gossip.alive())
-        return self.gossip.name in ranked[:WATCHERS]
+    def watches(self) -> bool:
+        """Return whether this instance follows the stores itself."""
+        return not self.relays() or self.gossip.leads()
 
     async def _follow(self, shelf: Shelf) -> None:
         while True:
@@ -273,7 +273,7 @@
             shelf.take_listing(batch, self.clock.now_ms())
             events.emit(SHELF_FOUND, store=shelf.store.name, parts=len(shelf.parts))
             return PACE_MS
-        if not self.watches(shelf):
+        if not self.watches():
             return RETRY_MS
         batch = await self.stores.events(address, shelf.position, POLL_WAIT_MS)
         if shelf.take_events(batch, self.clock.now_ms()) and self.relays():
@@ -282,13 +282,8 @@
         return PACE_MS
 
     def _relay(self, shelf: Shelf, batch: promptstores.Batch) -> None:
-        parts = [(part.salt, part.key, tokens) for part, tokens in batch.changes]
-        for start in range(0, max(1, len(parts)), PARTS_A_DATAGRAM):
-            news = gossip_module.ShelfNews(
-                self.gossip.name,
-                shelf.store.name,
-                shelf.epoch,
-                0.0,
-                tuple(parts[start : start + PARTS_A_DATAGRAM]),
-            )
+        parts = {(part.salt, part.key): tokens for part, tokens in batch.changes}
+        for news in datagrams.shelf_news(
+            shelf.store.name, shelf.epoch, shelf.position, 0.0, parts
+        ):
             self.gossip.relay(news)
--- a/cornelreach/gateway/probing.py
+++ b/cornelreach/gateway/probing.py
@@ -2,12 +2,14 @@
 
 A target whose connections fail is suspected until it answers its health call, with any
 status: an answer shows that it is there, and whether it takes requests it says itself.
+It also says whether it is cold, ahead of its entry: it may have started anew.
 """
 
 import asyncio
 
 from cornelreach.gateway import beliefs as beliefs_module
 from cornelreach.http import client as http_client
+from cornelreach.platform import headers
 from cornelreach.util import timers
 
 TICK_MS = 100.0
@@ -58,9 +60,12 @@
             return
         address = http_client.parse_address(target.address)
         try:
-            await self.http.call(address, "GET", service.health_path, wait_ms=WAIT_MS)
+            status, _, fields = await self.http.call(
+                address, "GET", service.health_path, wait_ms=WAIT_MS
+            )
         except FAILURES as error:
             self.http.forget(address)
             roster.failed(target_id, f"probe: {error}", self.clock.now_ms())
         else:
-            roster.cleared(target_id)
+            reply = headers.read_reply(status, fields)
+            roster.cleared(target_id, reply.cold_ms or 0.0, self.clock.now_ms())
--- a/cornelreach/gateway/readers.py
+++ b/cornelreach/gateway/readers.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from cornelreach.gateway import allowances, beliefs as beliefs_module
+from cornelreach.gateway import allowances, beliefs as beliefs_module, hubs
 from cornelreach.http import client as http_client
 from cornelreach.platform import (
     client as platform_client,
@@ -160,17 +160,17 @@
         self,
         beliefs: beliefs_module.Beliefs,
         clock: timers.Timers,
-        addresses: dict[str, tuple[str, int]],
+        members: dict[str, hubs.Member],
     ) -> None:
         super().__init__(beliefs, clock)
-        self.addresses = addresses
+        self.members = members
         self._names: set[str] = {beliefs.name}
 
     def changed(self, record: results.Record) -> None:
         name = record.key.removeprefix(self.prefix)
         if record.value is None:
             self._names.discard(name)
-            self.addresses.pop(name, None)
+            self.members.pop(name, None)
         else:
             self._names.add(name)
             self._locate(name, record)
@@ -181,7 +181,9 @@
         instance = platform_client.read_instance(record)
         if instance is not None:
             where = http_client.parse_address(instance.peer_address)
-            self.addresses[name] = (where.host, where.port)
+            self.members[name] = hubs.Member(
+                where.host, where.port, instance.data_centre, instance.power
+            )
 
 
 class LeaseReader(Reader):
--- /dev/null
+++ b/cornelreach/gateway/relays.py
@@ -0,0 +1,144 @@
+"""What a hub keeps and passes on: the loads of its data centre and of the others.
+
+It does no I/O; ``Gossip`` hands datagrams in and sends those that come out.
+"""
+
+import collections
+import typing
+
+from cornelreach.gateway import datagrams
+from cornelreach.util import timers
+
+KEPT_MS = 1_000.0  # what another data centre told, once it falls silent
+DEAD_MS = 2_500.0  # three silences of an idle instance
+
+
+class Loaded(typing.Protocol):
+    """Whatever tells loads."""
+
+    loads: typing.Mapping[str, datagrams.Underway]
+    closed: typing.Iterable[str]
+    suspected: typing.Iterable[str]
+
+
+class Sums:
+    """What several tell together, kept as datagrams come and go."""
+
+    def __init__(self) -> None:
+        self.loads: dict[str, datagrams.Underway] = {}
+        self.closed: collections.Counter[str] = collections.Counter()
+        self.suspected: collections.Counter[str] = collections.Counter()
+
+    def add(self, told: Loaded, sign: int = 1) -> None:
+        """Add loads, or with a sign of -1 take them away."""
+        for target, load in told.loads.items():
+            held = self.loads.get(target, datagrams.NOTHING)
+            total = datagrams.Underway(
+                held[0] + sign * load[0],
+                held[1] + sign * load[1],
+                held[2] + sign * load[2],
+            )
+            if total == datagrams.NOTHING:
+                self.loads.pop(target, None)
+            else:
+                self.loads[target] = total
+        _count(self.closed, told.closed, sign)
+        _count(self.suspected, told.suspected, sign)
+
+    def without(
+        self, loads: typing.Mapping[str, datagrams.Underway]
+    ) -> dict[str, datagrams.Underway]:
+        """Return the loads less those of one that is in the sum."""
+        found = dict(self.loads)
+        for target, load in loads.items():
+            held = found.pop(target, datagrams.NOTHING)
+            rest = datagrams.Underway(*(a - b for a, b in zip(held, load, strict=True)))
+            if rest != datagrams.NOTHING:
+                found[target] = rest
+        return found
+
+
+def _count(
+    counts: collections.Counter[str], names: typing.Iterable[str], sign: int
+) -> None:
+    for name in names:
+        counts[name] += sign
+        if not counts[name]:
+            del counts[name]
+
+
+class Assembly:
+    """Puts the parts of one sender's digests together."""
+
+    def __init__(self) -> None:
+        self._boot = ""
+        self._number = 0
+        self._parts: dict[int, datagrams.Digest] = {}
+
+    def take(self, part: datagrams.Digest) -> datagrams.Digest | None:
+        """Return a digest once it is whole, or None; older ones are dropped."""
+        same = part.boot == self._boot
+        if same and part.number < self._number:
+            return None
+        if not same or part.number > self._number:
+            self._boot, self._number, self._parts = part.boot, part.number, {}
+        self._parts[part.part] = part
+        if len(self._parts) < part.parts or 0 not in self._parts:
+            return None
+        head = self._parts[0]
+        if part.parts == 1:
+            return head
+        loads = {}
+        for one in self._parts.values():
+            loads.update(one.loads)
+        return head._replace(loads=loads)
+
+
+class Held(typing.NamedTuple):
+    """A digest of another data centre and when it came."""
+
+    digest: datagrams.Digest
+    at_ms: float
+
+
+class Relay:
+    """The state of a hub."""
+
+    def __init__(self, clock: timers.Timers) -> None:
+        self.clock = clock
+        self._zones: dict[str, dict[str, Held]] = {}
+        self._news: list[tuple[datagrams.ShelfNews, float]] = []
+
+    def take_zone(self, digest: datagrams.Digest) -> None:
+        """Keep the digest of another data centre."""
+        held = self._zones.setdefault(digest.zone, {})
+        held[digest.hub] = Held(digest, self.clock.now_ms())
+
+    def zones(self) -> list[datagrams.Digest]:
+        """Return one digest for each other data centre that was heard lately.
+
+        Where two hubs of one tell, the one that more instances listen to counts.
+        """
+        oldest_ms = self.clock.now_ms() - KEPT_MS
+        found = []
+        for zone, held in self._zones.items():
+            fresh = {hub: one for hub, one in held.items() if one.at_ms >= oldest_ms}
+            self._zones[zone] = fresh
+            if fresh:
+                digests = [one.digest for one in fresh.values()]
+                found.append(max(digests, key=lambda one: (one.members, one.hub)))
+        return found
+
+    def take_news(self, news: datagrams.ShelfNews) -> None:
+        """Keep news of a store until the next bundle."""
+        self._news.append((news, self.clock.now_ms()))
+
+    def news(self) -> list[datagrams.ShelfNews]:
+        """Return the news to be passed on, aged by their wait, and forget them."""
+        now_ms = self.clock.now_ms()
+        found = [
+            one._replace(age_ms=one.age_ms + now_ms - at_ms)
+            for one, at_ms in self._news
+        ]
+        self._news.clear()
+        return found
--- a/cornelreach/gateway/roster.py
+++ b/cornelreach/gateway/roster.py
@@ -116,16 +116,21 @@
 
     def learn_versions(
         self, target_id: str, versions: typing.Mapping[str, int]
-    ) -> None:
-        """Take over versions that a target itself told, ahead of its entry."""
+    ) -> bool:
+        """Take over versions that a target itself told, ahead of its entry.
+
+        Returns whether any of them is news.
+        """
         before = self.targets.get(target_id)
         if before is None:
-            return
+            return False
         target = _newest_versions(before, versions)
-        if target.versions != before.versions:
-            self.targets[target_id] = target
-            self._by_service[target.service][target_id] = target
-            self._tell(before, target)
+        if target.versions == before.versions:
+            return False
+        self.targets[target_id] = target
+        self._by_service[target.service][target_id] = target
+        self._tell(before, target)
+        return True
 
     def _tell(self, before: Target | None, target: Target) -> None:
         if before is None:
@@ -202,10 +207,13 @@
         state = self.state(target_id)
         return not state.suspected and state.ejected_until_ms <= now_ms
 
-    def cleared(self, target_id: str) -> None:
-        """End the suspicion of a target that has answered."""
+    def cleared(self, target_id: str, cold_ms: float, now_ms: float) -> None:
+        """End the suspicion of a target that has answered; it may be cold by now."""
         if target_id in self.targets:
-            self.state(target_id).suspected = False
+            state = self.state(target_id)
+            state.suspected = False
+            if cold_ms > 0:
+                state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
 
     def failed(self, target_id: str, reason: str, now_ms: float) -> None:
         """Eject a target after a call that it lost; longer with each in a row."""
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -66,6 +66,7 @@
     data_centre: str
     peer_address: str
     state: str
+    power: typing.NotRequired[float]
 
 
 class _Answer(typing.NamedTuple):
--- a/cornelreach/platform/results.py
+++ b/cornelreach/platform/results.py
@@ -37,12 +37,16 @@
 
 
 class Instance(typing.NamedTuple):
-    """An entry of the platform's lagging list; ``state`` is live or leaving."""
+    """An entry of the platform's lagging list; ``state`` is live or leaving.
+
+    ``power`` is the share of processors that the instance may use.
+    """
 
     name: str
     data_centre: str
     peer_address: str
     state: str = "live"
+    power: float = 1.0
 
 
 class Conflict(typing.NamedTuple):
--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -34,7 +34,10 @@
 
 
 class Site(typing.NamedTuple):
-    """Where a process runs, what it listens on, and the platform's address."""
+    """Where a process runs, what it listens on, and the platform's address.
+
+    ``power`` is the share of processors that it may use.
+    """
 
     name: str
     zone: str
@@ -47,6 +50,7 @@
     bounds: Bounds
     reads_per_s: float
     writes_per_s: float
+    power: float = 1.0
 
 
 class _Listen(typing.TypedDict):
@@ -60,6 +64,13 @@
     writes_per_s: float
 
 
+class _Limits(typing.TypedDict):
+    """The process may use ``cpu_share`` of one processor, ``cores`` times as fast."""
+
+    cpu_share: typing.NotRequired[float]
+    cores: typing.NotRequired[float]
+
+
 class _Bounds(typing.TypedDict):
     drain_ms: float
     grace_s: float
@@ -85,6 +96,7 @@
     listen: _Listen
     bounds: _Bounds
     platform: _Platform
+    limits: typing.NotRequired[_Limits]
 
 
 def load(path: str) -> Site:
@@ -109,9 +121,14 @@
         bounds=_bounds(found["bounds"]),
         reads_per_s=found["platform"]["reads_per_s"],
         writes_per_s=found["platform"]["writes_per_s"],
+        power=_power(found.get("limits", {})),
     )
 
 
+def _power(found: _Limits) -> float:
+    return found.get("cpu_share", 1.0) * found.get("cores", 1.0)
+
+
 def _bounds(found: _Bounds) -> Bounds:
     # Bounds of parts that are not in force are left out of the file.
     return Bounds(
--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -219,13 +219,18 @@
             else:
                 writer.transport.abort()
         elif head.target == "/health":
-            self._reply(writer, 503 if self.draining else 200, b"", self._load())
+            self._reply(writer, 503 if self.draining else 200, b"", self._health())
         else:
             await self._request(head, writer)
 
     def _load(self) -> str:
         return f"{headers.LOAD.decode()}: {self.running},0,{self.slots}\r\n"
 
+    def _health(self) -> str:
+        cold_ms = (self.cold_until_s - time.monotonic()) * 1_000
+        cold = f"{headers.COLD.decode()}: {cold_ms:.0f}\r\n" if cold_ms > 0 else ""
+        return self._load() + cold
+
     def _reply(
         self, writer: asyncio.StreamWriter, status: int, body: bytes, extra: str = ""
     ) -> None:
--- a/test/gateway/test_choice.py
+++ b/test/gateway/test_choice.py
@@ -4,7 +4,15 @@
 import random
 import unittest
 
-from cornelreach.gateway import calls, catalogue, choice, gossip, pace, roster
+from cornelreach.gateway import (
+    calls,
+    catalogue,
+    choice,
+    datagrams,
+    gossip,
+    pace,
+    roster,
+)
 from cornelreach.util import timers
 from test.gateway import test_roster
 
@@ -40,7 +48,7 @@
 
     def told(self, peer, number=1, **loads):
         """Take a peer's datagram."""
-        told = gossip.Told(peer, "b", number, loads)
+        told = datagrams.Told(peer, "b", number, loads)
         self.gossip.take(told)
 
 
@@ -70,21 +78,21 @@
     def test_what_peers_have_sent_counts(self):
         prompt = wants(("doc", 8_000), ("own", 500))
         first = self.engine(prompt)
-        self.told("peer", **{first: gossip.Underway(2, 18_000, 20_000)})
+        self.told("peer", **{first: datagrams.Underway(2, 18_000, 20_000)})
         self.assertNotEqual(self.engine(prompt), first)
 
     def test_a_kept_prompt_goes_where_there_is_room(self):
         prompt = wants(("doc", 8_000), ("own", 500))
         first = self.engine(prompt)
         self.chooser.sent(first, "v1.", prompt, 60_000)
-        self.told("peer", **{first: gossip.Underway(1, 4_000, 20_000)})
+        self.told("peer", **{first: datagrams.Underway(1, 4_000, 20_000)})
         kept = self.engine(prompt, kept=lambda part, salt: part.key == "doc")
         self.assertNotEqual(kept, first)
 
     def test_full_memory_is_avoided(self):
         prompt = wants(("doc", 8_000), ("own", 500))
         first = self.engine(prompt)
-        self.told("peer", **{first: gossip.Underway(6, 0, 58_000)})
+        self.told("peer", **{first: datagrams.Underway(6, 0, 58_000)})
         self.assertNotEqual(self.engine(prompt), first)
 
     def test_a_slow_engine_is_given_less(self):
@@ -113,7 +121,7 @@
     def test_an_engine_that_a_peer_cannot_reach_is_avoided(self):
         prompt = wants(("doc", 8_000), ("own", 500))
         first = self.engine(prompt)
-        told = gossip.Told("peer", "b", 1, {}, suspected=(first,))
+        told = datagrams.Told("peer", "b", 1, {}, suspected=(first,))
         self.gossip.take(told)
         self.assertNotEqual(self.engine(prompt), first)
 
@@ -138,7 +146,7 @@
             for number in range(8):
                 view = dict(loads) if told_at_once else {}
                 told = {
-                    name: gossip.Underway(1, tokens, tokens)
+                    name: datagrams.Underway(1, tokens, tokens)
                     for name, tokens in view.items()
                 }
                 self.numbers += 1
--- a/test/gateway/test_following.py
+++ b/test/gateway/test_following.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from cornelreach.gateway import beliefs as beliefs_module, following, readers
+from cornelreach.gateway import beliefs as beliefs_module, following, hubs, readers
 from cornelreach.platform import records, results
 from cornelreach.util import timers
 
@@ -162,10 +162,11 @@
         self.assertEqual(self.beliefs.roster.evacuated, {"kr"})
 
     def test_the_fleet_counts_every_instance_once(self):
-        addresses = {}
-        reader = readers.FleetReader(self.beliefs, self.clock, addresses)
+        members = {}
+        reader = readers.FleetReader(self.beliefs, self.clock, members)
         value = {"data_centre": "x", "peer_address": "10.0.0.9:1", "state": "live"}
+        value["power"] = 0.5
         reader.listed((results.Record("instances/f", 1, value),), False)
         reader.changed(results.Record("instances/g", 2, {"forged": True}))
         self.assertEqual(self.beliefs.fleet.names, ("e", "f", "g"))
-        self.assertEqual(addresses, {"f": ("10.0.0.9", 1)})
+        self.assertEqual(members, {"f": hubs.Member("10.0.0.9", 1, "x", 0.5)})
--- a/test/gateway/test_gossip.py
+++ b/test/gateway/test_gossip.py
@@ -5,11 +5,16 @@
 import hypothesis
 from hypothesis import strategies
 
-from cornelreach.gateway import gossip, roster
+from cornelreach.gateway import datagrams, gossip, hubs, relays, roster
 from cornelreach.util import timers
 from test.gateway import test_roster
 
-Underway = gossip.Underway
+Underway = datagrams.Underway
+
+
+def members(told, names):
+    """Register instances, all of one data centre."""
+    told.members.update({name: hubs.Member("h", 1) for name in names})
 
 
 class Sink:
@@ -33,7 +38,7 @@
 
     def take(self, name, number, boot="b", **fields):
         loads = fields.pop("loads", {"t1": Underway(2, 300, 900)})
-        told = gossip.Told(name, boot, number, loads, **fields)
+        told = datagrams.Told(name, boot, number, loads, **fields)
         self.gossip.take(told)
 
     def test_peers_add_up_and_fall_silent(self):
@@ -93,31 +98,32 @@
 
     def test_an_idle_instance_shows_that_it_lives(self):
         self.gossip._transport = Sink()
-        self.gossip.addresses = {"a": ("h", 1), "b": ("h", 2)}
+        members(self.gossip, ("a", "b"))
         for _ in range(100):
             self.clock.advance(100)
             self.gossip.tell()
         self.assertTrue(10 <= len(self.gossip._transport.sent) <= 13)
         self.take("b", 1)
         self.assertEqual(self.gossip.alive(), ["a", "b"])
-        self.clock.advance(gossip.DEAD_MS + 1)
+        self.clock.advance(relays.DEAD_MS + 1)
         self.assertEqual(self.gossip.alive(), ["a"])
 
     def test_a_reported_version_runs_ahead_of_the_list(self):
         self.roster.put(test_roster.target("t1"), 0, 0)
-        self.take("b", 1, versions={"t1": {"m": 2}})
+        told = datagrams.Reports("b", {"t1": {"m": 2}})
+        self.gossip.datagram_received(datagrams.encode(told), ("h", 1))
         self.assertEqual(self.roster.targets["t1"].versions, {"m": 2})
 
     def test_the_interval_grows_with_the_fleet(self):
-        self.gossip.addresses = {f"i{number}": ("h", 1) for number in range(1_100)}
-        per_s = 1_099 / (self.gossip.interval_ms() / 1_000)
+        members(self.gossip, (f"i{number}" for number in range(1_100)))
+        per_s = self.gossip._round() / (self.gossip.interval_ms() / 1_000)
         self.assertLessEqual(
             per_s, gossip.DATAGRAMS_PER_S * gossip.PERIODIC_SHARE * 1.01
         )
 
     def test_a_burst_of_prompts_does_not_pass_the_rate(self):
         rounds = []
-        self.gossip.addresses = {f"i{number}": ("h", 1) for number in range(8)}
+        members(self.gossip, (f"i{number}" for number in range(8)))
         tell, self.gossip.tell = self.gossip.tell, lambda: rounds.append(1) or tell()
         self.gossip._transport = Sink()
         self.gossip.closed.add("t1")
--- /dev/null
+++ b/test/gateway/test_hubs.py
@@ -0,0 +1,207 @@
+"""Hubs of a larger fleet: who they are, what reaches whom, and what when they fail."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cornelreach.gateway import datagrams, gossip, hubs, relays
+from test.gateway import fleet as fleet_module
+
+Underway = datagrams.Underway
+
+
+class Hubs(unittest.TestCase):
+    """A fleet of 63 instances in three data centres."""
+
+    def fleet(self, size=63, **options):
+        """Return a fleet that has found its hubs."""
+        found = fleet_module.Fleet(size, **options)
+        found.run(2_000)
+        return found
+
+    def assert_known(self, found, target, tokens, but):
+        """Assert that all others believe a load at a target."""
+        for name in found.living():
+            if name != but:
+                self.assertEqual(found.unread(name, target), tokens, name)
+
+    def test_each_data_centre_has_one_leader_and_it_is_the_strongest(self):
+        found = self.fleet(power=lambda number: 2.0 if number in (5, 9, 30) else 0.5)
+        leaders = found.leaders()
+        self.assertEqual({len(one) for one in leaders.values()}, {1})
+        for zone, names in leaders.items():
+            strongest = [
+                name for name in ("i5", "i9", "i30") if found.parts[name].zone == zone
+            ]
+            if strongest:
+                self.assertLessEqual(names, set(strongest))
+
+    def test_a_prompt_is_known_everywhere_within_two_digests(self):
+        found = self.fleet()
+        found.load("i7", "t1", 9_000)
+        found.run(2 * gossip.DIGEST_MS + 5)
+        self.assert_known(found, "t1", 9_000, but="i7")
+        self.assertEqual(found.unread("i7", "t1"), 0)
+        found.load("i8", "t1", 500)
+        found.run(2 * gossip.DIGEST_MS + 5)
+        self.assertEqual(found.unread("i7", "t1"), 500)
+        self.assertEqual(found.unread("i8", "t1"), 9_000)
+        self.assertEqual(found.unread("i9", "t1"), 9_500)
+
+    def test_nobody_tells_all_others(self):
+        for size in (63, 300):
+            found = self.fleet(size)
+            for number in range(0, size, 2):
+                found.load(f"i{number}", f"t{number % 10}", 1_000)
+            rates = found.datagrams_per_s()
+            # Two hubs are told by each round, and each other data centre by hubs.
+            rounds = 1_000 / gossip.LEAST_INTERVAL_MS
+            usual = sorted(rates)[len(rates) // 2]
+            self.assertLess(usual, 2 * hubs.HUBS * rounds, size)
+            self.assertLess(max(rates), 1.25 * gossip.HUB_DATAGRAMS_PER_S, size)
+
+    def test_a_dead_hub_is_followed_by_the_next(self):
+        found = self.fleet()
+        found.load("i7", "t1", 9_000)
+        for names in found.leaders().values():
+            found.dead |= names
+        found.run(2 * hubs.SILENT_MS + gossip.SLOW_DIGEST_MS)
+        self.assertEqual({len(one) for one in found.leaders().values()}, {1})
+        if "i7" not in found.dead:
+            found.run(300)
+            self.assert_known(found, "t1", 9_000, but="i7")
+        found.dead.clear()
+        found.run(3_000)
+        self.assertEqual({len(one) for one in found.leaders().values()}, {1})
+
+    def test_many_dead_instances_leave_a_hub_in_each_data_centre(self):
+        found = self.fleet()
+        order = found.parts["i0"].hubs._ranked
+        for ranked in order.values():
+            found.dead |= set(ranked[:8])
+        found.run(6_000)
+        name = found.living()[0]
+        found.load(name, "t2", 700)
+        found.run(400)
+        self.assert_known(found, "t2", 700, but=name)
+
+    def test_a_cut_data_centre_goes_on_by_itself(self):
+        found = self.fleet()
+        inside = [n for n in found.living() if found.parts[n].zone == "north"]
+        found.cut = {frozenset(("north", "south")), frozenset(("north", "east"))}
+        found.run(2_000)
+        found.load(inside[0], "t3", 4_000)
+        found.run(100)
+        for name in found.living():
+            expected = 4_000 if name in inside[1:] else 0
+            self.assertEqual(found.unread(name, "t3"), expected, name)
+        found.cut = set()
+        found.run(2_000)
+        self.assert_known(found, "t3", 4_000, but=inside[0])
+
+    def test_two_data_centres_that_do_not_reach_each_other_both_know_the_third(self):
+        found = self.fleet()
+        found.cut = {frozenset(("north", "south"))}
+        found.run(2_000)
+        name = next(n for n in found.living() if found.parts[n].zone == "east")
+        found.load(name, "t4", 800)
+        found.run(400)
+        self.assert_known(found, "t4", 800, but=name)
+
+    def test_lost_datagrams_are_made_up_for(self):
+        found = self.fleet()
+        found.loss = 0.2
+        found.load("i11", "t5", 2_000)
+        found.run(1_000)
+        known = sum(found.unread(n, "t5") == 2_000 for n in found.living())
+        self.assertGreater(known, 55)
+
+    def test_what_is_closed_or_suspected_opens_again_everywhere(self):
+        found = self.fleet()
+        holder = found.parts["i7"]
+        for _ in range(2):
+            holder.closed.add("t1")
+            holder.roster.state("t2").suspected = True
+            found.run(400)
+            for name in found.living():
+                self.assertTrue(found.parts[name].is_closed("t1"), name)
+                if name != "i7":
+                    self.assertTrue(found.parts[name].is_suspected("t2"), name)
+            holder.closed.discard("t1")
+            holder.roster.state("t2").suspected = False
+            found.run(400)
+            for name in found.living():
+                self.assertFalse(found.parts[name].is_closed("t1"), name)
+                self.assertFalse(found.parts[name].is_suspected("t2"), name)
+
+    def test_a_reported_version_reaches_all(self):
+        found = self.fleet()
+        found.parts["i4"].report("t1", {"m": 5})
+        found.run(1_500)
+        for name in found.living():
+            target = found.parts[name].roster.targets["t1"]
+            self.assertEqual(target.versions.get("m"), 5, name)
+
+    def test_news_of_a_store_reaches_all_once_bundled(self):
+        found = self.fleet()
+        taken = {name: [] for name in found.parts}
+        for name, one in found.parts.items():
+            one.on_shelf = taken[name].append
+        news = datagrams.ShelfNews("a", 7, 1, 0.0, (("v1.", "p", 500),))
+        leaders = {name for names in found.leaders().values() for name in names}
+        for name in leaders:
+            found.parts[name].relay(news)
+        found.run(2 * gossip.BUNDLE_MS)
+        for name in found.parts:
+            if name not in leaders:
+                parts = [part for one in taken[name] for part in one.parts]
+                self.assertIn(("v1.", "p", 500), parts, name)
+
+    def test_a_table_of_many_targets_fits_into_datagrams(self):
+        found = self.fleet(30, targets=200)
+        for number in range(200):
+            for offset in (0, 10):
+                name = f"i{(number // 20 + offset) % 20}"
+                state = found.parts[name].roster.state(f"t{number}")
+                state.in_flight, state.unread_tokens = 40, 100_000
+        found.run(1_000)
+        for number in range(200):
+            self.assertEqual(found.unread("i25", f"t{number}"), 200_000)
+        longest = max(one._transport.longest for one in found.parts.values())
+        self.assertLessEqual(longest, datagrams.MOST_BYTES)
+
+
+class Parts(unittest.TestCase):
+    """Splitting and putting together."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.text(min_size=1, max_size=16),
+            strategies.builds(Underway, strategies.integers(1, 99)),
+            max_size=150,
+        ),
+        strategies.randoms(),
+    )
+    def test_parts_in_any_order_make_the_whole(self, loads, source):
+        digest = datagrams.Digest("h", "b", 3, "", 1, 0, 1, loads, closed=("t",))
+        parts = datagrams.split(digest)
+        source.shuffle(parts)
+        assembly = relays.Assembly()
+        wholes = [assembly.take(part) for part in parts]
+        self.assertEqual(wholes[:-1], [None] * (len(parts) - 1))
+        self.assertEqual(wholes[-1].loads, loads)
+        self.assertEqual(wholes[-1].closed, ("t",))
+        self.assertIsNone(assembly.take(parts[0]._replace(number=2)))
+
+    def test_bundles_bound_their_parts(self):
+        news = [
+            datagrams.ShelfNews(f"s{n}", 1, 1, 0.0, (("v", "p", 1),) * n)
+            for n in range(20)
+        ]
+        found = datagrams.bundles("h", news)
+        self.assertEqual([one for bundle in found for one in bundle.news], news)
+        for bundle in found:
+            size = sum(1 + len(one.parts) for one in bundle.news)
+            self.assertLessEqual(size, datagrams.PARTS_A_DATAGRAM)
--- a/test/gateway/test_library.py
+++ b/test/gateway/test_library.py
@@ -3,9 +3,14 @@
 import random
 import unittest
 
-from cornelreach.gateway import calls, catalogue, gossip, library, roster
+from cornelreach.gateway import (
+    calls,
+    catalogue,
+    datagrams,
+    library,
+)
 from cornelreach.platform import promptstores
-from cornelreach.util import timers
+from test.gateway import fleet
 
 Part = calls.Part
 Stored = promptstores.Stored
@@ -116,57 +121,42 @@
 
 
 class Relaying(unittest.TestCase):
-    """A few instances follow each store of a larger fleet, for all."""
-
-    def librarian(self, name, alive):
-        """Return an instance's librarian that hears the other instances."""
-        clock = timers.VirtualTimers(start_ms=5_000)
-        heard = gossip.Gossip(name, "b", roster.Roster(), clock)
-        for number, peer in enumerate(alive):
-            heard.addresses[peer] = ("h", number)
-            if peer != name:
-                heard.take(gossip.Told(peer, "b", 1, {}))
+    """The hubs of a larger fleet follow the stores, for all."""
+
+    def librarian(self, told):
+        """Return the librarian of an instance of a fleet."""
         found = library.Library()
         found.configure([store("a"), store("b")])
-        return library.Librarian(found, None, clock, heard, random.Random(1))
+        return library.Librarian(found, None, told.clock, told, random.Random(1))
 
-    def test_all_follow_in_a_small_fleet_and_two_in_a_large_one(self):
-        for size, expected in ((8, 8), (40, library.WATCHERS)):
-            names = [f"i{number}" for number in range(size)]
-            watching = sum(
-                one.watches(one.library.shelves["a:1"])
-                for one in (self.librarian(name, names) for name in names)
-            )
-            self.assertEqual(watching, expected)
+    def test_all_follow_in_a_small_fleet_and_the_hubs_in_a_large_one(self):
+        for size, expected in ((8, 8), (40, len(fleet.ZONES))):
+            found = fleet.Fleet(size)
+            found.run(2_000)
+            watching = [self.librarian(one).watches() for one in found.parts.values()]
+            self.assertEqual(sum(watching), expected)
 
     def test_others_take_over_when_the_followers_fall_silent(self):
-        names = [f"i{number}" for number in range(40)]
-        everyone = {name: self.librarian(name, names) for name in names}
-        first = {
-            name
-            for name, one in everyone.items()
-            if one.watches(one.library.shelves["a:1"])
-        }
-        left = [name for name in names if name not in first]
-        second = {
-            name
-            for name in left
-            if (one := self.librarian(name, left)).watches(one.library.shelves["a:1"])
-        }
-        self.assertEqual(len(second), library.WATCHERS)
+        found = fleet.Fleet(40)
+        found.run(2_000)
+        for names in found.leaders().values():
+            found.dead |= names
+        found.run(2_000)
+        living = [found.parts[name] for name in found.living()]
+        watching = [self.librarian(one).watches() for one in living]
+        self.assertEqual(sum(watching), len(fleet.ZONES))
 
     def test_relayed_parts_are_sources_while_the_relay_speaks(self):
-        names = [f"i{number}" for number in range(40)]
-        one = next(
-            found
-            for found in (self.librarian(name, names) for name in names)
-            if not found.watches(found.library.shelves["a:1"])
-        )
-        news = gossip.ShelfNews("x", "a", 7, 0.0, (("v1.", "p", 500),))
+        found = fleet.Fleet(40)
+        found.run(2_000)
+        librarians = map(self.librarian, found.parts.values())
+        one = next(found for found in librarians if not found.watches())
+        news = datagrams.ShelfNews("a", 7, 12, 0.0, (("v1.", "p", 500),))
         one.take_relayed(news)
         part = Part("p", 500)
         now_ms = one.clock.now_ms()
         self.assertEqual(one.library.source(part, "v1.", now_ms), "a:1")
+        self.assertEqual(one.library.shelves["a:1"].position, 12)
         late_ms = now_ms + library.TRUST_MS + 1
         self.assertIsNone(one.library.source(part, "v1.", late_ms))
         one.take_relayed(news._replace(epoch=8, parts=()))
--- a/test/gateway/test_probing.py
+++ b/test/gateway/test_probing.py
@@ -25,6 +25,22 @@
         self.assertEqual(prober.due(), [])
         self.assertEqual(len(roster.usable("s", self.world.clock.now_ms())), 2)
 
+    async def test_a_target_that_returns_cold_says_so_to_the_probe(self):
+        async def health(engine, head, body, writer):
+            writer.write(
+                b"HTTP/1.1 200 X\r\ncontent-length: 0\r\n"
+                b"x-cornelreach-cold-remaining-ms: 2500\r\n\r\n"
+            )
+
+        await self.start(health)
+        roster = self.world.beliefs.roster
+        prober = probing.Prober(self.world.beliefs, self.world.http, self.world.clock)
+        roster.failed("e0", "reset", 0)
+        await prober.probe("e0")
+        now_ms = self.world.clock.now_ms()
+        self.assertTrue(roster.state("e0").is_cold(now_ms + 2_000))
+        self.assertFalse(roster.state("e0").is_cold(now_ms + 2_600))
+
     async def test_a_suspect_that_stays_away_is_asked_less_often(self):
         await self.start(world_module.fine, world_module.fine)
         roster = self.world.beliefs.roster
--- a/test/gateway/test_roster.py
+++ b/test/gateway/test_roster.py
@@ -86,10 +86,10 @@
         self.assertEqual([one.id for one in self.roster.usable("s", 1)], ["b"])
         later_ms = roster.FIRST_EJECT_MS
         self.assertEqual(len(self.roster.usable("s", later_ms)), 1)
-        self.roster.cleared("a")
+        self.roster.cleared("a", 0.0, 0.0)
         self.assertEqual(len(self.roster.usable("s", later_ms)), 2)
         self.roster.failed("a", "reset", later_ms)
-        self.roster.cleared("a")
+        self.roster.cleared("a", 0.0, 0.0)
         self.assertEqual(len(self.roster.usable("s", 2 * later_ms)), 1)
 
     def test_all_are_used_where_all_have_failed(self):
