List registered instances in the stand-in of the store

The stand-in answered every list of the kind "instances" from a list of its own that only the daemon's tests fill, so instances took the fleet for smaller than it was and their shares for larger. On the users' platform instances are objects like others.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -205,7 +205,7 @@
         return messages.json_response(409, fields(self.model.held(key)))
 
     def _list(self, request: messages.Request, prefix: str) -> messages.Response:
-        if prefix == INSTANCES:
+        if prefix == INSTANCES and self.model.keeps_instances():
             return self._instances()
         after = request.query.get("after", "")
         start = prefix + after if after else ""
--- a/standins/platformmodel.py
+++ b/standins/platformmodel.py
@@ -240,6 +240,10 @@
         """Replace the list of instances; readers see it after the lag."""
         self._lists.append((now_ms, instances))
 
+    def keeps_instances(self) -> bool:
+        """Return whether a list of instances was given, apart from the objects."""
+        return len(self._lists) > 1 or bool(self._lists[0][1])
+
     def instances(self, now_ms: float) -> list[Instance] | Refused:
         """Return the list of instances as it was one lag ago."""
         refused = self._admit(self._read_bucket, now_ms)
--- a/test/standins/test_platform.py
+++ b/test/standins/test_platform.py
@@ -49,6 +49,19 @@
         newer = model.watch("", 2, 0)
         self.assertEqual([change.version for change in newer.changes], [3, 4])
 
+    def test_a_dropped_log_asks_watches_to_list_anew(self):
+        model = Model()
+        model.put("a", b"1", 0, 0)
+        model.compact()
+        self.assertEqual(model.watch("", 0, 0), platformmodel.Compacted(1))
+        self.assertEqual(model.watch("", 1, 0).changes, [])
+
+    def test_instances_are_objects_unless_a_list_is_given(self):
+        model = Model()
+        self.assertFalse(model.keeps_instances())
+        model.set_instances([platformmodel.Instance("i", "dc", "h:1")], 0)
+        self.assertTrue(model.keeps_instances())
+
     def test_rates_outage_and_lagging_list(self):
         model = Model(platformmodel.Faults(writes_per_s=2, list_lag_ms=100))
         model.put("a", b"1", 0, 0)
