Take proofs of freshness and changes from hubs in larger fleets

Now an instance rests while its hub's proofs are young: it asks the hub how far it has read and how old its proof is, which proves a moment before the question left, whatever clocks or datagrams do. Changes are pushed; whoever misses one, or has no proof young enough, reads the platform itself. While the platform is away only the configuration's follower asks often.

Ruled out: ages counted from the receipt of a datagram, since one that waits in the buffer of a frozen machine would look young. Planted: without the comparison of revisions three of the tests fail, among them the property that a proof never covers a change not read.

--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -85,6 +85,37 @@
     parts: tuple[tuple[str, str, int], ...]
 
 
+class Ask(typing.NamedTuple):
+    """Asks a hub how fresh its records of the platform are."""
+
+    name: str
+    number: int
+
+
+class Answer(typing.NamedTuple):
+    """A hub's answer to a question.
+
+    Each row is by the prefix of the records' keys: how far the hub has read, a revision
+    at or after their last change, and the age of its proof in milliseconds.
+    ``regained_ago_ms`` is how long ago it lost and regained the platform, if it did.
+    """
+
+    hub: str
+    number: int
+    rows: dict[str, tuple[int, int, float]]
+    regained_ago_ms: float | None = None
+
+
+class Changes(typing.NamedTuple):
+    """Records that changed between two revisions; each row is (key, version, value)."""
+
+    hub: str
+    prefix: str
+    before: int
+    after: int
+    rows: tuple[tuple[str, int, typing.Any], ...]
+
+
 class Bundle(typing.NamedTuple):
     """News of several stores."""
 
@@ -92,12 +123,15 @@
     news: tuple[ShelfNews, ...]
 
 
-Datagram = Told | Digest | Reports | Bundle
+Datagram = Told | Digest | Reports | Bundle | Ask | Answer | Changes
 TAGS: dict[type, bytes] = {
     Told: b"t",
     Digest: b"d",
     Reports: b"v",
     Bundle: b"b",
+    Ask: b"q",
+    Answer: b"a",
+    Changes: b"c",
 }
 DECODERS = {tag: msgspec.msgpack.Decoder(kind) for kind, tag in TAGS.items()}
 
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -18,6 +18,7 @@
     gossip as gossip_module,
     library as library_module,
     probing,
+    proofs,
     readers,
     rollouts,
     selection,
@@ -46,6 +47,9 @@
 PROOF_SHARE = 0.4  # of the bound on revoked keys, between two proofs
 READY_SHARE = 0.6  # of the same bound; beyond it answers with a key are worth nothing
 LONG_WATCH_MS = 15_000
+HUB_PROOF_SHARE = 0.2  # of a record's bound, between two proofs of a hub
+PROOF_LIMIT_SHARE = 0.45  # of the bound; an instance then reads the platform itself
+VERSION_PROOF_SHARE = 0.5  # of the bound on old weights, which cost well before it
 LEAVE_MS = 2_800  # two readiness questions a second apart, and the balancer's delay
 STOP_MARGIN_MS = 900
 METRICS_PORT, METRICS_PATH = 9_464, "/metrics"  # as in deploy/system.toml
@@ -72,6 +76,16 @@
 )
 
 
+def _waits(bound_ms: float, pace_ms: float = 0.0) -> following.Waits:
+    """Return how long calls for records wait that are to be known within a bound."""
+    return following.Waits(
+        LONG_WATCH_MS,
+        int(bound_ms * HUB_PROOF_SHARE),
+        pace_ms,
+        bound_ms * PROOF_LIMIT_SHARE,
+    )
+
+
 class SuspendTimers(timers.LoopTimers):
     """Timers whose time goes on while the machine is suspended."""
 
@@ -169,25 +183,47 @@
             self.clock,
             self.gossip,
         )
-        proof_ms = int(bounds.revoke_ms * PROOF_SHARE)
+        beliefs, clock = self.beliefs, self.clock
         first = self._follower(
-            readers.CatalogueReader(self.beliefs, self.clock, self._configured),
-            proof_ms,
+            readers.CatalogueReader(beliefs, clock, self._configured),
+            _waits(bounds.revoke_ms)._replace(
+                alone_ms=int(bounds.revoke_ms * PROOF_SHARE)
+            ),
         )
-        beliefs, clock = self.beliefs, self.clock
+        targets_pace_ms = bounds.drain_ms * TARGETS_PACE_SHARE
+        version_ms = bounds.version_ms
         rest = [
             (
                 readers.TargetReader(beliefs, clock),
-                bounds.drain_ms * TARGETS_PACE_SHARE,
+                _waits(bounds.drain_ms, targets_pace_ms),
+            ),
+            (readers.EvacuationReader(beliefs, clock), _waits(bounds.evacuate_ms)),
+            (
+                readers.VersionReader(beliefs, clock, version_ms),
+                _waits(version_ms * VERSION_PROOF_SHARE),
+            ),
+            (
+                readers.FleetReader(beliefs, clock, self.gossip.members),
+                _waits(LONG_WATCH_MS, FLEET_PACE_MS),
+            ),
+            (
+                readers.LeaseReader(beliefs, clock, lease),
+                _waits(LONG_WATCH_MS, LEASES_PACE_MS),
             ),
-            (readers.EvacuationReader(beliefs, clock), 0.0),
-            (readers.VersionReader(beliefs, clock, bounds.version_ms), 0.0),
-            (readers.FleetReader(beliefs, clock, self.gossip.members), FLEET_PACE_MS),
-            (readers.LeaseReader(beliefs, clock, lease), LEASES_PACE_MS),
         ]
-        others = [self._follower(one, LONG_WATCH_MS, pace_ms) for one, pace_ms in rest]
-        first.on_regained = lambda: [one.restart() for one in others]
+        others = [self._follower(reader, waits) for reader, waits in rest]
         self.followers = [first, *others]
+        self.proofs = proofs.Proofs(self.gossip, clock, beliefs.roster.regained)
+        for follower in self.followers:
+            self.proofs.add(follower)
+        for follower in others:
+            follower.scout = first
+        first.on_regained = lambda: self._regained(others)
+
+    def _regained(self, others: list[following.Follower]) -> None:
+        self.proofs.regained_ms = self.clock.now_ms()
+        for one in others:
+            one.restart()
 
     def _build_metrics(self) -> None:
         gauge = self.metrics.gauge
@@ -216,11 +252,9 @@
         return messages.Response(200, self.metrics.render(), kind)
 
     def _follower(
-        self, reader: readers.Reader, wait_ms: int, pace_ms: float = 0.0
+        self, reader: readers.Reader, waits: following.Waits
     ) -> following.Follower:
-        return following.Follower(
-            self.objects, reader, wait_ms, self.clock, self.random, pace_ms
-        )
+        return following.Follower(self.objects, reader, waits, self.clock, self.random)
 
     def _configured(self) -> None:
         self.librarian.configure(self.beliefs.catalogue)
@@ -249,6 +283,7 @@
         self._tasks.append(asyncio.ensure_future(prober.run()))
         self._tasks.append(asyncio.ensure_future(self.gossip.run()))
         self._tasks.append(asyncio.ensure_future(self.gossip.run_hub()))
+        self._tasks.append(asyncio.ensure_future(self.proofs.run()))
         self._tasks.append(asyncio.ensure_future(self._register()))
         self._tasks.append(asyncio.ensure_future(self._watch_settings()))
         events.emit(
--- a/cornelreach/gateway/following.py
+++ b/cornelreach/gateway/following.py
@@ -2,7 +2,8 @@
 
 A ``Follower`` hands every record to its ``Reader`` and says how fresh the proof is that
 nothing newer exists. When one follower has lost the platform and regains it, the others
-start their waiting calls anew, since a connection may have gone silent with it.
+start their waiting calls anew, since a connection may have gone silent with it. In a
+larger fleet most instances rest while a hub's proofs are young enough (``proofs``).
 """
 
 import asyncio
@@ -20,6 +21,10 @@
 RETRY_SPREAD = 0.5
 MARGIN_MS = 800
 RETURN_WAIT_MS = 10
+HUB_PACE_MS = 100.0
+PUSH_GRACE_MS = 150.0  # a change that an answer tells of may be on its way
+MOST_REST_MS = 500.0
+AWAY_REST_MS = 3_000.0  # while another follower looks for the platform's return
 
 LOST = events.define(
     2111,
@@ -33,6 +38,12 @@
     "The platform's records {prefix} are followed again after {lost_ms} ms.",
     "Nothing.",
 )
+SOURCE = events.define(
+    2113,
+    "INFO",
+    "Records {prefix} come from {source} now, last proved {age_ms} ms ago.",
+    "Nothing; if it changes often: look at the hub's machine.",
+)
 
 
 class Reader(typing.Protocol):
@@ -53,42 +64,152 @@
         """Note that the platform answers again."""
 
 
+class Source(typing.Protocol):
+    """Where proofs may come from beside the platform."""
+
+    def hub(self) -> str:
+        """Return the hub that proofs come from, empty where there is none."""
+
+    def leads(self) -> bool:
+        """Return whether others take their proofs from this instance."""
+
+
+class Waits(typing.NamedTuple):
+    """How long calls wait, in milliseconds.
+
+    ``alone_ms`` bounds how old the proof gets without hubs, ``hub_ms`` as a hub.
+    Changes that come within ``pace_ms`` of others are taken with one call. A proof from
+    a hub that is older than ``limit_ms`` is not relied on.
+    """
+
+    alone_ms: int
+    hub_ms: int
+    pace_ms: float = 0.0
+    limit_ms: float = 0.0
+
+
 class Follower:
-    """Keeps one reader up to date; ``wait_ms`` bounds how old its proof gets.
+    """Keeps one reader up to date.
 
-    Changes that come within ``pace_ms`` of others are taken with one call.
+    ``revision`` is how far the records were read, ``changed`` a revision at or after
+    their last change, ``proved_ms`` when nothing newer was known to exist. While the
+    platform is away only ``scout``, if there is one, asks for it often.
     """
 
     def __init__(
         self,
         objects: results.Objects,
         reader: Reader,
-        wait_ms: int,
+        waits: Waits,
         clock: timers.Timers,
         source: random.Random,
-        pace_ms: float = 0.0,
     ) -> None:
-        self.pace_ms = pace_ms
         self.objects = objects
         self.reader = reader
-        self.wait_ms = wait_ms
+        self.waits = waits
         self.clock = clock
         self.random = source
         self.lost_ms: float | None = None
         self.on_regained: typing.Callable[[], None] = lambda: None
-        self._revision: int | None = None
+        self.on_changes: typing.Callable[..., None] = lambda *changes: None
+        self.source: Source | None = None
+        self.scout: Follower | None = None
+        self.revision: int | None = None
+        self.changed = 0
+        self.proved_ms: float | None = None
+        self._behind_ms: float | None = None
+        self._nudged = asyncio.Event()
+        self._told_source = "the platform"
         self._failures = 0
         self._call: asyncio.Task[typing.Any] | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            await self.once()
+            rest_ms = self._rest_ms()
+            self._tell_source(rest_ms > 0)
+            if rest_ms > 0:
+                await self._rest(rest_ms)
+            else:
+                await self.once()
+
+    # Proofs of a hub.
+
+    def _age_ms(self) -> float:
+        if self.proved_ms is None:
+            return float("inf")
+        return self.clock.now_ms() - self.proved_ms
+
+    def _rest_ms(self) -> float:
+        """Return for how long no call is needed, 0 for none."""
+        if self.source is None or self.revision is None or not self.source.hub():
+            return 0.0
+        left_ms = self.waits.limit_ms - self._age_ms()
+        if self._behind_ms is not None:
+            waited_ms = self.clock.now_ms() - self._behind_ms
+            left_ms = min(left_ms, PUSH_GRACE_MS - waited_ms)
+        return min(MOST_REST_MS, left_ms)
+
+    async def _rest(self, rest_ms: float) -> None:
+        self._nudged.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(rest_ms / 1_000):
+                await self._nudged.wait()
+
+    def _tell_source(self, rests: bool) -> None:
+        found = self.source.hub() if rests else "the platform"
+        if found != self._told_source and self._behind_ms is None:
+            self._told_source = found
+            age_ms = round(min(1e9, self._age_ms()))
+            events.emit(SOURCE, prefix=self.reader.prefix, source=found, age_ms=age_ms)
+
+    def proved_by_hub(self, revision: int, changed: int, at_ms: float) -> None:
+        """Take a hub's proof: it read up to a revision, nothing changed after another.
+
+        A proof of records that this instance has not read yet makes it read them.
+        """
+        if self.revision is None:
+            return
+        if changed > self.revision:
+            if self._behind_ms is None:
+                self._behind_ms = self.clock.now_ms()
+                self._nudged.set()
+            return
+        self._behind_ms = None
+        self.revision = max(self.revision, revision)
+        self._prove(at_ms)
+
+    def pushed(
+        self, before: int, after: int, records: tuple[results.Record, ...]
+    ) -> None:
+        """Take changes that a hub has read, if none is missing before them."""
+        if self.revision is None or not before <= self.revision < after:
+            return
+        for record in records:
+            self.reader.changed(record)
+        self.revision = self.changed = after
+        self._behind_ms = None
+
+    def _prove(self, at_ms: float) -> None:
+        if self.proved_ms is None or at_ms > self.proved_ms:
+            self.proved_ms = at_ms
+        self.reader.proved(at_ms)
+
+    # Calls to the platform.
+
+    def _wait_ms(self) -> int:
+        # While the platform is away the calls are short, so that its return shows at
+        # once and not with the next event.
+        if self.lost_ms is not None or self._behind_ms is not None:
+            return RETURN_WAIT_MS
+        leads = self.source is not None and self.source.leads()
+        return self.waits.hub_ms if leads else self.waits.alone_ms
 
     async def once(self) -> None:
         """Make one call and hand on what it brought."""
         sent_ms = self.clock.now_ms()
-        work = self._list() if self._revision is None else self._watch()
+        wait_ms = self._wait_ms()
+        work = self._list() if self.revision is None else self._watch(wait_ms)
         self._call = asyncio.ensure_future(work)
         try:
             outcome = await self._call
@@ -99,48 +220,63 @@
             return
         if isinstance(outcome, result.Success):
             found = outcome.unwrap()
-            self._succeeded(found, sent_ms)
-            if found.records and self.pace_ms:
-                await asyncio.sleep(self.pace_ms / 1_000)
+            self._succeeded(found, sent_ms, wait_ms)
+            if found.records and self.waits.pace_ms:
+                leads = self.source is not None and self.source.leads()
+                pace_ms = HUB_PACE_MS if leads else self.waits.pace_ms
+                await asyncio.sleep(min(pace_ms, self.waits.pace_ms) / 1_000)
         else:
             await self._failed(outcome.failure())
 
     def restart(self) -> None:
-        """Make the waiting call anew, on another connection."""
+        """Make the waiting call anew, on another connection, or the next one now."""
+        self._nudged.set()
         if self._call is not None and not self._call.done():
             self._call.cancel()
 
     async def _list(self) -> result.Result[results.Listing, results.ReadError]:
         return await self.objects.list(self.reader.prefix)
 
-    async def _watch(self) -> result.Result[results.Changes, results.WatchError]:
-        # While the platform is away the calls are short, so that its return shows at
-        # once and not with the next event.
-        wait_ms = self.wait_ms if self.lost_ms is None else RETURN_WAIT_MS
+    async def _watch(
+        self, wait_ms: int
+    ) -> result.Result[results.Changes, results.WatchError]:
         return await self.objects.watch(
-            self.reader.prefix, self._revision, wait_ms, MARGIN_MS
+            self.reader.prefix, self.revision, wait_ms, MARGIN_MS
         )
 
     def _succeeded(
-        self, found: results.Listing | results.Changes, sent_ms: float
+        self,
+        found: results.Listing | results.Changes,
+        sent_ms: float,
+        wait_ms: int,
     ) -> None:
         regained = self.lost_ms is not None
         if regained:
             self._regain()
+        self._failures = 0
         if isinstance(found, results.Listing):
             self.reader.listed(found.records, regained)
-            self.reader.proved(sent_ms)
-        else:
+            self.revision = self.changed = found.revision
+            self._behind_ms = None
+            self._prove(sent_ms)
+            return
+        # A push may have overtaken the call.
+        if found.revision >= self.revision:
             for record in found.records:
                 self.reader.changed(record)
-            self.reader.proved(self._proof_ms(found, sent_ms))
-        self._failures = 0
-        self._revision = found.revision
+            before, self.revision = self.revision, found.revision
+            if found.records:
+                self.changed = found.revision
+                self.on_changes(
+                    self.reader.prefix, before, found.revision, found.records
+                )
+            self._behind_ms = None
+        self._prove(self._proof_ms(found, sent_ms, wait_ms))
 
-    def _proof_ms(self, found: results.Changes, sent_ms: float) -> float:
+    def _proof_ms(self, found: results.Changes, sent_ms: float, wait_ms: int) -> float:
         # An empty answer was given once the wait was over, so it proves that moment.
-        whole = self.clock.now_ms() - sent_ms >= self.wait_ms
-        return sent_ms + self.wait_ms if whole and not found.records else sent_ms
+        whole = self.clock.now_ms() - sent_ms >= wait_ms
+        return sent_ms + wait_ms if whole and not found.records else sent_ms
 
     def _regain(self) -> None:
         lost_ms = round(self.clock.now_ms() - self.lost_ms)
@@ -151,7 +287,7 @@
 
     async def _failed(self, error: results.ReadError | results.WatchError) -> None:
         if isinstance(error, results.Compacted):
-            self._revision = None
+            self.revision = None
             return
         if self.lost_ms is None:
             self.lost_ms = self.clock.now_ms()
@@ -160,6 +296,6 @@
             )
         self._failures += 1
         wait_ms = min(MOST_RETRY_MS, RETRY_MS * 2 ** min(self._failures - 1, 6))
-        wait_ms *= 1 + self.random.random() * RETRY_SPREAD
-        with contextlib.suppress(TimeoutError):
-            await asyncio.sleep(wait_ms / 1_000)
+        if self.scout is not None and self.scout.lost_ms is not None:
+            wait_ms = AWAY_REST_MS
+        await self._rest(wait_ms * (1 + self.random.random() * RETRY_SPREAD))
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -50,6 +50,14 @@
 )
 
 
+Kind = typing.TypeVar("Kind")
+Taker = typing.Callable[[Kind], None]
+
+
+def _ignore(datagram: datagrams.Datagram | datagrams.ShelfNews) -> None:
+    """Take no note: nobody has asked for it."""
+
+
 class Reported(typing.NamedTuple):
     """Model versions that a target reported."""
 
@@ -86,7 +94,10 @@
         self.relay_state = relays.Relay(clock)
         self.peers: dict[str, Peer] = {}
         self.closed: set[str] = set()
-        self.on_shelf: typing.Callable[[datagrams.ShelfNews], None] = lambda news: None
+        self.on_shelf: Taker[datagrams.ShelfNews] = _ignore
+        self.on_ask: Taker[datagrams.Ask] = _ignore
+        self.on_answer: Taker[datagrams.Answer] = _ignore
+        self.on_changes: Taker[datagrams.Changes] = _ignore
         self._sums = relays.Sums()
         self._digested = relays.Sums()
         self._digested_ms = 0.0
@@ -124,6 +135,12 @@
             case datagrams.Bundle(_, news):
                 for one in news:
                     self.on_shelf(one)
+            case datagrams.Ask():
+                self.on_ask(found)
+            case datagrams.Answer():
+                self.on_answer(found)
+            case datagrams.Changes():
+                self.on_changes(found)
 
     def error_received(self, error: OSError) -> None:
         """Take no note: a peer that is down is told again when it is back."""
@@ -311,15 +328,25 @@
         self._quiet, self._told_ms = idle, now_ms
         listeners = self._listeners()
         self._allowed -= len(listeners)
-        self._send(told, listeners)
+        self.send(told, listeners)
         for reports in datagrams.reports(self.name, versions):
-            self._send(reports, listeners)
+            self.send(reports, listeners)
 
     def relay(self, news: datagrams.ShelfNews) -> None:
         """Pass on what lies in a store to those that listen to this hub."""
         self.relay_state.take_news(news)
 
-    def _send(self, datagram: datagrams.Datagram, names: typing.Iterable[str]) -> None:
+    def followed(self) -> str:
+        """Return the hub that this instance listens to."""
+        return self._followed
+
+    def followers(self) -> list[str]:
+        """Return the instances that listen to this hub."""
+        served = self._served()
+        return [name for name, told in served.items() if told.follows == self.name]
+
+    def send(self, datagram: datagrams.Datagram, names: typing.Iterable[str]) -> None:
+        """Send a datagram to instances, those left out that are not registered."""
         if self._transport is None:
             return
         data = datagrams.encode(datagram)
@@ -327,8 +354,9 @@
             events.emit(TOO_LONG, length=len(data))
             return
         for name in names:
-            member = self.members[name]
-            self._transport.sendto(data, (member.host, member.port))
+            member = self.members.get(name)
+            if member is not None:
+                self._transport.sendto(data, (member.host, member.port))
 
     # What a hub passes on.
 
@@ -365,7 +393,7 @@
             self._send_reports(list(served))
         if self._is_due("bundle", BUNDLE_MS):
             for bundle in datagrams.bundles(self.name, self.relay_state.news()):
-                self._send(bundle, followers)
+                self.send(bundle, followers)
         return max(DIGEST_MS, len(followers) / HUB_DATAGRAMS_PER_S * 1_000)
 
     def _send_digests(
@@ -385,7 +413,7 @@
         for name in listeners:
             loads = total.without(served[name].loads)
             for part in datagrams.split(named._replace(loads=loads)):
-                self._send(part, (name,))
+                self.send(part, (name,))
         zone = digest._replace(
             zone=self.zone,
             loads=ours.loads,
@@ -399,11 +427,11 @@
         """Send a datagram to the hubs of the other data centres."""
         for zone in self.hubs.zones():
             if zone != self.zone:
-                self._send(datagram, self.hubs.tell_to(zone))
+                self.send(datagram, self.hubs.tell_to(zone))
 
     def _send_reports(self, served: list[str]) -> None:
         for reports in datagrams.reports(self.name, self._reported()):
-            self._send(reports, served)
+            self.send(reports, served)
             self._send_to_hubs(reports)
 
     # Running.
--- a/cornelreach/gateway/readers.py
+++ b/cornelreach/gateway/readers.py
@@ -70,7 +70,7 @@
             self.beliefs.prove(at_ms)
 
     def regained(self) -> None:
-        self.beliefs.roster.regained_ms = self.clock.now_ms()
+        self.beliefs.roster.regained(self.clock.now_ms())
 
 
 class TargetReader(Reader):
@@ -95,7 +95,7 @@
             self.beliefs.roster.put(found.target, found.cold_ms, now_ms)
 
     def regained(self) -> None:
-        self.beliefs.roster.regained_ms = self.clock.now_ms()
+        self.beliefs.roster.regained(self.clock.now_ms())
 
 
 class EvacuationReader(Reader):
--- a/cornelreach/gateway/roster.py
+++ b/cornelreach/gateway/roster.py
@@ -92,6 +92,10 @@
         self._by_service: dict[str, dict[str, Target]] = {}
         self._lapsed: dict[str, float] = {}
 
+    def regained(self, at_ms: float) -> None:
+        """Note that the platform's list was away and can be followed again."""
+        self.regained_ms = max(self.regained_ms, at_ms)
+
     def state(self, target: str) -> State:
         """Return what is known of a target from own calls."""
         return self.states.setdefault(target, State())
--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -31,6 +31,7 @@
     lease_ms: float
     thaw_ms: float
     version_ms: float
+    evacuate_ms: float = 5_000
 
 
 class Site(typing.NamedTuple):
@@ -85,6 +86,7 @@
     lease_ms: typing.NotRequired[float]
     thaw_ms: typing.NotRequired[float]
     version_ms: typing.NotRequired[float]
+    evacuate_ms: typing.NotRequired[float]
 
 
 class _File(typing.TypedDict):
@@ -145,4 +147,5 @@
         lease_ms=found.get("lease_ms", 3_000),
         thaw_ms=found.get("thaw_ms", 0),
         version_ms=found.get("version_ms", 8_000),
+        evacuate_ms=found.get("evacuate_ms", 5_000),
     )
--- a/test/gateway/test_following.py
+++ b/test/gateway/test_following.py
@@ -28,6 +28,9 @@
     return results.Record(records.CONFIG_MAIN, revision, {**CONFIG, "version": version})
 
 
+WAITS = following.Waits(1_500, 500, 0.0, 2_000.0)
+
+
 class Objects:
     """Answers calls from a script and moves the clock by each call's time."""
 
@@ -61,7 +64,7 @@
         self.applied = 0
         reader = readers.CatalogueReader(self.beliefs, self.clock, self.apply)
         self.follower = following.Follower(
-            self.objects, reader, 1_500, self.clock, random.Random(1)
+            self.objects, reader, WAITS, self.clock, random.Random(1)
         )
 
     def apply(self):
--- /dev/null
+++ b/test/gateway/test_proofs.py
@@ -0,0 +1,265 @@
+"""Proofs from hubs: when an instance rests, when it reads, what it may believe."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+from returns import result
+
+from cornelreach.gateway import datagrams, following, proofs
+from cornelreach.platform import results
+from cornelreach.util import timers
+from test.gateway import fleet as fleet_module
+
+PREFIX = "servers/"
+WAITS = following.Waits(15_000, 400, 0.0, 900.0)
+ALL = 1_000_000
+
+
+class Store:
+    """The platform: numbered changes, and who asked for them."""
+
+    def __init__(self):
+        self.revision = 1
+        self.changes = []
+        self.calls = []
+
+    def write(self, key):
+        """Change a record."""
+        self.revision += 1
+        self.changes.append(results.Record(PREFIX + key, self.revision, {"n": key}))
+
+    def other(self):
+        """Change a record of another kind."""
+        self.revision += 1
+
+    def since(self, revision):
+        """Return what a watch brings."""
+        found = tuple(one for one in self.changes if one.version > revision)
+        return results.Changes(self.revision, found)
+
+
+class Objects:
+    """The platform as one instance reaches it."""
+
+    def __init__(self, store, name):
+        self.store = store
+        self.name = name
+        self.away = False
+
+    async def list(self, prefix, after=""):
+        return self.answer(results.Listing(self.store.revision, ()))
+
+    async def watch(self, prefix, since, wait_ms, margin_ms=0):
+        return self.answer(self.store.since(since))
+
+    def answer(self, found):
+        """Return what a call brings now."""
+        self.store.calls.append(self.name)
+        if self.away:
+            return result.Failure(results.Unavailable("away"))
+        return result.Success(found)
+
+
+class Reader:
+    """Keeps what it is handed, and when that was proved."""
+
+    prefix = PREFIX
+
+    def __init__(self):
+        self.keys = []
+        self.proved_ms = None
+
+    def listed(self, records, regained):
+        self.keys = [one.key for one in records]
+
+    def changed(self, record):
+        self.keys.append(record.key)
+
+    def proved(self, at_ms):
+        self.proved_ms = max(self.proved_ms or at_ms, at_ms)
+
+    def regained(self):
+        pass
+
+
+class Fleet(fleet_module.Fleet):
+    """Instances whose followers call or rest as they decide, in virtual time."""
+
+    def __init__(self, size):
+        super().__init__(size)
+        self.store = Store()
+        self.followers = {}
+        for name, one in self.parts.items():
+            follower = following.Follower(
+                Objects(self.store, name),
+                Reader(),
+                WAITS,
+                self.clock,
+                random.Random(1),
+            )
+            source = proofs.Proofs(one, self.clock, lambda at_ms: None)
+            source.add(follower)
+            self.followers[name] = follower
+            self.at(
+                self.random.uniform(0, 250), lambda n=name, s=source: self._ask(n, s)
+            )
+            self.at(self.random.uniform(0, 50), lambda n=name: self._follow(n))
+
+    def _ask(self, name, source):
+        if name not in self.dead:
+            source.ask()
+        self.at(proofs.ASK_MS, lambda: self._ask(name, source))
+
+    def _follow(self, name):
+        follower = self.followers[name]
+        pause_ms = 50.0
+        if name not in self.dead:
+            pause_ms = follower._rest_ms()
+            if pause_ms <= 0:
+                waits = follower._wait_ms()
+                self._call(follower)
+                # A call that finds nothing waits; the model ends the wait at its end.
+                pause_ms = min(waits, WAITS.hub_ms)
+        self.at(max(5.0, min(pause_ms, 50.0)), lambda: self._follow(name))
+
+    def _call(self, follower):
+        work = follower._list() if follower.revision is None else follower._watch(0)
+        try:
+            work.send(None)
+        except StopIteration as stop:
+            outcome = stop.value
+        if isinstance(outcome, result.Success):
+            follower._succeeded(outcome.unwrap(), self.clock.now_ms(), ALL)
+
+    def keys(self, name):
+        """Return the keys that an instance was handed."""
+        return set(self.followers[name].reader.keys)
+
+
+class Proofs(unittest.TestCase):
+    """A fleet of 40 instances in three data centres."""
+
+    def setUp(self):
+        self.fleet = Fleet(40)
+        self.fleet.run(3_000)
+        self.leaders = {
+            name for names in self.fleet.leaders().values() for name in names
+        }
+
+    def test_only_hubs_call_the_platform(self):
+        self.fleet.store.calls.clear()
+        self.fleet.run(5_000)
+        self.assertEqual(set(self.fleet.store.calls), self.leaders)
+
+    def test_every_instance_has_a_young_proof(self):
+        now_ms = self.fleet.clock.now_ms()
+        for name, one in self.fleet.followers.items():
+            self.assertLess(now_ms - one.proved_ms, WAITS.limit_ms, name)
+
+    def test_a_change_reaches_all_by_a_push_and_without_calls(self):
+        self.fleet.store.calls.clear()
+        self.fleet.store.write("a")
+        self.fleet.run(120)
+        for name in self.fleet.parts:
+            self.assertEqual(self.fleet.keys(name), {PREFIX + "a"}, name)
+        self.assertEqual(set(self.fleet.store.calls), self.leaders)
+
+    def test_who_misses_a_push_reads_the_platform(self):
+        self.fleet.loss = 1.0
+        self.fleet.store.write("a")
+        self.fleet.run(100)
+        self.fleet.loss = 0.0
+        self.fleet.run(proofs.ASK_MS + following.PUSH_GRACE_MS + 120)
+        for name in self.fleet.parts:
+            self.assertEqual(self.fleet.keys(name), {PREFIX + "a"}, name)
+
+    def test_dead_hubs_delay_nobody_beyond_the_limit(self):
+        self.fleet.dead |= self.leaders
+        self.fleet.store.write("a")
+        self.fleet.run(WAITS.limit_ms + 60)
+        for name in self.fleet.living():
+            self.assertEqual(self.fleet.keys(name), {PREFIX + "a"}, name)
+
+    def test_a_hub_cut_off_from_the_platform_delays_nobody_beyond_the_limit(self):
+        for name in self.leaders:
+            self.fleet.followers[name].objects.away = True
+        self.fleet.store.write("a")
+        self.fleet.run(WAITS.limit_ms + proofs.ASK_MS + 60)
+        for name in set(self.fleet.parts) - self.leaders:
+            self.assertEqual(self.fleet.keys(name), {PREFIX + "a"}, name)
+
+    def test_changes_of_other_kinds_cost_nobody_a_call(self):
+        self.fleet.store.calls.clear()
+        for _ in range(20):
+            self.fleet.store.other()
+            self.fleet.run(100)
+        self.assertEqual(set(self.fleet.store.calls), self.leaders)
+
+
+class Believing(unittest.TestCase):
+    """One follower before answers and pushes of any age and order."""
+
+    def setUp(self):
+        self.clock = timers.VirtualTimers(start_ms=10_000)
+        self.store = Store()
+        self.reader = Reader()
+        self.follower = following.Follower(
+            Objects(self.store, "me"), self.reader, WAITS, self.clock, random.Random(1)
+        )
+        self.follower.revision = 1
+
+    def test_a_late_answer_proves_no_more_than_the_time_it_was_asked(self):
+        fleet = fleet_module.Fleet(12)
+        fleet.run(2_000)
+        name = next(n for n in fleet.parts if not fleet.parts[n].leads())
+        source = proofs.Proofs(fleet.parts[name], fleet.clock, lambda at_ms: None)
+        source.add(self.follower)
+        asked_ms = fleet.clock.now_ms()
+        source.ask()
+        fleet.run(5_000)  # the instance stood still, or the answer did
+        row = (1, 1, 300.0)
+        source.take_answer(datagrams.Answer("h", 1, {PREFIX: row}))
+        self.assertEqual(self.reader.proved_ms, asked_ms - 300.0)
+        source.take_answer(datagrams.Answer("h", 99, {PREFIX: (9, 1, 0.0)}))
+        self.assertEqual(self.reader.proved_ms, asked_ms - 300.0)
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["write", "other", "hub", "push", "proof"]),
+                strategies.integers(0, 3),
+            ),
+            max_size=40,
+        )
+    )
+    def test_a_proof_never_covers_a_change_that_was_not_read(self, steps):
+        self.setUp()
+        hub, changed, proved_ms, pushes = 1, 1, self.clock.now_ms(), []
+        written = {}
+        for step, choice in steps:
+            self.clock.advance(100)
+            if step == "write":
+                self.store.write(f"k{self.store.revision}")
+                written[self.store.changes[-1].key] = self.clock.now_ms()
+            elif step == "other":
+                self.store.other()
+            elif step == "hub":
+                found = self.store.since(hub)
+                if found.records:
+                    pushes.append((hub, found.revision, found.records))
+                    changed = found.revision
+                hub, proved_ms = found.revision, self.clock.now_ms()
+            elif step == "push" and pushes:
+                self.follower.pushed(*pushes[choice % len(pushes)])
+            elif step == "proof":
+                self.follower.proved_by_hub(hub, changed, proved_ms)
+            proved = self.reader.proved_ms or 0.0
+            missed = [
+                key
+                for key, at_ms in written.items()
+                if at_ms <= proved and key not in self.reader.keys
+            ]
+            self.assertEqual(missed, [])
