Bound a hub's datagrams by their parts, and measure hubs over fleets of several sizes

Cause: a digest of more than 36 targets takes several datagrams, and the bound on a hub's rate counted one: 2,147 a second at 100 instances and 4,078 at 300 where 1,000 was the bound. Now parts count, and the bound is 2,000 (about 5% of a core of a strong machine).

--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -7,6 +7,7 @@
     found = datagrams.decode(data)
 """
 
+import math
 import typing
 
 import msgspec
@@ -149,6 +150,11 @@
     return decoder.decode(data[1:])
 
 
+def parts_of(loads: int) -> int:
+    """Return how many datagrams a table of loads takes."""
+    return max(1, math.ceil(loads / LOADS_A_DATAGRAM))
+
+
 def split(digest: Digest) -> list[Digest]:
     """Return a digest in parts that each fit into a datagram."""
     names = list(digest.loads)
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -28,7 +28,7 @@
 FORGET_INTERVALS = 6
 LEAST_FORGET_MS = 700.0
 REPORT_MS = 2_500.0  # the platform's list has caught up by then
-HUB_DATAGRAMS_PER_S = 1_000.0
+HUB_DATAGRAMS_PER_S = 2_000.0
 DIGEST_MS = 25.0
 SLOW_DIGEST_MS = 250.0  # to those that follow another hub, and without news
 BUNDLE_MS = 100.0
@@ -394,7 +394,8 @@
         if self._is_due("bundle", BUNDLE_MS):
             for bundle in datagrams.bundles(self.name, self.relay_state.news()):
                 self.send(bundle, followers)
-        return max(DIGEST_MS, len(followers) / HUB_DATAGRAMS_PER_S * 1_000)
+        a_round = len(followers) * datagrams.parts_of(len(self._all().loads))
+        return max(DIGEST_MS, a_round / HUB_DATAGRAMS_PER_S * 1_000)
 
     def _send_digests(
         self, listeners: list[str], served: typing.Mapping[str, datagrams.Told]
--- a/test/gateway/test_library.py
+++ b/test/gateway/test_library.py
@@ -10,7 +10,7 @@
     library,
 )
 from cornelreach.platform import promptstores
-from test.gateway import fleet
+from tools import hub_fleet as fleet
 
 Part = calls.Part
 Stored = promptstores.Stored
--- a/test/gateway/test_proofs.py
+++ b/test/gateway/test_proofs.py
@@ -10,7 +10,7 @@
 from cornelreach.gateway import datagrams, following, proofs
 from cornelreach.platform import results
 from cornelreach.util import timers
-from test.gateway import fleet as fleet_module
+from tools import hub_fleet as fleet_module
 
 PREFIX = "servers/"
 WAITS = following.Waits(15_000, 400, 0.0, 900.0)
--- a/test/gateway/fleet.py
+++ b/tools/hub_fleet.py
@@ -6,12 +6,16 @@
 
 from cornelreach.gateway import gossip, hubs, roster
 from cornelreach.util import timers
-from test.gateway import test_roster
 
 ZONES = ("north", "south", "east")
 IN_ZONE_MS, BETWEEN_MS = 0.1, 1.0
 
 
+def target(name):
+    """Return an engine's entry."""
+    return roster.Target(name, "s", "10.0.0.1:80", "north", 8, False, {"m": 1}, 1)
+
+
 class Port:
     """The transport of one instance."""
 
@@ -19,11 +23,14 @@
         self.fleet = fleet
         self.name = name
         self.count = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.longest = 0
 
     def sendto(self, data, address):
         """Send a datagram to the instance of an address."""
         self.count += 1
+        self.sent_bytes += len(data)
         self.longest = max(self.longest, len(data))
         self.fleet.carry(self.name, address[0], data)
 
@@ -31,7 +38,7 @@
 class Fleet:
     """Instances, the datagrams on their way, and what the network does to them."""
 
-    def __init__(self, size, targets=10, seed=1, power=lambda number: 1.0):
+    def __init__(self, size, targets=10, seed=1, power=lambda number: 1.0, zones=ZONES):
         self.clock = timers.VirtualTimers(start_ms=10_000)
         self.random = random.Random(seed)
         self.loss = 0.0
@@ -42,7 +49,7 @@
         self._due = []
         names = [f"i{number}" for number in range(size)]
         members = {
-            name: hubs.Member(name, 1, ZONES[number % 3], power(number))
+            name: hubs.Member(name, 1, zones[number % len(zones)], power(number))
             for number, name in enumerate(names)
         }
         for name in names:
@@ -50,7 +57,7 @@
                 name, f"b{name}", roster.Roster(), self.clock, members[name].zone
             )
             for number in range(targets):
-                one.roster.put(test_roster.target(f"t{number}"), 0, 0)
+                one.roster.put(target(f"t{number}"), 0, 0)
             one.members.update(members)
             one._transport = Port(self, name)
             self.parts[name] = one
@@ -82,6 +89,7 @@
 
     def _deliver(self, receiver, data):
         if receiver not in self.dead:
+            self.parts[receiver]._transport.received_bytes += len(data)
             self.parts[receiver].datagram_received(data, ("h", 1))
 
     def run(self, duration_ms):
