--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 .PHONY: env test lint format run serve docs measure bench-placement measure-fairness \
 	measure-control measure-fleet measure-instances check-admission
-.PHONY: measure-slopes fuzz soak
+.PHONY: measure-slopes fuzz soak measure-hubs
 
 env: $(STAMP)
 
@@ -82,5 +82,8 @@
 measure-fleet: env
 	$(PYTHON) -m tools.measure_fleet
 
+measure-hubs: env
+	$(PYTHON) -m tools.measure_hubs
+
 measure-instances: env
 	$(PYTHON) -m tools.measure_instances
