--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -108,6 +108,7 @@
         )
         self.metrics = metrics.Metrics()
         self.stopping = False
+        self._settings_text = site_module.read(path)
         self._said_ready = ""
         self._tasks: list[asyncio.Task[typing.Any]] = []
         self._build_platform()
@@ -338,6 +339,10 @@
 
     def reload(self) -> None:
         """Take over the bounds of a changed settings file."""
+        text = site_module.read(self.path)
+        if text == self._settings_text:
+            return
+        self._settings_text = text
         try:
             found = site_module.load(self.path)
         except errors.UserError as error:
--- a/cornelreach/gateway/following.py
+++ b/cornelreach/gateway/following.py
@@ -23,7 +23,7 @@
 RETURN_WAIT_MS = 10
 HUB_PACE_MS = 100.0
 PUSH_GRACE_MS = 150.0  # a change that an answer tells of may be on its way
-MOST_REST_MS = 500.0
+MOST_REST_MS = 1_000.0
 AWAY_REST_MS = 3_000.0  # while another follower looks for the platform's return
 
 LOST = events.define(
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -29,7 +29,7 @@
 LEAST_FORGET_MS = 700.0
 REPORT_MS = 2_500.0  # the platform's list has caught up by then
 HUB_DATAGRAMS_PER_S = 2_000.0
-DIGEST_MS = 25.0
+DIGEST_MS = 40.0
 SLOW_DIGEST_MS = 250.0  # to those that follow another hub, and without news
 BUNDLE_MS = 100.0
 
--- a/cornelreach/gateway/library.py
+++ b/cornelreach/gateway/library.py
@@ -26,6 +26,7 @@
 POLL_WAIT_MS = 800
 PACE_MS = 120.0
 RETRY_MS = 300.0
+LISTEN_MS = 600.0  # between two looks whether this instance has become a hub
 TRUST_MS = 1_500.0  # the wait of a poll, and the call's margin
 FULL_SHARE = 0.95
 LEAST_DELAY_MS = 80.0  # less is the engines' own unevenness
@@ -274,7 +275,7 @@
             events.emit(SHELF_FOUND, store=shelf.store.name, parts=len(shelf.parts))
             return PACE_MS
         if not self.watches():
-            return RETRY_MS
+            return LISTEN_MS
         batch = await self.stores.events(address, shelf.position, POLL_WAIT_MS)
         if shelf.take_events(batch, self.clock.now_ms()) and self.relays():
             self._relay(shelf, batch)
--- a/cornelreach/gateway/proofs.py
+++ b/cornelreach/gateway/proofs.py
@@ -19,7 +19,7 @@
 from cornelreach.platform import results
 from cornelreach.util import timers
 
-ASK_MS = 250.0
+ASK_MS = 400.0
 KEPT_ASKS = 16
 
 
--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -101,6 +101,14 @@
     limits: typing.NotRequired[_Limits]
 
 
+def read(path: str) -> bytes | None:
+    """Return the settings file as it stands, None if it cannot be read."""
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError:
+        return None
+
+
 def load(path: str) -> Site:
     """Return the site in a settings file; raises errors.UserError."""
     try:
--- a/cornelreach/ui/edge.py
+++ b/cornelreach/ui/edge.py
@@ -27,6 +27,7 @@
 
 EXIT_USAGE = 2
 FLUSH_MS = 200
+GC_ALLOCATIONS = 20_000
 
 
 async def serve(
@@ -61,7 +62,9 @@
         return 0
     outlet = outlet_module.Outlet(sys.stdout.fileno())
     log.configure(arguments["--log-level"], "json", outlet)
+    # Requests leave few cycles behind; a look at the youngest objects is for larger heaps.
     gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS, 20, 50)
     asyncio.run(serve(site, path, outlet))
     return 0
 
