--- a/cornelreach/ui/edge.py
+++ b/cornelreach/ui/edge.py
@@ -62,7 +62,6 @@
         return 0
     outlet = outlet_module.Outlet(sys.stdout.fileno())
     log.configure(arguments["--log-level"], "json", outlet)
-    # Requests leave few cycles behind; a look at the youngest objects is for larger heaps.
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS, 20, 50)
     asyncio.run(serve(site, path, outlet))
--- a/test/ui/test_edge.py
+++ b/test/ui/test_edge.py
@@ -15,31 +15,8 @@
 from standins import platform as platform_module
 from test.gateway import world as world_module
 from test.platform import test_records
+from tools.soak import edges
 
-SETTINGS = """
-node_name = "edge-1"
-zone = "lj"
-ip = "{host}"
-internal_ports = [7580, 7595]
-[zones]
-lj = "central"
-[listen]
-front = "{host}:7601"
-readiness = "{host}:7602"
-[bounds]
-drain_ms = 2000
-grace_s = 5
-config_apply_ms = 2000
-revoke_strict = true
-revoke_ms = 5000
-retry_budget = 0.2
-budget_window_s = 10
-retry_slack = 56
-[platform]
-address = "{store}"
-reads_per_s = 2000
-writes_per_s = 400
-"""
 READY_WAIT_S = 10
 
 
@@ -103,7 +80,13 @@
         self.addCleanup(folder.cleanup)
         self.settings = pathlib.Path(folder.name) / "settings.toml"
         store = f"127.0.0.1:{self.store_server.port}"
-        text = SETTINGS.format(host=self.host, store=store)
+        text = edges.SETTINGS.format(
+            name="edge-1",
+            zone="lj",
+            host=self.host,
+            zones='lj = "central"',
+            store=store,
+        )
         self.settings.write_text(text)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
