--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -39,6 +39,7 @@
     version: int
     cold: bool
     resumed_from: int
+    line: str
 
 
 class OrderSeen(typing.NamedTuple):
@@ -274,6 +275,7 @@
             self.version,
             now_s < self.cold_until_s,
             int(head.get(headers.LAST_EVENT) or 0),
+            f"{head.method} {head.target}",
         )
         self.ledger.arrivals.append(arrival)
         if head.get(headers.API_KEY):
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -101,7 +101,8 @@
     for request_id, runs in view.runs.items():
         edge = request_id.partition("-")[0]
         if edge not in view.world.edges:
-            yield Violation("asked for", request_id, "nobody sent this request")
+            text = f"nobody sent {runs[0].line!r} to {runs[0].engine}"
+            yield Violation("asked for", request_id, text)
         if any(one.account != "tirnica" for one in runs):
             yield Violation("asked for", request_id, f"account {runs[0].account!r}")
 
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -21,6 +21,7 @@
 ENGINES = PLAIN_ENGINES + POOL_ENGINES
 CALLERS_PER_EDGE = 3
 COLD_S = 3.0
+OWN = 250  # last number of the address of store, engines and proxies
 COLD_PER_S = 10.0
 RESTART_S = 0.3
 CUT_S = 8.0  # beyond the bound on revoked keys
@@ -70,6 +71,8 @@
     ) -> None:
         self.random = random.Random(seed)
         self.host = f"127.{self.random.randrange(2, 250)}.{self.random.randrange(250)}"
+        # An address of its own, so that nothing else on this machine reuses its ports.
+        self.own_host = f"{self.host}.{OWN}"
         self.program = program
         self.folder = folder
         self.store = platform_module.Platform()
@@ -91,7 +94,7 @@
 
     async def start(self) -> None:
         """Start everything and wait until all instances are ready."""
-        self.store_server = await server.start("127.0.0.1", 0, self.store.handle)
+        self.store_server = await server.start(self.own_host, 0, self.store.handle)
         await self._start_engines()
         self.write_config()
         self.write("versions/" + MODEL, {"model": MODEL, "version": 1})
@@ -131,16 +134,16 @@
             )
             self.engines[name] = engine
             self.zones[name] = ZONES[number % len(ZONES)]
-            await engine.start("127.0.0.1")
+            await engine.start(self.own_host)
             engine.on_change = lambda one=name: self.write_entry(one)
             self.links[name] = proxy.Proxy(engine.address)
-            await self.links[name].start("127.0.0.1")
+            await self.links[name].start(self.own_host)
             self.write_entry(name)
 
     async def _start_edge(self, number: int) -> None:
         name = f"edge{number}"
-        link = proxy.Proxy(f"127.0.0.1:{self.store_server.port}")
-        await link.start("127.0.0.1")
+        link = proxy.Proxy(f"{self.own_host}:{self.store_server.port}")
+        await link.start(self.own_host)
         self.links[name] = link
         zone = ZONES[number % len(ZONES)]
         self.edges[name] = edges_module.Edge(
@@ -353,7 +356,7 @@
 
     async def _restarted(self, name: str, cold_s: float = 0.0) -> None:
         with contextlib.suppress(OSError):
-            await self.engines[name].start("127.0.0.1", cold_s)
+            await self.engines[name].start(self.own_host, cold_s)
         self.write_entry(name)
 
     async def _do_cold(self, fault: schedule.Fault) -> None:
