Close connections that are accepted as a server stops

One whose task had not begun when stop_listening ran was not among those that it marks, so it stayed open after its answer.

Ruled out: slowness, since the test that steps the loop between accept and stop fails every time without the change, and passes with it.

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -338,6 +338,7 @@
 
     def stop_listening(self) -> None:
         """Turn new connections away and close idle ones; calls in progress go on."""
+        self.winding_down = True  # for those whose task has not begun yet
         self.listener.close()
         for connection in self.connections:
             connection.closing = True
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server and client against each other and raw sockets."""
 
 import asyncio
+import socket
 import unittest
 
 from cornelreach.http import client, limits, messages, server
@@ -97,3 +98,17 @@
         status, body, _ = await call
         self.assertEqual((status, body), (200, b"kept"))
         await asyncio.wait_for(self.server.drained(), 5)
+
+    async def test_a_connection_that_is_accepted_as_the_server_stops_ends(self):
+        # Between the kernel's accept and the first step of its task a connection is
+        # not among those that a stop closes.
+        for steps in range(8):
+            running = await server.start("127.0.0.1", 0, echo, SMALL)
+            with socket.create_connection(("127.0.0.1", running.port)) as caller:
+                caller.sendall(
+                    b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n"
+                )
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                running.stop_listening()
+                await asyncio.wait_for(running.drained(), 5)
