Reserve a request's place at a cold target when it is chosen

A request was counted when its first byte was sent, so requests that waited for a connection at the same moment were all admitted before the first was counted. Ruled out: the entries did tell that the engines were cold, to all instances at about the same time. Two more ways to the same fault, found while reading: an instance served before it had read the fleet's list, so that it took the whole limit as its own share; what was sent in the second before an engine turned cold was not counted. Change: quotas.SendWindow counts a request from the choice on and returns the place if it isn't sent; the limit is checked again with the connection open; the fleet's list belongs to what an instance has to read before it is ready; a target that failed a call counts as cold until it has answered. Measured: four tests of the load, three failed on (the fourth guards the return of a place).

--- a/cornelreach/gateway/mirror.py
+++ b/cornelreach/gateway/mirror.py
@@ -12,7 +12,8 @@
 from cornelreach.util import events
 
 CATALOGUE, TARGETS, EVACUATIONS, VERSIONS = "catalogue", "targets", "zones", "models"
-REQUIRED = {CATALOGUE, TARGETS, EVACUATIONS, VERSIONS}
+FLEET = "fleet"  # the fleet's limits are divided by it
+REQUIRED = {CATALOGUE, TARGETS, EVACUATIONS, VERSIONS, FLEET}
 PROOF_MARGIN_MS = 200  # time from the check until the first byte reaches the target
 
 CATALOGUE_APPLIED = events.define(
--- a/cornelreach/gateway/quotas.py
+++ b/cornelreach/gateway/quotas.py
@@ -7,7 +7,7 @@
 hashing. The rate below is that of the service, times the overage, plus the slack::
 
     share = quotas.cold_share(fleet, "engine-1", 13.0 * 1.5 + 5.0)
-    quotas.admits_cold(state.sent_cold_ms, share, now_ms)
+    if state.sends.admits(share, now_ms): state.sends.reserve()
 """
 
 import collections
@@ -44,14 +44,47 @@
     return share + (1 if ranked.index(fleet.name) < remainder else 0)
 
 
-def admits_cold(sent_ms: list[float], share: int, now_ms: float) -> bool:
-    """Return whether one more request fits into the share.
+class SendWindow:
+    """The requests sent to one target in a sliding window, and those chosen for it.
 
-    Drops the send times that have left the sliding window.
+    A request is reserved when its target is chosen and confirmed when its first byte is
+    sent. Without the reservation, requests that wait for a connection at the same time
+    would all be admitted before the first of them is counted.
     """
-    while sent_ms and sent_ms[0] <= now_ms - WINDOW_MS:
-        sent_ms.pop(0)
-    return len(sent_ms) < share
+
+    def __init__(self) -> None:
+        self._sent_ms: collections.deque[float] = collections.deque()
+        self._reserved = 0
+
+    def reserve(self) -> None:
+        """Count a request that is about to be sent."""
+        self._reserved += 1
+
+    def cancel(self) -> None:
+        """Return the reservation of a request that was not sent."""
+        self._reserved -= 1
+
+    def confirm(self, now_ms: float) -> None:
+        """Turn a reservation into a request that is sent now."""
+        self._reserved -= 1
+        self.record(now_ms)
+
+    def record(self, now_ms: float) -> None:
+        """Count a request that is sent now without a reservation."""
+        self._expire(now_ms)
+        self._sent_ms.append(now_ms)
+
+    def admits(self, share: int, now_ms: float, own: int = 0) -> bool:
+        """Return whether one more request fits into the share.
+
+        ``own`` reservations belong to the request itself.
+        """
+        self._expire(now_ms)
+        return len(self._sent_ms) + self._reserved - own < share
+
+    def _expire(self, now_ms: float) -> None:
+        while self._sent_ms and self._sent_ms[0] <= now_ms - WINDOW_MS:
+            self._sent_ms.popleft()
 
 
 def connection_share(fleet: Fleet, bound: int) -> int:
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -155,7 +155,7 @@
     """Applies the entries of instances: the fleet and its members' addresses."""
 
     prefix = platform_client.INSTANCES
-    kind = "fleet"
+    kind = mirror_module.FLEET
 
     def __init__(
         self,
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -11,7 +11,7 @@
 
 import typing
 
-from cornelreach.gateway import calls
+from cornelreach.gateway import calls, quotas
 from cornelreach.util import events
 
 # Entries that lapsed while the platform's store was unavailable are back within about
@@ -59,7 +59,7 @@
         self.load: calls.Load | None = None
         self.load_ms = 0.0
         self.cold_until_ms = 0.0
-        self.sent_cold_ms: list[float] = []
+        self.sends = quotas.SendWindow()
         self.ejected_until_ms = 0.0
         self.failures = 0
         self.sheds = 0
@@ -68,8 +68,12 @@
         self.answer_ms: float | None = None
 
     def is_cold(self, now_ms: float) -> bool:
-        """Return whether the target is warming up and accepts only a limited rate."""
-        return now_ms < self.cold_until_ms
+        """Return whether the target accepts only the rate of one that warms up.
+
+        A target that failed a call may have restarted, so it counts as cold until a
+        probe or an answer shows its state.
+        """
+        return self.suspected or now_ms < self.cold_until_ms
 
 
 def _newest_versions(target: Target, known: typing.Mapping[str, int]) -> Target:
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -64,6 +64,7 @@
         self.backlog_tokens = 0.0
         self._now_ms = now_ms
         self._counted = False
+        self._reserved = False
         self.summary = self._describe()
 
     def _describe(self) -> str:
@@ -77,7 +78,8 @@
 
     def acquire(self) -> None:
         """Add the request to the load of its target."""
-        self._counted = True
+        self._counted = self._reserved = True
+        self.state.sends.reserve()
         self.state.in_flight += 1
         self.state.in_flight_tokens += self.tokens
         self.state.prefill_tokens += self.prefill_tokens
@@ -95,12 +97,22 @@
             self._counted = False
             self.state.in_flight -= 1
             self.state.in_flight_tokens -= self.tokens
+        if self._reserved:
+            self._reserved = False
+            self.state.sends.cancel()
 
     def record_send(self) -> None:
         """Record that the first byte is being sent."""
-        now_ms = self.sent_ms = self._now_ms()
-        if self.state.is_cold(now_ms):
-            self.state.sent_cold_ms.append(now_ms)
+        self.sent_ms = self._now_ms()
+        if self._reserved:
+            self._reserved = False
+            self.state.sends.confirm(self.sent_ms)
+        else:
+            self.state.sends.record(self.sent_ms)
+
+    def own_reservations(self) -> int:
+        """Return how many requests this one has reserved in its target's window."""
+        return int(self._reserved)
 
     def metadata(
         self, request_state: requeststate.RequestState, left_ms: float
@@ -232,20 +244,30 @@
     ) -> bool:
         if self.balancer.gossip.is_closed(target.id):
             return False
-        state = self.mirror.registry.state(target.id)
-        fleet = self.mirror.fleet
-        if state.is_cold(now_ms) and service.cold_per_s:
-            bounds = self.bounds
-            per_s = service.cold_per_s * bounds.cold_overage + bounds.cold_slack
-            share = quotas.cold_share(fleet, target.id, per_s)
-            if not quotas.admits_cold(state.sent_cold_ms, share, now_ms):
-                return False
+        if not self._within_cold_share(target, service, now_ms):
+            return False
         address = http_client.parse_address(target.address)
-        share = quotas.connection_share(fleet, service.connections)
+        share = quotas.connection_share(self.mirror.fleet, service.connections)
         return self.http.has_idle_connection(address) or (
             self.http.open_connections(address) < share
         )
 
+    def _within_cold_share(
+        self,
+        target: registry_module.Target,
+        service: catalogue.Service,
+        now_ms: float,
+        own: int = 0,
+    ) -> bool:
+        """Return whether a request to a target stays within its rate while cold."""
+        state = self.mirror.registry.state(target.id)
+        if not service.cold_per_s or not state.is_cold(now_ms):
+            return True
+        bounds = self.bounds
+        per_s = service.cold_per_s * bounds.cold_overage + bounds.cold_slack
+        share = quotas.cold_share(self.mirror.fleet, target.id, per_s)
+        return state.sends.admits(share, now_ms, own)
+
     def _pick(
         self,
         targets: list[registry_module.Target],
@@ -341,11 +363,16 @@
             self.balancer.gossip.announce()
 
     def still_open(self, chosen: Choice) -> bool:
-        """Return whether a chosen target still accepts requests."""
+        """Return whether a chosen target still accepts the request."""
         target = chosen.target
         registry = self.mirror.registry
         if not registry.is_open(target.id, target.service):
             return False
+        service = self.mirror.catalogue.services.get(target.service)
+        if service is not None and not self._within_cold_share(
+            target, service, self.clock.now_ms(), chosen.own_reservations()
+        ):
+            return False
         return registry.targets[target.id].address == target.address
 
     def record_reply(self, chosen: Choice, reply: calls.Reply) -> None:
--- a/test/gateway/test_quotas.py
+++ b/test/gateway/test_quotas.py
@@ -29,15 +29,29 @@
     @hypothesis.settings(derandomize=True, deadline=None, database=None)
     @hypothesis.given(strategies.lists(strategies.floats(0, 3_000), max_size=60))
     def test_no_one_second_window_exceeds_the_share(self, times):
-        sent, admitted = [], []
+        window, admitted = quotas.SendWindow(), []
         for now_ms in sorted(times):
-            if quotas.admits_cold(sent, 3, now_ms):
-                sent.append(now_ms)
+            if window.admits(3, now_ms):
+                window.reserve()
+                window.confirm(now_ms)
                 admitted.append(now_ms)
         for start in admitted:
             inside = [one for one in admitted if start <= one < start + 1_000]
             self.assertLessEqual(len(inside), 3)
 
+    def test_requests_chosen_at_the_same_time_count_before_they_are_sent(self):
+        window = quotas.SendWindow()
+        for _ in range(2):
+            self.assertTrue(window.admits(2, 0))
+            window.reserve()
+        self.assertFalse(window.admits(2, 0))
+        self.assertTrue(window.admits(2, 0, own=1))
+        window.cancel()
+        window.confirm(5)
+        self.assertTrue(window.admits(2, 900))
+        self.assertFalse(window.admits(1, 1_000))
+        self.assertTrue(window.admits(1, 1_005))
+
     def test_connections_are_divided_among_instances(self):
         self.assertEqual(quotas.connection_share(fleet("i0", 8), 300), 30)
         self.assertEqual(quotas.connection_share(fleet("i0", 500), 300), 1)
--- a/test/gateway/test_selection.py
+++ b/test/gateway/test_selection.py
@@ -88,6 +88,57 @@
         self.assertLessEqual(sent, 2.0 * bounds.cold_overage + bounds.cold_slack)
         self.assertGreater(sent, 0)
 
+    def cold_bound(self):
+        """Return the bound of the whole fleet on a cold engine's rate."""
+        bounds = harness_module.BOUNDS
+        return 2.0 * bounds.cold_overage + bounds.cold_slack
+
+    def test_requests_that_wait_for_a_connection_count_for_a_cold_engine(self):
+        # Five of them went to one engine within 13 ms where two were allowed: each was
+        # chosen before the first of them was sent (machines varied, 252057851440).
+        self.registry.remove("old", self.now_ms)
+        self.registry.state("new").cold_until_ms = self.now_ms + 60_000
+        chosen = []
+        while isinstance(found := self.choose(), selection.Choice):
+            found.acquire()
+            chosen.append(found)
+            self.assertLessEqual(len(chosen), self.cold_bound())
+        for one in chosen:
+            self.assertTrue(self.harness.selector.still_open(one))
+            one.record_send()
+        self.assertIsInstance(self.choose(), selection.Wait)
+
+    def test_a_choice_that_is_given_up_returns_its_reservation(self):
+        self.registry.remove("old", self.now_ms)
+        self.registry.state("new").cold_until_ms = self.now_ms + 60_000
+        for _ in range(30):
+            found = self.choose()
+            found.acquire()
+            found.release()
+        self.assertIsInstance(self.choose(), selection.Choice)
+
+    def test_an_engine_that_turns_cold_counts_what_was_just_sent(self):
+        self.registry.remove("old", self.now_ms)
+        sent = [self.choose() for _ in range(20)]
+        for one in sent[:-1]:
+            one.acquire()
+            one.record_send()
+        sent[-1].acquire()
+        self.registry.state("new").cold_until_ms = self.now_ms + 60_000
+        self.assertIsInstance(self.choose(), selection.Wait)
+        self.assertFalse(self.harness.selector.still_open(sent[-1]))
+
+    def test_an_engine_that_failed_counts_as_cold_until_it_answers(self):
+        self.registry.remove("old", self.now_ms)
+        self.registry.eject("new", "silence", self.now_ms)
+        sent = 0
+        while isinstance(found := self.choose(), selection.Choice):
+            found.record_send()
+            sent += 1
+            self.assertLessEqual(sent, self.cold_bound())
+        self.registry.restore("new", 0.0, self.now_ms)
+        self.assertIsInstance(self.choose(), selection.Choice)
+
     def test_retries_stop_when_the_budget_is_used_up(self):
         request_state = self.request_state()
         request_state.times_sent = 1
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -46,7 +46,7 @@
 
 def _ignores_cold() -> None:
     """Ignores the request rate of cold targets."""
-    quotas.admits_cold = lambda sent_ms, share, now_ms: True
+    quotas.SendWindow.admits = lambda self, share, now_ms, own=0: True
 
 
 async def _no_orders(self: typing.Any) -> None:
