Keep leases, records and watches right when the store comes back from a copy

Revisions were compared as plain numbers, so that a record of before the drill could pass for a newer one, a watch could go on across it, and two holders could get one fence. Change: platform/client.py makes one number of era and revision, so that every comparison, in memory, in datagrams and in proofs of freshness, is one of pairs. An answer of an earlier era is dropped; a watch from an earlier era lists again; a write on a condition of an earlier era is not sent, or its outcome is unknown. A lease is lost to its holder at once, is taken by nobody else before that term is over, and its fences rise with era and revision. A hub of an earlier era proves nothing. The stand-in of the store can be copied and restored. Retry-After of the store may have fractions. Left: the daemon's own settings (settings/sync) follow the copy, as before for a new list.

--- a/cornelreach/gateway/calls.py
+++ b/cornelreach/gateway/calls.py
@@ -58,8 +58,8 @@
 
     ``not_run`` is set if the target states that it did not execute the request,
     ``moved`` if another target or model version now has that address. ``leaving`` is
-    set if the target says that it is about to stop; ``rest_ms`` is how long it asks this
-    instance to send it nothing.
+    set if the target says that it is about to stop; ``rest_ms`` is how long it asks
+    this instance to send it nothing.
     """
 
     status: int
--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -75,7 +75,7 @@
 
 
 class LeavingReport(typing.NamedTuple):
-    """Targets that said in an answer that they leave, with the start of their lifetime."""
+    """Targets that said that they leave, with the start of their lifetimes."""
 
     name: str
     targets: dict[str, int]
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -191,6 +191,7 @@
             takeover_delay_ms,
         )
         lease_runner = leases.LeaseRunner(self.objects, lease, self.clock)
+        self.objects.on_restore = lambda era: lease.on_restore(era, self.clock.now_ms())
         self.rollouts = rollouts.Rollouts(
             self.mirror,
             lease,
@@ -222,7 +223,9 @@
                 _timing_for(version_ms * VERSION_PROOF_SHARE),
             ),
             (
-                recordhandlers.FleetHandler(mirror, clock, self.gossip.members),
+                recordhandlers.FleetHandler(
+                    mirror, clock, self.gossip.members, self._register_again
+                ),
                 _timing_for(LONG_WATCH_MS, FLEET_BATCH_MS),
             ),
             (
@@ -325,6 +328,9 @@
         host, _, port = address.rpartition(":")
         return await server.start(host, int(port), handler)
 
+    def _register_again(self) -> None:
+        self._tasks.append(asyncio.ensure_future(self._register()))
+
     async def _register(self) -> None:
         """Register this instance; fleet-wide limits are divided by these entries."""
         site = self.site
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -148,6 +148,11 @@
             case datagrams.Bundle(_, updates):
                 for update in updates:
                     self.on_prompt_store_update(update)
+            case _:
+                self._pass_to_proofs(found)
+
+    def _pass_to_proofs(self, found: datagrams.Datagram) -> None:
+        match found:
             case datagrams.FreshnessQuery():
                 self.on_freshness_query(found)
             case datagrams.FreshnessReply():
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -16,6 +16,7 @@
 # still allowed for a little less than the time of contact with the platform after which
 # a started instance is held to the bounds (3,000 ms in current deployments).
 START_GRACE_MS = 2_500.0
+RESTORE_GRACE_MS = 10_000.0  # for the operator to write again what a copy lacks
 OLD_SHARE = 0.65  # of the bound; for the rest a request may be queued at an engine
 
 
@@ -43,6 +44,10 @@
     def on_reconnect(self) -> None:
         """Ignore the reconnection."""
 
+    def on_restore(self) -> None:
+        """Treat the return of an older copy of the records like a reconnection."""
+        self.on_reconnect()
+
 
 class CatalogueHandler(BaseHandler):
     """Applies the configuration."""
@@ -98,19 +103,44 @@
     def on_reconnect(self) -> None:
         self.mirror.registry.record_reconnect(self.clock.now_ms())
 
+    def on_restore(self) -> None:
+        self.mirror.registry.record_restore(self.clock.now_ms())
+
 
 class EvacuationHandler(BaseHandler):
-    """Applies the set of evacuated data centres, which get no more requests."""
+    """Applies the set of evacuated data centres, which get no more requests.
+
+    An evacuation that is missing from an older copy of the records stays in force until
+    the operator has had time to write it again.
+    """
 
     prefix = records_module.EVACUATIONS
     kind = mirror_module.EVACUATIONS
 
+    def __init__(self, mirror: mirror_module.Mirror, clock: timers.Timers) -> None:
+        super().__init__(mirror, clock)
+        self._unconfirmed: set[str] = set()
+        self._unconfirmed_until_ms = 0.0
+
+    def on_restore(self) -> None:
+        self._unconfirmed = set(self.mirror.registry.evacuated)
+        self._unconfirmed_until_ms = self.clock.now_ms() + RESTORE_GRACE_MS
+
     def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
-        self.mirror.set_evacuated(map(records_module.evacuated_zone, records))
+        listed = set(map(records_module.evacuated_zone, records))
+        self._unconfirmed -= listed
+        self.mirror.set_evacuated(listed | self._unconfirmed)
         self.mirror.synced.add(self.kind)
 
+    def on_proof(self, at_ms: float) -> None:
+        if self._unconfirmed and self.clock.now_ms() >= self._unconfirmed_until_ms:
+            held = self.mirror.registry.evacuated - self._unconfirmed
+            self._unconfirmed = set()
+            self.mirror.set_evacuated(held)
+
     def on_change(self, record: results.Record) -> None:
         zone = records_module.evacuated_zone(record)
+        self._unconfirmed.discard(zone)
         held = self.mirror.registry.evacuated
         self.mirror.set_evacuated(
             held - {zone} if record.value is None else held | {zone}
@@ -152,7 +182,10 @@
 
 
 class FleetHandler(BaseHandler):
-    """Applies the entries of instances: the fleet and its members' addresses."""
+    """Applies the entries of instances: the fleet and its members' addresses.
+
+    ``register_again`` is called if an older copy of the records lacks this instance.
+    """
 
     prefix = platform_client.INSTANCES
     kind = mirror_module.FLEET
@@ -162,10 +195,24 @@
         mirror: mirror_module.Mirror,
         clock: timers.Timers,
         members: dict[str, hubs.Member],
+        register_again: typing.Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(mirror, clock)
         self.members = members
+        self.register_again = register_again
         self._names: set[str] = {mirror.name}
+        self._restored = False
+
+    def on_restore(self) -> None:
+        self._restored = True
+
+    def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
+        # Entries that an older copy lacks are kept: their instances write them again.
+        super().on_list(records, reconnected)
+        listed = {record.key.removeprefix(self.prefix) for record in records}
+        if self._restored and self.mirror.name not in listed:
+            self.register_again()
+        self._restored = False
 
     def on_change(self, record: results.Record) -> None:
         name = record.key.removeprefix(self.prefix)
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -39,6 +39,12 @@
     "The platform's records {prefix} are watched again after {lost_ms} ms.",
     "Nothing.",
 )
+RESTORED = events.define(
+    2114,
+    "WARNING",
+    "The platform's records {prefix} were read again from a copy, era {era}.",
+    "Nothing; what the copy lacks is written again by those who wrote it.",
+)
 SOURCE = events.define(
     2113,
     "INFO",
@@ -64,6 +70,9 @@
     def on_reconnect(self) -> None:
         """Record that the platform answers again."""
 
+    def on_restore(self) -> None:
+        """Record that the next list comes from an older copy of the records."""
+
 
 class ProofSource(typing.Protocol):
     """Where freshness proofs come from other than the platform."""
@@ -119,6 +128,7 @@
         self.recovery_watcher: Watcher | None = None
         self.revision: int | None = None
         self.changed_revision = 0
+        self._era: int | None = None
         self.proved_ms: float | None = None
         self._behind_ms: float | None = None
         self._wake = asyncio.Event()
@@ -175,6 +185,8 @@
         """
         if self.revision is None:
             return
+        if results.era_of(revision) < results.era_of(self.revision):
+            return  # the hub does not know yet that the store came back from a copy
         if changed > self.revision:
             if self._behind_ms is None:
                 self._behind_ms = self.clock.now_ms()
@@ -260,6 +272,7 @@
             self._reconnected()
         self._failures = 0
         if isinstance(found, results.Listing):
+            self._observe_era(results.era_of(found.revision))
             self.handler.on_list(found.records, reconnected)
             self.revision = self.changed_revision = found.revision
             self._behind_ms = None
@@ -278,6 +291,12 @@
             self._behind_ms = None
         self._prove(self._proof_ms(found, sent_ms, wait_ms))
 
+    def _observe_era(self, era: int) -> None:
+        if self._era is not None and era > self._era:
+            events.emit(RESTORED, prefix=self.handler.prefix, era=era)
+            self.handler.on_restore()
+        self._era = era
+
     def _proof_ms(self, found: results.Changes, sent_ms: float, wait_ms: int) -> float:
         # An empty answer is given at the end of the wait, so it proves that moment.
         waited = self.clock.now_ms() - sent_ms >= wait_ms
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -3,7 +3,11 @@
 If the response to a read is lost, the result is ``Unavailable``; for a write it is
 ``OutcomeUnknown``, since the write may have taken effect. A 5xx response other than 503
 to a write is ``OutcomeUnknown`` too: a proxy can send it after the store has applied
-the write::
+the write.
+
+The store may come back from a copy some seconds old, in a new era. Late answers of an
+earlier era are dropped; a watch from a revision of an earlier era has to list again; a
+write whose condition is of an earlier era is not sent, or its outcome is unknown::
 
     objects = client.Client(http_client.Client(), address)
     outcome = await objects.get("settings/account/tirnica")
@@ -16,12 +20,13 @@
 from returns import result
 
 from cornelreach.http import client as http_client, messages
-from cornelreach.platform import results
+from cornelreach.platform import headers as header_codec, results
 from cornelreach.util import decoding, events
 
 CALL_WAIT_MS = 2_000
 WATCH_MARGIN_MS = 1_000
 DEFAULT_RETRY_MS = 1_000
+MAX_RETRY_AFTER_MS = 60_000
 OBJECTS = "/api/objects/"
 INSTANCES = "instances/"
 
@@ -32,6 +37,13 @@
     "Correct or delete the object.",
 )
 
+RESTORED = events.define(
+    1204,
+    "WARNING",
+    "The platform's store came back from a copy: era {before} became {era}.",
+    "Nothing; records are read again. If it repeats: ask the platform's operators.",
+)
+
 BeforeCall = typing.Callable[[str], typing.Awaitable[None]]
 
 
@@ -74,6 +86,7 @@
     status: int
     body: bytes
     retry_after_ms: int
+    era: int = 0
 
 
 OnResponse = typing.Callable[[str, int], None]
@@ -83,6 +96,10 @@
     """Ignore a response."""
 
 
+def _ignore_restore(era: int) -> None:
+    """Ignore that the store came back from a copy."""
+
+
 async def _proceed(kind: str) -> None:
     """Let each call proceed at once."""
 
@@ -92,7 +109,8 @@
 
     ``before_call`` is awaited before each call with its kind: ``read``, ``write`` or
     ``watch``. ``on_response`` is called after it with the kind and the response status,
-    or 0 if no response came. Both serve to limit the rate of calls.
+    or 0 if no response came. Both serve to limit the rate of calls. ``on_restore`` is
+    called with the new era when the store has come back from a copy.
     """
 
     def __init__(
@@ -108,13 +126,16 @@
         self.before_call = before_call
         self.call_wait_ms = call_wait_ms
         self.on_response = on_response
+        self.on_restore: typing.Callable[[int], None] = _ignore_restore
+        self.era: int | None = None
 
     async def get(self, key: str) -> result.Result[results.Record, results.ReadError]:
         """Return one object, or NotFound."""
         response = await self._read("read", _object_path(key), self.call_wait_ms)
         kind, _ = split_key(key)
         decoded = response.bind(lambda found: _decode_read(found, _Object, key))
-        return decoded.map(lambda found: _record(kind, found))
+        era = _era_of(response)
+        return decoded.map(lambda found: _record(kind, found, era))
 
     async def put(
         self,
@@ -127,19 +148,21 @@
         if (if_version is None) != if_absent:
             raise ValueError("pass either if_version or if_absent")
         kind, name = split_key(key)
-        if if_absent or if_version == 0:
+        era = results.era_of(if_version) if if_version else self.era
+        revision = results.revision_of(if_version or 0)
+        if not revision:
             body = msgspec.json.encode({"metadata": {"name": name}, "spec": value})
-            return await self._write("POST", _kind_path(kind), key, body)
-        fields = {"name": name, "revision": if_version, "finalizers": []}
+            return await self._write("POST", _kind_path(kind), key, body, era)
+        fields = {"name": name, "revision": revision, "finalizers": []}
         body = msgspec.json.encode({"metadata": fields, "spec": value})
-        return await self._write("PUT", _object_path(key), key, body)
+        return await self._write("PUT", _object_path(key), key, body, era)
 
     async def delete(
         self, key: str, if_version: int
     ) -> result.Result[int, results.WriteError]:
         """Delete an object if its version is ``if_version``."""
-        path = f"{_object_path(key)}?revision={if_version}"
-        return await self._write("DELETE", path, key, b"")
+        path = f"{_object_path(key)}?revision={results.revision_of(if_version)}"
+        return await self._write("DELETE", path, key, b"", results.era_of(if_version))
 
     async def list(
         self, prefix: str, after: str = ""
@@ -161,13 +184,18 @@
             if isinstance(page, result.Failure):
                 return page
             found = page.unwrap()
+            era = _era_of(response)
             names = [item["metadata"]["name"] for item in found["items"]]
             records.extend(
-                _record(kind, item)
+                _record(kind, item, era)
                 for item in found["items"]
                 if item["metadata"]["name"].startswith(start)
             )
-            revision = found["store_revision"] if revision is None else revision
+            if revision is None:
+                revision = results.make_version(era, found["store_revision"])
+            elif results.era_of(revision) != era:
+                text = "the store came back from a copy during the list"
+                return result.Failure(results.Unavailable(text, 0))
             passed_prefix = bool(names) and not names[-1].startswith(start)
             if not found["more_pages"] or not names or passed_prefix:
                 return result.Success(results.Listing(revision, tuple(records)))
@@ -185,18 +213,24 @@
         The call fails as Unavailable if no response arrives within ``wait_ms`` plus
         ``margin_ms``.
         """
+        if self._has_passed(results.era_of(since)):
+            return result.Failure(results.Compacted(since))
         kind, start = split_key(prefix)
-        query = urllib.parse.urlencode({"watch": since, "wait_ms": wait_ms})
+        revision = results.revision_of(since)
+        query = urllib.parse.urlencode({"watch": revision, "wait_ms": wait_ms})
         path = f"{_kind_path(kind)}?{query}"
         response = await self._read("watch", path, wait_ms + margin_ms)
-        if isinstance(response, result.Success) and response.unwrap().status == 410:
+        era = _era_of(response)
+        if isinstance(response, result.Success) and (
+            response.unwrap().status == 410 or era != results.era_of(since)
+        ):
             return result.Failure(results.Compacted(since))
         decoded = response.bind(lambda found: _decode_read(found, _Changes, prefix))
         return decoded.map(
             lambda found: results.Changes(
-                found["store_revision"],
+                results.make_version(era, found["store_revision"]),
                 tuple(
-                    _change(kind, event)
+                    _change(kind, event, era)
                     for event in found["events"]
                     if event["object"]["metadata"]["name"].startswith(start)
                 ),
@@ -228,10 +262,22 @@
             return result.Failure(_unavailable(response))
         return result.Success(response)
 
+    def _has_passed(self, era: int) -> bool:
+        """Return whether the store is known to be in a later era."""
+        return self.era is not None and era < self.era
+
     async def _write(
-        self, method: str, path: str, key: str, body: bytes
+        self,
+        method: str,
+        path: str,
+        key: str,
+        body: bytes,
+        era: int | None,
     ) -> result.Result[int, results.WriteError]:
+        """Write on a condition that was read in an era, unless that has passed."""
         await self.before_call("write")
+        if era is not None and self._has_passed(era):
+            return result.Failure(results.Conflict(key, 0))
         headers = ((b"content-type", b"application/json"),) if body else ()
         try:
             response = await self._send(
@@ -241,6 +287,9 @@
             return result.Failure(results.Unavailable(str(error)))
         except http_client.ResponseLost as error:
             return result.Failure(results.OutcomeUnknown(key, str(error)))
+        if era is not None and response.era != era:
+            text = "the store came back from a copy before the write"
+            return result.Failure(results.OutcomeUnknown(key, text))
         return _decode_write(response, key)
 
     async def _send(
@@ -260,7 +309,21 @@
             self.on_response(kind, 0)
             raise
         self.on_response(kind, status)
-        return _Response(status, found, _retry_after_ms(fields))
+        era = self._observe_era(fields)
+        return _Response(status, found, _retry_after_ms(fields), era)
+
+    def _observe_era(self, fields: messages.Headers) -> int:
+        """Return the era of an answer; raises ResponseLost if it is an earlier one."""
+        era, before = header_codec.store_era(fields), self.era
+        if era is None:
+            return before or 0
+        if before is not None and era < before:
+            raise http_client.ResponseLost("the answer is older than the store's copy")
+        self.era = era
+        if before is not None and era > before:
+            events.emit(RESTORED, before=before, era=era)
+            self.on_restore(era)
+        return era
 
 
 def split_key(key: str) -> tuple[str, str]:
@@ -278,14 +341,19 @@
     return f"{_kind_path(kind)}/{urllib.parse.quote(name, safe='')}"
 
 
-def _record(kind: str, fields: _Object) -> results.Record:
+def _era_of(response: result.Result[_Response, typing.Any]) -> int:
+    return response.unwrap().era if isinstance(response, result.Success) else 0
+
+
+def _record(kind: str, fields: _Object, era: int) -> results.Record:
     metadata = fields["metadata"]
     key = f"{kind}/{metadata['name']}"
-    return results.Record(key, metadata["revision"], fields["spec"])
+    version = results.make_version(era, metadata["revision"])
+    return results.Record(key, version, fields["spec"])
 
 
-def _change(kind: str, event: _Event) -> results.Record:
-    record = _record(kind, event["object"])
+def _change(kind: str, event: _Event, era: int) -> results.Record:
+    record = _record(kind, event["object"], era)
     return record._replace(value=None) if event["deleted"] else record
 
 
@@ -300,10 +368,10 @@
 
 
 def _retry_after_ms(headers: messages.Headers) -> int:
-    for name, value in headers:
-        if name == b"retry-after" and value.isdigit():
-            return int(value) * 1_000
-    return DEFAULT_RETRY_MS
+    asked_ms = header_codec.retry_after_ms(headers)
+    if asked_ms is None:
+        return DEFAULT_RETRY_MS
+    return round(min(asked_ms, MAX_RETRY_AFTER_MS))
 
 
 def _unavailable(response: _Response) -> results.Unavailable:
@@ -315,7 +383,7 @@
     response: _Response, kind: type, key: str
 ) -> result.Result[typing.Any, results.ReadError]:
     if response.status == 404:
-        return result.Failure(results.NotFound(key))
+        return result.Failure(results.NotFound(key, era=response.era))
     if response.status != 200:
         return result.Failure(
             results.Rejected(f"read of {key}: HTTP status {response.status}")
@@ -333,7 +401,7 @@
     if response.status in (429, 503):
         return result.Failure(_unavailable(response))
     if response.status == 404:
-        return result.Failure(results.NotFound(key))
+        return result.Failure(results.NotFound(key, era=response.era))
     if response.status not in (200, 201, 409):
         return result.Failure(_write_error(response, key))
     try:
@@ -341,7 +409,7 @@
     except decoding.DECODE_ERRORS as error:
         text = f"malformed response to a write: {error}"
         return result.Failure(results.OutcomeUnknown(key, text))
-    version = found["metadata"]["revision"]
+    version = results.make_version(response.era, found["metadata"]["revision"])
     if response.status == 409:
         return result.Failure(results.Conflict(key, version))
     return result.Success(version)
--- a/cornelreach/platform/leases.py
+++ b/cornelreach/platform/leases.py
@@ -7,6 +7,10 @@
 its lease expires first. A holder that resumes after a pause checks ``is_held`` before
 it acts and sends ``fence``, the fencing token, with its orders::
 
+The store may come back from a copy that lacks the newest writes. The lease is then lost
+to its holder at once, nobody else takes it before the holder's term is over, and the
+fences of the new era are greater than all that were given out before::
+
     lease = Lease("rollout/m", "lj-1", boot)
     task = asyncio.create_task(LeaseRunner(objects, lease, timers).run())
     if lease.is_held(timers.now_ms()): order(fence=lease.fence)
@@ -26,6 +30,7 @@
 RENEWALS_IN_TERM = 3
 READ_MS = 1_000
 RETRY_MS = 300
+ERA_FENCES = 1_000_000_000  # more than the revisions of one era of the store
 
 ACQUIRED = events.define(
     1201, "INFO", "Acquired lease {name} with fence {fence}.", "Nothing."
@@ -56,7 +61,7 @@
 
 
 class Write(typing.NamedTuple):
-    """Step: write the object if it is at ``if_version``; 0 means it is absent."""
+    """Step: write the object at ``if_version``; its revision is 0 if it is absent."""
 
     if_version: int
     value: Record
@@ -100,6 +105,9 @@
         self._renewal_due_ms = 0.0
         self._record: results.Record | None = None
         self._changed_ms = 0.0
+        self._era: int | None = None
+        self._newest_fence = 0
+        self._restored_ms: float | None = None
         self._read_due_ms = 0.0
         self._attempts: dict[str, float] = {}
         self._write_count = 0
@@ -130,9 +138,26 @@
                 return self._write(self.holder, self.fence, now_ms)
             return Wait(self._renewal_due_ms - now_ms)
         if self.wanted and self._can_take_over(now_ms):
-            return self._write(self.holder, self._last_fence() + 1, now_ms)
+            return self._write(self.holder, self._next_fence(), now_ms)
         return self._read_or_wait(now_ms)
 
+    def on_restore(self, era: int, now_ms: float) -> None:
+        """Give the lease up, as the store came back from a copy in a new era.
+
+        Another instance may have held the lease in a record that the copy lacks, so
+        nobody takes it before that term has passed, except this one if it held it.
+        """
+        if self._era is not None and era <= self._era:
+            return
+        first = self._era is None
+        if not first or era > 0:
+            self._restored_ms = None if self.is_held(now_ms) else now_ms
+        self._era = era
+        if not first:
+            self.fence = self._record = None
+            self._attempts.clear()
+            self._read_due_ms = now_ms
+
     def on_read(
         self, outcome: result.Result[results.Record, results.ReadError], now_ms: float
     ) -> None:
@@ -141,7 +166,8 @@
         if isinstance(outcome, result.Success):
             self._process_record(outcome.unwrap(), now_ms)
         elif isinstance(outcome.failure(), results.NotFound):
-            self._process_record(results.Record(self.key, 0, None), now_ms)
+            version = results.make_version(outcome.failure().era, 0)
+            self._process_record(results.Record(self.key, version, None), now_ms)
 
     def on_watch(self, record: results.Record, now_ms: float) -> None:
         """Process a record delivered by a watch.
@@ -172,6 +198,9 @@
             self._record = None
 
     def _process_record(self, record: results.Record, now_ms: float) -> None:
+        self.on_restore(results.era_of(record.version), now_ms)
+        fence = (record.value or {}).get("fence", 0)
+        self._newest_fence = max(self._newest_fence, fence)
         if self._record is not None and record.version < self._record.version:
             return
         if self._record is None or record.version != self._record.version:
@@ -218,6 +247,9 @@
 
     def _can_take_over(self, now_ms: float) -> bool:
         value = self._record.value
+        quiet_ms = self.term_ms * (1 + DRIFT_SHARE) + self.takeover_delay_ms
+        if self._restored_ms is not None and now_ms - self._restored_ms < quiet_ms:
+            return False
         if not value or not value["holder"] or self._is_own_record():
             return True
         if self.takeover_delay_ms and value["holder"] == self.holder:
@@ -226,8 +258,16 @@
         return now_ms - self._changed_ms >= term_ms + self.takeover_delay_ms
 
     def _last_fence(self) -> int:
-        value = self._record.value
-        return value["fence"] if value else 0
+        return self._newest_fence
+
+    def _next_fence(self) -> int:
+        following = self._last_fence() + 1
+        if not self._era:
+            return following
+        # A write of an earlier era may take effect if its condition holds again, and
+        # replace the record that named the newest fence. Revisions only rise in an era.
+        revision = results.revision_of(self._record.version)
+        return max(following, self._era * ERA_FENCES + revision + 1)
 
 
 class LeaseRunner:
--- a/cornelreach/platform/results.py
+++ b/cornelreach/platform/results.py
@@ -1,6 +1,7 @@
 """Result types of the platform's object API, and the interface that returns them.
 
-Every call returns ``returns.result.Result``. A write has three possible outcomes:
+Versions and revisions contain the era of the store, see ``make_version``. Every call
+returns ``returns.result.Result``. A write has three possible outcomes:
 Success, a failure that is known not to have taken effect, or ``OutcomeUnknown``::
 
     match await objects.put(key, value, if_version=7):
@@ -13,6 +14,30 @@
 
 from returns import result
 
+REVISION_BITS = 40
+
+
+def make_version(era: int, revision: int) -> int:
+    """Return one number for a revision of the store and the era it was given out in.
+
+    When the store comes back from a copy, its revisions go back and are given out
+    again, in a new era. Versions of a later era are greater than all of an earlier one,
+    so they can be compared like plain revisions::
+
+        make_version(2, 7) > make_version(1, 900)
+    """
+    return era << REVISION_BITS | revision
+
+
+def era_of(version: int) -> int:
+    """Return the era in which a version was given out."""
+    return version >> REVISION_BITS
+
+
+def revision_of(version: int) -> int:
+    """Return the store's own revision of a version."""
+    return version & ((1 << REVISION_BITS) - 1)
+
 
 class Record(typing.NamedTuple):
     """One object; ``value`` is decoded JSON, or None if the object was deleted."""
@@ -64,10 +89,11 @@
 
 
 class NotFound(typing.NamedTuple):
-    """No object has this key."""
+    """No object has this key, in an era of the store."""
 
     key: str
     remedy: str = "check the key"
+    era: int = 0
 
     @property
     def message(self) -> str:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -27,6 +27,7 @@
 import msgspec
 
 from cornelreach.http import messages, server
+from cornelreach.platform import headers
 from standins import platformmodel
 
 OBJECTS = "/api/objects/"
@@ -146,6 +147,11 @@
         """Handle one request; half of the ``slow_ms`` delay comes before its effect."""
         if request.path.startswith("/control/"):
             return self._control(request)
+        response = await self._handle_call(request)
+        era = ((headers.STORE_ERA, str(self.model.era).encode()),)
+        return response._replace(headers=response.headers + era)
+
+    async def _handle_call(self, request: messages.Request) -> messages.Response:
         half_s = self.model.faults.slow_ms / 2_000
         if half_s:
             await asyncio.sleep(half_s)
--- a/standins/platformmodel.py
+++ b/standins/platformmodel.py
@@ -121,6 +121,14 @@
 Refused = Throttled | Outage
 
 
+class Copy(typing.NamedTuple):
+    """A copy of the objects and of the change log at one moment."""
+
+    revision: int
+    objects: dict[str, Object]
+    log: tuple[Change, ...]
+
+
 class Bucket:
     """A token bucket that holds at most one second of its rate."""
 
@@ -148,6 +156,7 @@
     ) -> None:
         self.faults = faults or Faults()
         self.revision = 0
+        self.era = 0
         self.kept_changes = kept_changes
         self.reads = 0
         self.writes = 0
@@ -226,7 +235,7 @@
 
     def changes(self, prefix: str, since: int) -> Changes | Compacted:
         """Return the changes after a revision; not counted as a read."""
-        if since < self._compacted:
+        if since < self._compacted or since > self.revision:
             return Compacted(self._compacted)
         start = bisect.bisect_right(self._log, since, key=lambda change: change.version)
         newer = [
@@ -269,6 +278,18 @@
         if value is not None or key in self._objects:
             self._apply(key, value)
 
+    def copy(self) -> Copy:
+        """Return a copy of all objects, from which they can be restored."""
+        return Copy(self.revision, dict(self._objects), tuple(self._log))
+
+    def restore(self, copy: Copy) -> None:
+        """Return to a copy; revisions of the writes since are given out again."""
+        self.revision = copy.revision
+        self.era += 1
+        self._objects = dict(copy.objects)
+        self._keys = sorted(self._objects)
+        self._log = collections.deque(copy.log)
+
     def compact(self) -> None:
         """Drop the change log, so that watches of earlier revisions must relist."""
         self._log.clear()
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -98,6 +98,34 @@
         self.assertEqual([name for name, _ in self.objects.calls][-1], "list")
         self.assertEqual(self.mirror.catalogue.version, 5)
 
+    async def test_a_copy_of_the_store_rolls_no_configuration_back(self):
+        # The copy lacks version 5; the operator writes it again in the new era, and its
+        # revisions are given out again.
+        old, new = results.make_version(1, 9), results.make_version(2, 7)
+        listing = result.Success(results.Listing(old, (config(5, old),)))
+        gone = result.Failure(results.Compacted(old))
+        copy = result.Success(results.Listing(new, (config(3, new),)))
+        again = results.make_version(2, 8)
+        newer = result.Success(results.Changes(again, (config(6, again),)))
+        await self.play((0, listing), (0, gone), (0, copy))
+        self.assertEqual(self.mirror.catalogue.version, 5)
+        self.assertEqual(self.mirror.registry.reconnected_ms, 1_000)
+        await self.play((0, newer))
+        self.assertEqual(self.mirror.catalogue.version, 6)
+        self.assertEqual(self.watcher.revision, again)
+
+    async def test_a_hub_of_an_earlier_era_proves_nothing(self):
+        new = results.make_version(2, 7)
+        listing = result.Success(results.Listing(new, (config(3, new),)))
+        await self.play((0, listing))
+        old = results.make_version(1, 900)
+        self.watcher.apply_hub_proof(old, old, 9_000)
+        self.assertEqual(self.mirror.proof_ms, 1_000)
+        newer = results.make_version(3, 2)
+        self.watcher.apply_hub_proof(newer, newer, 9_000)
+        self.assertEqual(self.mirror.proof_ms, 1_000)
+        self.assertEqual(self.watcher._wait_ms(), watching.RETURN_WAIT_MS)
+
     async def test_an_older_configuration_is_ignored(self):
         listing = result.Success(results.Listing(9, (config(5, 9),)))
         older = result.Success(results.Changes(10, (config(4, 10),)))
@@ -156,6 +184,36 @@
         self.assertEqual((named.version, named.learned_ms), (3, 60_000))
         self.assertTrue(64_000 < named.old_until_ms < 66_000)
 
+    def test_an_evacuation_that_a_copy_lacks_stays_until_it_is_written_again(self):
+        handler = recordhandlers.EvacuationHandler(self.mirror, self.clock)
+        records = [results.Record(f"evacuations/{zone}", 1, {}) for zone in "ab"]
+        handler.on_list(tuple(records), False)
+        handler.on_restore()
+        handler.on_list((), False)
+        handler.on_proof(60_000)
+        self.assertEqual(self.mirror.registry.evacuated, {"a", "b"})
+        handler.on_change(records[0])
+        self.clock.advance(recordhandlers.RESTORE_GRACE_MS)
+        handler.on_proof(70_000)
+        self.assertEqual(self.mirror.registry.evacuated, {"a"})
+
+    def test_an_instance_that_a_copy_lacks_registers_again(self):
+        registered = []
+        handler = recordhandlers.FleetHandler(
+            self.mirror, self.clock, {}, lambda: registered.append(True)
+        )
+        value = {"data_centre": "x", "peer_address": "10.0.0.1:1", "state": "live"}
+        entries = [results.Record(f"instances/{name}", 1, value) for name in "de"]
+        handler.on_list(tuple(entries), False)
+        handler.on_restore()
+        handler.on_list(tuple(entries), False)
+        self.assertEqual(registered, [])
+        handler.on_restore()
+        handler.on_list((), False)
+        handler.on_list((), False)
+        self.assertEqual(registered, [True])
+        self.assertEqual(self.mirror.fleet.size, 2)
+
     def test_evacuations_are_added_and_removed(self):
         handler = recordhandlers.EvacuationHandler(self.mirror, self.clock)
         handler.on_list((results.Record("evacuations/lj", 1, {}),), False)
--- a/test/platform/test_client.py
+++ b/test/platform/test_client.py
@@ -23,6 +23,7 @@
     async def asyncSetUp(self):
         self.store = objects.Store()
         self.status = None
+        self.era = None
         self.abort_connections = False
         self.server = await server.start("127.0.0.1", 0, self.respond)
         self.http = http_client.Client()
@@ -52,6 +53,9 @@
         response = self.route(request)
         if self.abort_connections:
             self.server.abort()
+        if self.era is not None:
+            era = ((b"store-era", str(self.era).encode()),)
+            response = response._replace(headers=response.headers + era)
         return response
 
     def route(self, request):
@@ -113,6 +117,55 @@
         body = {"store_revision": value.revision, "events": events}
         return messages.json_response(200, body)
 
+    async def test_versions_carry_the_era_of_the_store(self):
+        restores = []
+        self.client.on_restore = restores.append
+        self.era = 1
+        first = (await self.client.put("a/x", 1, if_absent=True)).unwrap()
+        self.assertEqual(first, results.make_version(1, 1))
+        listing = (await self.client.list("a/")).unwrap()
+        self.assertEqual(listing.revision, results.make_version(1, 1))
+        self.assertEqual(restores, [])
+        self.era = 2
+        gone = (await self.client.watch("a/", listing.revision, 10)).failure()
+        self.assertEqual(gone, results.Compacted(listing.revision))
+        self.assertEqual(restores, [2])
+        again = (await self.client.list("a/")).unwrap()
+        self.assertGreater(again.revision, listing.revision)
+        self.assertEqual(again.records[0].version, results.make_version(2, 1))
+        changed = (await self.client.watch("a/", again.revision, 10)).unwrap()
+        self.assertEqual(changed.revision, again.revision)
+
+    async def test_no_write_rests_on_a_condition_of_an_earlier_era(self):
+        self.era = 1
+        first = (await self.client.put("a/x", 1, if_absent=True)).unwrap()
+        self.era = 2
+        created = (await self.client.put("a/z", 1, if_absent=True)).failure()
+        self.assertIsInstance(created, results.OutcomeUnknown)
+        self.client.era = 1
+        unknown = (await self.client.put("a/x", 2, if_version=first)).failure()
+        self.assertIsInstance(unknown, results.OutcomeUnknown)
+        count = len(self.responses)
+        for outcome in (
+            await self.client.put("a/x", 3, if_version=first),
+            await self.client.delete("a/x", first),
+        ):
+            self.assertIsInstance(outcome.failure(), results.Conflict)
+        self.assertEqual(len(self.responses), count)
+        current = (await self.client.get("a/x")).unwrap()
+        self.assertIsInstance(
+            await self.client.put("a/x", 3, if_version=current.version), result.Success
+        )
+
+    async def test_an_answer_of_an_earlier_era_is_dropped(self):
+        self.era = 2
+        await self.client.put("a/x", 1, if_absent=True)
+        self.era = 1
+        stale = (await self.client.get("a/x")).failure()
+        self.assertIsInstance(stale, results.Unavailable)
+        written = (await self.client.put("a/y", 1, if_absent=True)).failure()
+        self.assertIsInstance(written, results.OutcomeUnknown)
+
     async def test_write_read_list_watch_delete(self):
         for number in range(5):
             outcome = await self.client.put(f"a/é {number}", number, if_absent=True)
--- a/test/platform/test_leases.py
+++ b/test/platform/test_leases.py
@@ -14,6 +14,7 @@
 ACT_MS = 150
 RUN_MS = 30_000
 SEEDS = 300
+RESTORE_SEEDS = range(150, 250)
 
 
 class Contender:
@@ -79,10 +80,10 @@
 class Run:
     """A simulation of several contenders with a random seed."""
 
-    def __init__(self, seed, lease_type=leases.Lease):
+    def __init__(self, seed, lease_type=leases.Lease, store=None):
         self.source = random.Random(seed)
         self.clock = timers.VirtualTimers()
-        self.store = objects.Store()
+        self.store = store or objects.Store()
         self.unavailable_until_ms = 0
         self.orders = []
         self.newest_fence = 0
@@ -168,6 +169,87 @@
         )
 
 
+class RestoringStore(objects.Store):
+    """A store that compares plain revisions and can return to a copy of itself."""
+
+    def __init__(self):
+        super().__init__()
+        self.era = 0
+
+    def qualified(self, version):
+        """Return a version with the current era, as the client reports it."""
+        return results.make_version(self.era, results.revision_of(version))
+
+    def write(self, key, value, if_version):
+        """Write if the plain revision fits; of another era the outcome is unknown."""
+        current = self.records.get(key)
+        revision = results.revision_of(if_version)
+        if results.revision_of(current.version if current else 0) != revision:
+            version = self.qualified(current.version if current else 0)
+            return result.Failure(results.Conflict(key, version))
+        self.revision += 1
+        record = results.Record(key, self.revision, value)
+        self.history.append(record)
+        self.records[key] = record
+        if if_version and results.era_of(if_version) != self.era:
+            return result.Failure(results.OutcomeUnknown(key, "restored"))
+        return result.Success(self.qualified(self.revision))
+
+    def read(self, key):
+        """Return an object."""
+        if key not in self.records:
+            return result.Failure(results.NotFound(key, era=self.era))
+        record = self.records[key]
+        return result.Success(record._replace(version=self.qualified(record.version)))
+
+    def restore(self, revision, records):
+        """Return to a copy in a new era; its revisions are given out again."""
+        self.era += 1
+        self.revision, self.records = revision, dict(records)
+        self.history = list(records.values())
+
+
+class RestoreRun(Run):
+    """A simulation in which the store repeatedly comes back from a copy."""
+
+    def __init__(self, seed, lease_type=leases.Lease):
+        self.copies = []
+        self.restores = 0
+        super().__init__(seed, lease_type, RestoringStore())
+
+    def inject_faults(self):
+        """Sometimes be away for a moment, and come back from a copy."""
+        super().inject_faults()
+        now_ms = self.clock.now_ms()
+        self.copies.append((self.store.revision, dict(self.store.records)))
+        if self.restores < 3 and self.source.random() < 0.15:
+            away_ms = self.source.uniform(200, 1_000)
+            self.unavailable_until_ms = max(self.unavailable_until_ms, now_ms + away_ms)
+            copy = self.source.choice(self.copies[-4:])
+            self.restores += 1
+            self.clock.after(away_ms - 1, lambda: self.restore(copy))
+
+    def restore(self, copy):
+        """Return to a copy, which makes those of the lost writes unusable."""
+        self.store.restore(*copy)
+        self.copies = [(self.store.revision, dict(self.store.records))]
+
+
+class ForgetsEras(leases.Lease):
+    """Fault: a contender takes the lease at once after the store was restored."""
+
+    def on_restore(self, era, now_ms):
+        super().on_restore(era, now_ms)
+        self._restored_ms = None
+
+
+class ReusesFences(leases.Lease):
+    """Fault: fences of a new era continue from the copy."""
+
+    def _next_fence(self):
+        return self._last_fence() + 1
+
+
 class CountsFromResponse(leases.Lease):
     """Fault: the term is counted from the response."""
 
@@ -214,6 +296,26 @@
         self.assertGreater(held_count * ACT_MS, 0.3 * SEEDS * RUN_MS)
         self.assertGreater(acquisitions, 2 * SEEDS)
 
+    def test_one_holder_at_a_time_when_the_store_comes_back_from_a_copy(self):
+        held_count = restores = 0
+        for seed in RESTORE_SEEDS:
+            run = RestoreRun(seed)
+            # Seed 245: a write of an earlier era took effect in a later one, since its
+            # revision had been given out again, and replaced the newest fence.
+            self.assertEqual(run.violations(), [], f"seed {seed}")
+            held_count += sum(len(host.intervals) for host in run.hosts)
+            restores += run.restores
+        self.assertGreater(restores, len(RESTORE_SEEDS))
+        self.assertGreater(held_count * ACT_MS, 0.2 * len(RESTORE_SEEDS) * RUN_MS)
+
+    def test_faults_around_a_restore_are_detected(self):
+        for fault in (ForgetsEras, ReusesFences):
+            with self.subTest(fault.__name__):
+                found = any(
+                    RestoreRun(seed, fault).violations() for seed in RESTORE_SEEDS
+                )
+                self.assertTrue(found)
+
     def test_faults_are_detected(self):
         for fault in (
             CountsFromResponse,
--- a/test/standins/test_platform.py
+++ b/test/standins/test_platform.py
@@ -49,6 +49,19 @@
         newer = model.watch("", 2, 0)
         self.assertEqual([change.version for change in newer.changes], [3, 4])
 
+    def test_a_restored_copy_lacks_later_writes_and_gives_out_revisions_again(self):
+        model = Model()
+        model.put("a", b"1", 0, 0)
+        copy = model.copy()
+        model.put("a", b"2", 1, 0)
+        model.put("b", b"2", 0, 0)
+        model.restore(copy)
+        self.assertEqual((model.era, model.revision), (1, 1))
+        self.assertEqual(model.get("b", 0), platformmodel.Missing("b"))
+        self.assertEqual(model.watch("", 3, 0), platformmodel.Compacted(0))
+        self.assertEqual(model.put("a", b"3", 1, 0), platformmodel.Written(2))
+        self.assertEqual([one.value for one in model.watch("", 1, 0).changes], [b"3"])
+
     def test_a_watch_from_before_a_compaction_has_to_relist(self):
         model = Model()
         model.put("a", b"1", 0, 0)
