Choose a target in one pass, wake parts only by changes, send digests of changes

An instance at rest woke for 24 looks at its role (one a store, every 600 ms), 17 rounds of rollouts and 10 of probes a second. A hub encoded each digest for each receiver, every 40 ms, whole. Change: open targets are listed once a change; shares of cold rates are cached until the fleet changes; the median until the next rate; sources and salts within a choice; homes and stores by a cheap hash of two BLAKE3 digests. Rollouts wake by a new version or entry, probes by a suspicion, watches of stores by a change of the hub, hubs' rounds by a report. A digest is encoded once; each receiver subtracts what it had reported itself, by the number that the hub acknowledges; between whole digests, every 500 ms, hubs send what changed. After the first eight ranks contenders for the rollout follow in shorter steps: at 195 instances the last one after 9 s and not after 68.

--- a/cornelreach/gateway/balancer.py
+++ b/cornelreach/gateway/balancer.py
@@ -8,12 +8,15 @@
 """
 
 import collections
+import functools
+import math
 import random
 import typing
 
 from cornelreach.gateway import (
     calls,
     catalogue,
+    datagrams,
     gossip as gossip_module,
     prefillrates,
     registry as registry_module,
@@ -66,6 +69,10 @@
         """Return whether a part is probably still cached."""
         return (salt, part.key) in self._parts
 
+    def holds_any(self, salt: str, parts: typing.Iterable[calls.Part]) -> bool:
+        """Return whether one of the parts is probably still cached."""
+        return any((salt, part.key) in self._parts for part in parts)
+
 
 class PromptRequest(typing.NamedTuple):
     """What a request demands of an engine.
@@ -88,6 +95,20 @@
     return PromptRequest(parts, call.prompt_tokens, call.context_tokens, home)
 
 
+def _load_cost(
+    state: registry_module.State, others: datagrams.TargetLoad, memory_left: float
+) -> float:
+    """Return the cost of queued tokens, running requests and memory overflow.
+
+    ``memory_left`` is what a target without load has left beside the prompt.
+    """
+    queued = state.prefill_tokens + others.prefill_tokens
+    running = state.in_flight + others.requests
+    overflow = state.in_flight_tokens + others.context_tokens - memory_left
+    cost = queued + running * RUN_COST
+    return cost + overflow * OVERFLOW_COST if overflow > 0 else cost
+
+
 class Balancer:
     """Picks targets, and remembers which prompts were sent to which."""
 
@@ -140,30 +161,40 @@
         ``is_stored`` tells whether a part can be fetched from a prompt store under a
         salt; ``extra`` returns an additional cost of a target.
         """
-        ranked = hashing.rendezvous(
+        home = hashing.preferred(
             demand.affinity_key.encode(), [one.id for one in targets]
         )
-        memory = service.engine.memory_tokens
-
-        lowest_error = min(self.registry.state(one.id).error_share for one in targets)
-        missing = {
-            one.id: self._missing_tokens(one, demand, salt_of(one), is_stored)
-            for one in targets
-        }
-
-        def cost(target: registry_module.Target) -> float:
-            own = missing[target.id]
-            if target.id == ranked[0]:
-                own *= HOME_DISCOUNT
-            load = self._load_cost(target, demand, memory)
-            suspect = SUSPECT_COST if self.gossip.is_suspected(target.id) else 0.0
-            slow = self.prefill_rates.slowdown(target.id)
-            errors = self.registry.state(target.id).error_share - lowest_error
-            failing = max(0.0, errors - ENGINE_ERROR_TOLERANCE) * ENGINE_FAILING_COST
-            return (own + load) * slow + suspect + failing + extra(target)
-
-        chosen = min(targets, key=cost)
-        return chosen, missing[chosen.id]
+        memory = service.engine.memory_tokens * MEMORY_SHARE - demand.context_tokens
+        states = [self.registry.state(one.id) for one in targets]
+        lowest_error = min(state.error_share for state in states)
+        loads = self.gossip.peer_loads()
+        suspected = self.gossip.suspected_targets()
+        slowdown = self.prefill_rates.slowdown
+
+        @functools.cache
+        def uncached(salt: str) -> float:
+            return self._missing_tokens(None, demand, salt, is_stored)
+
+        best, best_cost, best_missing = targets[0], math.inf, 0.0
+        for target, state in zip(targets, states, strict=True):
+            name = target.id
+            salt = salt_of(target)
+            held = self.cached.get(name)
+            if held is None or not held.holds_any(salt, demand.parts):
+                missing = uncached(salt)
+            else:
+                missing = self._missing_tokens(held, demand, salt, is_stored)
+            own = missing * HOME_DISCOUNT if name == home else missing
+            load = _load_cost(state, loads.get(name, datagrams.NO_LOAD), memory)
+            cost = (own + load) * slowdown(name) + extra(target)
+            if name in suspected:
+                cost += SUSPECT_COST
+            errors = state.error_share - lowest_error - ENGINE_ERROR_TOLERANCE
+            if errors > 0:
+                cost += errors * ENGINE_FAILING_COST
+            if cost < best_cost:
+                best, best_cost, best_missing = target, cost, missing
+        return best, best_missing
 
     def prefill_backlog(self, target: str) -> float:
         """Return the tokens queued for prefill at an engine by all instances."""
@@ -172,7 +203,7 @@
 
     def _missing_tokens(
         self,
-        target: registry_module.Target,
+        held: CachedParts | None,
         demand: PromptRequest,
         salt: str,
         is_stored: typing.Callable[[calls.Part, str], bool],
@@ -181,7 +212,6 @@
 
         Once a part has to be prefilled, so have all parts that follow it.
         """
-        held = self.cached.get(target.id)
         if not demand.parts:
             return demand.prompt_tokens
         missing = 0.0
@@ -194,21 +224,6 @@
             missing += part.tokens * (FETCH_COST if fetched else 1.0)
         return missing
 
-    def _load_cost(
-        self,
-        target: registry_module.Target,
-        demand: PromptRequest,
-        memory: int,
-    ) -> float:
-        """Return the cost of queued tokens, running requests and memory overflow."""
-        state = self.registry.state(target.id)
-        others = self.gossip.peer_load(target.id)
-        queued = state.prefill_tokens + others.prefill_tokens
-        context = state.in_flight_tokens + others.context_tokens
-        running = state.in_flight + others.requests
-        overflow = max(0.0, context + demand.context_tokens - memory * MEMORY_SHARE)
-        return queued + running * RUN_COST + overflow * OVERFLOW_COST
-
     def _active_requests(self, target: registry_module.Target, now_ms: float) -> float:
         """Return the requests at a target, known or, if higher, recently reported."""
         state = self.registry.state(target.id)
--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -51,8 +51,9 @@
     """One part of the aggregated loads that a hub sends.
 
     With a ``zone`` it is the sum over that data centre, for the hubs of the others;
-    without one it is the sum over all instances but the receiver. ``members`` is the
-    number of instances that use the hub's digests.
+    without one it is the sum over all instances. ``members`` is the number of instances
+    that use the hub's digests. ``acknowledged`` is the receiver's report that the sum
+    contains; it is sent outside of the body, which is the same for all receivers.
     """
 
     hub: str
@@ -65,6 +66,26 @@
     loads: dict[str, TargetLoad]
     closed: tuple[str, ...] = ()
     suspected: tuple[str, ...] = ()
+    acknowledged: int = 0
+
+
+class DigestUpdate(typing.NamedTuple):
+    """The loads that have changed since a hub's previous digest or update.
+
+    Fields are those of ``Digest``. Each load is the new sum, and no load if the target
+    has none any more, so an update that is lost leaves only its own targets outdated
+    until the next digest.
+    """
+
+    hub: str
+    boot: str
+    sequence: int
+    zone: str
+    members: int
+    loads: dict[str, TargetLoad]
+    closed: tuple[str, ...] = ()
+    suspected: tuple[str, ...] = ()
+    acknowledged: int = 0
 
 
 class VersionReport(typing.NamedTuple):
@@ -137,6 +158,7 @@
 Datagram = (
     LoadReport
     | Digest
+    | DigestUpdate
     | VersionReport
     | LeavingReport
     | Bundle
@@ -146,7 +168,8 @@
 )
 TAGS: dict[type, bytes] = {
     LoadReport: b"t",
-    Digest: b"d",
+    Digest: b"D",
+    DigestUpdate: b"u",
     VersionReport: b"v",
     LeavingReport: b"l",
     Bundle: b"b",
@@ -157,17 +180,34 @@
 DECODERS = {tag: msgspec.msgpack.Decoder(kind) for kind, tag in TAGS.items()}
 
 
+ADDRESSED = (TAGS[Digest], TAGS[DigestUpdate])
+ACKNOWLEDGED_BYTES = 4
+
+
 def encode(datagram: Datagram) -> bytes:
     """Encode a datagram."""
-    return TAGS[type(datagram)] + msgspec.msgpack.encode(datagram)
+    tag = TAGS[type(datagram)]
+    body = msgspec.msgpack.encode(datagram)
+    return address(tag, body, 0) if tag in ADDRESSED else tag + body
+
+
+def address(tag: bytes, body: bytes, acknowledged: int) -> bytes:
+    """Return an encoded digest or update for one receiver."""
+    number = acknowledged & 0xFFFF_FFFF
+    return tag + number.to_bytes(ACKNOWLEDGED_BYTES, "big") + body
 
 
 def decode(data: bytes) -> Datagram:
     """Decode a datagram; raises msgspec.DecodeError if it is malformed."""
-    decoder = DECODERS.get(data[:1])
+    tag = data[:1]
+    decoder = DECODERS.get(tag)
     if decoder is None:
         raise msgspec.DecodeError("unknown datagram tag")
-    return decoder.decode(data[1:])
+    if tag not in ADDRESSED:
+        return decoder.decode(data[1:])
+    start = 1 + ACKNOWLEDGED_BYTES
+    acknowledged = int.from_bytes(data[1:start], "big")
+    return decoder.decode(data[start:])._replace(acknowledged=acknowledged)
 
 
 def count_parts(loads: int) -> int:
@@ -192,6 +232,15 @@
     ]
 
 
+def split_update(update: DigestUpdate) -> list[DigestUpdate]:
+    """Split an update into parts that each fit into a datagram, at least one."""
+    rows = list(update.loads.items())
+    return [
+        update._replace(loads=dict(rows[start : start + LOADS_PER_DATAGRAM]))
+        for start in range(0, max(1, len(rows)), LOADS_PER_DATAGRAM)
+    ]
+
+
 def version_reports(
     name: str, versions: dict[str, dict[str, int]]
 ) -> list[VersionReport]:
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -11,15 +11,19 @@
 """
 
 import asyncio
+import collections
+import contextlib
 import typing
 
+import msgspec
+
 from cornelreach.gateway import (
     datagrams,
     hubs as hubs_module,
     registry as registry_module,
     relays,
 )
-from cornelreach.util import decoding, events, timers
+from cornelreach.util import decoding, events, hashing, timers
 
 DATAGRAMS_PER_S = 500.0
 PERIODIC_SHARE = 0.4  # of the rate; the rest is for reports right after a prompt
@@ -32,6 +36,10 @@
 HUB_DATAGRAMS_PER_S = 2_000.0
 DIGEST_MS = 40.0
 SLOW_DIGEST_MS = 250.0  # to those that use another hub, and if nothing changed
+WHOLE_DIGEST_MS = 500.0  # between two digests of all loads, not only of changes
+IDLE_HUB_MS = 1_000.0
+KEPT_REPORTS = 256
+MAX_FIRST_SEQUENCE = 1 << 24
 BUNDLE_MS = 100.0
 
 UNREADABLE = events.define(
@@ -105,12 +113,19 @@
         self.on_prompt_store_update: DatagramHandler[datagrams.PromptStoreUpdate] = (
             _ignore
         )
+        self.on_role_change: typing.Callable[[], None] = lambda: None
         self.on_freshness_query: DatagramHandler[datagrams.FreshnessQuery] = _ignore
         self.on_freshness_reply: DatagramHandler[datagrams.FreshnessReply] = _ignore
         self.on_record_changes: DatagramHandler[datagrams.RecordChanges] = _ignore
         self._sums = relays.LoadSums()
         self._digest_sums = relays.LoadSums()
         self._digest_ms = 0.0
+        self._digest_position = ("", "", 0)
+        self._reported_loads: collections.OrderedDict[
+            int, dict[str, datagrams.TargetLoad]
+        ] = collections.OrderedDict()
+        self._sent: dict[str, relays.LoadSums] = {}
+        self._duty = asyncio.Event()
         self._combined = relays.LoadSums()
         self._revision = 1  # of the peers' reports and of the prompts sent here
         self._combined_revision = 0
@@ -119,11 +134,13 @@
         self._assemblers: dict[tuple[str, bool], relays.DigestAssembler] = {}
         self._versions: dict[str, Reported] = {}
         self._leaving: dict[str, Leaving] = {}
-        self._sequence = 0
+        # Another boot must not reuse the numbers that hubs still acknowledge.
+        self._sequence = hashing.name_hash(boot) % MAX_FIRST_SEQUENCE
         self._datagram_tokens = 0.0
         self._tokens_ms = clock.now_ms()
         self._broadcast_ms = 0.0
         self._was_idle = False
+        self._round_sent = 0
         self._next_due_ms: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -141,6 +158,8 @@
                 self.apply_report(found)
             case datagrams.Digest():
                 self.apply_digest(found)
+            case datagrams.DigestUpdate():
+                self.apply_update(found)
             case datagrams.VersionReport():
                 self.apply_version_report(found)
             case datagrams.LeavingReport():
@@ -175,6 +194,7 @@
             self._sums.add(held.report, -1)
         self._sums.add(report)
         self._revision += 1
+        self._duty.set()
         self.peers[report.name] = Peer(report, self.clock.now_ms(), True)
 
     def apply_version_report(self, reports: datagrams.VersionReport) -> None:
@@ -221,16 +241,46 @@
             self._revision += 1
             return
         self._update_hub()
-        if digest.hub == self._hub:
+        position = (digest.hub, digest.boot, digest.sequence)
+        if digest.hub == self._hub and not self._is_outdated(position):
             self._digest_sums = relays.LoadSums()
             self._digest_sums.add(digest)
+            own = self._reported_loads.get(digest.acknowledged, {})
+            self._digest_sums.add(datagrams.LoadReport("", "", 0, own), -1)
+            self._digest_position = position
             self._digest_ms = self.clock.now_ms()
 
+    def _is_outdated(self, position: tuple[str, str, int]) -> bool:
+        """Return whether a newer digest or update of the same hub was applied."""
+        hub, boot, sequence = self._digest_position
+        return position[:2] == (hub, boot) and position[2] < sequence
+
+    def apply_update(self, update: datagrams.DigestUpdate) -> None:
+        """Apply the loads that have changed since a hub's last digest."""
+        self.hubs.record_digest(update.hub)
+        if update.zone:
+            if self.hub_state.apply_update(update):
+                self._revision += 1
+            return
+        self._update_hub()
+        position = (update.hub, update.boot, update.sequence)
+        followed = self._digest_position[:2] == position[:2]
+        if update.hub != self._hub or not followed or self._is_outdated(position):
+            return
+        own = self._reported_loads.get(update.acknowledged, {})
+        for target, load in update.loads.items():
+            others = relays.subtract(load, own.get(target, datagrams.NO_LOAD))
+            self._digest_sums.set_load(target, others)
+        self._digest_sums.replace_names(update)
+        self._digest_position = position
+        self._digest_ms = self.clock.now_ms()
+
     def _update_hub(self) -> None:
         found = self.hubs.followed_hub() if self.hubs.is_needed() else self.name
         if found != self._hub:
             self._hub = found
             events.emit(HUB_CHANGED, hub=found)
+            self.on_role_change()
 
     def expire(self) -> None:
         """Drop the loads of peers and hubs that have fallen silent."""
@@ -270,13 +320,26 @@
         """Return the total load of all peers on a target."""
         return self._current_sums().loads.get(target, datagrams.NO_LOAD)
 
+    def peer_loads(self) -> typing.Mapping[str, datagrams.TargetLoad]:
+        """Return the total loads of all peers; targets without load are left out."""
+        return self._current_sums().loads
+
+    def closed_targets(self) -> typing.Container[str]:
+        """Return the targets that some instance has closed for a rollout order."""
+        closed = self._current_sums().closed
+        return self.closed.union(closed) if closed else self.closed
+
+    def suspected_targets(self) -> typing.Container[str]:
+        """Return the targets that some peer gets no answer from."""
+        return self._current_sums().suspected
+
     def is_closed(self, target: str) -> bool:
         """Return whether an instance has closed a target for a rollout order."""
-        return target in self.closed or self._current_sums().closed[target] > 0
+        return target in self.closed_targets()
 
     def is_suspected(self, target: str) -> bool:
         """Return whether some peer gets no answer from a target."""
-        return self._current_sums().suspected[target] > 0
+        return target in self.suspected_targets()
 
     def _live_peers(self) -> list[str]:
         oldest_ms = self.clock.now_ms() - relays.DEAD_MS
@@ -351,11 +414,15 @@
 
     def _own_report(self) -> datagrams.LoadReport:
         self._sequence += 1
+        loads = self._own_loads()
+        self._reported_loads[self._sequence] = loads
+        if len(self._reported_loads) > KEPT_REPORTS:
+            self._reported_loads.popitem(last=False)
         return datagrams.LoadReport(
             self.name,
             self.boot,
             self._sequence,
-            self._own_loads(),
+            loads,
             tuple(sorted(self.closed)),
             tuple(n for n, state in self.registry.states.items() if state.suspected),
             self._hub,
@@ -391,16 +458,18 @@
 
     def send(self, datagram: datagrams.Datagram, names: typing.Iterable[str]) -> None:
         """Send a datagram to instances; unregistered ones are skipped."""
-        if self._transport is None:
-            return
         data = datagrams.encode(datagram)
+        for name in names:
+            self._transmit(data, name)
+
+    def _transmit(self, data: bytes, name: str) -> None:
+        member = self.members.get(name)
+        if self._transport is None or member is None:
+            return
         if len(data) > datagrams.MAX_BYTES:
             events.emit(TOO_LONG, length=len(data))
             return
-        for name in names:
-            member = self.members.get(name)
-            if member is not None:
-                self._transport.sendto(data, (member.host, member.port))
+        self._transport.sendto(data, (member.host, member.port))
 
     # Duties of a hub.
 
@@ -435,14 +504,11 @@
             receivers = list(reporters) if slow else subscribers
             self._send_digests(receivers, reporters)
         if slow:
-            self._send_reports(list(reporters))
+            self._send_news(list(reporters))
         if self._is_due("bundle", BUNDLE_MS):
             for bundle in datagrams.bundles(self.name, self.hub_state.take_updates()):
                 self.send(bundle, subscribers)
-        sent = len(subscribers) * datagrams.count_parts(
-            len(self._combined_sums().loads)
-        )
-        return max(DIGEST_MS, sent / HUB_DATAGRAMS_PER_S * 1_000)
+        return max(DIGEST_MS, self._round_sent / HUB_DATAGRAMS_PER_S * 1_000)
 
     def _send_digests(
         self, receivers: list[str], reporters: typing.Mapping[str, datagrams.LoadReport]
@@ -453,34 +519,55 @@
             sums.add(others)
             sums.add(own)
         members = sum(report.hub == self.name for report in reporters.values())
-        digest = datagrams.Digest(
-            self.name, self.boot, own.sequence, "", members, 0, 1, {}
-        )
-        full = digest._replace(closed=tuple(total.closed))
-        full = full._replace(suspected=tuple(total.suspected))
-        for name in receivers:
-            loads = total.without(reporters[name].loads)
-            for part in datagrams.split(full._replace(loads=loads)):
-                self.send(part, (name,))
-        zone = digest._replace(
-            zone=self.zone,
-            loads=zone_sums.loads,
-            closed=tuple(zone_sums.closed),
-            suspected=tuple(zone_sums.suspected),
+        update = datagrams.DigestUpdate(
+            self.name, self.boot, own.sequence, "", members, {}
         )
-        for part in datagrams.split(zone):
-            self._send_to_hubs(part)
-
-    def _send_to_hubs(self, datagram: datagrams.Datagram) -> None:
-        """Send a datagram to the hubs of the other data centres."""
-        for zone in self.hubs.zones():
-            if zone != self.zone:
-                self.send(datagram, self.hubs.recipients(zone))
+        whole = self._is_due("whole", WHOLE_DIGEST_MS)
+        acknowledged = {name: reporters[name].sequence for name in receivers}
+        parts = self._digest_parts(update, total, whole)
+        self._round_sent = len(parts) * len(receivers)
+        self._send_addressed(parts, acknowledged)
+        others = dict.fromkeys(self._other_hubs(), 0)
+        zone_update = update._replace(zone=self.zone)
+        self._send_addressed(self._digest_parts(zone_update, zone_sums, whole), others)
+
+    def _digest_parts(
+        self, update: datagrams.DigestUpdate, sums: relays.LoadSums, whole: bool
+    ) -> list[datagrams.Digest | datagrams.DigestUpdate]:
+        """Return the datagrams that tell sums, whole or only what has changed."""
+        names = {"closed": tuple(sums.closed), "suspected": tuple(sums.suspected)}
+        before = self._sent.get(update.zone)
+        self._sent[update.zone] = sums
+        if whole or before is None:
+            digest = datagrams.Digest(*update[:5], 0, 1, sums.loads, **names)
+            return list(datagrams.split(digest))
+        loads = relays.changed_loads(before.loads, sums.loads)
+        return list(datagrams.split_update(update._replace(loads=loads, **names)))
+
+    def _send_addressed(
+        self,
+        parts: list[datagrams.Digest | datagrams.DigestUpdate],
+        acknowledged: typing.Mapping[str, int],
+    ) -> None:
+        """Send digests, encoded once, each with what it acknowledges to a receiver."""
+        for part in parts:
+            tag, body = datagrams.TAGS[type(part)], msgspec.msgpack.encode(part)
+            for name, number in acknowledged.items():
+                self._transmit(datagrams.address(tag, body, number), name)
+
+    def _other_hubs(self) -> list[str]:
+        """Return the hubs of the other data centres."""
+        return [
+            name
+            for zone in self.hubs.zones()
+            if zone != self.zone
+            for name in self.hubs.recipients(zone)
+        ]
 
-    def _send_reports(self, receivers: list[str]) -> None:
+    def _send_news(self, receivers: list[str]) -> None:
         for one in self._news():
             self.send(one, receivers)
-            self._send_to_hubs(one)
+            self.send(one, self._other_hubs())
 
     # Running.
 
@@ -494,7 +581,15 @@
     async def run_hub(self) -> None:
         """Do a hub's duties until cancelled."""
         while True:
-            await asyncio.sleep(self.relay_round() / 1_000)
+            self._duty.clear()
+            pause_ms = self.relay_round()
+            if pause_ms == SLOW_DIGEST_MS and not self._reporters():
+                # An instance that nobody reports to has nothing to relay.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(IDLE_HUB_MS / 1_000):
+                        await self._duty.wait()
+            else:
+                await asyncio.sleep(pause_ms / 1_000)
 
     async def listen(self, host: str, port: int) -> None:
         """Receive datagrams on an address."""
--- a/cornelreach/gateway/mirror.py
+++ b/cornelreach/gateway/mirror.py
@@ -50,6 +50,7 @@
         self.registry = registry_module.TargetRegistry()
         self.versions: dict[str, NamedVersion] = {}
         self.fleet = quotas.Fleet(name, (name,))
+        self.on_version: typing.Callable[[], None] = lambda: None
         self.synced: set[str] = set()
         self.proof_ms: float | None = None
 
@@ -80,6 +81,7 @@
             return False
         self.versions[model] = NamedVersion(version, now_ms, old_until_ms)
         events.emit(VERSION_SET, model=model, version=version)
+        self.on_version()
         return True
 
     def set_evacuated(self, zones: typing.Iterable[str]) -> None:
--- a/cornelreach/gateway/prefillrates.py
+++ b/cornelreach/gateway/prefillrates.py
@@ -22,12 +22,14 @@
 
     def __init__(self) -> None:
         self._rates: dict[str, float] = {}
+        self._median: float | None = None
 
     def record(self, engine: str, tokens: float, elapsed_ms: float) -> None:
         """Update a rate from the tokens prefilled before a first token and its time."""
         if tokens < MIN_TOKENS:
             return
         rate = tokens / max(1.0, elapsed_ms - STEP_MS)
+        self._median = None
         average = self._rates.get(engine, rate)
         self._rates[engine] = average + NEWEST_WEIGHT * (rate - average)
 
@@ -35,7 +37,9 @@
         """Return the median rate of all engines."""
         if not self._rates:
             return INITIAL_RATE
-        return statistics.median(self._rates.values())
+        if self._median is None:
+            self._median = statistics.median(self._rates.values())
+        return self._median
 
     def expected_ms(self, tokens: float) -> float:
         """Return the expected time to the first token at the median rate."""
@@ -51,3 +55,4 @@
     def forget(self, engine: str) -> None:
         """Forget the rate of an engine that was removed."""
         self._rates.pop(engine, None)
+        self._median = None
--- a/cornelreach/gateway/probing.py
+++ b/cornelreach/gateway/probing.py
@@ -48,7 +48,12 @@
 
     async def run(self) -> None:
         """Probe until cancelled."""
+        suspected = asyncio.Event()
+        self.mirror.registry.on_eject = suspected.set
         while True:
+            suspected.clear()
+            if not any(one.suspected for one in self.mirror.registry.states.values()):
+                await suspected.wait()
             await asyncio.sleep(TICK_MS / 1_000)
             due = self.due()[:MAX_CONCURRENT]
             if due:
--- a/cornelreach/gateway/promptindex.py
+++ b/cornelreach/gateway/promptindex.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import contextlib
 import math
 import random
 import typing
@@ -27,7 +28,7 @@
 POLL_WAIT_MS = 800
 PAUSE_MS = 120.0
 RETRY_MS = 300.0
-HUB_CHECK_MS = 600.0  # between two checks whether this instance has become a hub
+ROLE_CHECK_MS = 20_000.0  # in case a change of the role was missed
 FRESH_MS = 1_500.0  # the wait of a poll plus a margin for the call
 MAX_FILL_SHARE = 0.95
 MIN_DELAY_MS = 80.0  # smaller delays are within the engines' own jitter
@@ -192,7 +193,8 @@
         ]
         if not with_room:
             return None
-        chosen = max(with_room, key=lambda one: self._weight(key, one.store))
+        key_hash = hashing.name_hash(f"{salt}/{part.key}")
+        chosen = max(with_room, key=lambda one: self._weight(key_hash, one.store))
         if now_ms - chosen.saving.get(key, -SAVE_TIMEOUT_MS) < SAVE_TIMEOUT_MS:
             return None
         chosen.saving[key] = now_ms
@@ -204,10 +206,10 @@
             self.stores[address].record_delay(delay_ms, now_ms)
 
     @staticmethod
-    def _weight(key: promptstores.PartKey, store: catalogue.PromptStore) -> float:
+    def _weight(key_hash: int, store: catalogue.PromptStore) -> float:
         # Weighted rendezvous hashing: stores get parts in proportion to their size.
-        name = f"{key.salt}/{key.key}".encode()
-        uniform = (hashing.score(name, store.name) + 0.5) / HASH_RANGE
+        score = hashing.pair_score(key_hash, hashing.name_hash(store.name))
+        uniform = (score + 0.5) / HASH_RANGE
         return uniform ** (1.0 / max(1, store.tokens))
 
 
@@ -233,7 +235,14 @@
         self.gossip = gossip
         self.random = random_source
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._role_changed = asyncio.Event()
         gossip.on_prompt_store_update = self.apply_relayed
+        gossip.on_role_change = self._wake
+
+    def _wake(self) -> None:
+        """Wake all watches: this instance may have to watch the stores itself now."""
+        self._role_changed.set()
+        self._role_changed = asyncio.Event()
 
     def configure(self, found: catalogue.Catalogue) -> None:
         """Watch the stores of a configuration."""
@@ -290,13 +299,20 @@
             )
             return PAUSE_MS
         if not self.is_watching():
-            return HUB_CHECK_MS
+            await self._wait_for_role()
+            return 0.0
         batch = await self.client.events(address, contents.position, POLL_WAIT_MS)
         if contents.apply_events(batch, self.clock.now_ms()) and self.uses_hubs():
             self._relay(contents, batch)
             return RELAY_MS
         return PAUSE_MS
 
+    async def _wait_for_role(self) -> None:
+        """Wait until this instance may have become a hub."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ROLE_CHECK_MS / 1_000):
+                await self._role_changed.wait()
+
     def _relay(self, contents: PromptStoreContents, batch: promptstores.Batch) -> None:
         parts = {(part.salt, part.key): tokens for part, tokens in batch.changes}
         for update in datagrams.prompt_store_updates(
--- a/cornelreach/gateway/quotas.py
+++ b/cornelreach/gateway/quotas.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import functools
 import math
 import typing
 
@@ -19,6 +20,7 @@
 WINDOW_MS = 1_000
 SAFE_SHARE = 0.8  # margin: instances disagree on the fleet size while one starts
 BUCKET_MS = 1_000
+CACHED_SHARES = 2_048
 
 
 class Fleet(typing.NamedTuple):
@@ -33,8 +35,12 @@
         return max(1, len(self.names))
 
 
+@functools.lru_cache(maxsize=CACHED_SHARES)
 def cold_share(fleet: Fleet, target: str, bound_per_s: float) -> int:
-    """Return how many requests a second this instance may send to a cold target."""
+    """Return how many requests a second this instance may send to a cold target.
+
+    It ranks all instances, so results are cached until the fleet changes.
+    """
     total = max(1, int(bound_per_s * SAFE_SHARE))
     share, remainder = divmod(total, fleet.size)
     if not remainder:
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -126,7 +126,11 @@
         self.states: dict[str, State] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.reconnected_ms = 0.0
+        self.on_change: typing.Callable[[], None] = lambda: None
+        self.on_eject: typing.Callable[[], None] = lambda: None
         self._by_service: dict[str, dict[str, Target]] = {}
+        self._open: dict[str, list[Target]] = {}  # by service, until the next change
+        self._open_evacuated = self.evacuated
         self._lapsed: dict[str, float] = {}
         self._leaving: dict[str, int] = {}  # the lifetimes that said they leave
         self._gone: dict[str, int] = {}  # the lifetimes whose entries were removed
@@ -144,7 +148,10 @@
 
     def state(self, target: str) -> State:
         """Return what is known about a target from this instance's calls."""
-        return self.states.setdefault(target, State())
+        found = self.states.get(target)
+        if found is None:
+            found = self.states[target] = State()
+        return found
 
     def put(self, target: Target, cold_ms: float, now_ms: float) -> None:
         """Add or update an entry; if the target has restarted, its state is reset."""
@@ -164,8 +171,13 @@
         state = self.state(target.id)
         if cold_ms > 0:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
+        self._changed()
         self._log_change(before, target)
 
+    def _changed(self) -> None:
+        self._open.clear()
+        self.on_change()
+
     def _was_closed(self, target: Target) -> bool:
         """Return whether the same lifetime of a target was draining or gone."""
         before = self.targets.get(target.id)
@@ -189,6 +201,7 @@
             return False
         self.targets[target_id] = target
         self._by_service[target.service][target_id] = target
+        self._changed()
         self._log_change(before, target)
         return True
 
@@ -231,10 +244,10 @@
         """Drop lapsed entries, and reopen held ones, whose grace period is over."""
         for target_id in [one for one, due in self._lapsed.items() if due <= now_ms]:
             self._drop(target_id)
-        if self._held_back:
-            self._held_back = {
-                one: due for one, due in self._held_back.items() if due > now_ms
-            }
+        reopened = [one for one, due in self._held_back.items() if due <= now_ms]
+        for target_id in reopened:
+            del self._held_back[target_id]
+            self._changed()
 
     def _drop(self, target_id: str) -> None:
         self._lapsed.pop(target_id, None)
@@ -244,6 +257,7 @@
         _remember(self._gone, target)
         if not target.born_ms:
             self._leaving.pop(target_id, None)  # lifetimes cannot be told apart
+        self._changed()
         self._emit(target, "gone")
 
     def _forget(self, target_id: str) -> None:
@@ -271,6 +285,7 @@
         if target is None or target.born_ms != born_ms or self.is_leaving(target):
             return False
         _remember(self._leaving, target)
+        self._changed()
         self._emit(target, "leaving, as its answer says")
         return True
 
@@ -301,9 +316,19 @@
         return [one for one in self.targets.values() if one.address == address]
 
     def open_targets(self, service: str) -> list[Target]:
-        """Return the targets of a service that are open, whether ejected or not."""
-        listed = self._by_service.get(service, {})
-        return [one for one in listed.values() if self.is_open(one.id, service)]
+        """Return the targets of a service that are open, whether ejected or not.
+
+        The list is kept until the next change and must not be modified.
+        """
+        if self._open_evacuated is not self.evacuated:
+            self._open_evacuated = self.evacuated
+            self._open.clear()
+        found = self._open.get(service)
+        if found is None:
+            listed = self._by_service.get(service, {})
+            found = [one for one in listed.values() if self.is_open(one.id, service)]
+            self._open[service] = found
+        return found
 
     def usable(self, service: str, now_ms: float) -> list[Target]:
         """Return the open targets that are not ejected; all open ones if all are.
@@ -343,6 +368,7 @@
         state.suspected = True
         state.ejected_until_ms = now_ms + wait_ms
         events.emit(EJECTED, target=target_id, wait_ms=wait_ms, reason=reason)
+        self.on_eject()
 
     def record_outcome(self, target_id: str, ok: bool, answer_ms: float) -> None:
         """Update a target's error rate and answer time from the end of a request."""
--- a/cornelreach/gateway/relays.py
+++ b/cornelreach/gateway/relays.py
@@ -45,19 +45,36 @@
         _count(self.closed, report.closed, sign)
         _count(self.suspected, report.suspected, sign)
 
-    def without(
-        self, loads: typing.Mapping[str, datagrams.TargetLoad]
-    ) -> dict[str, datagrams.TargetLoad]:
-        """Return the loads without those of one instance included in the sum."""
-        found = dict(self.loads)
-        for target, load in loads.items():
-            held = found.pop(target, datagrams.NO_LOAD)
-            rest = datagrams.TargetLoad(
-                *(a - b for a, b in zip(held, load, strict=True))
-            )
-            if rest != datagrams.NO_LOAD:
-                found[target] = rest
-        return found
+    def set_load(self, target: str, load: datagrams.TargetLoad) -> None:
+        """Replace the load of one target."""
+        if load == datagrams.NO_LOAD:
+            self.loads.pop(target, None)
+        else:
+            self.loads[target] = load
+
+    def replace_names(self, report: HasLoads) -> None:
+        """Replace the closed and the suspected targets by those of a report."""
+        self.closed = collections.Counter(report.closed)
+        self.suspected = collections.Counter(report.suspected)
+
+
+def subtract(
+    load: datagrams.TargetLoad, part: datagrams.TargetLoad
+) -> datagrams.TargetLoad:
+    """Return a load without a part of it."""
+    return datagrams.TargetLoad(load[0] - part[0], load[1] - part[1], load[2] - part[2])
+
+
+def changed_loads(
+    before: typing.Mapping[str, datagrams.TargetLoad],
+    after: typing.Mapping[str, datagrams.TargetLoad],
+) -> dict[str, datagrams.TargetLoad]:
+    """Return the loads that differ, with no load for targets that have none now."""
+    changed = {
+        target: load for target, load in after.items() if before.get(target) != load
+    }
+    gone = dict.fromkeys(before.keys() - after.keys(), datagrams.NO_LOAD)
+    return changed | gone
 
 
 def _count(
@@ -116,6 +133,28 @@
         held = self._zones.setdefault(digest.zone, {})
         held[digest.hub] = ReceivedDigest(digest, self.clock.now_ms())
 
+    def apply_update(self, update: datagrams.DigestUpdate) -> bool:
+        """Apply an update to the digest that its sender sent before, if it is newer."""
+        held = self._zones.get(update.zone, {}).get(update.hub)
+        if held is None or held.digest.boot != update.boot:
+            return False
+        # The parts of one update have the same sequence.
+        if update.sequence < held.digest.sequence:
+            return False
+        sums = LoadSums()
+        sums.loads = dict(held.digest.loads)
+        for target, load in update.loads.items():
+            sums.set_load(target, load)
+        digest = held.digest._replace(
+            sequence=update.sequence,
+            members=update.members,
+            loads=sums.loads,
+            closed=update.closed,
+            suspected=update.suspected,
+        )
+        self.store_digest(digest)
+        return True
+
     def zone_digests(self) -> list[datagrams.Digest]:
         """Return the latest digest of each other data centre, if recent enough.
 
--- a/cornelreach/gateway/rollouts.py
+++ b/cornelreach/gateway/rollouts.py
@@ -24,7 +24,10 @@
 TERM_MS = 1_200
 QUIET_MARGIN_MS = 300
 TICK_MS = 60.0
+MAX_PAUSE_MS = 500.0
 STAGGER_MS = 350.0
+SINGLE_RANKS = 8
+RANKS_DOUBLING_STEPS = 4
 LOADING_SHARE = 1 / 3  # of a service's engines at once; the others keep serving
 MIN_LOADING = 2
 POLL_MS = 120.0
@@ -71,6 +74,19 @@
     return max(MIN_LOADING, math.floor(engines * LOADING_SHARE))
 
 
+def contention_step(rank: int) -> float:
+    """Return after how many intervals the instance of a rank contends for the lease.
+
+    The first ranks contend one by one. Later ones are only needed if all of those are
+    down, so the steps get shorter, and a large fleet is not idle for minutes::
+
+        [contention_step(rank) for rank in (0, 7, 8, 16, 195)]  # 0, 7, 8, 12, 26.4
+    """
+    if rank < SINGLE_RANKS:
+        return rank
+    return SINGLE_RANKS + RANKS_DOUBLING_STEPS * math.log2(rank / SINGLE_RANKS)
+
+
 class Rollouts:
     """Sends load orders while this instance holds the lease."""
 
@@ -93,18 +109,31 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._contend_ms: float | None = None
         self._renew_ms = 0.0
+        self._changed = asyncio.Event()
+        mirror.on_version = mirror.registry.on_change = self._changed.set
 
     async def run(self) -> None:
         """Bring outdated engines up to date until cancelled."""
         while True:
-            await asyncio.sleep(TICK_MS / 1_000)
+            self._changed.clear()
             outdated = outdated_engines(self.mirror)
-            if not outdated or self.stopping:
+            if outdated and not self.stopping:
+                await self._contend()
+                if self.lease.is_held(self.clock.now_ms()):
+                    self._start(outdated)
+                await asyncio.sleep(self._pause_ms() / 1_000)
+            else:
                 self._contend_ms = None
-                continue
-            await self._contend()
-            if self.lease.is_held(self.clock.now_ms()):
-                self._start(outdated)
+                await self._changed.wait()
+                await asyncio.sleep(TICK_MS / 1_000)
+
+    def _pause_ms(self) -> float:
+        """Return the pause until the lease or an engine may need the next step."""
+        now_ms = self.clock.now_ms()
+        if self._tasks or self.lease.is_held(now_ms):
+            return TICK_MS
+        due_ms = max(self._contend_ms or 0.0, self._renew_ms)
+        return min(MAX_PAUSE_MS, max(TICK_MS, due_ms - now_ms))
 
     def close(self) -> None:
         """Stop sending orders and cancel those in progress."""
@@ -128,7 +157,7 @@
             return 0.0
         names = set(fleet.names) | {fleet.name}
         rank = hashing.rendezvous(LEASE.encode(), names).index(fleet.name)
-        return STAGGER_MS * (rank + (1 if last else 0))
+        return STAGGER_MS * (contention_step(rank) + (1 if last else 0))
 
     def _start(self, outdated: list[OutdatedEngine]) -> None:
         self._tasks = {
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -1,5 +1,6 @@
 """Selection of a target for a request, subject to all limits that apply to it."""
 
+import functools
 import typing
 
 from cornelreach.gateway import (
@@ -24,6 +25,7 @@
 # fifth of its benefit from 1.5 s after the newer version was confirmed.
 OLD_WEIGHTS_FREE_MS = 1_200.0
 OLD_WEIGHTS_COST = 8_000.0  # prompt tokens
+NOT_HOSTED = -1  # below every version of a model
 WAIT_MS = 40.0
 WAIT_SHARE = 0.2  # of the objective; the longest wait before a request is refused
 
@@ -198,7 +200,7 @@
         if not allowed:
             left_ms = self.mirror.registry.rest_left_ms(service.name, now_ms)
             return None if left_ms is None else Resting(left_ms)
-        free = [one for one in allowed if self._has_room(one, service, now_ms)]
+        free = self._targets_with_room(allowed, service, now_ms)
         if not free:
             return Wait(WAIT_MS, request_state.route.objective_ms * WAIT_SHARE)
         return self._pick(free, request_state, service, now_ms, spent_ms)
@@ -210,54 +212,72 @@
         now_ms: float,
     ) -> list[registry_module.Target]:
         usable = self.mirror.registry.usable(service.name, now_ms)
-        allowed = [
+        tried = request_state.tried
+        zones = self._allowed_zones(request_state)
+        model = request_state.model
+        oldest = self._oldest_version(model, now_ms)
+        return [
             one
             for one in usable
-            if one.id not in request_state.tried
-            and self._in_region(one, request_state)
-            and self._version_allowed(one, request_state.model, now_ms)
+            if one.id not in tried
+            and (zones is None or one.zone in zones)
+            and (
+                not model
+                or not one.versions
+                or one.versions.get(model, NOT_HOSTED) >= oldest
+            )
         ]
-        return allowed
 
-    def _in_region(
-        self, target: registry_module.Target, request_state: requeststate.RequestState
-    ) -> bool:
-        region = self.regions.get(target.zone, "")
+    def _allowed_zones(
+        self, request_state: requeststate.RequestState
+    ) -> set[str] | None:
+        """Return the data centres that a request may go to; None means all."""
         account = request_state.account
         limits = [
-            request_state.route.regions,
-            account.regions if account else frozenset(),
+            one
+            for one in (
+                request_state.route.regions,
+                account.regions if account else frozenset(),
+            )
+            if one
         ]
-        return all(not one or region in one for one in limits)
-
-    def _version_allowed(
-        self, target: registry_module.Target, model: str, now_ms: float
-    ) -> bool:
-        if not model or not target.versions:
-            return True
-        held = target.versions.get(model)
-        if held is None:
-            return False
+        if not limits:
+            return None
+        return {
+            zone
+            for zone, region in self.regions.items()
+            if all(region in one for one in limits)
+        }
+
+    def _oldest_version(self, model: str, now_ms: float) -> int:
+        """Return the oldest version of a model that requests may still begin on."""
         wanted = self.mirror.versions.get(model)
-        if wanted is None or held >= wanted.version:
-            return True
-        return now_ms < wanted.old_until_ms
+        if wanted is None or now_ms < wanted.old_until_ms:
+            return 0
+        return wanted.version
 
-    def _has_room(
+    def _targets_with_room(
         self,
-        target: registry_module.Target,
+        targets: typing.Iterable[registry_module.Target],
         service: catalogue.Service,
         now_ms: float,
-    ) -> bool:
-        if self.balancer.gossip.is_closed(target.id):
-            return False
-        if not self._within_cold_share(target, service, now_ms):
-            return False
-        address = http_client.parse_address(target.address)
+    ) -> list[registry_module.Target]:
+        """Return the targets that take one more request within all limits."""
+        closed = self.balancer.gossip.closed_targets()
         share = quotas.connection_share(self.mirror.fleet, service.connections)
-        return self.http.has_idle_connection(address) or (
-            self.http.open_connections(address) < share
-        )
+        return [
+            one
+            for one in targets
+            if one.id not in closed
+            and self._within_cold_share(one, service, now_ms)
+            and self._has_connection(one, share)
+        ]
+
+    def _has_connection(self, target: registry_module.Target, share: int) -> bool:
+        address = http_client.parse_address(target.address)
+        return self.http.open_connections(
+            address
+        ) < share or self.http.has_idle_connection(address)
 
     def _within_cold_share(
         self,
@@ -289,15 +309,22 @@
             state = registry.state(target.id)
             return Choice(target, state, 0, 0, None, None, self.clock.now_ms)
         demand = balancer_module.prompt_request(request_state.call)
+        salt_of = self._salts(request_state)
+
+        @functools.cache
+        def source(part: calls.Part, salt: str) -> str | None:
+            rate = self.balancer.prefill_rates.median()
+            return self.prompt_index.find_source(part, salt, now_ms, rate)
+
         target, prefill_tokens = self.balancer.choose_engine(
             targets,
             demand,
-            lambda one: self._salt(one, request_state),
-            lambda part, salt: self._source(part, salt, now_ms) is not None,
+            salt_of,
+            lambda part, salt: source(part, salt) is not None,
             service,
-            lambda one: self._old_weights_cost(one, request_state.model, now_ms),
+            self._old_weights_costs(request_state.model, now_ms),
         )
-        salt = self._salt(target, request_state)
+        salt = salt_of(target)
         self.balancer.record_prompt(
             target.id, salt, demand, service.engine.memory_tokens
         )
@@ -316,16 +343,16 @@
             salt,
             target.versions.get(request_state.model),
             self.clock.now_ms,
-            *self._stores(demand.parts, salt, now_ms),
+            *self._stores(demand.parts, salt, source, now_ms),
             late=late,
         )
 
-    def _source(self, part: calls.Part, salt: str, now_ms: float) -> str | None:
-        rate = self.balancer.prefill_rates.median()
-        return self.prompt_index.find_source(part, salt, now_ms, rate)
-
     def _stores(
-        self, parts: tuple[calls.Part, ...], salt: str, now_ms: float
+        self,
+        parts: tuple[calls.Part, ...],
+        salt: str,
+        source: typing.Callable[[calls.Part, str], str | None],
+        now_ms: float,
     ) -> tuple[tuple[str | None, ...], tuple[str | None, ...]]:
         """Return the stores to fetch each part from and to save it to.
 
@@ -333,34 +360,43 @@
         """
         shared = parts[:-1]
         prompt_index = self.prompt_index
-        sources = [self._source(part, salt, now_ms) for part in shared]
+        sources = [source(part, salt) for part in shared]
         destinations = [
-            None if source else prompt_index.choose_store(part, salt, now_ms)
-            for part, source in zip(shared, sources, strict=True)
+            None if held else prompt_index.choose_store(part, salt, now_ms)
+            for part, held in zip(shared, sources, strict=True)
         ]
         return (*sources, None), (*destinations, None)
 
-    def _old_weights_cost(
-        self, target: registry_module.Target, model: str, now_ms: float
-    ) -> float:
+    def _old_weights_costs(
+        self, model: str, now_ms: float
+    ) -> typing.Callable[[registry_module.Target], float]:
+        """Return a function that gives the cost of a target's older weights."""
         wanted = self.mirror.versions.get(model)
-        if wanted is None or target.versions.get(model, 0) >= wanted.version:
-            return 0.0
-        overdue = now_ms - wanted.learned_ms > OLD_WEIGHTS_FREE_MS
-        return OLD_WEIGHTS_COST if overdue else 0.0
-
-    def _salt(
-        self, target: registry_module.Target, request_state: requeststate.RequestState
-    ) -> str:
-        """Return the cache salt: model, version of weights, and any isolated account.
-
-        Stores look parts up only by this salt and the part's identifier, so the model
-        has to be included.
+        if wanted is None or now_ms - wanted.learned_ms <= OLD_WEIGHTS_FREE_MS:
+            return lambda target: 0.0
+        newest = wanted.version
+        return lambda target: (
+            0.0 if target.versions.get(model, 0) >= newest else OLD_WEIGHTS_COST
+        )
+
+    def _salts(
+        self, request_state: requeststate.RequestState
+    ) -> typing.Callable[[registry_module.Target], str]:
+        """Return a function that gives the cache salt of a request at a target.
+
+        The salt is made of the model, its version at the target and any isolated
+        account. Stores look parts up only by this salt and the part's identifier, so
+        the model has to be included.
         """
-        version = target.versions.get(request_state.model, 0)
+        model = request_state.model
         account = request_state.account
         isolated = account.name if account is not None and account.isolated else ""
-        return f"{request_state.model}.v{version}.{isolated}"
+
+        @functools.cache
+        def salt(version: int) -> str:
+            return f"{model}.v{version}.{isolated}"
+
+        return lambda target: salt(target.versions.get(model, 0))
 
     def announce(self, chosen: Choice) -> None:
         """Tell the peers that a prompt is being sent to an engine."""
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import socket
 import ssl
 import time
@@ -23,6 +24,7 @@
 KEEP_ALIVE_MARGIN_MS = 600  # servers time the stated timeout by their own clock
 MAX_STRAY_RESPONSES = 4
 PAUSE_READING_BYTES = 262_144
+CACHED_ADDRESSES = 16_384
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
 
@@ -47,6 +49,7 @@
         return f"{scheme}://{self.host}:{self.port}"
 
 
+@functools.lru_cache(maxsize=CACHED_ADDRESSES)
 def parse_address(text: str) -> Address:
     """Parse ``http://host:port``, ``https://host:port`` or ``host:port``."""
     tls = text.startswith("https://")
