Let long watches of hubs be proved by the configuration's calls, and split pushes

Change: only the configuration's watch ends every 0.25 of revoke_ms. What it proves holds for the other kinds whose calls have been waiting meanwhile (a change would have ended them; a silent connection is found by keepalive within 2.5 s, and machines whose connections were reset aren't held to bounds for longer). Pushes are split at revisions; a record that fits into no datagram ends the list. A change of the hub wakes the watchers, so that they needn't look every second. The return of the store from a copy restarts all watches. Contenders read the lease every 4 s.

--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -282,6 +282,33 @@
     ]
 
 
+def record_changes(
+    hub: str,
+    prefix: str,
+    before: int,
+    after: int,
+    rows: typing.Sequence[tuple[str, int, typing.Any]],
+) -> list[RecordChanges]:
+    """Return the datagrams that report changed records, in order of their versions.
+
+    Each begins at the version at which the one before ends. A record that fits into no
+    datagram ends the list: receivers read it and all later ones from the platform.
+    """
+    found: list[RecordChanges] = []
+    batch = RecordChanges(hub, prefix, before, before, ())
+    for row in sorted(rows, key=lambda one: one[1]):
+        longer = batch._replace(after=row[1], rows=(*batch.rows, row))
+        if len(encode(longer)) <= MAX_BYTES:
+            batch = longer
+            continue
+        if batch.rows:
+            found.append(batch)
+        batch = RecordChanges(hub, prefix, batch.after, row[1], (row,))
+        if len(encode(batch)) > MAX_BYTES:
+            return found
+    return [*found, batch._replace(after=after)] if batch.rows else found
+
+
 def bundles(hub: str, updates: typing.Iterable[PromptStoreUpdate]) -> list[Bundle]:
     """Group updates into datagrams, each with a bounded number of parts."""
     found: list[Bundle] = []
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -45,6 +45,7 @@
 PLATFORM_CALL_MS = 1_000
 TARGETS_BATCH_SHARE = 0.2  # of the bound within which draining targets are noticed
 LEASES_BATCH_MS = 900.0
+LEASE_READ_MS = 4_000  # a watch tells contenders of the lease in the meantime
 FLEET_BATCH_MS = 1_500.0
 PROOF_SHARE = 0.4  # of the bound on revoked keys, between two freshness proofs
 # Of the same bound. An instance without a sound connection to the platform for longer
@@ -53,7 +54,7 @@
 # bound.
 READY_SHARE = 0.6
 LONG_WATCH_MS = 15_000
-HUB_PROOF_SHARE = 0.2  # of the bound on a kind of record, between two proofs of a hub
+HUB_PROOF_SHARE = 0.25  # of the bound on revoked keys, between two proofs of a hub
 PROOF_LIMIT_SHARE = 0.45  # of the bound; beyond it an instance reads the platform
 # Of the bound on old weights. A request on them loses a fifth of its benefit from 1.5 s
 # after the newer version was confirmed, and all of it from the bound on.
@@ -88,12 +89,13 @@
 
 
 def _timing_for(bound_ms: float, batch_ms: float = 0.0) -> watching.Timing:
-    """Return the timing for records whose changes must be known within a bound."""
+    """Return the timing for records whose changes must be known within a bound.
+
+    Watches wait long, also those of hubs: only the configuration's calls prove
+    freshness, and with it that of the other kinds (``proofs``).
+    """
     return watching.Timing(
-        LONG_WATCH_MS,
-        int(bound_ms * HUB_PROOF_SHARE),
-        batch_ms,
-        bound_ms * PROOF_LIMIT_SHARE,
+        LONG_WATCH_MS, LONG_WATCH_MS, batch_ms, bound_ms * PROOF_LIMIT_SHARE
     )
 
 
@@ -189,9 +191,11 @@
             self.boot,
             rollouts.TERM_MS,
             takeover_delay_ms,
+            LEASE_READ_MS,
         )
         lease_runner = leases.LeaseRunner(self.objects, lease, self.clock)
-        self.objects.on_restore = lambda era: lease.on_restore(era, self.clock.now_ms())
+        self.objects.on_restore = self._platform_restored
+        self.lease = lease
         self.rollouts = rollouts.Rollouts(
             self.mirror,
             lease,
@@ -204,7 +208,8 @@
         first = self._make_watcher(
             recordhandlers.CatalogueHandler(mirror, clock, self._apply_catalogue),
             _timing_for(bounds.revoke_ms)._replace(
-                direct_ms=int(bounds.revoke_ms * PROOF_SHARE)
+                direct_ms=int(bounds.revoke_ms * PROOF_SHARE),
+                hub_ms=int(bounds.revoke_ms * HUB_PROOF_SHARE),
             ),
         )
         targets_batch_ms = bounds.drain_ms * TARGETS_BATCH_SHARE
@@ -240,10 +245,24 @@
         )
         for watcher in self.watchers:
             self.proofs.add(watcher)
+        self.proofs.anchor = first
+        self.gossip.on_role_change = self._role_changed
         for watcher in others:
             watcher.recovery_watcher = first
         first.on_reconnect = lambda: self._restart_watchers(others)
 
+    def _platform_restored(self, era: int) -> None:
+        """Read everything again: the platform's store came back from a copy."""
+        self.lease.on_restore(era, self.clock.now_ms())
+        for one in self.watchers:
+            one.restart()
+
+    def _role_changed(self) -> None:
+        """Wake what only a hub does, or only an instance that follows one."""
+        self.prompt_store_watcher.wake()
+        for one in self.watchers:
+            one.wake()
+
     def _record_control_reply(self, address: str, reply: calls.Reply) -> None:
         """Follow what an engine's answer to a report or an order says of it."""
         for target in self.mirror.registry.targets_at(address):
--- a/cornelreach/gateway/promptindex.py
+++ b/cornelreach/gateway/promptindex.py
@@ -237,9 +237,8 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._role_changed = asyncio.Event()
         gossip.on_prompt_store_update = self.apply_relayed
-        gossip.on_role_change = self._wake
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
         """Wake all watches: this instance may have to watch the stores itself now."""
         self._role_changed.set()
         self._role_changed = asyncio.Event()
--- a/cornelreach/gateway/proofs.py
+++ b/cornelreach/gateway/proofs.py
@@ -8,6 +8,11 @@
     query sent at 12_000; reply "no change after 70, proved 300 ms ago":
     an instance that has read up to 70 knows that nothing newer existed at 11_700
 
+Only the watch of the configuration ends often enough to prove freshness by itself. What
+it proves holds for the other kinds of records too, while their calls were waiting: a
+change would have ended them, and a connection that has died silently is found by its
+keepalive probes.
+
 Hubs push changes as they read them. An instance that missed a push learns of it from
 the next reply and reads the platform itself. So does an instance whose proof is too
 old: a hub that is dead, frozen or partitioned delays nobody for longer than
@@ -22,6 +27,7 @@
 from cornelreach.util import timers
 
 QUERY_MS = 400.0
+DELIVERY_MS = 150.0  # by then a change has ended a waiting call
 MAX_OPEN_QUERIES = 16
 
 
@@ -38,6 +44,7 @@
         self.clock = clock
         self.on_reconnect = on_reconnect
         self.reconnected_ms: float | None = None
+        self.anchor: watching.Watcher | None = None
         self.watchers: dict[str, watching.Watcher] = {}
         self._queries: dict[int, float] = {}
         self._number = 0
@@ -88,7 +95,7 @@
         """Answer a query with the freshness of this instance's records."""
         now_ms = self.clock.now_ms()
         rows = {
-            prefix: (one.revision, one.changed_revision, now_ms - one.proved_ms)
+            prefix: (one.revision, one.changed_revision, now_ms - self._proved_ms(one))
             for prefix, one in self.watchers.items()
             if one.revision is not None and one.proved_ms is not None
         }
@@ -96,6 +103,17 @@
         reply = datagrams.FreshnessReply(self.gossip.name, query.number, rows, ago_ms)
         self.gossip.send(reply, (query.name,))
 
+    def _proved_ms(self, watcher: watching.Watcher) -> float:
+        """Return when a watcher's copy is known to have been up to date."""
+        proved_ms, anchor = watcher.proved_ms, self.anchor
+        if anchor is None or anchor.proved_ms is None:
+            return proved_ms
+        waiting_ms = watcher.waiting_since_ms
+        settled_ms = min(anchor.proved_ms, self.clock.now_ms() - DELIVERY_MS)
+        if waiting_ms is None or waiting_ms > settled_ms or watcher.lost_ms is not None:
+            return proved_ms
+        return max(proved_ms, settled_ms)
+
     def handle_reply(self, reply: datagrams.FreshnessReply) -> None:
         """Apply the proofs of a hub, with ages counted back from the query."""
         sent_ms = self._queries.pop(reply.number, None)
@@ -115,13 +133,15 @@
         after: int,
         records: tuple[results.Record, ...],
     ) -> None:
-        """Push changes to this hub's users, if they fit into a datagram."""
+        """Push changes to this hub's users, up to one that fits into no datagram."""
         if not self.gossip.is_hub():
             return
-        rows = tuple((one.key, one.version, one.value) for one in records)
-        changes = datagrams.RecordChanges(self.gossip.name, prefix, before, after, rows)
-        if len(datagrams.encode(changes)) <= datagrams.MAX_BYTES:
-            self.gossip.send(changes, self.gossip.subscribers())
+        subscribers = self.gossip.subscribers()
+        rows = [(one.key, one.version, one.value) for one in records]
+        for changes in datagrams.record_changes(
+            self.gossip.name, prefix, before, after, rows
+        ):
+            self.gossip.send(changes, subscribers)
 
     def handle_changes(self, changes: datagrams.RecordChanges) -> None:
         """Apply changes that a hub has pushed."""
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -24,7 +24,7 @@
 RETURN_WAIT_MS = 10
 HUB_BATCH_MS = 100.0
 PUSH_GRACE_MS = 150.0  # a change that a hub's answer implies may be pushed meanwhile
-MAX_REST_MS = 1_000.0
+MAX_REST_MS = 5_000.0
 OUTAGE_REST_MS = 3_000.0  # while another watcher polls for the platform's return
 
 LOST = events.define(
@@ -104,7 +104,8 @@
 
     ``revision`` is the revision up to which records were read, and
     ``changed_revision`` one at or after their last change. ``proved_ms`` is the latest
-    time at which nothing newer is known to have existed. During an outage only the
+    time at which nothing newer is known to have existed, and ``waiting_since_ms`` the
+    time since when a call has been waiting for a change. During an outage only the
     ``recovery_watcher``, if set, polls the platform frequently.
     """
 
@@ -134,6 +135,7 @@
         self._wake = asyncio.Event()
         self._reported_source = "the platform"
         self._failures = 0
+        self.waiting_since_ms: float | None = None
         self._call: asyncio.Task[typing.Any] | None = None
 
     async def run(self) -> None:
@@ -226,7 +228,11 @@
         """Make one call to the platform and pass its result on."""
         sent_ms = self.clock.now_ms()
         wait_ms = self._wait_ms()
-        call = self._list() if self.revision is None else self._watch(wait_ms)
+        if self.revision is None:
+            call = self._list()
+        else:
+            call = self._watch(wait_ms)
+            self.waiting_since_ms = sent_ms
         self._call = asyncio.ensure_future(call)
         try:
             outcome = await self._call
@@ -235,6 +241,8 @@
                 self._call.cancel()
                 raise
             return
+        finally:
+            self.waiting_since_ms = None
         if isinstance(outcome, result.Success):
             found = outcome.unwrap()
             self._succeeded(found, sent_ms, wait_ms)
@@ -245,6 +253,10 @@
         else:
             await self._failed(outcome.failure())
 
+    def wake(self) -> None:
+        """End a rest: whether a call is needed may have changed."""
+        self._wake.set()
+
     def restart(self) -> None:
         """Repeat the waiting call on another connection, or make the next one now."""
         self._wake.set()
--- a/cornelreach/platform/leases.py
+++ b/cornelreach/platform/leases.py
@@ -80,7 +80,7 @@
     """State machine of one contender for one lease, without I/O.
 
     Only instances that should do the work contend. Two or three, chosen by rendezvous
-    hashing, are enough, since each contender reads once per ``READ_MS``. With
+    hashing, are enough, since each contender reads once per ``read_ms``. With
     ``takeover_delay_ms``, a lease of another instance is taken over only that long
     after its term, and that of an earlier boot of this instance at once.
     """
@@ -92,6 +92,7 @@
         boot: str,
         term_ms: int = TERM_MS,
         takeover_delay_ms: int = 0,
+        read_ms: int = READ_MS,
     ) -> None:
         self.name = name
         self.key = PREFIX + name
@@ -99,6 +100,7 @@
         self.boot = boot
         self.term_ms = term_ms
         self.takeover_delay_ms = takeover_delay_ms
+        self.read_ms = read_ms
         self.wanted = True
         self.fence: int | None = None
         self._expires_ms = 0.0
@@ -162,7 +164,7 @@
         self, outcome: result.Result[results.Record, results.ReadError], now_ms: float
     ) -> None:
         """Process the outcome of a read."""
-        self._read_due_ms = now_ms + READ_MS
+        self._read_due_ms = now_ms + self.read_ms
         if isinstance(outcome, result.Success):
             self._process_record(outcome.unwrap(), now_ms)
         elif isinstance(outcome.failure(), results.NotFound):
--- a/test/gateway/test_hubs.py
+++ b/test/gateway/test_hubs.py
@@ -191,6 +191,38 @@
 class Parts(unittest.TestCase):
     """Splitting digests into parts and reassembling them."""
 
+    def test_changed_records_are_split_without_a_gap(self):
+        rows = [(f"servers/{n}", 100 + n, {"x": "y" * 400}) for n in range(10)]
+        found = datagrams.record_changes("h", "servers/", 90, 115, rows[::-1])
+        self.assertEqual([row for one in found for row in one.rows], rows)
+        ends = [90, *(one.after for one in found)]
+        self.assertEqual([one.before for one in found], ends[:-1])
+        self.assertEqual(ends[-1], 115)
+        for one in found:
+            self.assertLessEqual(len(datagrams.encode(one)), datagrams.MAX_BYTES)
+
+    def test_a_record_too_long_for_a_datagram_ends_the_push(self):
+        rows = [("a", 1, "x"), ("b", 2, "y" * 2_000), ("c", 3, "z")]
+        found = datagrams.record_changes("h", "p/", 0, 3, rows)
+        self.assertEqual([(one.before, one.after) for one in found], [(0, 1)])
+        self.assertEqual(datagrams.record_changes("h", "p/", 0, 2, rows[1:2]), [])
+
+    def test_a_lost_update_leaves_only_its_own_targets_outdated(self):
+        found = fleet_module.HubFleet(30)
+        found.run(2_000)
+        found.add_request("i7", "t1", 9_000)
+        found.run(200)
+        found.loss = 1.0
+        found.add_request("i8", "t2", 500)
+        found.run(gossip.DIGEST_MS * 2)
+        found.loss = 0.0
+        found.add_request("i9", "t3", 700)
+        found.run(gossip.DIGEST_MS * 2 + 5)
+        self.assertEqual(found.prefill_tokens_at("i10", "t1"), 9_000)
+        self.assertEqual(found.prefill_tokens_at("i10", "t3"), 700)
+        found.run(gossip.WHOLE_DIGEST_MS + gossip.DIGEST_MS)
+        self.assertEqual(found.prefill_tokens_at("i10", "t2"), 500)
+
     @hypothesis.settings(derandomize=True, deadline=None, database=None)
     @hypothesis.given(
         strategies.dictionaries(
--- a/test/gateway/test_proofs.py
+++ b/test/gateway/test_proofs.py
@@ -191,6 +191,29 @@
         for name in set(self.fleet.instances) - self.leaders:
             self.assertEqual(self.fleet.keys(name), {PREFIX + "a"}, name)
 
+    def test_the_configurations_proof_holds_for_a_call_that_waits(self):
+        name = next(iter(self.leaders))
+        watcher = self.fleet.watchers[name]
+        source = watcher.source
+        source.anchor = watching.Watcher(
+            None, Handler(), TIMING, self.fleet.clock, random.Random(1)
+        )
+        now_ms = self.fleet.clock.now_ms()
+        watcher.proved_ms = now_ms - 9_000
+        source.anchor.proved_ms = now_ms - 1_000
+        cases = (
+            (now_ms - 5_000, None, now_ms - 1_000),
+            (now_ms - 500, None, watcher.proved_ms),
+            (None, None, watcher.proved_ms),
+            (now_ms - 5_000, now_ms - 200, watcher.proved_ms),
+        )
+        for waiting_ms, lost_ms, proved_ms in cases:
+            watcher.waiting_since_ms, watcher.lost_ms = waiting_ms, lost_ms
+            self.assertEqual(source._proved_ms(watcher), proved_ms)
+        watcher.waiting_since_ms, watcher.lost_ms = now_ms - 5_000, None
+        source.anchor.proved_ms = now_ms
+        self.assertEqual(source._proved_ms(watcher), now_ms - proofs.DELIVERY_MS)
+
     def test_changes_of_other_kinds_cause_no_calls(self):
         self.fleet.store.calls.clear()
         for _ in range(20):
