Play the new rules in the soak, and give addresses to a run instead of a seed

Change: faults restore, leave and rest, a check for each (and that every instance is registered at the end), three planted bugs. Addresses are drawn by each run and held by a bound socket; shared files are written aside and renamed. Planted bugs "repeats" and "refuses-after-run" lose answers at three engines for 6 s instead of two for 2.5 s: one run at a load of 11 had no lost booking at all (traced: about three chances a run, as engines are ejected after the first loss), so the exposure is made longer, the check is unchanged.

--- a/standins/platformmodel.py
+++ b/standins/platformmodel.py
@@ -124,6 +124,7 @@
 class Copy(typing.NamedTuple):
     """A copy of the objects and of the change log at one moment."""
 
+    era: int
     revision: int
     objects: dict[str, Object]
     log: tuple[Change, ...]
@@ -280,7 +281,7 @@
 
     def copy(self) -> Copy:
         """Return a copy of all objects, from which they can be restored."""
-        return Copy(self.revision, dict(self._objects), tuple(self._log))
+        return Copy(self.era, self.revision, dict(self._objects), tuple(self._log))
 
     def restore(self, copy: Copy) -> None:
         """Return to a copy; revisions of the writes since are given out again."""
--- a/standins/site.py
+++ b/standins/site.py
@@ -23,6 +23,7 @@
 import sys
 import tempfile
 import typing
+import uuid
 
 import docopt
 import msgspec
@@ -182,12 +183,19 @@
         if status != 200:
             raise ValueError(f"control call {what} answered {status}: {answer!r}")
 
+    def _shared_file(self, name: str, text: str) -> pathlib.Path:
+        """Return a file for all instances, which is never seen half written."""
+        path = self.folder / name
+        if not path.exists():
+            aside = self.folder / f"{name}.{uuid.uuid4().hex}"
+            aside.write_text(text)
+            aside.replace(path)
+        return path
+
     async def start_instance(self, instance: InstanceAddresses) -> Process:
         """Start one instance and wait until it is ready."""
-        secret = self.folder / "secret"
-        secret.write_text("demo-stream-secret\n")
-        operator = self.folder / "operator"
-        operator.write_text(OPERATOR_KEY + "\n")
+        secret = self._shared_file("secret", "demo-stream-secret\n")
+        operator = self._shared_file("operator", OPERATOR_KEY + "\n")
         flags = {
             "name": instance.name,
             "data-centre": instance.data_centre,
--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -40,6 +40,8 @@
     cold: bool
     resumed_from: int
     line: str
+    born: int = 0
+    misdirected: bool = False
 
 
 class OrderRecord(typing.NamedTuple):
@@ -52,10 +54,25 @@
     at_s: float
 
 
+class Notice(typing.NamedTuple):
+    """An answer that says that its engine leaves, or rests until a time.
+
+    ``request_id`` is that of the request it answered, empty for a control call.
+    """
+
+    kind: str
+    request_id: str
+    engine: str
+    born: int
+    at_s: float
+    until_s: float
+
+
 class RequestLog:
-    """The requests and orders that all engines have received."""
+    """The requests and orders that all engines have received, and their notices."""
 
     def __init__(self) -> None:
+        self.notices: list[Notice] = []
         self.arrivals: list[Arrival] = []
         self.orders: list[OrderRecord] = []
         self.leaked_keys: list[str] = []
@@ -70,9 +87,15 @@
 
 
 class Faults:
-    """Shares of requests that fail by kind of fault; ``dark`` stops all responses."""
+    """Shares of requests that fail by kind of fault; ``dark`` stops all responses.
+
+    ``leaving`` is told in every answer; while ``rest_s`` is set, requests are refused
+    and their senders asked to wait for that long.
+    """
 
     def __init__(self) -> None:
+        self.leaving = False
+        self.rest_s = 0.0
         self.errors = 0.0
         self.lost = 0.0
         self.garbled = 0.0
@@ -241,21 +264,39 @@
     def _reply(
         self, writer: asyncio.StreamWriter, status: int, body: bytes, extra: str = ""
     ) -> None:
+        extra += self._leaving_header()
         fields = f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n{extra}\r\n"
         writer.write(fields.encode() + body)
 
+    def _leaving_header(self) -> str:
+        if not self.faults.leaving:
+            return ""
+        return f"{headers.SERVER_LEAVING.decode()}: 1\r\n"
+
+    def _record_notices(self, request_id: str, status: int) -> None:
+        now_s = time.monotonic()
+        lifetime = (request_id, self.name, self.born, now_s)
+        if self.faults.leaving:
+            self.request_log.notices.append(Notice("leaving", *lifetime, float("inf")))
+        if status == 503 and self.faults.rest_s:
+            until_s = now_s + self.faults.rest_s
+            self.request_log.notices.append(Notice("rest", *lifetime, until_s))
+
     async def _handle_request(
         self, head: RequestHead, writer: asyncio.StreamWriter
     ) -> None:
         status = self._refusal(head)
-        self._record_arrival(head, status != 0)
+        self._record_arrival(head, status)
+        request_id = head.get(headers.REQUEST_ID)
+        self._record_notices(request_id, status)
         if status:
-            request_id = head.get(headers.REQUEST_ID)
             extra = (
                 f"{headers.REQUEST_ID.decode()}: {request_id}\r\n" + self._load_header()
             )
             if status != headers.MISDIRECTED:
                 extra += f"{headers.NOT_EXECUTED.decode()}: 1\r\n"
+            if status == 503 and self.faults.rest_s:
+                extra += f"{headers.RETRY_AFTER.decode()}: {self.faults.rest_s}\r\n"
             self._reply(writer, status, b"", extra)
             return
         self.running += 1
@@ -270,22 +311,23 @@
         wanted = head.get(headers.EXPECTED_VERSION)
         if wanted and int(wanted) != self.version:
             return headers.MISDIRECTED
-        if self.loading or self.running >= self.slots + MAX_QUEUED:
-            return 503
-        return 0
+        full = self.running >= self.slots + MAX_QUEUED
+        return 503 if self.loading or full or self.faults.rest_s else 0
 
-    def _record_arrival(self, head: RequestHead, refused: bool) -> None:
+    def _record_arrival(self, head: RequestHead, status: int) -> None:
         now_s = time.monotonic()
         arrival = Arrival(
             head.get(headers.REQUEST_ID),
             self.name,
             now_s,
-            refused,
+            status != 0,
             head.get(headers.TENANT),
             self.version,
             now_s < self.cold_until_s,
             int(head.get(headers.LAST_EVENT) or 0),
             f"{head.method} {head.target}",
+            self.born,
+            status == headers.MISDIRECTED,
         )
         self.request_log.arrivals.append(arrival)
         if head.get(headers.API_KEY):
@@ -326,6 +368,7 @@
         request_id = head.get(headers.REQUEST_ID)
         fields = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
         fields += "content-type: text/event-stream\r\n" + extra
+        fields += self._leaving_header()
         fields += f"{headers.SIGNATURE.decode()}: stream.{request_id}\r\n\r\n"
         writer.write(fields.encode())
         cut_short = self.random.random() < self.faults.garbled
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -9,10 +9,10 @@
 
 # For each planted bug, the guarantee it violates and the faults that expose it.
 BUG_SCHEDULES = {
-    "repeats": ("once", [Fault(1.0, "lost", one, 2.5) for one in ("e0", "e1")]),
+    "repeats": ("once", [Fault(0.5, "lost", f"e{one}", 6.0) for one in range(3)]),
     "refuses-after-run": (
         "true refusals",
-        [Fault(1.0, "lost", one, 2.5) for one in ("e0", "e1")],
+        [Fault(0.5, "lost", f"e{number}", 6.0) for number in range(3)],
     ),
     "trusts-keys": ("revoked keys", [Fault(1.0, "cut", "edge0", 1.0)]),
     "ignores-draining": ("draining", [Fault(1.0, "drain", "e0", 1.0)]),
@@ -24,6 +24,12 @@
             Fault(1.0, "cold", "e0", 1.0),
         ],
     ),
+    "ignores-leaving": ("leaving", [Fault(0.5, "leave", "e0", 1.0)]),
+    "ignores-rest": (
+        "rest",
+        [Fault(0.5, "rest", f"e{number}", 6.0) for number in range(3)],
+    ),
+    "forgets-registration": ("registered", [Fault(0.5, "restore", "", 1.0)]),
     "stays-on-old": ("versions", [Fault(0.5, "version", "", 10.0)]),
     "joins-streams": (
         "whole answers",
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -8,6 +8,7 @@
 import collections
 import typing
 
+from standins import wireengine
 from tools.soak import environment as environment_module
 
 CONTACT_S = 3.0
@@ -23,6 +24,9 @@
 MIN_SERVED_SHARE = 0.25
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 STOP_KINDS = frozenset(("term",))
+RESTARTS = frozenset(("kill", "term", "pause"))
+REST_GRACE_S = 0.5
+MAX_DURING_REST = 2
 
 
 class Violation(typing.NamedTuple):
@@ -64,6 +68,27 @@
             self.disturbances_of(subject, since_s, at_s) for subject in (edge, "store")
         )
 
+    def arrivals_after(
+        self, notice: wireengine.Notice
+    ) -> typing.Iterator[wireengine.Arrival]:
+        """Yield later arrivals from the instance that got a notice, in its lifetime.
+
+        Those of an instance that was stopped or paused since are left out.
+        """
+        edge = notice.request_id.partition("-")[0]
+        for one in self.environment.ledger.arrivals:
+            if (
+                one.at_s > notice.at_s
+                and (one.engine, one.born) == (notice.engine, notice.born)
+                and one.request_id.partition("-")[0] == edge
+                and not one.misdirected
+                and not any(
+                    found.kind in RESTARTS
+                    for found in self.disturbances_of(edge, notice.at_s, one.at_s)
+                )
+            ):
+                yield one
+
     def is_undisturbed(self, engine: str, at_s: float) -> bool:
         """Return whether an engine and the link to it were recently undisturbed."""
         return not self.disturbances_of(engine, at_s - CONTACT_S, at_s)
@@ -154,6 +179,46 @@
                 yield Violation("draining", one.request_id, text)
 
 
+def leaving_engines(context: CheckContext) -> Violations:
+    """An instance that passed on a leaving engine's answer sends it nothing more."""
+    for notice in _first_notices(context, "leaving"):
+        for one in context.arrivals_after(notice):
+            late_s = one.at_s - notice.at_s
+            if late_s > DRAIN_S + SLACK_S:
+                text = f"reached {one.engine} {late_s:.2f} s after it said it leaves"
+                yield Violation("leaving", one.request_id, text)
+
+
+def resting_engines(context: CheckContext) -> Violations:
+    """An instance that was asked for a rest sends at most two requests during it."""
+    for notice in _first_notices(context, "rest"):
+        late = [
+            one
+            for one in context.arrivals_after(notice)
+            if notice.at_s + REST_GRACE_S < one.at_s < notice.until_s
+        ]
+        if len(late) > MAX_DURING_REST:
+            text = f"{len(late)} requests reached {notice.engine} during its rest"
+            yield Violation("rest", late[-1].request_id, text)
+
+
+def _first_notices(context: CheckContext, kind: str) -> list[wireengine.Notice]:
+    """Return the first notice of each lifetime of an engine to each instance."""
+    found: dict[tuple[str, str, int], wireengine.Notice] = {}
+    for one in context.environment.ledger.notices:
+        if one.kind == kind:
+            edge = one.request_id.partition("-")[0]
+            found.setdefault((edge, one.engine, one.born), one)
+    return list(found.values())
+
+
+def registered_instances(context: CheckContext) -> Violations:
+    """Every instance is registered, also after a restore that lost its entry."""
+    for name in context.environment.edges:
+        if not context.environment.store.model.version_of(f"instances/{name}"):
+            yield Violation("registered", "", f"{name} has no entry in the store")
+
+
 def cold_engine_rate(context: CheckContext) -> Violations:
     """All instances together stay within the request rate of a cold engine."""
     windows: dict[str, collections.deque[float]] = collections.defaultdict(
@@ -319,6 +384,8 @@
     revoked_keys,
     current_configuration,
     draining_engines,
+    leaving_engines,
+    resting_engines,
     cold_engine_rate,
     evacuated_data_centres,
     model_versions,
@@ -326,8 +393,10 @@
     retry_budget,
     graceful_stops,
     recovery,
+    registered_instances,
     no_unexpected_exit,
 )
+AT_THE_END = (recovery, registered_instances, no_unexpected_exit)
 
 
 def find_violations(
@@ -335,7 +404,5 @@
 ) -> list[Violation]:
     """Return all violations so far; ``ended`` adds the checks of a finished run."""
     context = CheckContext(environment)
-    checks = [
-        one for one in CHECKS if ended or one not in (recovery, no_unexpected_exit)
-    ]
+    checks = [one for one in CHECKS if ended or one not in AT_THE_END]
     return [violation for check in checks for violation in check(context)]
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import socket
 import time
 import typing
 
@@ -22,10 +23,17 @@
 CALLERS_PER_EDGE = 3
 COLD_S = 3.0
 SHARED_HOST_NUMBER = 250  # last octet of the address of the store, engines and proxies
+LOCK_PORT = 7_599
+MAX_HOST_TRIES = 100
+COPY_AGE_S = 1.2  # how much the store loses when it comes back from a copy
+RESTORE_AWAY_S = 0.4
+REWRITE_S = 0.3  # until operator and engines have written again
 COLD_PER_S = 10.0
 RESTART_S = 0.3
 CUT_S = 8.0  # longer than the bound on revoked keys
 VERSION_S = 9.0  # longer than the bound on old model versions
+LEAVE_EXIT_S = 4.0  # long enough for arrivals after the bound on leaving engines
+REST_S = 1.5
 DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
 READY_WAIT_S = 20.0
 RECOVERY_S = 3.0  # the documented bound is 12 s; a shorter wait keeps runs short
@@ -63,6 +71,24 @@
     value: int = 0
 
 
+def _reserve_host() -> tuple[str, socket.socket]:
+    """Return the first three octets of unused loopback addresses, and their lock.
+
+    The lock is a bound socket, so that runs on one machine never share addresses.
+    """
+    source = random.SystemRandom()
+    for _ in range(MAX_HOST_TRIES):
+        host = f"127.{source.randrange(2, 250)}.{source.randrange(250)}"
+        lock = socket.socket()
+        try:
+            lock.bind((f"{host}.{SHARED_HOST_NUMBER}", LOCK_PORT))
+        except OSError:
+            lock.close()
+        else:
+            return host, lock
+    raise RuntimeError("no loopback addresses are free: end other soak runs first")
+
+
 class Environment:
     """All processes, stand-ins and records of one run."""
 
@@ -70,7 +96,8 @@
         self, seed: int, edges: int, program: tuple[str, ...], folder: pathlib.Path
     ) -> None:
         self.random = random.Random(seed)
-        self.host = f"127.{self.random.randrange(2, 250)}.{self.random.randrange(250)}"
+        # Addresses belong to a run, not to a seed: runs of one seed may overlap.
+        self.host, self._address_lock = _reserve_host()
         # An address used by nothing else, so that no other process reuses its ports.
         self.shared_host = f"{self.host}.{SHARED_HOST_NUMBER}"
         self.program = program
@@ -84,6 +111,7 @@
         self.config_version = 1
         self.model_version = 1
         self.extra_routes: list[str] = []
+        self._written: dict[str, typing.Any] = {}
         self.edges: dict[str, edges_module.Edge] = {}
         self.engines: dict[str, wireengine.WireEngine] = {}
         self.zones: dict[str, str] = {}
@@ -179,11 +207,13 @@
             engine.crash()
         self.store_server.stop_listening()
         self.store_server.abort()
+        self._address_lock.close()
 
     # Objects written by the operator and the engines.
 
     def write(self, key: str, value: typing.Any) -> None:
         """Write an object directly, bypassing the store's faults."""
+        self._written[key] = value
         body = None if value is None else msgspec.json.encode(value)
         self.store.model.seed(key, body)
         self.store.notify_watches()
@@ -354,6 +384,36 @@
     async def _do_compact(self, fault: schedule.Fault) -> None:
         self.store.model.compact()
 
+    async def _do_restore(self, fault: schedule.Fault) -> None:
+        # Operator and engines write again what the copy lacks; instances do the same.
+        model = self.store.model
+        copy = model.copy()
+        # The copy is older than the entry of one instance, which has to write it again.
+        copy.objects.pop(f"instances/{self.random.choice(list(self.edges))}", None)
+        await asyncio.sleep(COPY_AGE_S)
+        self._set_store_faults(outage_ms=RESTORE_AWAY_S * 1_000)
+        await asyncio.sleep(RESTORE_AWAY_S)
+        if copy.era == model.era:
+            model.restore(copy)
+            self.store.notify_watches()
+        await asyncio.sleep(REWRITE_S)
+        for key, value in list(self._written.items()):
+            self.write(key, value)
+
+    async def _do_leave(self, fault: schedule.Fault) -> None:
+        # The engine says that it leaves only in its answers, and serves until it ends.
+        engine = self.engines[fault.subject]
+        engine.faults.leaving = True
+        await asyncio.sleep(LEAVE_EXIT_S)
+        engine.crash()
+        engine.faults.leaving = False
+        self.write(f"servers/{fault.subject}", None)
+        await asyncio.sleep(0.5)
+        await self._restart_engine(fault.subject)
+
+    async def _do_rest(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "rest_s", REST_S, 0.0)
+
     async def _do_crash(self, fault: schedule.Fault) -> None:
         engine = self.engines[fault.subject]
         engine.crash()
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -11,6 +11,7 @@
     forwarding,
     mirror,
     quotas,
+    recordhandlers,
     refusals,
     registry,
     requeststate,
@@ -78,7 +79,25 @@
     forwarding.Forwarder._resume = resume
 
 
+def _ignores_leaving() -> None:
+    """Sends requests to engines that said they leave."""
+    registry.TargetRegistry.mark_leaving = lambda self, target_id, born_ms: False
+
+
+def _ignores_rest() -> None:
+    """Sends requests to engines that asked for a rest."""
+    registry.TargetRegistry.rest = lambda self, target_id, rest_ms, now_ms: None
+
+
+def _forgets_registration() -> None:
+    """Does not register again when the store comes back from a copy."""
+    recordhandlers.FleetHandler.on_restore = lambda self: None
+
+
 PLANTED_BUGS = {
+    "ignores-leaving": _ignores_leaving,
+    "ignores-rest": _ignores_rest,
+    "forgets-registration": _forgets_registration,
     "repeats": _repeats,
     "refuses-after-run": _refuses_after_run,
     "trusts-keys": _trusts_keys,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -22,9 +22,10 @@
 
 EDGE_KINDS = ("kill", "pause", "term", "reload", "store-silent", "store-deaf")
 EDGE_KINDS += ("store-reset", "store-slow", "cut")
-STORE_KINDS = ("outage", "slow", "lose-answers", "compact")
+STORE_KINDS = ("outage", "slow", "lose-answers", "compact", "restore")
 ENGINE_KINDS = ("crash", "dark", "errors", "lost", "garbled", "drain", "cold")
 ENGINE_KINDS += ("late-orders", "link-silent", "link-reset", "forged")
+ENGINE_KINDS += ("leave", "rest")
 OPERATOR_KINDS = ("revoke", "route", "version", "evacuate")
 WEIGHTS = ((EDGE_KINDS, 4), (STORE_KINDS, 2), (ENGINE_KINDS, 4), (OPERATOR_KINDS, 3))
 
