--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -290,6 +290,17 @@
             "targets_suspected",
             lambda: sum(one.suspected for one in registry.states.values()),
         )
+        gauge(
+            "targets_resting",
+            lambda: sum(
+                one.is_resting(self.clock.now_ms()) for one in registry.states.values()
+            ),
+        )
+        gauge(
+            "targets_leaving",
+            lambda: sum(map(registry.is_leaving, registry.targets.values())),
+        )
+        gauge("store_era", lambda: self.objects.era or 0)
         gauge(
             "parts_known",
             lambda: sum(len(one.parts) for one in self.prompt_index.stores.values()),
