--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -15,7 +15,10 @@
         [Fault(0.5, "lost", f"e{number}", 6.0) for number in range(3)],
     ),
     "trusts-keys": ("revoked keys", [Fault(1.0, "cut", "edge0", 1.0)]),
-    "ignores-draining": ("draining", [Fault(1.0, "drain", "e0", 1.0)]),
+    "ignores-draining": (
+        "draining",
+        [Fault(1.0, "drain", f"e{number}", 1.0) for number in range(3)],
+    ),
     "ignores-cold": (
         "cold engines",
         [
