Name gossip's reports of targets and its last sums for what they are

Cause: _news, _duty and _sent did not tell a newcomer what they hold. Change: private names and comments in gossip, registry and relays; no behaviour.

--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -124,8 +124,8 @@
         self._reported_loads: collections.OrderedDict[
             int, dict[str, datagrams.TargetLoad]
         ] = collections.OrderedDict()
-        self._sent: dict[str, relays.LoadSums] = {}
-        self._duty = asyncio.Event()
+        self._last_sums: dict[str, relays.LoadSums] = {}
+        self._report_received = asyncio.Event()
         self._combined = relays.LoadSums()
         self._revision = 1  # of the peers' reports and of the prompts sent here
         self._combined_revision = 0
@@ -194,7 +194,7 @@
             self._sums.add(held.report, -1)
         self._sums.add(report)
         self._revision += 1
-        self._duty.set()
+        self._report_received.set()
         self.peers[report.name] = Peer(report, self.clock.now_ms(), True)
 
     def apply_version_report(self, reports: datagrams.VersionReport) -> None:
@@ -221,8 +221,8 @@
         }
         return {name: one.born_ms for name, one in self._leaving.items()}
 
-    def _news(self) -> list[datagrams.Datagram]:
-        """Return the datagrams that tell what was recently learned of targets."""
+    def _target_reports(self) -> list[datagrams.Datagram]:
+        """Return reports of versions and departures learned of recently."""
         return [
             *datagrams.version_reports(self.name, self._recent_versions()),
             *datagrams.leaving_reports(self.name, self._recent_leaving()),
@@ -432,15 +432,15 @@
         """Send one round of reports; if idle, only often enough to show liveness."""
         report = self._own_report()
         now_ms = self.clock.now_ms()
-        news = self._news()
-        idle = not (report.loads or report.closed or news or report.suspected)
+        reports = self._target_reports()
+        idle = not (report.loads or report.closed or reports or report.suspected)
         if idle and self._was_idle and now_ms - self._broadcast_ms < ALIVE_MS:
             return
         self._was_idle, self._broadcast_ms = idle, now_ms
         receivers = self._receivers()
         self._datagram_tokens -= len(receivers)
         self.send(report, receivers)
-        for one in news:
+        for one in reports:
             self.send(one, receivers)
 
     def relay_update(self, update: datagrams.PromptStoreUpdate) -> None:
@@ -504,7 +504,7 @@
             receivers = list(reporters) if slow else subscribers
             self._send_digests(receivers, reporters)
         if slow:
-            self._send_news(list(reporters))
+            self._send_target_reports(list(reporters))
         if self._is_due("bundle", BUNDLE_MS):
             for bundle in datagrams.bundles(self.name, self.hub_state.take_updates()):
                 self.send(bundle, subscribers)
@@ -534,10 +534,10 @@
     def _digest_parts(
         self, update: datagrams.DigestUpdate, sums: relays.LoadSums, whole: bool
     ) -> list[datagrams.Digest | datagrams.DigestUpdate]:
-        """Return the datagrams that tell sums, whole or only what has changed."""
+        """Return the datagrams for new sums: a whole digest, or what has changed."""
         names = {"closed": tuple(sums.closed), "suspected": tuple(sums.suspected)}
-        before = self._sent.get(update.zone)
-        self._sent[update.zone] = sums
+        before = self._last_sums.get(update.zone)
+        self._last_sums[update.zone] = sums
         if whole or before is None:
             digest = datagrams.Digest(*update[:5], 0, 1, sums.loads, **names)
             return list(datagrams.split(digest))
@@ -564,8 +564,8 @@
             for name in self.hubs.recipients(zone)
         ]
 
-    def _send_news(self, receivers: list[str]) -> None:
-        for one in self._news():
+    def _send_target_reports(self, receivers: list[str]) -> None:
+        for one in self._target_reports():
             self.send(one, receivers)
             self.send(one, self._other_hubs())
 
@@ -581,13 +581,13 @@
     async def run_hub(self) -> None:
         """Do a hub's duties until cancelled."""
         while True:
-            self._duty.clear()
+            self._report_received.clear()
             pause_ms = self.relay_round()
             if pause_ms == SLOW_DIGEST_MS and not self._reporters():
                 # An instance that nobody reports to has nothing to relay.
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(IDLE_HUB_MS / 1_000):
-                        await self._duty.wait()
+                        await self._report_received.wait()
             else:
                 await asyncio.sleep(pause_ms / 1_000)
 
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -132,8 +132,10 @@
         self._open: dict[str, list[Target]] = {}  # by service, until the next change
         self._open_evacuated = self.evacuated
         self._lapsed: dict[str, float] = {}
-        self._leaving: dict[str, int] = {}  # the lifetimes that said they leave
-        self._gone: dict[str, int] = {}  # the lifetimes whose entries were removed
+        # Start times of the lifetimes that said they leave, and of removed ones.
+        self._leaving: dict[str, int] = {}
+        self._gone: dict[str, int] = {}
+        # After a restore: until when old entries are doubted, and which stay closed.
         self._restored_until_ms = 0.0
         self._held_back: dict[str, float] = {}
 
--- a/cornelreach/gateway/relays.py
+++ b/cornelreach/gateway/relays.py
@@ -138,8 +138,7 @@
         held = self._zones.get(update.zone, {}).get(update.hub)
         if held is None or held.digest.boot != update.boot:
             return False
-        # The parts of one update have the same sequence.
-        if update.sequence < held.digest.sequence:
+        if update.sequence < held.digest.sequence:  # parts of one update share theirs
             return False
         sums = LoadSums()
         sums.loads = dict(held.digest.loads)
