--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -5,7 +5,6 @@
 import pathlib
 import random
 import signal
-import socket
 import time
 import typing
 
@@ -13,7 +12,7 @@
 
 from cornelreach.http import server
 from standins import platform as platform_module, wireengine
-from tools.soak import callers, edges as edges_module, proxy, schedule
+from tools.soak import addresses, callers, edges as edges_module, proxy, schedule
 
 ZONES = ("north", "south", "east")
 PLAIN_SERVICE, POOL_SERVICE = "s", "p"
@@ -22,9 +21,6 @@
 ENGINES = PLAIN_ENGINES + POOL_ENGINES
 CALLERS_PER_EDGE = 3
 COLD_S = 3.0
-SHARED_HOST_NUMBER = 250  # last octet of the address of the store, engines and proxies
-LOCK_PORT = 7_599
-MAX_HOST_TRIES = 100
 COPY_AGE_S = 1.2  # how much the store loses when it comes back from a copy
 RESTORE_AWAY_S = 0.4
 REWRITE_S = 0.3  # until operator and engines have written again
@@ -71,24 +67,6 @@
     value: int = 0
 
 
-def _reserve_host() -> tuple[str, socket.socket]:
-    """Return the first three octets of unused loopback addresses, and their lock.
-
-    The lock is a bound socket, so that runs on one machine never share addresses.
-    """
-    source = random.SystemRandom()
-    for _ in range(MAX_HOST_TRIES):
-        host = f"127.{source.randrange(2, 250)}.{source.randrange(250)}"
-        lock = socket.socket()
-        try:
-            lock.bind((f"{host}.{SHARED_HOST_NUMBER}", LOCK_PORT))
-        except OSError:
-            lock.close()
-        else:
-            return host, lock
-    raise RuntimeError("no loopback addresses are free: end other soak runs first")
-
-
 class Environment:
     """All processes, stand-ins and records of one run."""
 
@@ -97,9 +75,9 @@
     ) -> None:
         self.random = random.Random(seed)
         # Addresses belong to a run, not to a seed: runs of one seed may overlap.
-        self.host, self._address_lock = _reserve_host()
+        self.host, self._address_lock = addresses.reserve_host()
         # An address used by nothing else, so that no other process reuses its ports.
-        self.shared_host = f"{self.host}.{SHARED_HOST_NUMBER}"
+        self.shared_host = f"{self.host}.{addresses.SHARED_HOST_NUMBER}"
         self.program = program
         self.folder = folder
         self.store = platform_module.Platform()
