Log and count how a stream was framed and whether an event was incomplete

Change: 2401 of a stream has framing, last_event and open_event_bytes; cornelreach_streams_total counts the same, as the log's volume is bounded. All streams pass through the splitter for this; what is forwarded is as before.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -312,16 +312,14 @@
         outcome = "left"
         try:
             while True:
+                framing = answer.framing
                 try:
                     async for part in self._read_until_due(request_state, answer):
-                        data = (
-                            splitter.feed(part)
-                            if request_state.route.resumable
-                            else part
-                        )
+                        events_data = splitter.feed(part)
+                        data = events_data if request_state.route.resumable else part
                         if data:
                             yield data
-                    if splitter.remainder():
+                    if request_state.route.resumable and splitter.remainder():
                         yield splitter.remainder()
                     outcome = "streamed"
                     return
@@ -336,7 +334,26 @@
                 )
         finally:
             self.active -= 1
-            self._log(request_state, outcome, 200)
+            self._log_stream(request_state, outcome, framing, splitter)
+
+    def _log_stream(
+        self,
+        request_state: requeststate.RequestState,
+        outcome: str,
+        framing: str,
+        splitter: eventstream.EventSplitter,
+    ) -> None:
+        open_bytes = len(splitter.remainder())
+        is_open = "yes" if open_bytes else "no"
+        self.dependencies.metrics.add("streams_total", 1, outcome, framing, is_open)
+        self._log(
+            request_state,
+            outcome,
+            200,
+            framing=framing,
+            last_event=splitter.last_id,
+            open_event_bytes=open_bytes,
+        )
 
     async def _read_until_due(
         self,
@@ -363,10 +380,10 @@
         request_state.record_outcome(chosen.target.id, lost)
         self._attempt_failed(request_state, chosen, lost)
         request_state.last_event = splitter.last_id
-        splitter.reset()
         while (next_choice := await self._choose(request_state)) is not None:
             outcome = await self._attempt(request_state, next_choice)
             if isinstance(outcome, requeststate.Opened):
+                splitter.reset()
                 return next_choice, outcome.answer
         raise server.ClientDisconnected
 
@@ -386,6 +403,7 @@
         outcome: str,
         status: int,
         request_id: str = "",
+        **stream_fields: object,
     ) -> None:
         metrics = self.dependencies.metrics
         metrics.add("requests_total", 1, outcome, str(status))
@@ -414,4 +432,5 @@
             config=mirror.catalogue.version if mirror.catalogue else 0,
             proof_age_ms=round(min(1e9, mirror.proof_age_ms(now_ms))),
             **fields,
+            **stream_fields,
         )
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -160,6 +160,13 @@
         """Return the value of a header by its lower-case name, or None."""
         return messages.find_header(self.headers, name)
 
+    @property
+    def framing(self) -> str:
+        """Return what ends the body: ``chunked``, ``length`` or ``close``."""
+        if self.header("transfer-encoding") is not None:
+            return "chunked"
+        return "close" if self.header("content-length") is None else "length"
+
     async def parts(self) -> typing.AsyncIterator[bytes]:
         """Yield the body as it arrives; raises ResponseLost if it is incomplete."""
         try:
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -54,6 +54,12 @@
     Spec(
         "tries_total", "counter", ("outcome",), "Edge: attempts at targets by outcome."
     ),
+    Spec(
+        "streams_total",
+        "counter",
+        ("outcome", "framing", "open_event"),
+        "Edge: streams by outcome, framing, and whether an event was incomplete.",
+    ),
     Spec(
         "first_byte_ms", "histogram", ("route",), "Edge: request header to first byte."
     ),
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -425,6 +425,21 @@
         self.assertFalse(got.endswith(b"0\r\n\r\n"))
         self.assertEqual(self.request_count(), 1)
 
+    async def test_the_framing_of_streams_and_incomplete_events_are_counted(self):
+        async def stream(engine, head, body, writer):
+            writer.write(engine.stream_head(head))
+            writer.write(harness_module.chunk(harness_module.event(1) + b"id: 2"))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+            return False
+
+        await self.start(stream)
+        await self.harness.stream("/stream/x")
+        text = self.harness.metrics.render().decode()
+        labels = 'framing="chunked",open_event="yes",outcome="broken"'
+        self.assertIn(f"streams_total{{{labels}}} 1", text)
+
     async def test_a_caller_may_resume_a_stream_itself(self):
         async def stream(engine, head, body, writer):
             writer.write(engine.stream_head(head) + b"0\r\n\r\n")
