Add failing tests for streams that break off inside an event

Change: an engine without length or chunks closes in an orderly way inside an event, on a route that may resume and one that may not; one sends its last chunk inside an event.

--- /dev/null
+++ b/test/gateway/test_brokenstreams.py
@@ -0,0 +1,93 @@
+"""Streams that their targets break off, however the answer is framed."""
+
+import asyncio
+import socket
+import struct
+
+from test.gateway import harness as harness_module, test_forwarding
+
+END_OF_CHUNKS = b"0\r\n\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # lingering on, for no time
+
+
+def unframed_head(engine, head):
+    """Return the head of an event stream that ends with its connection."""
+    chunked = engine.stream_head(head)
+    return chunked.replace(b"transfer-encoding: chunked\r\n", b"")
+
+
+async def cut_unframed(engine, head, body, writer):
+    """Close in an orderly way inside event 3; a resumed stream is whole."""
+    last = int(head.get("last-event-id", 0))
+    writer.write(unframed_head(engine, head))
+    for number in range(last + 1, 3 if not last else 5):
+        writer.write(harness_module.event(number))
+    if not last:
+        writer.write(harness_module.event(3)[:9])
+    await writer.drain()
+    return False
+
+
+class BrokenStreams(test_forwarding.Case):
+    """What reaches the caller of a stream that breaks off."""
+
+    # Guards against a stream cut inside an event being framed as complete.
+    async def test_an_unframed_stream_cut_inside_an_event_is_not_complete(self):
+        await self.start(cut_unframed)
+        got = await self.harness.stream("/stream/x")
+        self.assertIn(b"id: 2", got)
+        self.assertFalse(got.endswith(END_OF_CHUNKS), got)
+        self.assertEqual(self.request_count(), 1)
+
+    # Guards against half an event being sent at the end instead of resuming.
+    async def test_an_unframed_stream_cut_inside_an_event_is_resumed(self):
+        await self.start(cut_unframed, cut_unframed)
+        got = await self.harness.stream("/resume/x")
+        body = got.partition(b"\r\n\r\n")[2]
+        numbers = [int(part.split(b"\n")[0]) for part in body.split(b"id: ")[1:]]
+        self.assertEqual(numbers, [1, 2, 3, 4])
+        self.assertTrue(got.endswith(END_OF_CHUNKS), got)
+        self.assertEqual(self.request_count(), 2)
+
+    # Guards against trusting the framing of an answer that stops inside an event.
+    async def test_a_chunked_stream_cut_inside_an_event_is_not_complete(self):
+        async def cut(engine, head, body, writer):
+            data = harness_module.event(1) + harness_module.event(2)[:9]
+            writer.write(engine.stream_head(head) + harness_module.chunk(data))
+            writer.write(END_OF_CHUNKS)
+
+        await self.start(cut)
+        got = await self.harness.stream("/stream/x")
+        self.assertIn(b"id: 1", got)
+        self.assertFalse(got.endswith(END_OF_CHUNKS), got)
+
+    async def test_a_whole_stream_may_end_with_its_connection(self):
+        async def whole(engine, head, body, writer):
+            writer.write(unframed_head(engine, head))
+            for number in (1, 2):
+                writer.write(harness_module.event(number))
+                await writer.drain()
+                await asyncio.sleep(0.01)
+            return False
+
+        await self.start(whole)
+        for path in ("/stream/x", "/resume/x"):
+            got = await self.harness.stream(path)
+            self.assertIn(b"id: 2", got)
+            self.assertTrue(got.endswith(END_OF_CHUNKS), got)
+
+    # Guards against taking a reset after whole events for the end of the answer.
+    async def test_an_unframed_stream_that_is_reset_is_not_complete(self):
+        async def reset(engine, head, body, writer):
+            writer.write(unframed_head(engine, head) + harness_module.event(1))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+            return False
+
+        await self.start(reset)
+        got = await self.harness.stream("/stream/x")
+        self.assertIn(b"id: 1", got)
+        self.assertFalse(got.endswith(END_OF_CHUNKS), got)
