Treat a stream that ends inside an event as broken off

Cause: an answer with neither length nor chunks ends with its connection, so an orderly close is the only end it has. The relay took the framing's end for the stream's end, sent what it held of the open event, and ended the caller's chunks in form; a stream that may resume was not resumed. Class: completeness taken from the transport alone, where the content tells that something is missing. Change: all streams pass as whole events; one that ends with an event open is lost, whatever its framing, and takes the path of every broken stream: resumed where the route allows it, else closed without the end of the chunks. The splitter knows all three line ends, as every stream now depends on it.

--- a/cornelreach/gateway/eventstream.py
+++ b/cornelreach/gateway/eventstream.py
@@ -1,13 +1,18 @@
-"""Splitting a server-sent event stream into whole events, so that it can resume."""
+"""Splitting a server-sent event stream into whole events."""
 
-END = b"\n\n"
+import re
+
+# Lines end in LF, CR LF or CR. A CR that is the last byte may precede an LF.
+_EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?=[^\n]))(?:\r\n|\n|\r(?=[^\n]))")
+_STREAM_END = re.compile(rb"(?:\r\n|\n|\r)\r\Z")
+_IDENTIFIER = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
 
 
 class EventSplitter:
     """Returns complete events and remembers the identifier of the last one.
 
-    An incomplete event at the end is buffered, and discarded if the stream is continued
-    from another target::
+    An incomplete event is buffered. At the end of the stream it shows that the stream
+    was broken off; it is discarded if the stream continues from another target::
 
         splitter.feed(b"id: 7\\ndata: a\\n\\nid: 8\\nda")  # first event; last_id == "7"
     """
@@ -18,15 +23,15 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that these bytes complete."""
-        # Lines, and so the blank line between two events, may also end in CR LF.
         self._buffer += data
-        end = max(
-            self._buffer.rfind(END) + len(END) if END in self._buffer else 0,
-            self._buffer.rfind(b"\r\n\r\n") + 4 if b"\r\n\r\n" in self._buffer else 0,
-        )
-        complete, self._buffer = self._buffer[:end], self._buffer[end:]
-        self._update_last_id(complete)
-        return complete
+        end = 0
+        for match in _EVENT_END.finditer(self._buffer):
+            end = match.end()
+        return self._take(end)
+
+    def finish(self) -> bytes:
+        """Return the event that the end of the stream completes, if any."""
+        return self._take(len(self._buffer) if _STREAM_END.search(self._buffer) else 0)
 
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event."""
@@ -36,9 +41,9 @@
         """Discard the incomplete event; the stream continues from another target."""
         self._buffer = b""
 
-    def _update_last_id(self, complete: bytes) -> None:
-        at = max(complete.rfind(b"\nid:"), 0 if complete.startswith(b"id:") else -1)
-        if at < 0:
-            return
-        line = complete[at:].lstrip(b"\n").split(b"\n", 1)[0]
-        self.last_id = line.removeprefix(b"id:").strip().decode("latin-1")
+    def _take(self, end: int) -> bytes:
+        complete, self._buffer = self._buffer[:end], self._buffer[end:]
+        identifiers = _IDENTIFIER.findall(complete)
+        if identifiers:
+            self.last_id = identifiers[-1].strip().decode("latin-1")
+        return complete
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -307,7 +307,11 @@
         chosen: selection.Choice,
         answer: http_client.ClientResponse,
     ) -> typing.AsyncIterator[bytes]:
-        """Yield a stream's data; a resumable stream continues from another target."""
+        """Yield a stream's whole events; one that breaks off may be resumed.
+
+        A stream that ends inside an event was broken off, even if its framing says that
+        it is complete: the end of a connection may be the only framing.
+        """
         splitter = eventstream.EventSplitter(request_state.last_event)
         outcome = "left"
         try:
@@ -315,12 +319,12 @@
                 framing = answer.framing
                 try:
                     async for part in self._read_until_due(request_state, answer):
-                        events_data = splitter.feed(part)
-                        data = events_data if request_state.route.resumable else part
-                        if data:
+                        if data := splitter.feed(part):
                             yield data
-                    if request_state.route.resumable and splitter.remainder():
-                        yield splitter.remainder()
+                    if data := splitter.finish():
+                        yield data
+                    if splitter.remainder():
+                        raise http_client.ResponseLost("the stream ended in an event")
                     outcome = "streamed"
                     return
                 except (http_client.ResponseLost, TimeoutError) as error:
--- a/test/gateway/test_eventstream.py
+++ b/test/gateway/test_eventstream.py
@@ -14,7 +14,7 @@
     @hypothesis.settings(derandomize=True, deadline=None, database=None)
     @hypothesis.given(
         strategies.lists(strategies.integers(1, 40), max_size=12),
-        strategies.sampled_from([b"\n", b"\r\n"]),
+        strategies.sampled_from([b"\n", b"\r\n", b"\r"]),
     )
     def test_any_split_gives_the_same_events(self, sizes, line):
         events = [
@@ -30,8 +30,8 @@
             whole = out.count(b"data: x")
             self.assertEqual(out, b"".join(events[:whole]))
             self.assertEqual(splitter.last_id, str(whole) if whole else None)
-        out += splitter.feed(data[at:])
-        self.assertEqual(out, data)
+        out += splitter.feed(data[at:]) + splitter.finish()
+        self.assertEqual((out, splitter.remainder()), (data, b""))
         self.assertEqual(splitter.last_id, "5")
 
     def test_an_incomplete_event_is_dropped_when_the_stream_resumes(self):
@@ -41,6 +41,13 @@
         splitter.reset()
         self.assertEqual(splitter.feed(b"id: 4\n\n"), b"id: 4\n\n")
 
+    def test_the_end_of_the_stream_completes_no_event_without_its_blank_line(self):
+        splitter = eventstream.EventSplitter()
+        for text in (b"id: 4\ndata: ha", b"id: 4\ndata: ha\n", b"id: 4\r"):
+            splitter.feed(text)
+            self.assertEqual((splitter.finish(), splitter.remainder()), (b"", text))
+            splitter.reset()
+
     def test_an_event_may_begin_with_another_line(self):
         splitter = eventstream.EventSplitter()
         event = b"x-weights: 2\nid: 9\ndata: y\n\n"
