Reset a partial response whose only framing is the end of its connection

A caller of HTTP/1.0 gets a stream without chunks, and the server closed a broken one in an orderly way, which is how a whole one ends. Change: while such a response is incomplete, its connection is reset (SO_LINGER of no time), when the handler gives up, the server aborts or the caller does not read.

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -10,7 +10,9 @@
 
 import asyncio
 import contextlib
+import socket
 import ssl
+import struct
 import typing
 
 import h11
@@ -20,6 +22,8 @@
 
 READ_BYTES = 65_536
 DRAIN_BYTES = 65_536
+HTTP_1_1 = b"1.1"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on, for no time
 
 HANDLER_FAILED = events.define(
     1001, "ERROR", "Request handler failed: {error}.", "Report it with the log line."
@@ -87,10 +91,32 @@
         ):
             pass
         finally:
-            self.writer.close()
+            self._close()
             with contextlib.suppress(Exception):
                 await self.writer.wait_closed()
 
+    def _close(self) -> None:
+        if self._ends_with_connection():
+            self.abort()
+        else:
+            self.writer.close()
+
+    def _ends_with_connection(self) -> bool:
+        # A response without length or chunks, for a client older than HTTP/1.1, would
+        # look complete if its connection were closed in an orderly way now.
+        return (
+            self.h11.our_state is h11.SEND_BODY
+            and self.h11.their_http_version != HTTP_1_1
+        )
+
+    def abort(self) -> None:
+        """Close the connection at once, so that no partial response looks complete."""
+        if self._ends_with_connection():
+            sock = self.writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):  # the client may have closed it
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.writer.transport.abort()
+
     async def _serve_one(self) -> bool:
         try:
             request = await self._read_request()
@@ -301,7 +327,7 @@
             async with asyncio.timeout(self.limits.write_wait_ms / 1_000):
                 await self.writer.drain()
         except TimeoutError:
-            self.writer.transport.abort()
+            self.abort()
             raise ClientDisconnected from None
 
 
@@ -361,7 +387,7 @@
     def abort(self) -> None:
         """Abort every connection that is still open."""
         for connection in self.connections:
-            connection.writer.transport.abort()
+            connection.abort()
 
 
 async def start(
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -15,6 +15,8 @@
     """Return the request body; ``/stream`` returns a stream of three parts."""
     if request.path == "/stream":
         return messages.Response(200, stream=_parts())
+    if request.path == "/broken":
+        return messages.Response(200, stream=_broken_parts())
     if request.path == "/slow":
         await asyncio.sleep(0.05)
     return messages.Response(200, request.body)
@@ -25,6 +27,12 @@
         yield part
 
 
+async def _broken_parts():
+    yield b"one "
+    await asyncio.sleep(0.01)
+    raise server.ClientDisconnected
+
+
 async def send_raw(port, data):
     """Send raw bytes and return everything received."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -83,6 +91,14 @@
             self.assertIn(status, response.split(b"\r\n")[0], sent[:60])
             self.assertIn(b"remedy", response)
 
+    # Guards against a broken stream looking complete where only its end frames it.
+    async def test_a_broken_stream_is_reset_if_its_end_is_its_only_framing(self):
+        head = b"GET /broken HTTP/1.0\r\nhost: a\r\n\r\n"
+        with self.assertRaises(ConnectionResetError):
+            await send_raw(self.server.port, head)
+        response = await send_raw(self.server.port, head.replace(b"1.0", b"1.1"))
+        self.assertTrue(response.endswith(b"one \r\n"), response)
+
     async def test_pipelined_requests_are_answered_in_order(self):
         first = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\none"
         second = first.replace(b"one", b"two").replace(
