Let the soak's engines end answers with their connection

Change: one answer in five has neither; a stream broken off then closes in an orderly way inside an event, a crash or a reset link between events resets it, since nothing else tells it from a whole one. The proxy passes resets on and resets for real (abort was an orderly close). Resetting moved from the server to http/sockets.

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -10,20 +10,17 @@
 
 import asyncio
 import contextlib
-import socket
 import ssl
-import struct
 import typing
 
 import h11
 
-from cornelreach.http import limits as limits_module, messages
+from cornelreach.http import limits as limits_module, messages, sockets
 from cornelreach.util import errors, events
 
 READ_BYTES = 65_536
 DRAIN_BYTES = 65_536
 HTTP_1_1 = b"1.1"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on, for no time
 
 HANDLER_FAILED = events.define(
     1001, "ERROR", "Request handler failed: {error}.", "Report it with the log line."
@@ -112,10 +109,9 @@
     def abort(self) -> None:
         """Close the connection at once, so that no partial response looks complete."""
         if self._ends_with_connection():
-            sock = self.writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):  # the client may have closed it
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.writer.transport.abort()
+            sockets.reset(self.writer.transport)
+        else:
+            self.writer.transport.abort()
 
     async def _serve_one(self) -> bool:
         try:
--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -17,12 +17,14 @@
 
 import msgspec
 
+from cornelreach.http import sockets
 from cornelreach.platform import engines, headers
 from cornelreach.util import hashing
 
 SERVICE_TIME_S = 0.012
 EVENT_GAP_S = 0.004
 EVENTS = 12
+UNFRAMED_SHARE = 0.2  # of answers that have neither length nor chunks
 LOAD_S = 0.3
 MAX_QUEUED = 12
 LATE_ORDER_S = (2.0, 4.0)
@@ -175,6 +177,7 @@
         self.on_change: typing.Callable[[], None] = lambda: None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._unframed: set[asyncio.StreamWriter] = set()
         self._orders: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, cold_s: float = 0.0) -> None:
@@ -193,7 +196,11 @@
         for task in self._orders:
             task.cancel()
         for writer in self._writers:
-            writer.transport.abort()
+            # Between two events an orderly close would be the end of such an answer.
+            if writer in self._unframed:
+                sockets.reset(writer.transport)
+            else:
+                writer.transport.abort()
 
     def entry(self, zone: str, address: str) -> dict[str, typing.Any]:
         """Return the record that the engine writes to the platform's store."""
@@ -229,6 +236,7 @@
             pass  # closed by the caller or by an injected fault
         finally:
             self._writers.discard(writer)
+            self._unframed.discard(writer)
             writer.close()
 
     async def _answer(
@@ -262,11 +270,19 @@
         return self._load_header() + cold
 
     def _reply(
-        self, writer: asyncio.StreamWriter, status: int, body: bytes, extra: str = ""
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        body: bytes,
+        extra: str = "",
+        framed: bool = True,
     ) -> None:
         extra += self._leaving_header()
-        fields = f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n{extra}\r\n"
+        length = f"content-length: {len(body)}\r\n" if framed else ""
+        fields = f"HTTP/1.1 {status} X\r\n{length}{extra}\r\n"
         writer.write(fields.encode() + body)
+        if not framed:
+            writer.write_eof()
 
     def _leaving_header(self) -> str:
         if not self.faults.leaving:
@@ -360,14 +376,20 @@
             await writer.drain()
             writer.transport.abort()
             return
-        self._reply(writer, 200, body, extra)
+        self._reply(writer, 200, body, extra, self._draw_framed())
+
+    def _draw_framed(self) -> bool:
+        return self.random.random() >= UNFRAMED_SHARE
 
     async def _stream(
         self, head: RequestHead, writer: asyncio.StreamWriter, extra: str
     ) -> None:
         request_id = head.get(headers.REQUEST_ID)
-        fields = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
-        fields += "content-type: text/event-stream\r\n" + extra
+        framed = self._draw_framed()
+        if not framed:
+            self._unframed.add(writer)
+        fields = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n" + extra
+        fields += "transfer-encoding: chunked\r\n" if framed else ""
         fields += self._leaving_header()
         fields += f"{headers.SIGNATURE.decode()}: stream.{request_id}\r\n\r\n"
         writer.write(fields.encode())
@@ -375,15 +397,19 @@
         start = int(head.get(headers.LAST_EVENT) or 0) + 1
         for number in range(start, EVENTS + 1):
             data = event(request_id, number)
+            size = f"{len(data):x}\r\n".encode() if framed else b""
             if cut_short and number > EVENTS // 2:
-                writer.write(f"{len(data):x}\r\n".encode() + data[:5])
+                writer.write(size + data[:5])
                 await writer.drain()
                 writer.transport.abort()
                 return
-            writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+            writer.write(size + data + (b"\r\n" if framed else b""))
             await writer.drain()
             await asyncio.sleep(EVENT_GAP_S)
-        writer.write(b"0\r\n\r\n")
+        if framed:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.write_eof()
 
     def _report(self) -> dict[str, typing.Any]:
         return {
--- a/test/gateway/test_brokenstreams.py
+++ b/test/gateway/test_brokenstreams.py
@@ -1,13 +1,11 @@
 """Streams that their targets break off, however the answer is framed."""
 
 import asyncio
-import socket
-import struct
 
+from cornelreach.http import sockets
 from test.gateway import harness as harness_module, test_forwarding
 
 END_OF_CHUNKS = b"0\r\n\r\n"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # lingering on, for no time
 
 
 def unframed_head(engine, head):
@@ -82,9 +80,7 @@
             writer.write(unframed_head(engine, head) + harness_module.event(1))
             await writer.drain()
             await asyncio.sleep(0.02)
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            writer.transport.abort()
+            sockets.reset(writer.transport)
             return False
 
         await self.start(reset)
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -38,6 +38,10 @@
         "whole answers",
         [Fault(1.0, "garbled", f"e{number}", 2.5) for number in range(3, 7)],
     ),
+    "trusts-framing": (
+        "whole answers",
+        [Fault(0.5, "garbled", f"e{number}", 6.0) for number in range(3, 7)],
+    ),
 }
 
 
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -8,6 +8,7 @@
 import typing
 
 from cornelreach.gateway import (
+    eventstream,
     forwarding,
     mirror,
     quotas,
@@ -79,6 +80,11 @@
     forwarding.Forwarder._resume = resume
 
 
+def _trusts_framing() -> None:
+    """Takes the end of a target's answer for the end of its stream."""
+    eventstream.EventSplitter.remainder = lambda self: b""
+
+
 def _ignores_leaving() -> None:
     """Sends requests to engines that said they leave."""
     registry.TargetRegistry.mark_leaving = lambda self, target_id, born_ms: False
@@ -105,6 +111,7 @@
     "ignores-cold": _ignores_cold,
     "stays-on-old": _stays_on_old,
     "joins-streams": _joins_streams,
+    "trusts-framing": _trusts_framing,
 }
 
 
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import enum
 
+from cornelreach.http import sockets
+
 READ_BYTES = 65_536
 
 
@@ -40,7 +42,7 @@
         self.link = link
         if link is Link.RESET:
             for writer in self._writers:
-                writer.transport.abort()
+                sockets.reset(writer.transport)
 
     def close(self) -> None:
         """Stop listening and abort open connections."""
@@ -72,8 +74,10 @@
             await asyncio.gather(
                 self._pump(reader, server_writer, from_server=False),
                 self._pump(server_reader, writer, from_server=True),
-                return_exceptions=True,
             )
+        except ConnectionResetError:
+            sockets.reset(writer.transport)
+            sockets.reset(server_writer.transport)
         finally:
             self._writers.discard(server_writer)
             server_writer.transport.abort()
