Log the software version of targets and which stream a request goes on with

Change: the registry keeps the version of an entry; 2201 and 'chosen' of 2401 name it; 2401 of a request that goes on with a stream has resumes and after_event. No decision uses them. Result: tests of platform (25) and test_forwarding (33) pass.

--- a/cornelreach/gateway/calls.py
+++ b/cornelreach/gateway/calls.py
@@ -11,7 +11,11 @@
 
 
 class Call(typing.NamedTuple):
-    """The headers of a caller's request; absent ones are None or empty."""
+    """The headers of a caller's request; absent ones are None or empty.
+
+    A caller that continues a stream names in ``resumes`` the attempt that brought the
+    stream's first event, and in ``last_event`` the last event it received.
+    """
 
     request_id: str
     deadline_ms: float | None
@@ -21,6 +25,7 @@
     output_tokens: int
     parts: tuple[Part, ...]
     last_event: str | None
+    resumes: str = ""
 
     @property
     def context_tokens(self) -> int:
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -428,6 +428,9 @@
                 "first_ms": request_state.spent_ms(request_state.first_byte_s),
                 "total_ms": request_state.spent_ms(asyncio.get_running_loop().time()),
             }
+            if request_state.call.last_event is not None:
+                fields["resumes"] = request_state.call.resumes
+                fields["after_event"] = request_state.call.last_event
         events.emit(
             ENDED,
             id=request_id,
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -57,7 +57,10 @@
 
 
 class Target(typing.NamedTuple):
-    """An entry of the platform's list; ``versions`` maps models to versions."""
+    """An entry of the platform's list; ``versions`` maps models to versions.
+
+    ``software`` is the version of the target's own software.
+    """
 
     id: str
     service: str
@@ -67,6 +70,7 @@
     draining: bool
     versions: typing.Mapping[str, int]
     born_ms: int
+    software: str = ""
 
 
 class State:
@@ -225,6 +229,7 @@
             service=target.service,
             address=target.address,
             change=change,
+            software=target.software,
         )
 
     def remove(self, target_id: str, now_ms: float) -> None:
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -80,8 +80,9 @@
         fetched = sum(one is not None for one in self.fetch_from)
         saved = sum(one is not None for one in self.save_to)
         return (
-            f"{self.target.id} v{self.version or 0} unread {self.prefill_tokens} "
-            f"fetched {fetched} kept {saved}{' late' if self.late else ''}"
+            f"{self.target.id} v{self.version or 0} software {self.target.software} "
+            f"unread {self.prefill_tokens} fetched {fetched} kept {saved}"
+            f"{' late' if self.late else ''}"
         )
 
     def acquire(self) -> None:
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -13,6 +13,7 @@
 TOKEN_COUNTS = b"x-cornelreach-token-counts"
 PROMPT_PREFIX = b"x-cornelreach-prompt-prefix"
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
 SIGNATURE = b"x-cornelreach-response-signature"
 NOT_EXECUTED = b"x-cornelreach-not-executed"
 SERVER_LOAD = b"x-cornelreach-server-load"
@@ -84,6 +85,7 @@
         output_tokens=int(_number(output) or 0),
         parts=_parts(_text(found, PROMPT_PREFIX)),
         last_event=_text(found, LAST_EVENT) or None,
+        resumes=_text(found, RESUMES),
     )
 
 
--- a/cornelreach/platform/records.py
+++ b/cornelreach/platform/records.py
@@ -268,6 +268,7 @@
         draining=found["state"] == DRAINING,
         versions={model["name"]: model["version"] for model in hosted},
         born_ms=found.get("born", 0),
+        software=found["version"],
     )
     return DiscoveredTarget(target, found.get("cold_remaining_ms", 0.0))
 
