Add failing tests for streams that go on at another software version

Change: two engines of versions v1 and v2 break new streams off. Within one answer, taken up by the caller at the same instance, and at another after the first has died, a stream must go on at its version only; where that version has gone, or is unknown, the caller is refused at once. New streams begin at both, and with one version nothing changes.

--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -595,3 +595,12 @@
         """Receive datagrams on an address."""
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+
+    def address(self) -> tuple[str, int]:
+        """Return the address on which datagrams are received."""
+        return self._transport.get_extra_info("sockname")
+
+    def close(self) -> None:
+        """Stop receiving datagrams."""
+        if self._transport is not None:
+            self._transport.close()
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -172,18 +172,18 @@
 class Harness:
     """A forwarder behind a server on loopback, in front of engines."""
 
-    def __init__(self, found, engines, service):
+    def __init__(self, found, engines, service, name="edge-1"):
         self.clock = timers.LoopTimers()
-        self.mirror = mirror_module.Mirror("edge-1", 5_000, True)
+        self.mirror = mirror_module.Mirror(name, 5_000, True)
         self.mirror.synced = set(mirror_module.REQUIRED)
         if found is not None:
             self.mirror.apply_catalogue(found)
-        self.mirror.fleet = quotas.Fleet("edge-1", ("edge-1",))
+        self.mirror.fleet = quotas.Fleet(name, (name,))
         self.mirror.record_proof(self.clock.now_ms())
         self.engines = engines
         self.http = http_client.Client(connect_wait_ms=2_000, ack_timeout_ms=900)
         self.gossip = gossip_module.Gossip(
-            "edge-1", "b", self.mirror.registry, self.clock
+            name, "b", self.mirror.registry, self.clock, "lj"
         )
         source = random.Random(1)
         target_balancer = balancer.Balancer(
@@ -226,11 +226,16 @@
         """Listen for callers."""
         self.server = await server.start("127.0.0.1", 0, self.forwarder.handle)
 
-    async def stop(self):
-        """Close everything."""
+    async def kill(self):
+        """End the instance; its engines go on."""
         self.server.stop_listening()
         self.server.abort()
+        self.gossip.close()
         await self.http.close()
+
+    async def stop(self):
+        """Close everything."""
+        await self.kill()
         for engine in self.engines:
             engine.server.close()
 
--- /dev/null
+++ b/test/gateway/test_streamorigins.py
@@ -0,0 +1,159 @@
+"""Streams that go on while engines of several software versions serve."""
+
+import asyncio
+import time
+
+from cornelreach.gateway import hubs
+from test.gateway import harness as harness_module, test_forwarding
+
+EVENTS = 4
+UNTRIED = 8  # streams; by chance all of them would go on right once in 256 runs
+
+
+async def stream(engine, head, body, writer):
+    """Send events up to the last one; break a new stream off after the second."""
+    after = int(head.get("last-event-id", 0))
+    writer.write(engine.stream_head(head))
+    for number in range(after + 1, EVENTS + 1 if after else 3):
+        writer.write(harness_module.chunk(harness_module.event(number)))
+    if not after:
+        writer.write(b"9\r\nid: 3")
+        await writer.drain()
+        return False
+    writer.write(b"0\r\n\r\n")
+    return None
+
+
+class Case(test_forwarding.Case):
+    """Two engines, the first of version v1 and the second of version v2."""
+
+    async def start_versions(self):
+        """Start both engines and one instance."""
+        await self.start(stream, stream)
+        for engine, software in zip(self.engines, ("v1", "v2"), strict=True):
+            self.harness.register(engine, "s", software=software)
+
+    async def begin(self, harness, number, engine=0):
+        """Begin a stream at one engine; it is broken off for its caller too."""
+        attempt = f"first-{number}"
+        others = [one for one in self.engines if one is not self.engines[engine]]
+        registry = harness.mirror.registry
+        for one in others:
+            registry.state(one.name).resting_until_ms = float("inf")
+        got = await harness.stream("/resume/x", x_cornelreach_request_id=attempt)
+        self.assertIn(b"id: 2", got)
+        for one in others:
+            registry.state(one.name).resting_until_ms = 0.0
+        for one in self.engines:
+            registry.state(one.name).ejected_until_ms = 0.0
+        return attempt
+
+    async def go_on(self, harness, number, attempt):
+        """Take a stream up as its caller does; return all bytes of the response."""
+        return await harness.stream(
+            "/resume/x",
+            x_cornelreach_request_id=f"next-{number}",
+            last_event_id="2",
+            resumes=attempt,
+        )
+
+    def resumed_at(self):
+        """Return the names of the engines at which streams were taken up."""
+        return {
+            engine.name
+            for engine in self.engines
+            for head, _ in engine.requests
+            if "last-event-id" in head
+        }
+
+
+class Versions(Case):
+    """What one version began goes on at that version only."""
+
+    # Guards against one answer holding events of two software versions.
+    async def test_an_answer_does_not_go_on_at_another_version(self):
+        await self.start_versions()
+        for number in range(UNTRIED):
+            got = await self.harness.stream(
+                "/resume/x", x_cornelreach_request_id=f"id-{number}"
+            )
+            self.assertFalse(got.endswith(b"0\r\n\r\n"), got)
+            for one in self.engines:
+                state = self.harness.mirror.registry.state(one.name)
+                state.ejected_until_ms = 0.0
+        self.assertEqual(self.resumed_at(), set())
+
+    # Guards against a stream taken up by its caller going on at another version.
+    async def test_a_caller_goes_on_at_the_version_that_began(self):
+        await self.start_versions()
+        for number in range(UNTRIED):
+            attempt = await self.begin(self.harness, number)
+            got = await self.go_on(self.harness, number, attempt)
+            self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
+        self.assertEqual(self.resumed_at(), {"e0"})
+
+    # Guards against the same at an instance other than the one that began, now dead.
+    async def test_a_caller_goes_on_at_another_instance(self):
+        await self.start_versions()
+        other = await self.start_second_instance()
+        attempts = [await self.begin(self.harness, one) for one in range(UNTRIED)]
+        await self.harness.kill()
+        for number, attempt in enumerate(attempts):
+            got = await self.go_on(other, number, attempt)
+            self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
+        self.assertEqual(self.resumed_at(), {"e0"})
+
+    async def start_second_instance(self):
+        """Start another instance; both know each other's address for datagrams."""
+        found = self.harness.mirror.catalogue
+        other = harness_module.Harness(found, self.engines, "s", "edge-2")
+        for engine, software in zip(self.engines, ("v1", "v2"), strict=True):
+            other.register(engine, "s", software=software)
+        await other.start()
+        self.addAsyncCleanup(other.stop)
+        pair = {"edge-1": self.harness, "edge-2": other}
+        for one in pair.values():
+            await one.gossip.listen("127.0.0.1", 0)
+        members = {
+            name: hubs.Member(*one.gossip.address(), "lj") for name, one in pair.items()
+        }
+        for one in pair.values():
+            one.gossip.members.update(members)
+        return other
+
+    # Guards against guessing, and against holding what cannot be served.
+    async def test_a_stream_of_unknown_origin_is_refused_at_once(self):
+        await self.start_versions()
+        began_s = time.monotonic()
+        got = await self.go_on(self.harness, 1, "never-seen")
+        self.assertLess(time.monotonic() - began_s, 0.5)
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
+        self.assertIn(b"retry-after", got.lower())
+        self.assertEqual(self.request_count(), 0)
+
+    async def test_a_stream_whose_version_has_gone_is_refused_at_once(self):
+        await self.start_versions()
+        attempt = await self.begin(self.harness, 1)
+        self.harness.register(self.engines[0], "s", software="v1", draining=True)
+        got = await self.go_on(self.harness, 1, attempt)
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
+        self.assertEqual(self.resumed_at(), set())
+
+    async def test_new_streams_begin_at_every_version(self):
+        await self.start_versions()
+        for number in range(UNTRIED):
+            await self.begin(self.harness, number, engine=number % 2)
+        counts = [len(engine.requests) for engine in self.engines]
+        self.assertEqual(counts, [UNTRIED // 2] * 2)
+
+
+class OneVersion(Case):
+    """Where one software version has served all the while, nothing need be known."""
+
+    async def test_a_stream_of_unknown_origin_goes_on(self):
+        await self.start(stream, stream)
+        for engine in self.engines:
+            self.harness.register(engine, "s", software="v1")
+        await asyncio.sleep(0)
+        got = await self.go_on(self.harness, 1, "never-seen")
+        self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
