Let a stream go on only at the software version that began it

Cause: nothing read the version of entries or 'Resumes'. Callers take a stream up at another instance, which sent it to any engine; the system itself went on within one answer at any engine. Class: a choice made anew that was bound by an earlier one, which only the instance that made it knew. Change: the first event binds a stream to its service and software version, for retries within the answer too. Unknown origins go on only where one version has served throughout, else the caller is refused at once. Ejected targets of the right version come before good ones of a wrong one. A target whose entry shows other software when the connection is open is not used.

--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -148,6 +148,34 @@
     rows: tuple[tuple[str, int, typing.Any], ...]
 
 
+class StreamOrigin(typing.NamedTuple):
+    """The service and software version that began a stream, by its attempt's hash.
+
+    The receiver keeps it for ``keep_ms``.
+    """
+
+    key: int
+    service: str
+    software: str
+    keep_ms: int
+
+
+class OriginQuery(typing.NamedTuple):
+    """Asks an instance for the origin of a stream; ``name`` gets the reply."""
+
+    name: str
+    number: int
+    key: int
+
+
+class OriginReply(typing.NamedTuple):
+    """The answer to an ``OriginQuery``; without values if the origin is not known."""
+
+    number: int
+    service: str | None
+    software: str | None
+
+
 class Bundle(typing.NamedTuple):
     """Updates of several stores."""
 
@@ -165,6 +193,9 @@
     | FreshnessQuery
     | FreshnessReply
     | RecordChanges
+    | StreamOrigin
+    | OriginQuery
+    | OriginReply
 )
 TAGS: dict[type, bytes] = {
     LoadReport: b"t",
@@ -176,6 +207,9 @@
     FreshnessQuery: b"q",
     FreshnessReply: b"a",
     RecordChanges: b"c",
+    StreamOrigin: b"o",
+    OriginQuery: b"s",
+    OriginReply: b"r",
 }
 DECODERS = {tag: msgspec.msgpack.Decoder(kind) for kind, tag in TAGS.items()}
 
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -23,6 +23,7 @@
     recordhandlers,
     rollouts,
     selection,
+    streamorigins,
     watching,
 )
 from cornelreach.http import client as http_client, limits, messages, server
@@ -179,6 +180,7 @@
                 self.clock,
                 self.random,
                 self.metrics,
+                streamorigins.StreamOrigins(self.gossip, self.clock),
             )
         )
 
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -117,6 +117,7 @@
         self.on_freshness_query: DatagramHandler[datagrams.FreshnessQuery] = _ignore
         self.on_freshness_reply: DatagramHandler[datagrams.FreshnessReply] = _ignore
         self.on_record_changes: DatagramHandler[datagrams.RecordChanges] = _ignore
+        self.handlers: dict[type, typing.Callable[[typing.Any], None]] = {}
         self._sums = relays.LoadSums()
         self._digest_sums = relays.LoadSums()
         self._digest_ms = 0.0
@@ -168,9 +169,9 @@
                 for update in updates:
                     self.on_prompt_store_update(update)
             case _:
-                self._pass_to_proofs(found)
+                self._pass_on(found)
 
-    def _pass_to_proofs(self, found: datagrams.Datagram) -> None:
+    def _pass_on(self, found: datagrams.Datagram) -> None:
         match found:
             case datagrams.FreshnessQuery():
                 self.on_freshness_query(found)
@@ -178,6 +179,8 @@
                 self.on_freshness_reply(found)
             case datagrams.RecordChanges():
                 self.on_record_changes(found)
+            case _:
+                self.handlers.get(type(found), _ignore)(found)
 
     def error_received(self, error: OSError) -> None:
         """Ignore it: a peer that is down gets the next reports when it is back."""
--- a/cornelreach/gateway/refusals.py
+++ b/cornelreach/gateway/refusals.py
@@ -65,6 +65,18 @@
     )
 
 
+def no_version() -> NamedRefusal:
+    """Refuse because no target of the version that began a stream accepts requests."""
+    text = "no target of the version that began this stream takes requests now"
+    return _not_run("no-version", errors.Code.UNAVAILABLE, text, 400)
+
+
+def unknown_origin() -> NamedRefusal:
+    """Refuse because it is not known which version began the stream to go on with."""
+    text = "this instance cannot tell which version began this stream"
+    return _not_run("unknown-origin", errors.Code.UNAVAILABLE, text, 400)
+
+
 def overdue() -> NamedRefusal:
     """Refuse because the deadline passed before the request was sent."""
     text = "the time for this request ran out before it was sent to a target"
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -22,6 +22,7 @@
 # nothing that was closed.
 RESTORE_GRACE_MS = 12_000.0
 MAX_REST_MS = 300_000.0
+MAX_STREAM_MS = 600_000.0  # a version that left longer ago began no stream that lasts
 MAX_REMEMBERED = 4_096  # lifetimes of targets that left
 FIRST_EJECT_MS = 600
 MAX_EJECT_MS = 5_000
@@ -142,6 +143,9 @@
         # After a restore: until when old entries are doubted, and which stay closed.
         self._restored_until_ms = 0.0
         self._held_back: dict[str, float] = {}
+        # Since when the list is known, and when each software version was last seen.
+        self._listed_ms: float | None = None
+        self._software_left_ms: dict[tuple[str, str], float] = {}
 
     def record_reconnect(self, at_ms: float) -> None:
         """Record that the platform's list is available again after an outage."""
@@ -165,6 +169,8 @@
         self._lapsed.pop(target.id, None)
         if now_ms < self._restored_until_ms and self._was_closed(target):
             self._held_back[target.id] = self._restored_until_ms
+        if before is not None and before.software != target.software:
+            self._software_left_ms[before.service, before.software] = now_ms
         if before is not None and before.born_ms != target.born_ms:
             self._forget(target.id)
             before = None
@@ -240,25 +246,28 @@
             self._lapsed[target_id] = self.reconnected_ms + LAPSE_GRACE_MS
             self._emit(self.targets[target_id], "lapsed, kept for a grace period")
             return
-        self._drop(target_id)
+        self._drop(target_id, now_ms)
 
     def replace(self, listed: typing.Container[str], now_ms: float) -> None:
         """Remove all entries that are not in a full list."""
+        if self._listed_ms is None:
+            self._listed_ms = now_ms
         for target_id in [one for one in self.targets if one not in listed]:
             self.remove(target_id, now_ms)
 
     def expire(self, now_ms: float) -> None:
         """Drop lapsed entries, and reopen held ones, whose grace period is over."""
         for target_id in [one for one, due in self._lapsed.items() if due <= now_ms]:
-            self._drop(target_id)
+            self._drop(target_id, now_ms)
         reopened = [one for one, due in self._held_back.items() if due <= now_ms]
         for target_id in reopened:
             del self._held_back[target_id]
             self._changed()
 
-    def _drop(self, target_id: str) -> None:
+    def _drop(self, target_id: str, now_ms: float) -> None:
         self._lapsed.pop(target_id, None)
         target = self.targets.pop(target_id)
+        self._software_left_ms[target.service, target.software] = now_ms
         self._by_service[target.service].pop(target_id, None)
         self._forget(target_id)
         _remember(self._gone, target)
@@ -310,14 +319,39 @@
             and not self.is_resting(target_id, now_ms)
         )
 
-    def rest_left_ms(self, service: str, now_ms: float) -> float | None:
-        """Return how long all open targets of a service rest; None if one does not."""
-        opened = self.open_targets(service)
+    def rest_left_ms(
+        self, service: str, now_ms: float, software: str | None = None
+    ) -> float | None:
+        """Return how long all open targets of a service rest; None if one does not.
+
+        With ``software``, only targets of that version count.
+        """
+        opened = [
+            one
+            for one in self.open_targets(service)
+            if software is None or one.software == software
+        ]
         if not opened:
             return None
         left_ms = min(self.state(one.id).resting_until_ms for one in opened) - now_ms
         return left_ms if left_ms > 0 else None
 
+    def only_software(self, service: str, span_ms: float, now_ms: float) -> str | None:
+        """Return the one software version that a service has had for ``span_ms``.
+
+        None if it had several, or if this instance does not know for so long.
+        """
+        since_ms = now_ms - span_ms
+        if self._listed_ms is None or self._listed_ms > since_ms:
+            return None
+        found = {one.software for one in self._by_service.get(service, {}).values()}
+        for (name, software), left_ms in list(self._software_left_ms.items()):
+            if left_ms < now_ms - MAX_STREAM_MS:
+                del self._software_left_ms[name, software]
+            elif name == service and left_ms >= since_ms:
+                found.add(software)
+        return found.pop() if len(found) == 1 else None
+
     def targets_at(self, address: str) -> list[Target]:
         """Return the targets listed at an address."""
         return [one for one in self.targets.values() if one.address == address]
@@ -337,15 +371,19 @@
             self._open[service] = found
         return found
 
-    def usable(self, service: str, now_ms: float) -> list[Target]:
+    def usable(
+        self, service: str, now_ms: float, software: str | None = None
+    ) -> list[Target]:
         """Return the open targets that are not ejected; all open ones if all are.
 
-        A target that asked for a rest is left out in any case.
+        A target that asked for a rest is left out in any case, and so is any of another
+        software version, if one is given.
         """
         opened = [
             one
             for one in self.open_targets(service)
-            if not self.is_resting(one.id, now_ms)
+            if (software is None or one.software == software)
+            and not self.is_resting(one.id, now_ms)
         ]
         kept = [one for one in opened if self._is_in_use(one.id, now_ms)]
         return kept or opened
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -60,7 +60,8 @@
     caller's and the route's deadline; ``due_s`` is earlier by the time reserved for
     returning the response. ``times_sent`` counts the attempts that reached a target,
     ``possible_runs`` those that may have run the request. ``resting_ms`` is how long
-    every target still rests, if that is why none was chosen.
+    every target still rests, if that is why none was chosen. ``software`` is the only
+    version of the targets' software at which a stream may go on, once it has begun.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self.reason = ""
         self.choice_summary = ""
         self.resting_ms: float | None = None
+        self.software: str | None = None
 
     @property
     def model(self) -> str:
@@ -145,4 +147,6 @@
             return refusals.overdue()
         if self.resting_ms is not None:
             return refusals.targets_resting(self.resting_ms)
+        if self.software is not None:
+            return refusals.no_version()
         return refusals.no_target()
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -199,7 +199,9 @@
         self.mirror.registry.expire(now_ms)
         allowed = self._allowed_targets(request_state, service, now_ms)
         if not allowed:
-            left_ms = self.mirror.registry.rest_left_ms(service.name, now_ms)
+            left_ms = self.mirror.registry.rest_left_ms(
+                service.name, now_ms, request_state.software
+            )
             return None if left_ms is None else Resting(left_ms)
         free = self._targets_with_room(allowed, service, now_ms)
         if not free:
@@ -212,7 +214,9 @@
         service: catalogue.Service,
         now_ms: float,
     ) -> list[registry_module.Target]:
-        usable = self.mirror.registry.usable(service.name, now_ms)
+        usable = self.mirror.registry.usable(
+            service.name, now_ms, request_state.software
+        )
         tried = request_state.tried
         zones = self._allowed_zones(request_state)
         model = request_state.model
@@ -420,7 +424,8 @@
             target, service, now_ms, chosen.own_reservations()
         ):
             return False
-        return registry.targets[target.id].address == target.address
+        current = registry.targets[target.id]
+        return (current.address, current.software) == (target.address, target.software)
 
     def record_reply(self, chosen: Choice, reply: calls.Reply) -> None:
         """Update the target's state and the measurements from the head of a reply."""
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -60,6 +60,12 @@
         ("outcome", "framing", "open_event"),
         "Edge: streams by outcome, framing, and whether an event was incomplete.",
     ),
+    Spec(
+        "streams_taken_up_total",
+        "counter",
+        ("origin",),
+        "Edge: streams taken up by callers, by what told where they began.",
+    ),
     Spec(
         "first_byte_ms", "histogram", ("route",), "Edge: request header to first byte."
     ),
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -13,6 +13,7 @@
     quotas,
     registry,
     selection,
+    streamorigins,
 )
 from cornelreach.http import client as http_client, server
 from cornelreach.platform import site
@@ -201,8 +202,16 @@
         )
         self.metrics = metrics.Metrics()
         parts = forwarding.Dependencies(
-            self.mirror, self.selector, self.http, self.clock, source, self.metrics
+            self.mirror,
+            self.selector,
+            self.http,
+            self.clock,
+            source,
+            self.metrics,
+            streamorigins.StreamOrigins(self.gossip, self.clock),
         )
+        # As if the instance had known the targets for a minute.
+        self.mirror.registry.replace((), self.clock.now_ms() - 60_000)
         self.forwarder = forwarding.Forwarder(parts)
         for engine in engines:
             self.register(engine, service)
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -1,6 +1,5 @@
 """Streams that go on while engines of several software versions serve."""
 
-import asyncio
 import time
 
 from cornelreach.gateway import hubs
@@ -152,8 +151,13 @@
 
     async def test_a_stream_of_unknown_origin_goes_on(self):
         await self.start(stream, stream)
-        for engine in self.engines:
-            self.harness.register(engine, "s", software="v1")
-        await asyncio.sleep(0)
         got = await self.go_on(self.harness, 1, "never-seen")
         self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
+
+    # Guards against an instance that has just started knowing too few versions.
+    async def test_an_instance_that_has_just_started_does_not_guess(self):
+        await self.start(stream, stream)
+        registry = self.harness.mirror.registry
+        registry._listed_ms = self.harness.clock.now_ms()
+        got = await self.go_on(self.harness, 1, "never-seen")
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
