Take up streams of callers that name no attempt where one version is in sight

What callers saw: nothing yet. Change: without a named attempt nobody is asked, and one version in sight suffices; with one, the strict rule holds. Binding and admitting move out of forwarding into a module of their own.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -14,6 +14,7 @@
 from cornelreach.gateway import (
     balancer,
     calls,
+    continuations,
     forwarding,
     gossip as gossip_module,
     mirror as mirror_module,
@@ -180,7 +181,12 @@
                 self.clock,
                 self.random,
                 self.metrics,
-                streamorigins.StreamOrigins(self.gossip, self.clock),
+                continuations.Continuations(
+                    streamorigins.StreamOrigins(self.gossip, self.clock),
+                    self.mirror.registry,
+                    self.clock,
+                    self.metrics,
+                ),
             )
         )
 
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -14,12 +14,12 @@
 from cornelreach.gateway import (
     calls,
     catalogue,
+    continuations as continuations_module,
     eventstream,
     mirror as mirror_module,
     refusals,
     requeststate,
     selection,
-    streamorigins,
 )
 from cornelreach.http import client as http_client, messages, server
 from cornelreach.platform import headers
@@ -27,7 +27,6 @@
 from cornelreach.util import events, timers
 
 DEADLINE_MARGIN_S = 0.015  # reserved for returning the response to the caller
-ORIGIN_MARGIN_MS = 2_000.0  # a caller's last attempt, after its stream's deadline
 FIRST_ATTEMPT_SHARE = 0.5  # of the time left, while the request may run once more
 # Statuses that imply that the request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -59,7 +58,7 @@
     clock: timers.Timers
     random: random.Random
     metrics: metrics_module.Metrics
-    origins: streamorigins.StreamOrigins
+    continuations: continuations_module.Continuations
 
 
 class Forwarder:
@@ -122,7 +121,7 @@
         self, request_state: requeststate.RequestState
     ) -> messages.Response:
         loop = asyncio.get_running_loop()
-        if not await self._may_continue(request_state):
+        if not await self.dependencies.continuations.admit(request_state):
             refusal = refusals.unknown_origin()
             return self._refuse(request_state.call.request_id, request_state, refusal)
         while (chosen := await self._choose(request_state)) is not None:
@@ -139,46 +138,6 @@
         refusal = request_state.refusal(loop.time())
         return self._refuse(request_state.call.request_id, request_state, refusal)
 
-    async def _may_continue(self, request_state: requeststate.RequestState) -> bool:
-        """Find the version at which a stream that its caller takes up may go on.
-
-        Returns False if it is not known, or if the route has left its service.
-        """
-        call, route = request_state.call, request_state.route
-        if route.kind is not catalogue.Kind.STREAM or call.last_event is None:
-            return True
-        origin = await self.dependencies.origins.find(call.resumes)
-        known = "unknown"
-        if origin is not None:
-            known = "kept"
-            request_state.service = origin.service
-            request_state.software = origin.software
-        elif len(route.shares) == 1:
-            registry = self.dependencies.mirror.registry
-            now_ms = self.dependencies.clock.now_ms()
-            request_state.software = registry.only_software(
-                request_state.service, route.timeout_ms, now_ms
-            )
-            known = "unknown" if request_state.software is None else "only-version"
-        self.dependencies.metrics.add("streams_taken_up_total", 1, known)
-        services = [one.service for one in route.shares]
-        return request_state.software is not None and request_state.service in services
-
-    def _record_origin(
-        self, request_state: requeststate.RequestState, chosen: selection.Choice
-    ) -> None:
-        """Bind a stream to the software that sends its first event."""
-        if request_state.software is not None:
-            return
-        request_state.software = chosen.target.software
-        call, route = request_state.call, request_state.route
-        if route.resumable:
-            self.dependencies.origins.record(
-                call.request_id,
-                streamorigins.Origin(request_state.service, request_state.software),
-                max(call.deadline_ms or 0.0, route.timeout_ms) + ORIGIN_MARGIN_MS,
-            )
-
     async def _choose(
         self, request_state: requeststate.RequestState
     ) -> selection.Choice | None:
@@ -359,6 +318,7 @@
         it is complete: the end of a connection may be the only framing.
         """
         splitter = eventstream.EventSplitter(request_state.last_event)
+        continuations = self.dependencies.continuations
         outcome = "left"
         try:
             while True:
@@ -366,10 +326,10 @@
                 try:
                     async for part in self._read_until_due(request_state, answer):
                         if data := splitter.feed(part):
-                            self._record_origin(request_state, chosen)
+                            continuations.bind(request_state, chosen.target.software)
                             yield data
                     if data := splitter.finish():
-                        self._record_origin(request_state, chosen)
+                        continuations.bind(request_state, chosen.target.software)
                         yield data
                     if splitter.remainder():
                         raise http_client.ResponseLost("the stream ended in an event")
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -336,21 +336,21 @@
         left_ms = min(self.state(one.id).resting_until_ms for one in opened) - now_ms
         return left_ms if left_ms > 0 else None
 
-    def only_software(self, service: str, span_ms: float, now_ms: float) -> str | None:
-        """Return the one software version that a service has had for ``span_ms``.
-
-        None if it had several, or if this instance does not know for so long.
-        """
-        since_ms = now_ms - span_ms
-        if self._listed_ms is None or self._listed_ms > since_ms:
-            return None
+    def is_listed_for(self, span_ms: float, now_ms: float) -> bool:
+        """Return whether the list of targets has been known for ``span_ms``."""
+        return self._listed_ms is not None and self._listed_ms <= now_ms - span_ms
+
+    def software_versions(
+        self, service: str, span_ms: float, now_ms: float
+    ) -> set[str]:
+        """Return the software versions of a service seen in the last ``span_ms``."""
         found = {one.software for one in self._by_service.get(service, {}).values()}
         for (name, software), left_ms in list(self._software_left_ms.items()):
             if left_ms < now_ms - MAX_STREAM_MS:
                 del self._software_left_ms[name, software]
-            elif name == service and left_ms >= since_ms:
+            elif name == service and left_ms >= now_ms - span_ms:
                 found.add(software)
-        return found.pop() if len(found) == 1 else None
+        return found
 
     def targets_at(self, address: str) -> list[Target]:
         """Return the targets listed at an address."""
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -6,6 +6,7 @@
 from cornelreach.gateway import (
     balancer,
     catalogue,
+    continuations,
     forwarding,
     gossip as gossip_module,
     mirror as mirror_module,
@@ -208,7 +209,12 @@
             self.clock,
             source,
             self.metrics,
-            streamorigins.StreamOrigins(self.gossip, self.clock),
+            continuations.Continuations(
+                streamorigins.StreamOrigins(self.gossip, self.clock),
+                self.mirror.registry,
+                self.clock,
+                self.metrics,
+            ),
         )
         # As if the instance had known the targets for a minute.
         self.mirror.registry.replace((), self.clock.now_ms() - 60_000)
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -161,3 +161,14 @@
         registry._listed_ms = self.harness.clock.now_ms()
         got = await self.go_on(self.harness, 1, "never-seen")
         self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
+
+    # Guards against refusing callers that know nothing of versions after a restart.
+    async def test_a_caller_that_names_no_attempt_goes_on_where_it_sees_one(self):
+        await self.start(stream, stream)
+        registry = self.harness.mirror.registry
+        registry._listed_ms = self.harness.clock.now_ms()
+        got = await self.go_on(self.harness, 1, None)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
+        self.harness.register(self.engines[1], "s", software="v2")
+        got = await self.go_on(self.harness, 2, None)
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
