Bound what a target that sends without end can cost

Cause: interim responses and the bodies behind stray responses were read until the deadline; whole bodies and a single event of a stream were held without a limit, so a target in trouble could fill an instance's memory; the scan for the end of an event began anew with each piece. Change: a body ends the attempt beyond 8 MB, or when all bodies being read hold 32 MB, or at once where its length says so; interim responses, stray bodies and events are limited too; the splitter scans new bytes only. The connection is closed each time, and the attempt counts as lost.

--- a/cornelreach/gateway/eventstream.py
+++ b/cornelreach/gateway/eventstream.py
@@ -3,11 +3,17 @@
 import re
 
 # Lines end in LF, CR LF or CR. A CR that is the last byte may precede an LF.
+MAX_EVENT_BYTES = 262_144
+_END_OVERLAP = 3  # bytes before new ones that may belong to the end of an event
 _EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?=[^\n]))(?:\r\n|\n|\r(?=[^\n]))")
 _STREAM_END = re.compile(rb"(?:\r\n|\n|\r)\r\Z")
 _IDENTIFIER = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
 
 
+class EventTooLong(Exception):
+    """An event does not end within ``MAX_EVENT_BYTES``."""
+
+
 class EventSplitter:
     """Returns complete events and remembers the identifier of the last one.
 
@@ -19,15 +25,19 @@
 
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events that these bytes complete."""
+        """Return the events that these bytes complete; raises EventTooLong."""
+        start = max(0, len(self._buffer) - _END_OVERLAP)
         self._buffer += data
         end = 0
-        for match in _EVENT_END.finditer(self._buffer):
+        for match in _EVENT_END.finditer(self._buffer, start):
             end = match.end()
-        return self._take(end)
+        complete = self._take(end)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLong(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        return complete
 
     def finish(self) -> bytes:
         """Return the event that the end of the stream completes, if any."""
@@ -35,14 +45,15 @@
 
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def reset(self) -> None:
         """Discard the incomplete event; the stream continues from another target."""
-        self._buffer = b""
+        self._buffer.clear()
 
     def _take(self, end: int) -> bytes:
-        complete, self._buffer = self._buffer[:end], self._buffer[end:]
+        complete = bytes(self._buffer[:end])
+        del self._buffer[:end]
         identifiers = _IDENTIFIER.findall(complete)
         if identifiers:
             self.last_id = identifiers[-1].strip().decode("latin-1")
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -31,6 +31,8 @@
 # Statuses that imply that the request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
+STREAM_LOST = (http_client.ResponseLost, eventstream.EventTooLong, TimeoutError)
+
 ENDED = events.define(
     2401,
     "INFO",
@@ -335,7 +337,7 @@
                         raise http_client.ResponseLost("the stream ended in an event")
                     outcome = "streamed"
                     return
-                except (http_client.ResponseLost, TimeoutError) as error:
+                except STREAM_LOST as error:
                     outcome = "broken"
                     lost = requeststate.Lost(str(error) or "the deadline passed")
                 finally:
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -23,6 +23,10 @@
 MAX_IDLE_CONNECTIONS = 64
 KEEP_ALIVE_MARGIN_MS = 600  # servers time the stated timeout by their own clock
 MAX_STRAY_RESPONSES = 4
+MAX_STRAY_BYTES = 1_048_576  # of the bodies of stray responses
+MAX_INTERIM_RESPONSES = 16
+MAX_BODY_BYTES = 8_388_608
+MAX_HELD_BYTES = 33_554_432  # of all bodies that a client is reading whole
 PAUSE_READING_BYTES = 262_144
 CACHED_ADDRESSES = 16_384
 KEEPALIVE_IDLE_S = 1
@@ -184,8 +188,28 @@
             self.close()
 
     async def read(self) -> bytes:
-        """Return the whole body; raises ResponseLost if it is incomplete."""
-        return b"".join([part async for part in self.parts()])
+        """Return the whole body; raises ResponseLost if it is incomplete or too long.
+
+        A body is too long beyond ``MAX_BODY_BYTES``, or if all bodies that the client
+        is reading exceed ``MAX_HELD_BYTES``.
+        """
+        client, body = self._client, bytearray()
+        length = self.header("content-length") or "0"
+        try:
+            if decoding.is_number(length) and int(length) > MAX_BODY_BYTES:
+                raise ResponseLost(f"the body exceeds {MAX_BODY_BYTES} bytes")
+            async with contextlib.aclosing(self.parts()) as parts:
+                async for part in parts:
+                    body += part
+                    client.held_bytes += len(part)
+                    if len(body) > MAX_BODY_BYTES:
+                        raise ResponseLost(f"the body exceeds {MAX_BODY_BYTES} bytes")
+                    if client.held_bytes > MAX_HELD_BYTES:
+                        raise ResponseLost("too many long bodies at the same time")
+            return bytes(body)
+        finally:
+            client.held_bytes -= len(body)
+            self.close()
 
     def abort(self) -> None:
         """Close the connection; reading the body then raises ResponseLost."""
@@ -218,6 +242,7 @@
         self.idle_timeout_ms = idle_timeout_ms
         self.ack_timeout_ms = ack_timeout_ms
         self.opened = 0
+        self.held_bytes = 0
         self._idle: dict[Address, collections.deque[_Connection]] = {}
         self._open_counts: collections.Counter[Address] = collections.Counter()
 
@@ -323,7 +348,7 @@
     async def _receive_head(
         self, connection: _Connection, method: str, matches: Matches
     ) -> h11.Response:
-        stray_count = 0
+        stray_count = interim_count = 0
         while True:
             event = await connection.event()
             if isinstance(event, h11.Response):
@@ -334,13 +359,26 @@
                     raise ConnectionResetError(
                         "received only responses to other requests"
                     )
-                while not isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                    event = await connection.event()
+                await self._skip_body(connection)
                 connection.expect_another_response(method)
             elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError(
                     "the connection was closed before a response"
                 )
+            else:
+                interim_count += 1
+                if interim_count > MAX_INTERIM_RESPONSES:
+                    raise ConnectionResetError("received only interim responses")
+
+    async def _skip_body(self, connection: _Connection) -> None:
+        skipped_bytes = 0
+        event = await connection.event()
+        while not isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+            if isinstance(event, h11.Data):
+                skipped_bytes += len(event.data)
+            if skipped_bytes > MAX_STRAY_BYTES:
+                raise ConnectionResetError("a response to another request has no end")
+            event = await connection.event()
 
     async def _acquire(self, address: Address) -> _Connection:
         idle = self._idle.get(address)
