Keep a refusal a refusal when its body breaks off

What callers saw: 502 for a request that its target had stated not to have run, where the body of that statement broke off; one that may run once was not sent to another target. Found while looking at answers that end early. Cause: the statement is in the head, but an incomplete body made it 'lost'. Change: the body of such an answer is read to keep the connection only. Result: the new test failed before (502 after one target) and passes; 34 tests of test_forwarding pass.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -272,7 +272,9 @@
         self.dependencies.selector.record_reply(chosen, reply)
         request_state.first_byte_s = asyncio.get_running_loop().time()
         if reply.not_run:
-            await answer.read()
+            # Its head says all; the body is read to keep the connection.
+            with contextlib.suppress(http_client.ResponseLost):
+                await answer.read()
             return requeststate.NotRun(f"status {reply.status}", reply.moved)
         success = 200 <= reply.status < 300
         if success and not (
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -136,6 +136,18 @@
         self.assertNotIn(b"signature", answer.lower())
         self.assertLess(time.monotonic() - began_s, 0.5)
 
+    # Guards against a refused request counting as run because its refusal broke off.
+    async def test_a_refusal_that_breaks_off_is_still_one(self):
+        async def cut(engine, head, body, writer):
+            extra = "x-cornelreach-not-executed: 1\r\n"
+            writer.write(engine.answer(head, 503, b"full", False, extra)[:-2])
+            await writer.drain()
+            return False
+
+        await self.start(cut, cut)
+        status, _ = await self.harness.send("/once/x")
+        self.assertEqual((status, self.request_count()), (503, 2))
+
     async def test_failures_are_retried_only_where_allowed(self):
         async def failing(engine, head, body, writer):
             writer.write(engine.answer(head, 500, b"bad"))
