Let the soak's callers take streams up and its engines differ in software

Change: pool engines have one of two software versions, told by each event, and may have changed when they start again. A caller takes a stream that broke off up once, at another instance. Checks: one software version in a stream over all its tries (ORDER), and streams taken up at undisturbed instances go on at half the rate at which new ones begin, or more (LOST). Planted: ignores-software and forgets-origins.

--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -115,10 +115,10 @@
     return f"{hashing.score(body, 'engine'):x}"
 
 
-def event(request_id: str, number: int) -> bytes:
+def event(request_id: str, number: int, software: str) -> bytes:
     """Return one event of a stream; the last one contains ``end``."""
     last = " end" if number == EVENTS else ""
-    return f"id: {number}\ndata: {request_id} {number}{last}\n\n".encode()
+    return f"id: {number}\ndata: {request_id} {number} {software}{last}\n\n".encode()
 
 
 class RequestHead(typing.NamedTuple):
@@ -146,6 +146,11 @@
     return RequestHead(method, target, fields)
 
 
+def _end_with_connection(writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(OSError):  # the caller has closed it already
+        writer.write_eof()
+
+
 class WireEngine:
     """One engine that listens on loopback."""
 
@@ -158,6 +163,7 @@
         model: str = "",
         version: int = 1,
         slots: int = 8,
+        software: str = "1.0",
     ) -> None:
         self.name = name
         self.service = service
@@ -166,6 +172,7 @@
         self.model = model
         self.version = version
         self.slots = slots
+        self.software = software
         self.faults = Faults()
         self.address = ""
         self.born = 0
@@ -210,7 +217,7 @@
             "service": self.service,
             "address": address,
             "zone": zone,
-            "version": "1.0",
+            "version": self.software,
             "slots": self.slots,
             "state": "draining" if self.draining else "ready",
             "cold_remaining_ms": cold_s * 1_000,
@@ -282,7 +289,7 @@
         fields = f"HTTP/1.1 {status} X\r\n{length}{extra}\r\n"
         writer.write(fields.encode() + body)
         if not framed:
-            writer.write_eof()
+            _end_with_connection(writer)
 
     def _leaving_header(self) -> str:
         if not self.faults.leaving:
@@ -395,8 +402,9 @@
         writer.write(fields.encode())
         cut_short = self.random.random() < self.faults.garbled
         start = int(head.get(headers.LAST_EVENT) or 0) + 1
+        software = self.software
         for number in range(start, EVENTS + 1):
-            data = event(request_id, number)
+            data = event(request_id, number, software)
             size = f"{len(data):x}\r\n".encode() if framed else b""
             if cut_short and number > EVENTS // 2:
                 writer.write(size + data[:5])
@@ -409,7 +417,7 @@
         if framed:
             writer.write(b"0\r\n\r\n")
         else:
-            writer.write_eof()
+            _end_with_connection(writer)
 
     def _report(self) -> dict[str, typing.Any]:
         return {
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -38,6 +38,18 @@
         "whole answers",
         [Fault(1.0, "garbled", f"e{number}", 2.5) for number in range(3, 7)],
     ),
+    "ignores-software": (
+        "one software",
+        [Fault(0.5, "garbled", f"e{number}", 6.0) for number in range(3, 7)],
+    ),
+    "forgets-origins": (
+        "taken up",
+        [
+            Fault(at_s, "garbled", f"e{number}", 6.0)
+            for at_s in range(0, 49, 7)  # a fault that ends would end the next one
+            for number in range(3, 7)
+        ],
+    ),
     "trusts-framing": (
         "whole answers",
         [Fault(0.5, "garbled", f"e{number}", 6.0) for number in range(3, 7)],
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -37,7 +37,8 @@
 
     Status 0 means that no response arrived, -1 that the request was not sent.
     ``complete`` tells whether the whole response arrived; ``body_error`` says what is
-    wrong with its body.
+    wrong with its body. A request that goes on with a stream names in ``resumes`` the
+    attempt that began it. ``events`` holds the software version of each event received.
     """
 
     request_id: str
@@ -50,10 +51,22 @@
     complete: bool
     body_error: str
     reused_connection: bool
+    resumes: str = ""
+    events: tuple[str, ...] = ()
+
+
+class Takeup(typing.NamedTuple):
+    """A broken stream to go on with: its first attempt and the events received."""
+
+    first: str
+    events: tuple[str, ...]
 
 
 class Caller:
-    """Sends requests of all kinds to one instance, one at a time."""
+    """Sends requests of all kinds to one instance, one at a time.
+
+    A stream that breaks off is taken up once, at any of the other instances.
+    """
 
     def __init__(
         self,
@@ -63,10 +76,12 @@
         keys: typing.Callable[[], str],
         source: random.Random,
         requests: list[SentRequest],
+        others: typing.Mapping[str, str],
     ) -> None:
         self.name = name
         self.edge = edge
         self.address = http_client.parse_address(address)
+        self.others = others
         self.keys = keys
         self.random = source
         self.requests = requests
@@ -76,37 +91,72 @@
     async def run(self) -> None:
         """Send until cancelled."""
         while True:
-            await self.send_request(self.random.choice(REQUEST_KINDS), self.keys())
+            kind = self.random.choice(REQUEST_KINDS)
+            request = await self.send_request(kind, self.keys())
+            if kind.name == "resume" and request.events and not request.complete:
+                await self._take_up(request)
             await asyncio.sleep(MEAN_PAUSE_S * self.random.uniform(0.5, 1.5))
 
     async def send_request(self, kind: RequestKind, key: str) -> SentRequest:
         """Send one request and record its result."""
         self.sent_count += 1
         request_id = f"{self.name}-{self.sent_count}"
-        reused_connection = self.http.has_idle_connection(self.address)
+        return await self._send(kind, key, request_id, self.edge, self.address)
+
+    async def _take_up(self, broken: SentRequest) -> None:
+        if not self.others:
+            return
+        edge, address = self.random.choice(list(self.others.items()))
+        self.sent_count += 1
+        # Checks find the instance by the first part of an identifier.
+        request_id = f"{edge}-{self.name}-{self.sent_count}"
+        await self._send(
+            broken.kind,
+            broken.key,
+            request_id,
+            edge,
+            http_client.parse_address(address),
+            Takeup(broken.request_id, broken.events),
+        )
+
+    async def _send(
+        self,
+        kind: RequestKind,
+        key: str,
+        request_id: str,
+        edge: str,
+        address: http_client.Address,
+        takeup: Takeup | None = None,
+    ) -> SentRequest:
+        reused_connection = self.http.has_idle_connection(address)
         sent_s = time.monotonic()
         status, complete, body_error = 0, False, ""
+        body = bytearray()
         try:
             async with asyncio.timeout(DEADLINE_MS / 1_000 + 0.5):
                 response = await self.http.send(
-                    self.address,
+                    address,
                     kind.method,
                     kind.path,
                     b"",
-                    self._headers(kind, key, request_id),
+                    self._headers(kind, key, request_id, takeup),
                 )
                 status = response.status
-                body = await response.read()
+                async for part in response.parts():
+                    body += part
                 complete = True
-                body_error = self._find_body_error(kind, request_id, response, body)
+                body_error = self._find_body_error(
+                    kind, request_id, response, bytes(body), takeup
+                )
         except http_client.RequestNotSent:
             status = -1
         except (http_client.ResponseLost, TimeoutError):
             pass  # recorded as a request without a complete response
+        is_stream = bool(kind.model) and status == 200
         request = SentRequest(
             request_id,
             kind,
-            self.edge,
+            edge,
             key,
             sent_s,
             time.monotonic(),
@@ -114,11 +164,15 @@
             complete,
             body_error,
             reused_connection,
+            takeup.first if takeup else "",
+            _versions(bytes(body)) if is_stream else (),
         )
         self.requests.append(request)
         return request
 
-    def _headers(self, kind: RequestKind, key: str, request_id: str) -> typing.Any:
+    def _headers(
+        self, kind: RequestKind, key: str, request_id: str, takeup: Takeup | None
+    ) -> typing.Any:
         fields = [
             (b"host", HOST.encode()),
             (headers.REQUEST_ID, request_id.encode()),
@@ -135,6 +189,11 @@
                     f"{prefix_number:x}:500,{request_id[-4:]}:100".encode(),
                 ),
             ]
+        if takeup is not None:
+            fields += [
+                (headers.RESUMES, takeup.first.encode()),
+                (headers.LAST_EVENT, str(len(takeup.events)).encode()),
+            ]
         return tuple(fields)
 
     def _find_body_error(
@@ -143,16 +202,20 @@
         request_id: str,
         response: http_client.ClientResponse,
         body: bytes,
+        takeup: Takeup | None,
     ) -> str:
         """Return what is wrong with a complete response, or an empty string."""
         if response.status != 200:
             return ""
         signature = response.header(headers.SIGNATURE.decode())
         if kind.model:
+            before = len(takeup.events) if takeup else 0
             events = [
-                wireengine.event(request_id, n + 1) for n in range(wireengine.EVENTS)
+                wireengine.event(request_id, before + number, software)
+                for number, software in enumerate(_versions(body), 1)
             ]
-            if body != b"".join(events):
+            whole = before + len(events) == wireengine.EVENTS
+            if not whole or body != b"".join(events):
                 return "a completed stream has missing or repeated events"
             return "" if signature else "a successful response has no signature"
         if not body.startswith(f"{request_id} at ".encode()):
@@ -160,3 +223,9 @@
         if signature != wireengine.signature_of(body):
             return "the signature does not match the body"
         return ""
+
+
+def _versions(body: bytes) -> tuple[str, ...]:
+    """Return the software version of each whole event of a stream."""
+    events = body.decode("latin-1").split("\n\n")[:-1]
+    return tuple(one.removesuffix(" end").rpartition(" ")[2] for one in events)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -22,6 +22,8 @@
 COLD_BOUND = environment_module.COLD_PER_S * 1.5 + 5
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 56, 10.0
 MIN_SERVED_SHARE = 0.25
+SERVING_KINDS = frozenset(("garbled", "late-orders"))
+MIN_TAKEN_UP = 12  # streams
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 STOP_KINDS = frozenset(("term",))
 RESTARTS = frozenset(("kill", "term", "pause"))
@@ -119,6 +121,42 @@
             yield Violation("whole answers", request.request_id, request.body_error)
 
 
+def one_software_version(context: CheckContext) -> Violations:
+    """A stream holds events of one software version, also over its caller's tries."""
+    for request in context.environment.requests:
+        first = context.requests.get(request.resumes)
+        found = {*request.events, *(first.events if first else ())}
+        if len(found) > 1:
+            text = f"events of {', '.join(sorted(found))}"
+            yield Violation("one software", request.request_id, text)
+
+
+def streams_taken_up(context: CheckContext) -> Violations:
+    """Streams taken up go on at half the rate at which new ones begin, or more.
+
+    Counted are undisturbed instances, while all engines served, even if they broke
+    answers off.
+    """
+    begun, taken_up = [], []
+    for request in context.environment.requests:
+        if request.kind.name != "resume" or request.status == -1:
+            continue
+        start_s = request.sent_s - CONTACT_S
+        if not context.has_contact(request.edge, request.sent_s) or any(
+            one.kind not in SERVING_KINDS
+            for name in context.environment.engines
+            for one in context.disturbances_of(name, start_s, request.ended_s)
+        ):
+            continue
+        (taken_up if request.resumes else begun).append(bool(request.events))
+    if len(taken_up) < MIN_TAKEN_UP or not begun:
+        return
+    share, wanted = sum(taken_up) / len(taken_up), sum(begun) / len(begun) / 2
+    if share < wanted:
+        text = f"{share:.2f} of {len(taken_up)} streams went on, not {wanted:.2f}"
+        yield Violation("taken up", "", text)
+
+
 def only_sent_requests(context: CheckContext) -> Violations:
     """Engines run only requests that callers sent, with the account and not the key."""
     for request_id in context.environment.ledger.leaked_keys:
@@ -380,6 +418,8 @@
     runs_at_most_once,
     not_run_statuses,
     response_bodies,
+    one_software_version,
+    streams_taken_up,
     only_sent_requests,
     revoked_keys,
     current_configuration,
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -17,6 +17,7 @@
 ZONES = ("north", "south", "east")
 PLAIN_SERVICE, POOL_SERVICE = "s", "p"
 MODEL = "m"
+SOFTWARE = ("1.0", "1.1")  # versions that serve side by side
 PLAIN_ENGINES, POOL_ENGINES = 3, 4
 ENGINES = PLAIN_ENGINES + POOL_ENGINES
 CALLERS_PER_EDGE = 3
@@ -124,6 +125,11 @@
             keys,
             random.Random(self.random.random()),
             self.requests,
+            {
+                one.name: f"{one.host}:{edges_module.CALLER_PORT}"
+                for one in self.edges.values()
+                if one is not edge
+            },
         )
         self._tasks.append(asyncio.ensure_future(caller.run()))
 
@@ -137,6 +143,7 @@
                 self.ledger,
                 self.random,
                 "" if plain else MODEL,
+                software=SOFTWARE[number % len(SOFTWARE)],
             )
             self.engines[name] = engine
             self.zones[name] = ZONES[number % len(ZONES)]
@@ -399,6 +406,7 @@
         await self._restart_engine(fault.subject)
 
     async def _restart_engine(self, name: str, cold_s: float = 0.0) -> None:
+        self.engines[name].software = self.random.choice(SOFTWARE)
         with contextlib.suppress(OSError):
             await self.engines[name].start(self.shared_host, cold_s)
         self.write_entry(name)
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -8,6 +8,7 @@
 import typing
 
 from cornelreach.gateway import (
+    continuations,
     eventstream,
     forwarding,
     mirror,
@@ -17,6 +18,7 @@
     registry,
     requeststate,
     rollouts,
+    streamorigins,
 )
 from cornelreach.ui import edge
 
@@ -85,6 +87,21 @@
     eventstream.EventSplitter.remainder = lambda self: b""
 
 
+def _ignores_software() -> None:
+    """Lets a stream go on at any version of the targets' software."""
+    continuations.Continuations.bind = lambda self, request_state, software: None
+
+    async def admit(self: typing.Any, request_state: typing.Any) -> bool:
+        return True
+
+    continuations.Continuations.admit = admit
+
+
+def _forgets_origins() -> None:
+    """Keeps the origin of a stream only at the instance that began it."""
+    streamorigins.Holders.find = lambda self, key, more=0: []
+
+
 def _ignores_leaving() -> None:
     """Sends requests to engines that said they leave."""
     registry.TargetRegistry.mark_leaving = lambda self, target_id, born_ms: False
@@ -112,6 +129,8 @@
     "stays-on-old": _stays_on_old,
     "joins-streams": _joins_streams,
     "trusts-framing": _trusts_framing,
+    "ignores-software": _ignores_software,
+    "forgets-origins": _forgets_origins,
 }
 
 
