Return whole events that arrive with one that is too long

What callers saw: nothing; found on reading the limit of events again. Events that arrived in one piece with the beginning of an endless one were dropped, though the last identifier had moved past them: a resumed stream had a gap. Change: the limit is looked at only when no event ends in what has arrived. Result: the new test failed before and passes.

--- a/cornelreach/gateway/eventstream.py
+++ b/cornelreach/gateway/eventstream.py
@@ -2,9 +2,9 @@
 
 import re
 
-# Lines end in LF, CR LF or CR. A CR that is the last byte may precede an LF.
 MAX_EVENT_BYTES = 262_144
 _END_OVERLAP = 3  # bytes before new ones that may belong to the end of an event
+# Lines end in LF, CR LF or CR. A CR that is the last byte may precede an LF.
 _EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?=[^\n]))(?:\r\n|\n|\r(?=[^\n]))")
 _STREAM_END = re.compile(rb"(?:\r\n|\n|\r)\r\Z")
 _IDENTIFIER = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
@@ -34,10 +34,9 @@
         end = 0
         for match in _EVENT_END.finditer(self._buffer, start):
             end = match.end()
-        complete = self._take(end)
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        if not end and len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLong(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-        return complete
+        return self._take(end)
 
     def finish(self) -> bytes:
         """Return the event that the end of the stream completes, if any."""
--- a/test/gateway/test_eventstream.py
+++ b/test/gateway/test_eventstream.py
@@ -48,6 +48,15 @@
             self.assertEqual((splitter.finish(), splitter.remainder()), (b"", text))
             splitter.reset()
 
+    # Guards against losing whole events that arrive together with one without an end.
+    def test_whole_events_before_one_that_is_too_long_are_returned(self):
+        splitter = eventstream.EventSplitter()
+        event = b"id: 1\ndata: y\n\n"
+        data = event + b"x" * (eventstream.MAX_EVENT_BYTES + 1)
+        self.assertEqual(splitter.feed(data), event)
+        with self.assertRaises(eventstream.EventTooLong):
+            splitter.feed(b"x")
+
     def test_an_event_may_begin_with_another_line(self):
         splitter = eventstream.EventSplitter()
         event = b"x-weights: 2\nid: 9\ndata: y\n\n"
