Keep three copies of a stream's origin in small data centres too

Where a data centre has one or two instances, fewer than three copies were kept, a single one at three instances in three data centres. Change: copies that the data centre lacks go to the ring of all instances. Result: the new test failed before and passes; test_originholders 9 of 9.

--- a/cornelreach/gateway/streamorigins.py
+++ b/cornelreach/gateway/streamorigins.py
@@ -82,10 +82,14 @@
         self._near = self._all = Ring(())
 
     def find(self, key: int, more: int = 0) -> list[str]:
-        """Return the holders of a key, and ``more`` candidates on each ring."""
+        """Return the holders of a key, and ``more`` candidates on each ring.
+
+        Those that a small data centre lacks are taken from the ring of all.
+        """
         self._update_rings()
-        near = self._take(self._near.successors(key), ZONE_COPIES + more, ())
-        return near + self._take(self._all.successors(key), OTHER_COPIES + more, near)
+        near_count, count = ZONE_COPIES + more, ZONE_COPIES + OTHER_COPIES + 2 * more
+        near = self._take(self._near.successors(key), near_count, ())
+        return near + self._take(self._all.successors(key), count - len(near), near)
 
     def _take(
         self,
--- a/test/gateway/test_originholders.py
+++ b/test/gateway/test_originholders.py
@@ -91,6 +91,15 @@
             node = network.nodes[f"i{number + 1}"]
             self.assertEqual(await node.origins.find(f"id-{number}"), ORIGIN)
 
+    # Guards against a single copy where each data centre has one instance.
+    async def test_small_data_centres_have_as_many_copies(self):
+        for dead in ("i1", "i2"):
+            network = Network(3)
+            network.nodes["i0"].origins.record("id", ORIGIN, 10_000)
+            network.dead = {"i0", dead}
+            for name in {"i1", "i2"} - network.dead:
+                self.assertEqual(await network.nodes[name].origins.find("id"), ORIGIN)
+
     async def test_few_instances_keep_it(self):
         network = Network(200)
         network.nodes["i0"].origins.record("id", ORIGIN, 10_000)
