Log the parts of a prompt whose answer was lost, and how far it had come

Change: 2402 names the parts and the progress of a lost answer, and answers_lost_total counts them by service and progress. No logic changed.

--- a/cornelreach/gateway/eventstream.py
+++ b/cornelreach/gateway/eventstream.py
@@ -25,6 +25,7 @@
 
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
+        self.has_event = False  # a whole one, since the last reset
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> bytes:
@@ -49,10 +50,12 @@
     def reset(self) -> None:
         """Discard the incomplete event; the stream continues from another target."""
         self._buffer.clear()
+        self.has_event = False
 
     def _take(self, end: int) -> bytes:
         complete = bytes(self._buffer[:end])
         del self._buffer[:end]
+        self.has_event = self.has_event or bool(complete)
         identifiers = _IDENTIFIER.findall(complete)
         if identifiers:
             self.last_id = identifiers[-1].strip().decode("latin-1")
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -51,6 +51,11 @@
     """The chosen target stopped taking requests before the first byte was sent."""
 
 
+def _progress_of(splitter: eventstream.EventSplitter) -> requeststate.Progress:
+    progress = requeststate.Progress
+    return progress.EVENTS if splitter.has_event else progress.HEAD
+
+
 class Dependencies(typing.NamedTuple):
     """What forwarding uses; ``clock`` also runs while the machine is suspended."""
 
@@ -187,24 +192,34 @@
         if isinstance(outcome, requeststate.Failure):
             reason = f"status {outcome.response.status}"
         self.dependencies.selector.record_failure(chosen, outcome)
+        fields: dict[str, str] = {}
+        if isinstance(outcome, requeststate.Lost):
+            fields["progress"] = outcome.progress.value
+            fields["parts"] = ",".join(one.key for one in request_state.call.parts)
+            self.dependencies.metrics.add(
+                "answers_lost_total", 1, request_state.service, outcome.progress.value
+            )
         events.emit(
             ATTEMPT_ENDED,
             id=request_state.call.request_id,
             target=chosen.target.id,
             outcome=type(outcome).__name__.lower(),
             reason=reason,
+            **fields,
         )
 
     async def _exchange(
         self, request_state: requeststate.RequestState, chosen: selection.Choice
     ) -> requeststate.Outcome:
         written: list[bool] = []
+        progress = requeststate.Progress.NONE
         before_write = functools.partial(
             self._before_write, request_state, chosen, written
         )
         try:
             async with asyncio.timeout_at(self._attempt_due_s(request_state)):
                 answer = await self._send(request_state, chosen, before_write)
+                progress = requeststate.Progress.HEAD
                 return await self._read_answer(request_state, chosen, answer)
         except http_client.RequestNotSent as error:
             return requeststate.NotSent(str(error))
@@ -213,9 +228,9 @@
         except TimeoutError:
             if not written:
                 return requeststate.NotSent("no connection in time")
-            return requeststate.Lost("no answer in time")
+            return requeststate.Lost("no answer in time", progress)
         except http_client.ResponseLost as error:
-            return requeststate.Lost(str(error))
+            return requeststate.Lost(str(error), progress)
 
     async def _send(
         self,
@@ -341,7 +356,8 @@
                     return
                 except STREAM_LOST as error:
                     outcome = "broken"
-                    lost = requeststate.Lost(str(error) or "the deadline passed")
+                    reason = str(error) or "the deadline passed"
+                    lost = requeststate.Lost(reason, _progress_of(splitter))
                 finally:
                     chosen.release()
                     answer.close()
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -1,5 +1,6 @@
 """An admitted request, the outcomes of its attempts, and whether it may be retried."""
 
+import enum
 import typing
 
 from cornelreach.gateway import calls, catalogue, refusals
@@ -38,10 +39,19 @@
     response: messages.Response
 
 
+class Progress(enum.Enum):
+    """How far the answer to a request had come when it was lost."""
+
+    NONE = "no answer"
+    HEAD = "no whole event"
+    EVENTS = "events"
+
+
 class Lost(typing.NamedTuple):
     """The request was sent but no valid answer came back; it may have run."""
 
     reason: str
+    progress: Progress = Progress.NONE
 
 
 class Opened(typing.NamedTuple):
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -54,6 +54,12 @@
     Spec(
         "tries_total", "counter", ("outcome",), "Edge: attempts at targets by outcome."
     ),
+    Spec(
+        "answers_lost_total",
+        "counter",
+        ("service", "progress"),
+        "Edge: answers lost, by how far they had come.",
+    ),
     Spec(
         "streams_total",
         "counter",
--- a/test/gateway/test_brokenstreams.py
+++ b/test/gateway/test_brokenstreams.py
@@ -87,3 +87,24 @@
         got = await self.harness.stream("/stream/x")
         self.assertIn(b"id: 1", got)
         self.assertFalse(got.endswith(END_OF_CHUNKS), got)
+
+    async def test_a_lost_answer_is_counted_by_how_far_it_had_come(self):
+        async def head_only(engine, head, body, writer):
+            writer.write(engine.stream_head(head))
+            await writer.drain()
+            return False
+
+        async def nothing(engine, head, body, writer):
+            return False
+
+        cases = (
+            (head_only, "no whole event"),
+            (nothing, "no answer"),
+            (cut_unframed, "events"),
+        )
+        for script, expected in cases:
+            await self.start(script)
+            await self.harness.stream("/stream/x")
+            text = self.harness.metrics.render().decode()
+            line = f'answers_lost_total{{progress="{expected}",service="s"}} 1'
+            self.assertIn(line, text)
