Refuse prompts with a part on which targets crash, at every instance

Cause: nothing compared what was under way when targets ended. An instance sees one or two of the crashes and forgets the requests. Change: instances report the prompts that they lost with a target before the first event; all add the reports up, ask each other for whole answers, and refuse a part that stays guilty (crashes, quarantine, quarantinesync). Its entry in the store is read by instances that start later. One prompt is tried after 5 minutes and more; a whole answer or the operator releases the part. Why it works: sound parts are cleared by whole answers, which a bad part never gets; rivals, repeats of one prompt and crashes of one moment do not count.

--- /dev/null
+++ b/cornelreach/gateway/crashes.py
@@ -0,0 +1,269 @@
+"""Evidence of prompt parts that crash targets.
+
+A target that crashes takes all its answers along, so a single crash does not tell which
+prompt caused it. A prompt is suspect if its answer had not brought an event yet. A
+shared part is guilty once crashes of several lifetimes, with different prompts, have
+all had it among their suspects, and no answer to it has been whole since::
+
+    crash_log.record_loss(Lifetime("engine-1", 7), prompt_hash, ("m.5c1e07a2",), True)
+    crash_log.guilty_parts(quarantined=())
+
+A crash that a quarantined part explains counts against no other part. More evidence is
+needed against a part of which an answer was whole shortly before the crashes, since
+parts that many prompts share are suspects in most crashes, and against one of several
+parts that have been in the same prompts all along.
+"""
+
+import collections
+import re
+import typing
+
+from cornelreach.gateway import calls, datagrams
+from cornelreach.util import hashing, timers
+
+BEGUN_WEIGHT = 2  # the target had begun to answer, as it does before it crashes
+WAITING_WEIGHT = 1
+GUILTY_WEIGHT = 4
+GUILTY_WEIGHT_IN_DOUBT = 10
+SOUND_MS = 60_000.0
+KEPT_MS = 300_000.0
+SAME_MOMENT_MS = 100.0  # crashes this close may have another cause, as a power cut
+MAX_CRASHES = 256
+MAX_PROMPTS = 32  # of one crash
+MAX_PARTS = 16  # of one prompt
+MAX_SOUND = 16_384
+
+_PLAIN_NAME = re.compile(r"[0-9A-Za-z_-]{1,24}\Z")
+
+
+def part_name(model: str, key: str) -> str:
+    """Return the name of a part, which is bounded in length and safe in keys."""
+    if _PLAIN_NAME.match(model) and _PLAIN_NAME.match(key):
+        return f"{model}.{key}"
+    return f"{hashing.name_hash(f'{model} {key}'):016x}"
+
+
+def shared_parts(call: calls.Call) -> tuple[str, ...]:
+    """Return the names of a prompt's parts except the last, which is its own."""
+    return tuple(part_name(call.model, one.key) for one in call.parts[:-1][:MAX_PARTS])
+
+
+def prompt_hash(call: calls.Call) -> int:
+    """Return a hash of a whole prompt, equal for each repetition of it."""
+    return hashing.name_hash(" ".join((call.model, *(one.key for one in call.parts))))
+
+
+class Lifetime(typing.NamedTuple):
+    """One lifetime of a target."""
+
+    target: str
+    born_ms: int
+
+
+class _LostPrompt(typing.NamedTuple):
+    begun: bool
+    parts: tuple[str, ...]
+
+    @property
+    def weight(self) -> int:
+        return BEGUN_WEIGHT if self.begun else WAITING_WEIGHT
+
+
+class _Crash:
+    """The suspects of one crash, by the hash of the prompt."""
+
+    def __init__(self, at_ms: float) -> None:
+        self.at_ms = at_ms
+        self.changed_ms = at_ms
+        self.observed_ms: float | None = None  # the last change seen by this instance
+        self.prompts: dict[int, _LostPrompt] = {}
+
+    def add(self, prompt: int, lost: _LostPrompt, now_ms: float) -> bool:
+        """Add a suspect; returns whether that is new."""
+        held = self.prompts.get(prompt)
+        if held is not None and held.begun >= lost.begun:
+            return False
+        if held is None and len(self.prompts) >= MAX_PROMPTS:
+            return False
+        self.prompts[prompt] = lost
+        self.changed_ms = now_ms
+        return True
+
+    def has_part(self, parts: typing.Container[str]) -> bool:
+        """Return whether any suspect has one of these parts."""
+        return any(part in parts for one in self.prompts.values() for part in one.parts)
+
+    def heaviest(
+        self, part: str, counted: typing.Container[int]
+    ) -> tuple[int, _LostPrompt] | None:
+        """Return the weightiest suspect with a part that was not counted before."""
+        found = [
+            item
+            for item in self.prompts.items()
+            if part in item[1].parts and item[0] not in counted
+        ]
+        return max(found, key=lambda item: item[1].weight, default=None)
+
+
+class Evidence(typing.NamedTuple):
+    """What speaks against a part.
+
+    ``first_ms`` is the time of the first crash, ``companions`` are the other parts of
+    the prompts that count.
+    """
+
+    weight: int
+    crashes: int
+    first_ms: float
+    companions: frozenset[str]
+
+
+class CrashLog:
+    """The recent crashes, and the parts of which answers were whole."""
+
+    def __init__(self, clock: timers.Timers) -> None:
+        self.clock = clock
+        self._crashes: collections.OrderedDict[Lifetime, _Crash] = (
+            collections.OrderedDict()
+        )
+        self._sound_ms: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    # Records.
+
+    def record_loss(
+        self, lifetime: Lifetime, prompt: int, parts: tuple[str, ...], begun: bool
+    ) -> bool:
+        """Record a prompt lost with a target; returns whether that is new."""
+        now_ms = self.clock.now_ms()
+        crash = self._crash(lifetime, now_ms)
+        if not crash.add(prompt, _LostPrompt(begun, parts), now_ms):
+            return False
+        crash.observed_ms = now_ms
+        return True
+
+    def merge(self, report: datagrams.CrashReport) -> bool:
+        """Merge another instance's report; returns whether anything is new."""
+        now_ms = self.clock.now_ms()
+        lifetime = Lifetime(report.target, report.born_ms)
+        crash = self._crash(lifetime, now_ms - report.age_ms)
+        found = False
+        for one in report.prompts:
+            for part, ago_ms in one.parts.items():
+                if ago_ms is not None:
+                    self.record_sound((part,), now_ms - ago_ms)
+            lost = _LostPrompt(one.begun, tuple(one.parts))
+            found |= crash.add(one.prompt, lost, now_ms)
+        return found
+
+    def _crash(self, lifetime: Lifetime, at_ms: float) -> _Crash:
+        oldest_ms = self.clock.now_ms() - KEPT_MS
+        for found, crash in list(self._crashes.items()):
+            if crash.at_ms < oldest_ms:
+                del self._crashes[found]
+        if lifetime not in self._crashes:
+            self._crashes[lifetime] = _Crash(at_ms)
+            if len(self._crashes) > MAX_CRASHES:
+                self._crashes.popitem(last=False)
+        return self._crashes[lifetime]
+
+    def record_sound(self, parts: typing.Iterable[str], at_ms: float) -> None:
+        """Record that an answer to a prompt with these parts was whole."""
+        for part in parts:
+            held_ms = self._sound_ms.pop(part, at_ms)
+            self._sound_ms[part] = max(held_ms, at_ms)
+        while len(self._sound_ms) > MAX_SOUND:
+            self._sound_ms.popitem(last=False)
+
+    def sound_ago_ms(self, part: str) -> float | None:
+        """Return the time since an answer to a part was whole, or None."""
+        sound_ms = self._sound_ms.get(part)
+        return None if sound_ms is None else self.clock.now_ms() - sound_ms
+
+    # Conclusions.
+
+    def evidence(self, part: str, quarantined: typing.Container[str] = ()) -> Evidence:
+        """Return what speaks against a part since its last whole answer.
+
+        Crashes with a part in ``quarantined`` are left out.
+        """
+        sound_ms = self._sound_ms.get(part, float("-inf"))
+        weight = crashes = 0
+        first_ms = last_ms = float("-inf")
+        counted: set[int] = set()
+        companions: set[str] = set()
+        for crash in sorted(self._crashes.values(), key=lambda one: one.at_ms):
+            found = crash.heaviest(part, counted)
+            if found is None or crash.at_ms <= max(sound_ms, last_ms + SAME_MOMENT_MS):
+                continue
+            if crash.has_part(quarantined):
+                continue
+            prompt, lost = found
+            first_ms = crash.at_ms if not crashes else first_ms
+            counted.add(prompt)
+            companions.update(lost.parts)
+            weight, crashes, last_ms = weight + lost.weight, crashes + 1, crash.at_ms
+        return Evidence(weight, crashes, first_ms, frozenset(companions - {part}))
+
+    def is_guilty(self, part: str, quarantined: typing.Container[str] = ()) -> bool:
+        """Return whether a part has to be quarantined."""
+        found = self.evidence(part, quarantined)
+        if found.weight >= GUILTY_WEIGHT_IN_DOUBT:
+            return True
+        if found.weight < GUILTY_WEIGHT or self._was_sound(part, found):
+            return False
+        return not any(
+            self._is_rival(one, found, quarantined)
+            for one in found.companions
+            if one not in quarantined
+        )
+
+    def _was_sound(self, part: str, found: Evidence) -> bool:
+        return self._sound_ms.get(part, float("-inf")) > found.first_ms - SOUND_MS
+
+    def _is_rival(
+        self, part: str, found: Evidence, quarantined: typing.Container[str]
+    ) -> bool:
+        """Return whether as much speaks against a part as was found for another."""
+        own = self.evidence(part, quarantined)
+        return own.weight >= found.weight and not self._was_sound(part, own)
+
+    def guilty_parts(self, quarantined: typing.Container[str] = ()) -> list[str]:
+        """Return the parts that have to be quarantined and are not yet."""
+        suspects = {
+            part
+            for crash in self._crashes.values()
+            for one in crash.prompts.values()
+            for part in one.parts
+        }
+        return sorted(
+            part
+            for part in suspects
+            if part not in quarantined and self.is_guilty(part, quarantined)
+        )
+
+    def reports(
+        self, name: str, span_ms: float, observed_only: bool
+    ) -> list[datagrams.CrashReport]:
+        """Return reports of the crashes of which something is new in ``span_ms``.
+
+        With ``observed_only`` those are left out that only others have seen.
+        """
+        now_ms = self.clock.now_ms()
+        return [
+            datagrams.CrashReport(
+                name,
+                *lifetime,
+                now_ms - crash.at_ms,
+                tuple(
+                    datagrams.LostPrompt(
+                        prompt,
+                        lost.begun,
+                        {part: self.sound_ago_ms(part) for part in lost.parts},
+                    )
+                    for prompt, lost in crash.prompts.items()
+                ),
+            )
+            for lifetime, crash in self._crashes.items()
+            if (crash.observed_ms or 0.0 if observed_only else crash.changed_ms)
+            >= now_ms - span_ms
+        ]
--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -102,6 +102,43 @@
     targets: dict[str, int]
 
 
+class LostPrompt(typing.NamedTuple):
+    """A prompt whose answer was lost in a crash, before its first event.
+
+    ``prompt`` is a hash of the whole prompt, ``begun`` whether the target had begun to
+    answer. ``parts`` holds the prompt's shared parts, each with the time since an
+    answer to it was whole, or None if none is known.
+    """
+
+    prompt: int
+    begun: bool
+    parts: dict[str, float | None]
+
+
+class CrashReport(typing.NamedTuple):
+    """A lifetime of a target that ended ``age_ms`` ago, and prompts lost with it."""
+
+    name: str
+    target: str
+    born_ms: int
+    age_ms: float
+    prompts: tuple[LostPrompt, ...]
+
+
+class SoundQuery(typing.NamedTuple):
+    """Asks who got whole answers to prompt parts, less than this many ms ago."""
+
+    name: str
+    parts: dict[str, float]
+
+
+class SoundReport(typing.NamedTuple):
+    """How long ago the sender got a whole answer to each prompt part."""
+
+    name: str
+    parts: dict[str, float]
+
+
 class PromptStoreUpdate(typing.NamedTuple):
     """Changes in a prompt store, from a hub that watches it.
 
@@ -196,6 +233,9 @@
     | StreamOrigin
     | OriginQuery
     | OriginReply
+    | CrashReport
+    | SoundQuery
+    | SoundReport
 )
 TAGS: dict[type, bytes] = {
     LoadReport: b"t",
@@ -210,6 +250,9 @@
     StreamOrigin: b"o",
     OriginQuery: b"s",
     OriginReply: b"r",
+    CrashReport: b"x",
+    SoundQuery: b"k",
+    SoundReport: b"y",
 }
 DECODERS = {tag: msgspec.msgpack.Decoder(kind) for kind, tag in TAGS.items()}
 
@@ -295,6 +338,18 @@
     ]
 
 
+def crash_reports(report: CrashReport) -> list[CrashReport]:
+    """Split a report into datagrams, each with a bounded size."""
+    found, batch = [], report._replace(prompts=())
+    for prompt in report.prompts:
+        longer = batch._replace(prompts=(*batch.prompts, prompt))
+        if batch.prompts and len(encode(longer)) > MAX_BYTES:
+            found.append(batch)
+            longer = batch._replace(prompts=(prompt,))
+        batch = longer
+    return [*found, batch]
+
+
 def prompt_store_updates(
     store: str,
     epoch: int,
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -21,6 +21,8 @@
     probing,
     promptindex,
     proofs,
+    quarantine,
+    quarantinesync,
     recordhandlers,
     rollouts,
     selection,
@@ -173,6 +175,10 @@
             self.site.regions,
             self.clock,
         )
+        self.quarantine = quarantine.Quarantine(self.clock)
+        self.quarantine_sync = quarantinesync.QuarantineSync(
+            self.quarantine, self.gossip, self.objects, self.mirror, self.clock
+        )
         self.forwarder = forwarding.Forwarder(
             forwarding.Dependencies(
                 self.mirror,
@@ -187,6 +193,7 @@
                     self.clock,
                     self.metrics,
                 ),
+                self.quarantine,
             )
         )
 
@@ -245,6 +252,10 @@
                 recordhandlers.LeaseHandler(mirror, clock, lease),
                 _timing_for(LONG_WATCH_MS, LEASES_BATCH_MS),
             ),
+            (
+                recordhandlers.QuarantineHandler(mirror, clock, self.quarantine),
+                _timing_for(LONG_WATCH_MS),
+            ),
         ]
         others = [self._make_watcher(handler, timing) for handler, timing in rest]
         self.watchers = [first, *others]
@@ -313,6 +324,7 @@
             "parts_known",
             lambda: sum(len(one.parts) for one in self.prompt_index.stores.values()),
         )
+        gauge("parts_quarantined", lambda: len(self.quarantine.held))
         gauge("peers_alive", lambda: len(self.gossip.live_instances()) - 1)
 
     async def _serve_metrics(self, request: messages.Request) -> messages.Response:
@@ -444,5 +456,6 @@
         self.front.abort()
         self.prompt_store_watcher.close()
         self.rollouts.close()
+        self.quarantine_sync.close()
         for task in self._tasks:
             task.cancel()
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -15,8 +15,10 @@
     calls,
     catalogue,
     continuations as continuations_module,
+    crashes,
     eventstream,
     mirror as mirror_module,
+    quarantine as quarantine_module,
     refusals,
     requeststate,
     selection,
@@ -56,6 +58,11 @@
     return progress.EVENTS if splitter.has_event else progress.HEAD
 
 
+def _lost(error: Exception, progress: requeststate.Progress) -> requeststate.Lost:
+    closed = isinstance(error, http_client.ConnectionClosed)
+    return requeststate.Lost(str(error) or "the deadline passed", progress, closed)
+
+
 class Dependencies(typing.NamedTuple):
     """What forwarding uses; ``clock`` also runs while the machine is suspended."""
 
@@ -66,6 +73,7 @@
     random: random.Random
     metrics: metrics_module.Metrics
     continuations: continuations_module.Continuations
+    quarantine: quarantine_module.Quarantine
 
 
 class Forwarder:
@@ -128,6 +136,12 @@
         self, request_state: requeststate.RequestState
     ) -> messages.Response:
         loop = asyncio.get_running_loop()
+        quarantine = self.dependencies.quarantine
+        request_state.refused_ms = quarantine.refuse_ms(request_state.parts)
+        if request_state.refused_ms is not None:
+            refusal = refusals.quarantined(request_state.refused_ms)
+            return self._refuse(request_state.call.request_id, request_state, refusal)
+        request_state.is_trial = quarantine.holds(request_state.parts)
         if not await self.dependencies.continuations.admit(request_state):
             refusal = refusals.unknown_origin()
             return self._refuse(request_state.call.request_id, request_state, refusal)
@@ -135,6 +149,8 @@
             outcome = await self._attempt(request_state, chosen)
             match outcome:
                 case requeststate.Answered(response):
+                    if response.status < 300:
+                        self.dependencies.quarantine.record_answer(request_state.parts)
                     self._log(request_state, "answered", response.status)
                     return response
                 case requeststate.Opened(answer):
@@ -150,6 +166,8 @@
     ) -> selection.Choice | None:
         loop = asyncio.get_running_loop()
         while request_state.may_attempt(loop.time()):
+            if self._is_quarantined(request_state):
+                return None
             spent_ms = (loop.time() - request_state.request.received_s) * 1_000
             found = self.dependencies.selector.choose(request_state, spent_ms)
             if isinstance(found, selection.Resting):
@@ -164,6 +182,16 @@
             await asyncio.sleep(wait_s)
         return None
 
+    def _is_quarantined(self, request_state: requeststate.RequestState) -> bool:
+        """Return whether targets crash on the prompt; a trial is sent once."""
+        if request_state.is_trial and not request_state.times_sent:
+            return False
+        quarantine = self.dependencies.quarantine
+        if not quarantine.holds(request_state.parts):
+            return False
+        request_state.refused_ms = quarantine.refuse_ms(request_state.parts)
+        return True
+
     async def _attempt(
         self, request_state: requeststate.RequestState, chosen: selection.Choice
     ) -> requeststate.Outcome:
@@ -196,6 +224,7 @@
         if isinstance(outcome, requeststate.Lost):
             fields["progress"] = outcome.progress.value
             fields["parts"] = ",".join(one.key for one in request_state.call.parts)
+            self._record_crash(request_state, chosen, outcome)
             self.dependencies.metrics.add(
                 "answers_lost_total", 1, request_state.service, outcome.progress.value
             )
@@ -208,6 +237,21 @@
             **fields,
         )
 
+    def _record_crash(
+        self,
+        request_state: requeststate.RequestState,
+        chosen: selection.Choice,
+        lost: requeststate.Lost,
+    ) -> None:
+        progress = requeststate.Progress
+        if lost.closed and lost.progress is not progress.EVENTS:
+            self.dependencies.quarantine.record_loss(
+                crashes.Lifetime(chosen.target.id, chosen.target.born_ms),
+                crashes.prompt_hash(request_state.call),
+                request_state.parts,
+                lost.progress is progress.HEAD,
+            )
+
     async def _exchange(
         self, request_state: requeststate.RequestState, chosen: selection.Choice
     ) -> requeststate.Outcome:
@@ -230,7 +274,7 @@
                 return requeststate.NotSent("no connection in time")
             return requeststate.Lost("no answer in time", progress)
         except http_client.ResponseLost as error:
-            return requeststate.Lost(str(error), progress)
+            return _lost(error, progress)
 
     async def _send(
         self,
@@ -261,6 +305,8 @@
         """Check the choice again, with the connection open, and count the request."""
         if not self.dependencies.selector.still_open(chosen):
             raise StaleChoice("the target no longer takes requests")
+        if self._is_quarantined(request_state):
+            raise StaleChoice("targets crash on a part of the prompt")
         chosen.record_send()
         written.append(True)
         request_state.times_sent += 1
@@ -351,13 +397,14 @@
                         continuations.bind(request_state, chosen.target.software)
                         yield data
                     if splitter.remainder():
-                        raise http_client.ResponseLost("the stream ended in an event")
+                        text = "the stream ended in an event"
+                        raise http_client.ConnectionClosed(text)
                     outcome = "streamed"
+                    self.dependencies.quarantine.record_answer(request_state.parts)
                     return
                 except STREAM_LOST as error:
                     outcome = "broken"
-                    reason = str(error) or "the deadline passed"
-                    lost = requeststate.Lost(reason, _progress_of(splitter))
+                    lost = _lost(error, _progress_of(splitter))
                 finally:
                     chosen.release()
                     answer.close()
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -118,6 +118,9 @@
         self.on_freshness_reply: DatagramHandler[datagrams.FreshnessReply] = _ignore
         self.on_record_changes: DatagramHandler[datagrams.RecordChanges] = _ignore
         self.handlers: dict[type, typing.Callable[[typing.Any], None]] = {}
+        self.report_sources: list[
+            typing.Callable[[], typing.Iterable[datagrams.Datagram]]
+        ] = []
         self._sums = relays.LoadSums()
         self._digest_sums = relays.LoadSums()
         self._digest_ms = 0.0
@@ -225,10 +228,11 @@
         return {name: one.born_ms for name, one in self._leaving.items()}
 
     def _target_reports(self) -> list[datagrams.Datagram]:
-        """Return reports of versions and departures learned of recently."""
+        """Return reports of versions and departures learned of, and of the sources."""
         return [
             *datagrams.version_reports(self.name, self._recent_versions()),
             *datagrams.leaving_reports(self.name, self._recent_leaving()),
+            *(one for source in self.report_sources for one in source()),
         ]
 
     def apply_digest(self, part: datagrams.Digest) -> None:
@@ -356,6 +360,10 @@
         """Return whether this instance acts as a hub of its data centre."""
         return self.hubs.is_needed() and self._hub == self.name
 
+    def is_relay(self) -> bool:
+        """Return whether other instances report to this one as their hub."""
+        return self.hubs.is_needed() and bool(self._reporters())
+
     def report_versions(self, target: str, versions: dict[str, int]) -> None:
         """Apply the versions that a target reported, and send them to the peers."""
         self.registry.learn_versions(target, versions)
--- /dev/null
+++ b/cornelreach/gateway/quarantine.py
@@ -0,0 +1,175 @@
+"""Quarantine of the prompt parts on which targets crash.
+
+A guilty part is confirmed before it is refused: another instance may have got whole
+answers to it. Each instance concludes for itself from the crashes that all report to
+each other, so that a part is refused everywhere although no instance has seen more than
+one or two of the crashes. The platform's store keeps the part, for instances that start
+later. It is tried again with one prompt, after a time that grows with each trial::
+
+    left_ms = quarantine.refuse_ms(parts)  # None if the prompt may be sent
+    quarantine.record_loss(lifetime, prompt_hash, parts, begun=True)
+    quarantine.record_answer(parts)
+"""
+
+import typing
+
+from cornelreach.gateway import crashes
+from cornelreach.util import events, timers
+
+FIRST_TRIAL_MS = 300_000.0
+TRIAL_FACTOR = 4.0
+MAX_TRIAL_MS = 86_400_000.0
+CLAIM_MS = 30_000.0  # between two attempts of an instance to get a trial
+
+QUARANTINED = events.define(
+    2601,
+    "WARNING",
+    "Prompts with part {part} are refused: {crashes} targets crashed, weight {weight}.",
+    "Look for what is special in that part; delete quarantines/{part} if it is sound.",
+)
+RELEASED = events.define(
+    2602, "INFO", "Prompts with part {part} are sent again: {reason}.", "Nothing."
+)
+TRIAL = events.define(
+    2603,
+    "INFO",
+    "One prompt with part {part} is sent as trial {trials}.",
+    "Nothing; if its target crashes: see event 2601.",
+)
+
+
+class Held:
+    """A quarantined part; ``version`` is that of its entry in the store, if written."""
+
+    def __init__(self, now_ms: float) -> None:
+        self.version: int | None = None
+        self.trials = 0
+        self.due_ms = now_ms + FIRST_TRIAL_MS
+        self.has_trial = False
+
+    def update(self, version: int, trials: int, now_ms: float) -> None:
+        """Follow the entry in the store: each trial defers the next one."""
+        self.version = version
+        if trials != self.trials:
+            self.trials = trials
+            wait_ms = min(MAX_TRIAL_MS, FIRST_TRIAL_MS * TRIAL_FACTOR**trials)
+            self.due_ms = now_ms + wait_ms
+
+
+OnPart = typing.Callable[[str], None]
+
+
+def _ignore(part: str) -> None:
+    """Ignore a change of a part."""
+
+
+class Quarantine:
+    """The parts that are refused.
+
+    ``on_suspect`` is called with a part that is to be confirmed, ``on_hold`` and
+    ``on_release`` with one that this instance has quarantined or found to be sound,
+    ``on_trial_due`` with one of which a prompt may be tried.
+    """
+
+    def __init__(self, clock: timers.Timers) -> None:
+        self.clock = clock
+        self.crash_log = crashes.CrashLog(clock)
+        self.held: dict[str, Held] = {}
+        self.confirm_ms: typing.Callable[[], float] = lambda: 0.0
+        self.on_loss: typing.Callable[[], None] = lambda: None
+        self.on_suspect: OnPart = _ignore
+        self.on_hold: OnPart = _ignore
+        self.on_release: OnPart = _ignore
+        self.on_trial_due: OnPart = _ignore
+        self._suspected: set[str] = set()
+
+    # Requests.
+
+    def refuse_ms(self, parts: typing.Iterable[str]) -> float | None:
+        """Return for how long a prompt is refused, or None if it may be sent."""
+        if not self.held:
+            return None
+        found = {part: self.held[part] for part in parts if part in self.held}
+        if not found:
+            return None
+        if all(one.has_trial for one in found.values()):
+            for part, one in found.items():
+                one.has_trial = False
+                events.emit(TRIAL, part=part, trials=one.trials)
+            return None
+        now_ms = self.clock.now_ms()
+        for part, one in found.items():
+            if one.due_ms <= now_ms and not one.has_trial:
+                one.due_ms = now_ms + CLAIM_MS
+                self.on_trial_due(part)
+        return max(one.due_ms for one in found.values()) - now_ms
+
+    def holds(self, parts: typing.Iterable[str]) -> bool:
+        """Return whether any of the parts is quarantined."""
+        return bool(self.held) and any(part in self.held for part in parts)
+
+    def record_loss(
+        self,
+        lifetime: crashes.Lifetime,
+        prompt: int,
+        parts: tuple[str, ...],
+        begun: bool,
+    ) -> None:
+        """Record that a target crashed before the first event of an answer."""
+        if parts and self.crash_log.record_loss(lifetime, prompt, parts, begun):
+            self.on_loss()
+            self.evaluate()
+
+    def record_answer(self, parts: tuple[str, ...]) -> None:
+        """Record a whole answer; it releases the parts of its prompt."""
+        self.crash_log.record_sound(parts, self.clock.now_ms())
+        for part in parts:
+            if part in self.held:
+                self.on_release(part)
+                self._release(part, "an answer was whole")
+
+    # Conclusions.
+
+    def evaluate(self) -> None:
+        """Begin to confirm the parts that have become guilty."""
+        for part in self.crash_log.guilty_parts(self.held.keys()):
+            if part not in self._suspected:
+                self._suspected.add(part)
+                self.on_suspect(part)
+                self.clock.after(self.confirm_ms(), lambda one=part: self._confirm(one))
+
+    def _confirm(self, part: str) -> None:
+        self._suspected.discard(part)
+        if part in self.held or not self.crash_log.is_guilty(part, self.held.keys()):
+            return
+        found = self.crash_log.evidence(part, self.held.keys())
+        self.held[part] = Held(self.clock.now_ms())
+        events.emit(QUARANTINED, part=part, crashes=found.crashes, weight=found.weight)
+        self.on_hold(part)
+
+    def _release(self, part: str, reason: str) -> None:
+        del self.held[part]
+        events.emit(RELEASED, part=part, reason=reason)
+
+    # Entries of the store.
+
+    def apply_entry(self, part: str, version: int, trials: int) -> None:
+        """Hold a part that has an entry in the store."""
+        now_ms = self.clock.now_ms()
+        if part not in self.held:
+            self.held[part] = Held(now_ms)
+            events.emit(QUARANTINED, part=part, crashes=0, weight=0)
+        self.held[part].update(version, trials, now_ms)
+
+    def remove_entry(self, part: str) -> None:
+        """Release a part whose entry was deleted: somebody knows that it is sound."""
+        if part in self.held:
+            self.crash_log.record_sound((part,), self.clock.now_ms())
+            self._release(part, "its entry was deleted")
+
+    def forget_entries(self) -> None:
+        """Write all entries again: the store came back from an older copy."""
+        for part, held in self.held.items():
+            if held.version is not None:
+                held.version = None
+                self.on_hold(part)
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -3,11 +3,17 @@
 import abc
 import typing
 
-from cornelreach.gateway import hubs, mirror as mirror_module, quotas
+from cornelreach.gateway import (
+    hubs,
+    mirror as mirror_module,
+    quarantine as quarantine_module,
+    quotas,
+)
 from cornelreach.http import client as http_client
 from cornelreach.platform import (
     client as platform_client,
     leases,
+    quarantines,
     records as records_module,
     results,
 )
@@ -256,3 +262,38 @@
     def on_change(self, record: results.Record) -> None:
         if record.key == self.lease.key and record.value is not None:
             self.lease.on_watch(record, self.clock.now_ms())
+
+
+class QuarantineHandler(BaseHandler):
+    """Applies the entries of quarantined prompt parts."""
+
+    prefix = quarantines.PREFIX
+    kind = "quarantines"
+
+    def __init__(
+        self,
+        mirror: mirror_module.Mirror,
+        clock: timers.Timers,
+        quarantine: quarantine_module.Quarantine,
+    ) -> None:
+        super().__init__(mirror, clock)
+        self.quarantine = quarantine
+
+    def on_restore(self) -> None:
+        # Entries that the copy lacks are written again.
+        self.quarantine.forget_entries()
+
+    def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
+        super().on_list(records, reconnected)
+        listed = {record.key.removeprefix(self.prefix) for record in records}
+        for part, held in list(self.quarantine.held.items()):
+            if part not in listed and held.version is not None:
+                self.quarantine.remove_entry(part)
+
+    def on_change(self, record: results.Record) -> None:
+        part = record.key.removeprefix(self.prefix)
+        if record.value is None:
+            self.quarantine.remove_entry(part)
+        else:
+            trials = quarantines.read_trials(record)
+            self.quarantine.apply_entry(part, record.version, trials)
--- a/cornelreach/gateway/refusals.py
+++ b/cornelreach/gateway/refusals.py
@@ -65,6 +65,15 @@
     )
 
 
+def quarantined(left_ms: float) -> NamedRefusal:
+    """Refuse because targets crash on a part of the prompt; a trial is ``left_ms`` off.
+
+    The wait is told in full, so that callers do not return in vain.
+    """
+    text = "targets crash on a part of this prompt"
+    return _not_run("quarantined", errors.Code.UNAVAILABLE, text, math.ceil(left_ms))
+
+
 def no_version() -> NamedRefusal:
     """Refuse because no target of the version that began a stream accepts requests."""
     text = "no target of the version that began this stream takes requests now"
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -3,7 +3,7 @@
 import enum
 import typing
 
-from cornelreach.gateway import calls, catalogue, refusals
+from cornelreach.gateway import calls, catalogue, crashes, refusals
 from cornelreach.http import client as http_client, messages
 
 MAX_TRIES = 5
@@ -48,10 +48,14 @@
 
 
 class Lost(typing.NamedTuple):
-    """The request was sent but no valid answer came back; it may have run."""
+    """The request was sent but no valid answer came back; it may have run.
+
+    ``closed`` is set if the target closed the connection.
+    """
 
     reason: str
     progress: Progress = Progress.NONE
+    closed: bool = False
 
 
 class Opened(typing.NamedTuple):
@@ -72,6 +76,8 @@
     ``possible_runs`` those that may have run the request. ``resting_ms`` is how long
     every target still rests, if that is why none was chosen. ``software`` is the only
     version of the targets' software at which a stream may go on, once it has begun.
+    ``parts`` names the parts of the prompt that others may share; ``refused_ms`` is for
+    how long it is refused because of one of them, unless it is sent as their trial.
     """
 
     def __init__(
@@ -104,6 +110,9 @@
         self.choice_summary = ""
         self.resting_ms: float | None = None
         self.software: str | None = None
+        self.refused_ms: float | None = None
+        self.is_trial = False
+        self.parts = crashes.shared_parts(call)
 
     @property
     def model(self) -> str:
@@ -155,6 +164,8 @@
             return refusals.outcome_unknown(self.reason)
         if self.left_ms(now_s) < MIN_LEFT_MS:
             return refusals.overdue()
+        if self.refused_ms is not None:
+            return refusals.quarantined(self.refused_ms)
         if self.resting_ms is not None:
             return refusals.targets_resting(self.resting_ms)
         if self.software is not None:
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -41,6 +41,16 @@
     """The request was at least partly sent, but no complete response arrived."""
 
 
+class ConnectionClosed(ResponseLost):
+    """The server closed or reset the connection before the response was complete."""
+
+
+def _lost(text: str, error: Exception) -> ResponseLost:
+    # Other errors, such as a timeout of the kernel, mean that the server is silent.
+    closed = isinstance(error, ConnectionError | h11.RemoteProtocolError)
+    return ConnectionClosed(text) if closed else ResponseLost(text)
+
+
 class Address(typing.NamedTuple):
     """Host and port of a server, and whether it uses TLS."""
 
@@ -128,7 +138,7 @@
                 self._paused = False
                 self.transport.resume_reading()
             if self._error is not None:
-                raise ConnectionResetError(str(self._error))
+                raise self._error
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         return event
@@ -181,9 +191,10 @@
                 elif isinstance(event, h11.EndOfMessage):
                     break
                 else:
-                    raise ResponseLost("the connection was closed during the response")
+                    text = "the connection was closed during the response"
+                    raise ConnectionClosed(text)
         except (h11.RemoteProtocolError, OSError) as error:
-            raise ResponseLost(f"the response is incomplete: {error}") from error
+            raise _lost(f"the response is incomplete: {error}", error) from error
         finally:
             self.close()
 
@@ -294,7 +305,7 @@
             head = await self._receive_head(connection, method, matches)
         except (h11.RemoteProtocolError, OSError) as error:
             connection.abort()
-            raise ResponseLost(f"no response from {address}: {error}") from error
+            raise _lost(f"no response from {address}: {error}", error) from error
         except BaseException:
             connection.abort()
             raise
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -88,6 +88,12 @@
     Spec(
         "parts_known", "gauge", (), "Edge: prompt parts known to be in prompt stores."
     ),
+    Spec(
+        "parts_quarantined",
+        "gauge",
+        (),
+        "Edge: prompt parts that are refused because targets crash on them.",
+    ),
     Spec("peers_alive", "gauge", (), "Edge: peers heard from in the last few seconds."),
     Spec(
         "log_lines_dropped",
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -11,6 +11,7 @@
     gossip as gossip_module,
     mirror as mirror_module,
     promptindex,
+    quarantine,
     quotas,
     registry,
     selection,
@@ -215,6 +216,7 @@
                 self.clock,
                 self.metrics,
             ),
+            quarantine.Quarantine(self.clock),
         )
         # As if the instance had known the targets for a minute.
         self.mirror.registry.replace((), self.clock.now_ms() - 60_000)
--- a/test/gateway/test_poisonedprompts.py
+++ b/test/gateway/test_poisonedprompts.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from cornelreach.gateway import catalogue
+from cornelreach.gateway import catalogue, crashes
 from test.gateway import harness as harness_module, test_forwarding
 
 Kind = catalogue.Kind
@@ -88,6 +88,23 @@
                 await self.ask(path, SHARED, f"doc{number}", POISON)
             self.assertLessEqual(self.poisoned_count() - before, 3, path)
 
+    async def test_a_refusal_says_when_a_trial_is_due_and_a_trial_is_sent_once(self):
+        await self.start_engines()
+        quarantine = self.harness.forwarder.dependencies.quarantine
+        for number in range(3):
+            await self.ask("/stream/x", SHARED, f"doc{number}", POISON)
+            await self.ask("/stream/x", SHARED, f"doc{number}")
+            await asyncio.sleep(2 * crashes.SAME_MOMENT_MS / 1_000)
+        before = self.poisoned_count()
+        got = await self.ask("/stream/x", SHARED, "doc9", POISON)
+        self.assertIn(b" 503 ", got.split(b"\r\n")[0])
+        wait_s = float(got.lower().split(b"retry-after: ")[1].split(b"\r\n")[0])
+        self.assertTrue(290 < wait_s <= 300, wait_s)
+        quarantine.held[f"m.{POISON}"].has_trial = True
+        for number in range(4):
+            await self.ask("/resume/x", SHARED, f"doc{number}", POISON)
+        self.assertEqual(self.poisoned_count(), before + 1)
+
     # Guards against refusing the sound prompts that share other parts with them.
     async def test_sound_prompts_with_the_same_first_part_go_on(self):
         await self.start_engines()
--- /dev/null
+++ b/test/gateway/test_quarantine.py
@@ -0,0 +1,90 @@
+"""Quarantine of prompt parts: confirmation, release and trials."""
+
+import unittest
+
+from cornelreach.gateway import crashes, quarantine
+from cornelreach.util import timers
+
+
+class Quarantine(unittest.TestCase):
+    """One instance in virtual time."""
+
+    def setUp(self):
+        self.clock = timers.VirtualTimers(start_ms=100_000)
+        self.quarantine = quarantine.Quarantine(self.clock)
+        self.quarantine.confirm_ms = lambda: 400.0
+        self.due, self.held, self.released = [], [], []
+        self.quarantine.on_trial_due = self.due.append
+        self.quarantine.on_hold = self.held.append
+        self.quarantine.on_release = self.released.append
+
+    def crash(self, count=2):
+        """Crash some targets by prompts with a bad part."""
+        for number in range(count):
+            self.clock.advance(500)
+            lifetime = crashes.Lifetime(f"t{number}", round(self.clock.now_ms()))
+            parts = ("a", "bad", f"doc{number}")
+            self.quarantine.record_loss(lifetime, number, parts, begun=True)
+            self.quarantine.record_answer(("a",))
+
+    def hold(self):
+        """Quarantine the bad part, with an entry in the store."""
+        self.crash()
+        self.clock.advance(400)
+        self.quarantine.apply_entry("bad", 7, 0)
+
+    def test_a_guilty_part_is_refused_once_it_is_confirmed(self):
+        self.crash()
+        self.clock.advance(399)
+        self.assertIsNone(self.quarantine.refuse_ms(("a", "bad")))
+        self.clock.advance(1)
+        self.assertGreater(self.quarantine.refuse_ms(("a", "bad")), 290_000)
+        self.assertIsNone(self.quarantine.refuse_ms(("a", "doc1")))
+        self.assertEqual(self.held, ["bad"])
+
+    def test_a_whole_answer_elsewhere_ends_the_suspicion(self):
+        self.crash()
+        self.quarantine.crash_log.record_sound(("bad",), self.clock.now_ms())
+        self.clock.advance(400)
+        self.assertIsNone(self.quarantine.refuse_ms(("bad",)))
+
+    def test_a_whole_answer_here_releases_the_part(self):
+        self.hold()
+        self.quarantine.record_answer(("a", "bad"))
+        self.assertIsNone(self.quarantine.refuse_ms(("bad",)))
+        self.assertEqual(self.released, ["bad"])
+
+    # Guards against a restarted instance that sends such prompts again.
+    def test_an_entry_of_the_store_is_held_without_any_crash(self):
+        self.quarantine.apply_entry("bad", 7, 0)
+        self.assertGreater(self.quarantine.refuse_ms(("bad",)), 290_000)
+        self.quarantine.remove_entry("bad")
+        self.assertIsNone(self.quarantine.refuse_ms(("bad",)))
+
+    def test_a_trial_sends_one_prompt_and_defers_the_next_trial(self):
+        self.hold()
+        self.clock.advance(quarantine.FIRST_TRIAL_MS)
+        self.assertIsNotNone(self.quarantine.refuse_ms(("bad",)))
+        self.assertIsNotNone(self.quarantine.refuse_ms(("bad",)))
+        self.assertEqual(self.due, ["bad"])
+        held = self.quarantine.held["bad"]
+        held.update(8, 1, self.clock.now_ms())
+        held.has_trial = True
+        self.assertIsNone(self.quarantine.refuse_ms(("bad", "doc5")))
+        left_ms = self.quarantine.refuse_ms(("bad", "doc6"))
+        self.assertGreater(left_ms, 3.9 * quarantine.FIRST_TRIAL_MS)
+
+    def test_a_trial_that_another_instance_has_defers_this_one(self):
+        self.hold()
+        self.clock.advance(quarantine.FIRST_TRIAL_MS)
+        self.quarantine.apply_entry("bad", 8, 1)
+        left_ms = self.quarantine.refuse_ms(("bad",))
+        self.assertGreater(left_ms, 3.9 * quarantine.FIRST_TRIAL_MS)
+        self.assertEqual(self.due, [])
+
+    def test_entries_are_written_again_after_a_restore(self):
+        self.hold()
+        self.held.clear()
+        self.quarantine.forget_entries()
+        self.assertEqual(self.held, ["bad"])
+        self.assertIsNotNone(self.quarantine.refuse_ms(("bad",)))
