Take a stream that ends without any event for a broken one

What callers saw: an answer of status 200, framed as complete, without any event, where an engine that frames nothing had crashed before the first. Cause: completeness was doubted only inside an event. Change: a stream that began here and had no whole event is lost. Why it works: a stream has at least one event; one that goes on after its last event may have none, which a test keeps. Evidence: the new test failed before (the caller got 0 CRLF CRLF), passes now.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -399,6 +399,9 @@
                     if splitter.remainder():
                         text = "the stream ended in an event"
                         raise http_client.ConnectionClosed(text)
+                    if splitter.last_id is None and not splitter.has_event:
+                        text = "the stream ended without an event"
+                        raise http_client.ConnectionClosed(text)
                     outcome = "streamed"
                     self.dependencies.quarantine.record_answer(request_state.parts)
                     return
--- a/test/gateway/test_brokenstreams.py
+++ b/test/gateway/test_brokenstreams.py
@@ -88,6 +88,29 @@
         self.assertIn(b"id: 1", got)
         self.assertFalse(got.endswith(END_OF_CHUNKS), got)
 
+    # Guards against taking the end of a crashed engine's connection for a whole answer.
+    async def test_an_unframed_stream_without_any_event_is_not_complete(self):
+        async def head_only(engine, head, body, writer):
+            writer.write(unframed_head(engine, head))
+            await writer.drain()
+            return False
+
+        await self.start(head_only)
+        got = await self.harness.stream("/stream/x")
+        self.assertFalse(got.endswith(END_OF_CHUNKS), got)
+        await self.start(head_only, cut_unframed)
+        self.harness.mirror.registry.state("e1").in_flight = 5
+        got = await self.harness.stream("/resume/x")
+        self.assertIn(b"id: 2", got)
+
+    async def test_a_stream_that_goes_on_after_its_last_event_may_have_no_more(self):
+        async def nothing_left(engine, head, body, writer):
+            writer.write(engine.stream_head(head) + END_OF_CHUNKS)
+
+        await self.start(nothing_left)
+        got = await self.harness.stream("/resume/x", last_event_id="4")
+        self.assertTrue(got.endswith(END_OF_CHUNKS), got)
+
     async def test_a_lost_answer_is_counted_by_how_far_it_had_come(self):
         async def head_only(engine, head, body, writer):
             writer.write(engine.stream_head(head))
