Let the soak send prompts that crash engines

Change: the fault poison, engines that crash on a part and come back, the checks poisoned prompts and sound prompts, and two planted faults.

--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -44,6 +44,7 @@
     line: str
     born: int = 0
     misdirected: bool = False
+    parts: tuple[str, ...] = ()
 
 
 class OrderRecord(typing.NamedTuple):
@@ -70,10 +71,24 @@
     until_s: float
 
 
+class Crash(typing.NamedTuple):
+    """The crash of an engine by a prompt with a poisoned part."""
+
+    part: str
+    engine: str
+    at_s: float
+
+
 class RequestLog:
-    """The requests and orders that all engines have received, and their notices."""
+    """The requests and orders that all engines have received, and their notices.
+
+    Prompts with a part in ``poisoned_parts``, unless it is their last, crash each
+    engine that begins to answer.
+    """
 
     def __init__(self) -> None:
+        self.poisoned_parts: set[str] = set()
+        self.crashes: list[Crash] = []
         self.notices: list[Notice] = []
         self.arrivals: list[Arrival] = []
         self.orders: list[OrderRecord] = []
@@ -146,6 +161,11 @@
     return RequestHead(method, target, fields)
 
 
+def _part_keys(head: RequestHead) -> tuple[str, ...]:
+    prefix = head.get(headers.PROMPT_PREFIX)
+    return tuple(one.partition(":")[0] for one in prefix.split(",") if one)
+
+
 def _end_with_connection(writer: asyncio.StreamWriter) -> None:
     with contextlib.suppress(OSError):  # the caller has closed it already
         writer.write_eof()
@@ -182,6 +202,7 @@
         self.sequence = 0
         self.loading = False
         self.on_change: typing.Callable[[], None] = lambda: None
+        self.on_crash: typing.Callable[[], None] = lambda: None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._unframed: set[asyncio.StreamWriter] = set()
@@ -209,6 +230,11 @@
             else:
                 writer.transport.abort()
 
+    def _crash_on(self, part: str) -> None:
+        self.request_log.crashes.append(Crash(part, self.name, time.monotonic()))
+        self.crash()
+        self.on_crash()
+
     def entry(self, zone: str, address: str) -> dict[str, typing.Any]:
         """Return the record that the engine writes to the platform's store."""
         cold_s = max(0.0, self.cold_until_s - time.monotonic())
@@ -351,6 +377,7 @@
             f"{head.method} {head.target}",
             self.born,
             status == headers.MISDIRECTED,
+            _part_keys(head),
         )
         self.request_log.arrivals.append(arrival)
         if head.get(headers.API_KEY):
@@ -400,6 +427,11 @@
         fields += self._leaving_header()
         fields += f"{headers.SIGNATURE.decode()}: stream.{request_id}\r\n\r\n"
         writer.write(fields.encode())
+        if poisoned := self.request_log.poisoned_parts & {*_part_keys(head)[:-1]}:
+            await writer.drain()
+            await asyncio.sleep(EVENT_GAP_S)
+            self._crash_on(poisoned.pop())
+            return
         cut_short = self.random.random() < self.faults.garbled
         start = int(head.get(headers.LAST_EVENT) or 0) + 1
         software = self.software
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -50,6 +50,8 @@
             for number in range(3, 7)
         ],
     ),
+    "forgets-crashes": ("poisoned prompts", [Fault(0.5, "poison", "", 1.0)]),
+    "blames-all-parts": ("sound prompts", [Fault(3.5, "poison", "", 1.0)]),
     "trusts-framing": (
         "whole answers",
         [Fault(0.5, "garbled", f"e{number}", 6.0) for number in range(3, 7)],
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -12,6 +12,8 @@
 HOST = "pool.example"
 DEADLINE_MS = 2_000
 MEAN_PAUSE_S = 0.05
+FIRST_PARTS = 4
+PART_TOKENS = 200
 
 
 class RequestKind(typing.NamedTuple):
@@ -39,6 +41,7 @@
     ``complete`` tells whether the whole response arrived; ``body_error`` says what is
     wrong with its body. A request that goes on with a stream names in ``resumes`` the
     attempt that began it. ``events`` holds the software version of each event received.
+    ``parts`` are those of its prompt; ``poisoned`` is set if one crashes engines.
     """
 
     request_id: str
@@ -53,6 +56,8 @@
     reused_connection: bool
     resumes: str = ""
     events: tuple[str, ...] = ()
+    parts: tuple[str, ...] = ()
+    poisoned: bool = False
 
 
 class Takeup(typing.NamedTuple):
@@ -87,6 +92,7 @@
         self.requests = requests
         self.http = http_client.Client(connect_wait_ms=1_000)
         self.sent_count = 0
+        self.poisoned_part = ""
 
     async def run(self) -> None:
         """Send until cancelled."""
@@ -97,6 +103,21 @@
                 await self._take_up(request)
             await asyncio.sleep(MEAN_PAUSE_S * self.random.uniform(0.5, 1.5))
 
+    async def run_poisoned(self, part: str, period_s: float) -> None:
+        """Send prompts with a part that crashes engines, at any instance."""
+        self.poisoned_part = part
+        addresses = {self.edge: self.address, **self.others}
+        kinds = [one for one in REQUEST_KINDS if one.model]
+        while True:
+            edge, address = self.random.choice(list(addresses.items()))
+            self.sent_count += 1
+            request_id = f"{edge}-{self.name}-{self.sent_count}"
+            kind = self.random.choice(kinds)
+            if isinstance(address, str):
+                address = http_client.parse_address(address)
+            await self._send(kind, self.keys(), request_id, edge, address)
+            await asyncio.sleep(period_s * self.random.uniform(0.5, 1.5))
+
     async def send_request(self, kind: RequestKind, key: str) -> SentRequest:
         """Send one request and record its result."""
         self.sent_count += 1
@@ -131,6 +152,7 @@
         reused_connection = self.http.has_idle_connection(address)
         sent_s = time.monotonic()
         status, complete, body_error = 0, False, ""
+        parts = self._draw_parts(request_id) if kind.model else ()
         body = bytearray()
         try:
             async with asyncio.timeout(DEADLINE_MS / 1_000 + 0.5):
@@ -139,7 +161,7 @@
                     kind.method,
                     kind.path,
                     b"",
-                    self._headers(kind, key, request_id, takeup),
+                    self._headers(kind, key, request_id, parts, takeup),
                 )
                 status = response.status
                 async for part in response.parts():
@@ -166,12 +188,25 @@
             reused_connection,
             takeup.first if takeup else "",
             _versions(bytes(body)) if is_stream else (),
+            parts,
+            bool(self.poisoned_part),
         )
         self.requests.append(request)
         return request
 
+    def _draw_parts(self, request_id: str) -> tuple[str, ...]:
+        own = request_id[-4:]
+        if self.poisoned_part:
+            return "0", self.poisoned_part, own
+        return f"{self.random.randrange(FIRST_PARTS):x}", own
+
     def _headers(
-        self, kind: RequestKind, key: str, request_id: str, takeup: Takeup | None
+        self,
+        kind: RequestKind,
+        key: str,
+        request_id: str,
+        parts: tuple[str, ...],
+        takeup: Takeup | None,
     ) -> typing.Any:
         fields = [
             (b"host", HOST.encode()),
@@ -180,13 +215,12 @@
             (headers.API_KEY, key.encode()),
         ]
         if kind.model:
-            prefix_number = self.random.randrange(20)
             fields += [
                 (headers.MODEL, kind.model.encode()),
                 (headers.TOKEN_COUNTS, b"600,12"),
                 (
                     headers.PROMPT_PREFIX,
-                    f"{prefix_number:x}:500,{request_id[-4:]}:100".encode(),
+                    ",".join(f"{part}:{PART_TOKENS}" for part in parts).encode(),
                 ),
             ]
         if takeup is not None:
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -31,6 +31,9 @@
 VERSION_S = 9.0  # longer than the bound on old model versions
 LEAVE_EXIT_S = 4.0  # long enough for arrivals after the bound on leaving engines
 REST_S = 1.5
+POISON_S = 10.0  # past both bounds on prompts that crash engines
+POISON_PERIOD_S = 0.25
+REVIVE_S = 0.8
 DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
 READY_WAIT_S = 20.0
 RECOVERY_S = 3.0  # the documented bound is 12 s; a shorter wait keeps runs short
@@ -118,7 +121,13 @@
     def _start_caller(
         self, name: str, edge: edges_module.Edge, keys: typing.Callable[[], str]
     ) -> None:
-        caller = callers.Caller(
+        caller = self._make_caller(name, edge, keys)
+        self._tasks.append(asyncio.ensure_future(caller.run()))
+
+    def _make_caller(
+        self, name: str, edge: edges_module.Edge, keys: typing.Callable[[], str]
+    ) -> callers.Caller:
+        return callers.Caller(
             name,
             edge.name,
             f"{edge.host}:{edges_module.CALLER_PORT}",
@@ -131,7 +140,6 @@
                 if one is not edge
             },
         )
-        self._tasks.append(asyncio.ensure_future(caller.run()))
 
     async def _start_engines(self) -> None:
         for number in range(ENGINES):
@@ -149,6 +157,7 @@
             self.zones[name] = ZONES[number % len(ZONES)]
             await engine.start(self.shared_host)
             engine.on_change = lambda one=name: self.write_entry(one)
+            engine.on_crash = lambda one=name: self._revive_later(one)
             self.links[name] = proxy.Proxy(engine.address)
             await self.links[name].start(self.shared_host)
             self.write_entry(name)
@@ -411,6 +420,30 @@
             await self.engines[name].start(self.shared_host, cold_s)
         self.write_entry(name)
 
+    def _revive_later(self, name: str) -> None:
+        self._tasks.append(asyncio.ensure_future(self._revive(name)))
+
+    async def _revive(self, name: str) -> None:
+        """Restart an engine that a prompt has crashed, unless a fault will."""
+        disturbance = Disturbance(name, "crash", time.monotonic(), float("inf"))
+        self.disturbances.append(disturbance)
+        await asyncio.sleep(REVIVE_S)
+        engine = self.engines[name]
+        if not (engine.draining or engine.faults.leaving):
+            await self._restart_engine(name)
+        self.disturbances.remove(disturbance)
+        self.disturbances.append(disturbance._replace(end_s=time.monotonic()))
+
+    async def _do_poison(self, fault: schedule.Fault) -> None:
+        part = f"bad{len(self.ledger.poisoned_parts)}"
+        self.ledger.poisoned_parts.add(part)
+        self.record_change("poison", part)
+        caller = self._make_caller(part, next(iter(self.edges.values())), self._any_key)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(POISON_S):
+                await caller.run_poisoned(part, POISON_PERIOD_S)
+        self.record_change("poison-end", part)
+
     async def _do_cold(self, fault: schedule.Fault) -> None:
         # A cold engine registers as cold before it accepts requests.
         engine = self.engines[fault.subject]
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -9,9 +9,11 @@
 
 from cornelreach.gateway import (
     continuations,
+    crashes,
     eventstream,
     forwarding,
     mirror,
+    quarantine,
     quotas,
     recordhandlers,
     refusals,
@@ -102,6 +104,16 @@
     streamorigins.Holders.find = lambda self, key, more=0: []
 
 
+def _forgets_crashes() -> None:
+    """Sends prompts however many engines have crashed on them."""
+    quarantine.Quarantine.record_loss = lambda self, *loss, **more: None
+
+
+def _blames_all_parts() -> None:
+    """Refuses all parts of a prompt on which an engine crashed."""
+    crashes.CrashLog.is_guilty = lambda self, part, quarantined=(): True
+
+
 def _ignores_leaving() -> None:
     """Sends requests to engines that said they leave."""
     registry.TargetRegistry.mark_leaving = lambda self, target_id, born_ms: False
@@ -131,6 +143,8 @@
     "trusts-framing": _trusts_framing,
     "ignores-software": _ignores_software,
     "forgets-origins": _forgets_origins,
+    "forgets-crashes": _forgets_crashes,
+    "blames-all-parts": _blames_all_parts,
 }
 
 
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -27,7 +27,9 @@
 ENGINE_KINDS += ("late-orders", "link-silent", "link-reset", "forged")
 ENGINE_KINDS += ("leave", "rest")
 OPERATOR_KINDS = ("revoke", "route", "version", "evacuate")
+CALLER_KINDS = ("poison",)
 WEIGHTS = ((EDGE_KINDS, 4), (STORE_KINDS, 2), (ENGINE_KINDS, 4), (OPERATOR_KINDS, 3))
+WEIGHTS += ((CALLER_KINDS, 0.5),)
 
 
 def draw(
