Log the limits that targets name, and count the targets that do

Change: Server-Limit is decoded, 2205 says when a target's limit changes, and targets_limited counts the targets. No logic changed.

--- a/cornelreach/gateway/calls.py
+++ b/cornelreach/gateway/calls.py
@@ -64,7 +64,8 @@
     ``not_run`` is set if the target states that it did not execute the request,
     ``moved`` if another target or model version now has that address. ``leaving`` is
     set if the target says that it is about to stop; ``rest_ms`` is how long it asks
-    this instance to send it nothing.
+    this instance to send it nothing, ``limit_per_s`` how many requests a second it
+    takes from all instances together.
     """
 
     status: int
@@ -76,3 +77,4 @@
     cold_ms: float | None
     leaving: bool = False
     rest_ms: float | None = None
+    limit_per_s: float | None = None
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -315,6 +315,12 @@
                 one.is_resting(self.clock.now_ms()) for one in registry.states.values()
             ),
         )
+        gauge(
+            "targets_limited",
+            lambda: sum(
+                one.limit_per_s is not None for one in registry.states.values()
+            ),
+        )
         gauge(
             "targets_leaving",
             lambda: sum(map(registry.is_leaving, registry.targets.values())),
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -57,6 +57,14 @@
 )
 
 
+LIMITED = events.define(
+    2205,
+    "INFO",
+    "Target {target} takes {limit_per_s} requests a second from all instances.",
+    "Nothing; if it lasts: the target is in need. None means that this is over.",
+)
+
+
 class Target(typing.NamedTuple):
     """An entry of the platform's list; ``versions`` maps models to versions.
 
@@ -87,6 +95,7 @@
         self.sends = quotas.SendWindow()
         self.ejected_until_ms = 0.0
         self.resting_until_ms = 0.0
+        self.limit_per_s: float | None = None
         self.failures = 0
         self.sheds = 0
         self.suspected = False
@@ -452,6 +461,9 @@
         state = self.state(target_id)
         if reply.load is not None:
             state.load, state.load_ms = reply.load, now_ms
+        if reply.limit_per_s != state.limit_per_s:
+            state.limit_per_s = reply.limit_per_s
+            events.emit(LIMITED, target=target_id, limit_per_s=reply.limit_per_s)
         if reply.cold_ms:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + reply.cold_ms)
         if not reply.not_run:
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -26,6 +26,7 @@
 KV_SOURCE = b"x-cornelreach-kv-source"
 KV_TARGET = b"x-cornelreach-kv-target"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 STORE_ERA = b"store-era"
 
@@ -179,6 +180,7 @@
         cold_ms=cold_ms,
         leaving=_text(found, SERVER_LEAVING) == "1",
         rest_ms=retry_after_ms(headers) if status == UNAVAILABLE else None,
+        limit_per_s=decoding.parse_decimal(_text(found, SERVER_LIMIT)),
     )
 
 
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -83,6 +83,7 @@
     Spec("targets_open", "gauge", (), "Edge: targets that take new requests."),
     Spec("targets_suspected", "gauge", (), "Edge: targets suspected of having failed."),
     Spec("targets_resting", "gauge", (), "Edge: targets that asked for a rest."),
+    Spec("targets_limited", "gauge", (), "Edge: targets that named a limit."),
     Spec("targets_leaving", "gauge", (), "Edge: targets that said they leave."),
     Spec("store_era", "gauge", (), "Edge: era of the platform's store."),
     Spec(
