--- a/test/gateway/test_limits.py
+++ b/test/gateway/test_limits.py
@@ -2,6 +2,8 @@
 
 from test.gateway import harness as harness_module, test_forwarding
 
+WINDOW_S = 4.0
+
 
 def limited(per_s):
     """Return a script that answers and names a limit."""
@@ -27,3 +29,12 @@
         self.engines[0].script = harness_module.answer_ok
         await self.send(2)
         self.assertIsNone(state.limit_per_s)
+
+    # Guards against a limit being read by nobody.
+    async def test_an_engine_gets_no_more_than_it_named(self):
+        await self.start(limited(1.5), harness_module.answer_ok)
+        for number in range(60):
+            status, _ = await self.send(number)
+            self.assertEqual(status, 200)
+        # Six in four seconds, from whichever moment; the other engine takes the rest.
+        self.assertLessEqual(len(self.engines[0].requests), WINDOW_S * 1.5)
