Hold to the limit that a target names, all instances together

Cause: Server-Limit was read by nothing. Change: an instance sends its share of the limit over 4 s; instances tell each other what a target named last (targetlimits); a request that finds all its targets at their limit is refused at once. Why it works: the shares of all registered instances add up to the limit, by a property test for 1 to 120 of them, and an instance without an answer is told.

--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -139,6 +139,24 @@
     parts: dict[str, float]
 
 
+class NamedLimit(typing.NamedTuple):
+    """The requests a second that a lifetime of a target named ``ago_ms`` ago.
+
+    ``per_s`` is None if its last answer named none.
+    """
+
+    born_ms: int
+    per_s: float | None
+    ago_ms: float
+
+
+class LimitReport(typing.NamedTuple):
+    """The limits that targets named in answers to the sender or to others."""
+
+    name: str
+    targets: dict[str, NamedLimit]
+
+
 class PromptStoreUpdate(typing.NamedTuple):
     """Changes in a prompt store, from a hub that watches it.
 
@@ -236,6 +254,7 @@
     | CrashReport
     | SoundQuery
     | SoundReport
+    | LimitReport
 )
 TAGS: dict[type, bytes] = {
     LoadReport: b"t",
@@ -253,6 +272,7 @@
     CrashReport: b"x",
     SoundQuery: b"k",
     SoundReport: b"y",
+    LimitReport: b"m",
 }
 DECODERS = {tag: msgspec.msgpack.Decoder(kind) for kind, tag in TAGS.items()}
 
@@ -329,6 +349,15 @@
     ]
 
 
+def limit_reports(name: str, targets: dict[str, NamedLimit]) -> list[LimitReport]:
+    """Return the datagrams that report limits."""
+    rows = list(targets.items())
+    return [
+        LimitReport(name, dict(rows[start : start + REPORTS_PER_DATAGRAM]))
+        for start in range(0, len(rows), REPORTS_PER_DATAGRAM)
+    ]
+
+
 def leaving_reports(name: str, targets: dict[str, int]) -> list[LeavingReport]:
     """Return the datagrams that report targets that leave."""
     rows = list(targets.items())
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -27,6 +27,7 @@
     rollouts,
     selection,
     streamorigins,
+    targetlimits,
     watching,
 )
 from cornelreach.http import client as http_client, limits, messages, server
@@ -174,6 +175,7 @@
             self.site.bounds,
             self.site.regions,
             self.clock,
+            targetlimits.TargetLimits(self.gossip, self.mirror.registry, self.clock),
         )
         self.quarantine = quarantine.Quarantine(self.clock)
         self.quarantine_sync = quarantinesync.QuarantineSync(
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -173,6 +173,9 @@
             if isinstance(found, selection.Resting):
                 request_state.resting_ms = found.left_ms
                 return None
+            if isinstance(found, selection.Limited):
+                request_state.limited_ms = found.left_ms
+                return None
             if not isinstance(found, selection.Wait):
                 return found
             wait_s = found.wait_ms / 1_000
--- a/cornelreach/gateway/quotas.py
+++ b/cornelreach/gateway/quotas.py
@@ -18,9 +18,13 @@
 from cornelreach.util import hashing
 
 WINDOW_MS = 1_000
+LIMIT_WINDOW_MS = 4_000.0
+MAX_LIMIT_WINDOW_MS = 20_000.0
+UNHEARD_MS = 10_000.0  # then more instances may ask whether a limit still holds
 SAFE_SHARE = 0.8  # margin: instances disagree on the fleet size while one starts
 BUCKET_MS = 1_000
 CACHED_SHARES = 2_048
+MAX_LIMIT_PER_S = 1_000_000.0
 
 
 class Fleet(typing.NamedTuple):
@@ -50,6 +54,45 @@
     return share + (1 if ranked.index(fleet.name) < remainder else 0)
 
 
+class LimitShare(typing.NamedTuple):
+    """How many requests an instance may send to a target in any window."""
+
+    requests: int
+    window_ms: float
+
+
+def limit_share(
+    fleet: Fleet, target: str, per_s: float, unheard_ms: float = 0.0
+) -> LimitShare:
+    """Return this instance's share of the limit that a target named.
+
+    A limit too small for one request each goes to the instances that rank first. While
+    nobody hears from the target, ever more of the others may send it one request, so
+    that the end of its limit is noticed though those that rank first are down.
+    """
+    window_ms = LIMIT_WINDOW_MS
+    if 0 < per_s < 1_000 / LIMIT_WINDOW_MS:
+        window_ms = min(MAX_LIMIT_WINDOW_MS, 1_000 / per_s)
+    total = math.floor(min(per_s, MAX_LIMIT_PER_S) * window_ms / 1_000 + 1e-6)
+    unheard_steps = int(unheard_ms // UNHEARD_MS)
+    return LimitShare(_limit_requests(fleet, target, total, unheard_steps), window_ms)
+
+
+@functools.lru_cache(maxsize=CACHED_SHARES)
+def _limit_requests(fleet: Fleet, target: str, total: int, unheard_steps: int) -> int:
+    """Return this instance's part of a number of requests.
+
+    It ranks all instances, so results are cached until the fleet changes.
+    """
+    share, remainder = divmod(total, fleet.size)
+    names = set(fleet.names) | {fleet.name}
+    rank = hashing.rendezvous(target.encode(), names).index(fleet.name)
+    if rank < remainder:
+        return share + 1
+    asking = remainder + unheard_steps * max(1, total)
+    return max(share, 1 if rank < asking else 0)
+
+
 class SendWindow:
     """The requests sent to one target in a sliding window, and those chosen for it.
 
@@ -80,16 +123,34 @@
         self._expire(now_ms)
         self._sent_ms.append(now_ms)
 
-    def admits(self, share: int, now_ms: float, own: int = 0) -> bool:
+    def admits(
+        self, share: int, now_ms: float, own: int = 0, window_ms: float = WINDOW_MS
+    ) -> bool:
         """Return whether one more request fits into the share.
 
         ``own`` reservations belong to the request itself.
         """
-        self._expire(now_ms)
-        return len(self._sent_ms) + self._reserved - own < share
+        sent = self._count(now_ms - window_ms, share)
+        return sent + self._reserved - own < share
+
+    def wait_ms(self, share: LimitShare, now_ms: float) -> float:
+        """Return how long until a request fits into a share; its window at most."""
+        if len(self._sent_ms) < share.requests or not share.requests:
+            return share.window_ms
+        oldest_ms = self._sent_ms[-share.requests]
+        return max(0.0, oldest_ms + share.window_ms - now_ms)
+
+    def _count(self, since_ms: float, enough: int) -> int:
+        """Return how many requests were sent after a time, up to ``enough``."""
+        count = 0
+        for sent_ms in reversed(self._sent_ms):
+            if sent_ms <= since_ms or count >= enough:
+                break
+            count += 1
+        return count
 
     def _expire(self, now_ms: float) -> None:
-        while self._sent_ms and self._sent_ms[0] <= now_ms - WINDOW_MS:
+        while self._sent_ms and self._sent_ms[0] <= now_ms - MAX_LIMIT_WINDOW_MS:
             self._sent_ms.popleft()
 
 
--- a/cornelreach/gateway/refusals.py
+++ b/cornelreach/gateway/refusals.py
@@ -65,6 +65,16 @@
     )
 
 
+def targets_limited(left_ms: float) -> NamedRefusal:
+    """Refuse because every target is at its limit, here for another ``left_ms``.
+
+    Another instance may send its share sooner, so the wait is bounded.
+    """
+    text = "all targets of this service get as many requests as they take"
+    retry_ms = math.ceil(min(left_ms, MAX_RETRY_MS))
+    return _not_run("targets-limited", errors.Code.UNAVAILABLE, text, retry_ms)
+
+
 def quarantined(left_ms: float) -> NamedRefusal:
     """Refuse because targets crash on a part of the prompt; a trial is ``left_ms`` off.
 
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -96,6 +96,7 @@
         self.ejected_until_ms = 0.0
         self.resting_until_ms = 0.0
         self.limit_per_s: float | None = None
+        self.limit_ms = 0.0  # when the target was last heard to name it, or none
         self.failures = 0
         self.sheds = 0
         self.suspected = False
@@ -454,6 +455,25 @@
         state.resting_until_ms = max(state.resting_until_ms, now_ms + wait_ms)
         events.emit(RESTING, target=target_id, wait_ms=round(wait_ms))
 
+    def set_limit(
+        self, target_id: str, born_ms: int, per_s: float | None, at_ms: float
+    ) -> bool:
+        """Set the requests a second that a target takes from all instances together.
+
+        Returns whether that is newer than what was known.
+        """
+        target = self.targets.get(target_id)
+        if target is None or target.born_ms != born_ms:
+            return False
+        state = self.state(target_id)
+        if at_ms <= state.limit_ms:
+            return False
+        state.limit_ms = at_ms
+        if per_s != state.limit_per_s:
+            state.limit_per_s = per_s
+            events.emit(LIMITED, target=target_id, limit_per_s=per_s)
+        return True
+
     def record_reply(self, target_id: str, reply: calls.Reply, now_ms: float) -> None:
         """Update a target's state from the head of its reply."""
         if target_id not in self.targets:
@@ -461,9 +481,6 @@
         state = self.state(target_id)
         if reply.load is not None:
             state.load, state.load_ms = reply.load, now_ms
-        if reply.limit_per_s != state.limit_per_s:
-            state.limit_per_s = reply.limit_per_s
-            events.emit(LIMITED, target=target_id, limit_per_s=reply.limit_per_s)
         if reply.cold_ms:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + reply.cold_ms)
         if not reply.not_run:
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -74,7 +74,8 @@
     caller's and the route's deadline; ``due_s`` is earlier by the time reserved for
     returning the response. ``times_sent`` counts the attempts that reached a target,
     ``possible_runs`` those that may have run the request. ``resting_ms`` is how long
-    every target still rests, if that is why none was chosen. ``software`` is the only
+    every target still rests, ``limited_ms`` for how long each is at the limit that it
+    named, if that is why none was chosen. ``software`` is the only
     version of the targets' software at which a stream may go on, once it has begun.
     ``parts`` names the parts of the prompt that others may share; ``refused_ms`` is for
     how long it is refused because of one of them, unless it is sent as their trial.
@@ -109,6 +110,7 @@
         self.reason = ""
         self.choice_summary = ""
         self.resting_ms: float | None = None
+        self.limited_ms: float | None = None
         self.software: str | None = None
         self.refused_ms: float | None = None
         self.is_trial = False
@@ -168,6 +170,8 @@
             return refusals.quarantined(self.refused_ms)
         if self.resting_ms is not None:
             return refusals.targets_resting(self.resting_ms)
+        if self.limited_ms is not None:
+            return refusals.targets_limited(self.limited_ms)
         if self.software is not None:
             return refusals.no_version()
         return refusals.no_target()
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -13,6 +13,7 @@
     quotas,
     registry as registry_module,
     requeststate,
+    targetlimits,
     urgency,
 )
 from cornelreach.http import client as http_client
@@ -43,6 +44,12 @@
     left_ms: float
 
 
+class Limited(typing.NamedTuple):
+    """Every target is at the limit that it named, for ``left_ms`` at least."""
+
+    left_ms: float
+
+
 class Choice:
     """The target chosen for one attempt, and the accounting of that attempt."""
 
@@ -155,9 +162,11 @@
         bounds: site_module.Bounds,
         regions: typing.Mapping[str, str],
         clock: timers.Timers,
+        limits: targetlimits.TargetLimits,
     ) -> None:
         self.mirror = mirror
         self.balancer = balancer
+        self.limits = limits
         self.prompt_index = prompt_index
         self.http = http
         self.bounds = bounds
@@ -183,7 +192,7 @@
 
     def choose(
         self, request_state: requeststate.RequestState, spent_ms: float = 0.0
-    ) -> Choice | Wait | Resting | None:
+    ) -> Choice | Wait | Resting | Limited | None:
         """Return a target, or how long to wait for one, or None if there is none.
 
         ``spent_ms`` is the time since the request was received.
@@ -205,7 +214,11 @@
             return None if left_ms is None else Resting(left_ms)
         free = self._targets_with_room(allowed, service, now_ms)
         if not free:
-            return Wait(WAIT_MS, request_state.route.objective_ms * WAIT_SHARE)
+            max_ms = request_state.route.objective_ms * WAIT_SHARE
+            left_ms = self._limit_left_ms(allowed, now_ms)
+            if left_ms is not None and spent_ms + left_ms > max_ms:
+                return Limited(left_ms)
+            return Wait(WAIT_MS, max_ms)
         return self._pick(free, request_state, service, now_ms, spent_ms)
 
     def _allowed_targets(
@@ -274,10 +287,46 @@
             one
             for one in targets
             if one.id not in closed
+            and self._within_limit(one, now_ms)
             and self._within_cold_share(one, service, now_ms)
             and self._has_connection(one, share)
         ]
 
+    def _limit_share(
+        self, target: registry_module.Target, now_ms: float
+    ) -> quotas.LimitShare | None:
+        """Return this instance's share of the limit that a target named, if any."""
+        state = self.mirror.registry.state(target.id)
+        if state.limit_per_s is None:
+            return None
+        unheard_ms = now_ms - state.limit_ms
+        return quotas.limit_share(
+            self.mirror.fleet, target.id, state.limit_per_s, unheard_ms
+        )
+
+    def _within_limit(
+        self, target: registry_module.Target, now_ms: float, own: int = 0
+    ) -> bool:
+        """Return whether a request to a target stays within the limit that it named."""
+        share = self._limit_share(target, now_ms)
+        if share is None:
+            return True
+        state = self.mirror.registry.state(target.id)
+        return state.sends.admits(share.requests, now_ms, own, share.window_ms)
+
+    def _limit_left_ms(
+        self, targets: typing.Iterable[registry_module.Target], now_ms: float
+    ) -> float | None:
+        """Return when the first of some targets is below its limit; None if one is."""
+        waits_ms = []
+        for one in targets:
+            if self._within_limit(one, now_ms):
+                return None
+            share = self._limit_share(one, now_ms)
+            sends = self.mirror.registry.state(one.id).sends
+            waits_ms.append(sends.wait_ms(share, now_ms))
+        return min(waits_ms)
+
     def _has_connection(self, target: registry_module.Target, share: int) -> bool:
         address = http_client.parse_address(target.address)
         return self.http.open_connections(
@@ -420,8 +469,11 @@
         now_ms = self.clock.now_ms()
         if registry.is_resting(target.id, now_ms):
             return False
+        own = chosen.own_reservations()
+        if not self._within_limit(target, now_ms, own):
+            return False
         if service is not None and not self._within_cold_share(
-            target, service, now_ms, chosen.own_reservations()
+            target, service, now_ms, own
         ):
             return False
         current = registry.targets[target.id]
@@ -434,15 +486,19 @@
             self._record_times(chosen, reply, now_ms)
         chosen.finish_prefill()
         self.mirror.registry.record_reply(chosen.target.id, reply, now_ms)
-        self.record_notices(chosen.target, reply)
+        self.record_notices(chosen.target, reply, is_request=True)
 
     def record_notices(
-        self, target: registry_module.Target, reply: calls.Reply
+        self,
+        target: registry_module.Target,
+        reply: calls.Reply,
+        is_request: bool = False,
     ) -> None:
-        """Follow what an answer says of its sender: that it leaves, or wants a rest.
+        """Follow what an answer says of its sender: leaving, a rest, or a limit.
 
         The sender of a "moved" answer is whichever target is at the address now.
         """
+        self.limits.record_reply(target, reply, is_request)
         if not reply.leaving and reply.rest_ms is None:
             return
         registry = self.mirror.registry
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -67,7 +67,7 @@
     )
 )
 # Dropped from responses: what a target tells this system about itself.
-INTERNAL = frozenset((SERVER_LOAD, SERVER_LEAVING))
+INTERNAL = frozenset((SERVER_LOAD, SERVER_LEAVING, SERVER_LIMIT))
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -16,6 +16,7 @@
     registry,
     selection,
     streamorigins,
+    targetlimits,
 )
 from cornelreach.http import client as http_client, server
 from cornelreach.platform import site
@@ -201,6 +202,7 @@
             BOUNDS,
             {},
             self.clock,
+            targetlimits.TargetLimits(self.gossip, self.mirror.registry, self.clock),
         )
         self.metrics = metrics.Metrics()
         parts = forwarding.Dependencies(
--- a/test/gateway/test_quotas.py
+++ b/test/gateway/test_quotas.py
@@ -26,6 +26,39 @@
         self.assertLessEqual(sum(shares), bound)
         self.assertGreaterEqual(sum(shares), 1)
 
+    # Guards against each instance holding to the whole limit by itself.
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(
+        strategies.integers(1, 120), strategies.floats(0, 200), strategies.text()
+    )
+    def test_limit_shares_add_up_to_what_the_target_named(self, size, per_s, target):
+        views = [fleet(f"i{number}", size) for number in range(size)]
+        shares = [quotas.limit_share(view, target, per_s) for view in views]
+        (window_ms,) = {one.window_ms for one in shares}
+        total = sum(one.requests for one in shares)
+        self.assertLessEqual(total, per_s * window_ms / 1_000 + 1e-3)
+        self.assertGreater(total, per_s * window_ms / 1_000 - 1 - 1e-3)
+        self.assertGreaterEqual(window_ms, quotas.LIMIT_WINDOW_MS)
+
+    def test_more_instances_ask_while_nobody_hears_from_a_target(self):
+        views = [fleet(f"i{number}", 60) for number in range(60)]
+        for per_s, steps in ((1.3, (5, 10, 15)), (0, (0, 1, 2))):
+            for step, expected in enumerate(steps):
+                unheard_ms = step * quotas.UNHEARD_MS
+                shares = [
+                    quotas.limit_share(one, "t", per_s, unheard_ms) for one in views
+                ]
+                self.assertEqual(sum(one.requests for one in shares), expected)
+
+    def test_the_wait_for_a_share_is_until_the_oldest_request_leaves_the_window(self):
+        window, share = quotas.SendWindow(), quotas.LimitShare(2, 4_000)
+        for now_ms in (100, 500, 1_100):
+            window.record(now_ms)
+        self.assertFalse(window.admits(2, 1_200, 0, 4_000))
+        self.assertEqual(window.wait_ms(share, 1_200), 3_300)
+        self.assertTrue(window.admits(2, 4_500, 0, 4_000))
+        self.assertEqual(window.wait_ms(quotas.LimitShare(0, 4_000), 1_200), 4_000)
+
     @hypothesis.settings(derandomize=True, deadline=None, database=None)
     @hypothesis.given(strategies.lists(strategies.floats(0, 3_000), max_size=60))
     def test_no_one_second_window_exceeds_the_share(self, times):
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -81,6 +81,10 @@
         for text, leaving in ((b"1", True), (b"0", False), (b"yes", False)):
             fields = ((headers.SERVER_LEAVING, text),)
             self.assertEqual(headers.read_reply(200, fields).leaving, leaving)
+        for text, per_s in ((b"1.3", 1.3), (b" 0 ", 0.0), (b"-1", None), (b"x", None)):
+            fields = ((headers.SERVER_LIMIT, text),)
+            self.assertEqual(headers.read_reply(200, fields).limit_per_s, per_s, text)
+            self.assertEqual(headers.response_headers(fields), ())
         self.assertIsNone(
             headers.read_reply(200, ((headers.SERVER_LOAD, b"3,x,8"),)).load
         )
