--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -58,9 +58,10 @@
 
 
 class Notice(typing.NamedTuple):
-    """An answer that says that its engine leaves, or rests until a time.
+    """An answer that says that its engine leaves, rests until a time, or has a limit.
 
-    ``request_id`` is that of the request it answered, empty for a control call.
+    ``request_id`` is that of the request it answered, empty for a control call;
+    ``per_s`` is the limit.
     """
 
     kind: str
@@ -69,6 +70,7 @@
     born: int
     at_s: float
     until_s: float
+    per_s: float = 0.0
 
 
 class Crash(typing.NamedTuple):
@@ -106,13 +108,14 @@
 class Faults:
     """Shares of requests that fail by kind of fault; ``dark`` stops all responses.
 
-    ``leaving`` is told in every answer; while ``rest_s`` is set, requests are refused
-    and their senders asked to wait for that long.
+    ``leaving`` is told in every answer, and so is ``limit_per_s``; while ``rest_s`` is
+    set, requests are refused and their senders asked to wait for that long.
     """
 
     def __init__(self) -> None:
         self.leaving = False
         self.rest_s = 0.0
+        self.limit_per_s: float | None = None
         self.errors = 0.0
         self.lost = 0.0
         self.garbled = 0.0
@@ -310,23 +313,29 @@
         extra: str = "",
         framed: bool = True,
     ) -> None:
-        extra += self._leaving_header()
+        extra += self._notice_headers()
         length = f"content-length: {len(body)}\r\n" if framed else ""
         fields = f"HTTP/1.1 {status} X\r\n{length}{extra}\r\n"
         writer.write(fields.encode() + body)
         if not framed:
             _end_with_connection(writer)
 
-    def _leaving_header(self) -> str:
-        if not self.faults.leaving:
-            return ""
-        return f"{headers.SERVER_LEAVING.decode()}: 1\r\n"
+    def _notice_headers(self) -> str:
+        leaving, per_s = self.faults.leaving, self.faults.limit_per_s
+        found = f"{headers.SERVER_LEAVING.decode()}: 1\r\n" if leaving else ""
+        if per_s is not None:
+            found += f"{headers.SERVER_LIMIT.decode()}: {per_s}\r\n"
+        return found
 
     def _record_notices(self, request_id: str, status: int) -> None:
         now_s = time.monotonic()
         lifetime = (request_id, self.name, self.born, now_s)
         if self.faults.leaving:
             self.request_log.notices.append(Notice("leaving", *lifetime, float("inf")))
+        per_s = self.faults.limit_per_s
+        if per_s is not None:
+            notice = Notice("limit", *lifetime, float("inf"), per_s)
+            self.request_log.notices.append(notice)
         if status == 503 and self.faults.rest_s:
             until_s = now_s + self.faults.rest_s
             self.request_log.notices.append(Notice("rest", *lifetime, until_s))
@@ -424,7 +433,7 @@
             self._unframed.add(writer)
         fields = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n" + extra
         fields += "transfer-encoding: chunked\r\n" if framed else ""
-        fields += self._leaving_header()
+        fields += self._notice_headers()
         fields += f"{headers.SIGNATURE.decode()}: stream.{request_id}\r\n\r\n"
         writer.write(fields.encode())
         if poisoned := self.request_log.poisoned_parts & {*_part_keys(head)[:-1]}:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -29,6 +29,9 @@
 STOP_KINDS = frozenset(("term",))
 RESTARTS = frozenset(("kill", "term", "pause"))
 REST_GRACE_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_SLACK = 5
+LIMIT_GRACE_S = 0.5
 MANY_CRASHES = 5
 MAX_POISONED = 3
 MIN_COMPARED = 20  # requests
@@ -305,6 +308,39 @@
             yield Violation("rest", late[-1].request_id, text)
 
 
+def limited_engines(context: CheckContext) -> Violations:
+    """All instances that passed on a limit stay within it together."""
+    notices: dict[tuple[str, int], list[wireengine.Notice]] = {}
+    for notice in _first_notices(context, "limit"):
+        notices.setdefault((notice.engine, notice.born), []).append(notice)
+    for (engine, _), found in notices.items():
+        first_s = min(one.at_s for one in found)
+        due_s, end_s = first_s + CONTACT_S, _limit_end_s(context, engine, first_s)
+        allowed = 1.5 * found[0].per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        times_s = sorted(
+            one.at_s
+            for notice in found
+            for one in context.arrivals_after(notice)
+            if due_s < one.at_s < end_s and one.at_s > notice.at_s + LIMIT_GRACE_S
+        )
+        for index, at_s in enumerate(times_s):
+            count = sum(at_s - LIMIT_WINDOW_S < t for t in times_s[: index + 1])
+            if count > allowed:
+                text = f"{count} requests in {LIMIT_WINDOW_S} s at {engine}"
+                yield Violation("limits", "", f"{text}, {allowed} are allowed")
+                break
+
+
+def _limit_end_s(context: CheckContext, engine: str, since_s: float) -> float:
+    """Return when an engine first named no limit any more after a time."""
+    ends_s = [
+        one.at_s
+        for one in context.environment.changes
+        if one.kind == "limit-end" and one.subject == engine and one.at_s > since_s
+    ]
+    return min(ends_s, default=float("inf"))
+
+
 def _first_notices(context: CheckContext, kind: str) -> list[wireengine.Notice]:
     """Return the first notice of each lifetime of an engine to each instance."""
     found: dict[tuple[str, str, int], wireengine.Notice] = {}
@@ -500,6 +536,7 @@
     draining_engines,
     leaving_engines,
     resting_engines,
+    limited_engines,
     cold_engine_rate,
     evacuated_data_centres,
     model_versions,
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -34,6 +34,8 @@
 POISON_S = 10.0  # past both bounds on prompts that crash engines
 POISON_PERIOD_S = 0.25
 REVIVE_S = 0.8
+LIMIT_S = 9.0  # past the bound on limits, and for a window more
+LIMIT_PER_S = 1.0
 DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
 READY_WAIT_S = 20.0
 RECOVERY_S = 3.0  # the documented bound is 12 s; a shorter wait keeps runs short
@@ -408,6 +410,14 @@
     async def _do_rest(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "rest_s", REST_S, 0.0)
 
+    async def _do_limit(self, fault: schedule.Fault) -> None:
+        engine = self.engines[fault.subject]
+        self.record_change("limit", fault.subject, engine.born)
+        engine.faults.limit_per_s = LIMIT_PER_S
+        await asyncio.sleep(LIMIT_S)
+        engine.faults.limit_per_s = None
+        self.record_change("limit-end", fault.subject)
+
     async def _do_crash(self, fault: schedule.Fault) -> None:
         engine = self.engines[fault.subject]
         engine.crash()
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -21,6 +21,7 @@
     requeststate,
     rollouts,
     streamorigins,
+    targetlimits,
 )
 from cornelreach.ui import edge
 
@@ -124,6 +125,11 @@
     registry.TargetRegistry.rest = lambda self, target_id, rest_ms, now_ms: None
 
 
+def _ignores_limits() -> None:
+    """Sends requests however few an engine takes."""
+    targetlimits.TargetLimits.record_reply = lambda self, *reply, **more: None
+
+
 def _forgets_registration() -> None:
     """Does not register again when the store comes back from a copy."""
     recordhandlers.FleetHandler.on_restore = lambda self: None
@@ -132,6 +138,7 @@
 PLANTED_BUGS = {
     "ignores-leaving": _ignores_leaving,
     "ignores-rest": _ignores_rest,
+    "ignores-limits": _ignores_limits,
     "forgets-registration": _forgets_registration,
     "repeats": _repeats,
     "refuses-after-run": _refuses_after_run,
