Bound what reports of crashes and limits cost

Cause: a mass outage, as of a rack, would have made each loss look at all suspects of 256 crashes, and a hub send all of them to each of its instances with every round; a limit's refresh reached only one of a hub's two rounds. Change: evidence is indexed by part and looked at 50 ms after a loss, for the parts concerned; at most 8 crashes of 12 prompts and 100 limits are told in a round, once in each period and not with each prompt.

--- a/cornelreach/gateway/crashes.py
+++ b/cornelreach/gateway/crashes.py
@@ -29,9 +29,10 @@
 KEPT_MS = 300_000.0
 SAME_MOMENT_MS = 100.0  # crashes this close may have another cause, as a power cut
 MAX_CRASHES = 256
-MAX_PROMPTS = 32  # of one crash
+MAX_PROMPTS = 12  # of one crash
 MAX_PARTS = 16  # of one prompt
-MAX_SOUND = 16_384
+MAX_SOUND = 8_192
+MAX_REPORTS = 8  # at a time; a power cut ends far more targets at one moment
 
 _PLAIN_NAME = re.compile(r"[0-9A-Za-z_-]{1,24}\Z")
 
@@ -83,12 +84,22 @@
         held = self.prompts.get(prompt)
         if held is not None and held.begun >= lost.begun:
             return False
-        if held is None and len(self.prompts) >= MAX_PROMPTS:
+        if held is None and not self._has_room(lost):
             return False
         self.prompts[prompt] = lost
         self.changed_ms = now_ms
         return True
 
+    def _has_room(self, lost: _LostPrompt) -> bool:
+        """Return whether a suspect fits, in place of one less suspect if need be."""
+        if len(self.prompts) < MAX_PROMPTS:
+            return True
+        waiting = [prompt for prompt, one in self.prompts.items() if not one.begun]
+        if not lost.begun or not waiting:
+            return False
+        del self.prompts[waiting[0]]
+        return True
+
     def has_part(self, parts: typing.Container[str]) -> bool:
         """Return whether any suspect has one of these parts."""
         return any(part in parts for one in self.prompts.values() for part in one.parts)
@@ -126,6 +137,7 @@
         self._crashes: collections.OrderedDict[Lifetime, _Crash] = (
             collections.OrderedDict()
         )
+        self._by_part: dict[str, list[_Crash]] = {}
         self._sound_ms: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     # Records.
@@ -136,35 +148,57 @@
         """Record a prompt lost with a target; returns whether that is new."""
         now_ms = self.clock.now_ms()
         crash = self._crash(lifetime, now_ms)
-        if not crash.add(prompt, _LostPrompt(begun, parts), now_ms):
+        if not self._add(crash, prompt, _LostPrompt(begun, parts)):
             return False
         crash.observed_ms = now_ms
         return True
 
-    def merge(self, report: datagrams.CrashReport) -> bool:
-        """Merge another instance's report; returns whether anything is new."""
+    def merge(self, report: datagrams.CrashReport) -> set[str]:
+        """Merge another instance's report; returns the parts that it says more of."""
         now_ms = self.clock.now_ms()
         lifetime = Lifetime(report.target, report.born_ms)
         crash = self._crash(lifetime, now_ms - report.age_ms)
-        found = False
+        found: set[str] = set()
         for one in report.prompts:
             for part, ago_ms in one.parts.items():
                 if ago_ms is not None:
                     self.record_sound((part,), now_ms - ago_ms)
             lost = _LostPrompt(one.begun, tuple(one.parts))
-            found |= crash.add(one.prompt, lost, now_ms)
+            if self._add(crash, one.prompt, lost):
+                found.update(lost.parts)
         return found
 
+    def _add(self, crash: _Crash, prompt: int, lost: _LostPrompt) -> bool:
+        if not crash.add(prompt, lost, self.clock.now_ms()):
+            return False
+        for part in lost.parts:
+            found = self._by_part.setdefault(part, [])
+            if crash not in found:
+                found.append(crash)
+                found.sort(key=lambda one: one.at_ms)
+        return True
+
     def _crash(self, lifetime: Lifetime, at_ms: float) -> _Crash:
+        found = self._crashes.get(lifetime)
+        if found is None:
+            self._forget_old()
+            found = self._crashes[lifetime] = _Crash(at_ms)
+        return found
+
+    def _forget_old(self) -> None:
+        """Make room for one more crash, and forget those that are too old."""
         oldest_ms = self.clock.now_ms() - KEPT_MS
-        for found, crash in list(self._crashes.items()):
-            if crash.at_ms < oldest_ms:
-                del self._crashes[found]
-        if lifetime not in self._crashes:
-            self._crashes[lifetime] = _Crash(at_ms)
-            if len(self._crashes) > MAX_CRASHES:
-                self._crashes.popitem(last=False)
-        return self._crashes[lifetime]
+        while self._crashes:
+            lifetime, crash = next(iter(self._crashes.items()))
+            if len(self._crashes) < MAX_CRASHES and crash.at_ms >= oldest_ms:
+                return
+            del self._crashes[lifetime]
+            for part in {part for one in crash.prompts.values() for part in one.parts}:
+                found = self._by_part.get(part, [])
+                if crash in found:
+                    found.remove(crash)
+                if not found:
+                    self._by_part.pop(part, None)
 
     def record_sound(self, parts: typing.Iterable[str], at_ms: float) -> None:
         """Record that an answer to a prompt with these parts was whole."""
@@ -186,22 +220,27 @@
 
         Crashes with a part in ``quarantined`` are left out.
         """
-        sound_ms = self._sound_ms.get(part, float("-inf"))
+        since_ms = max(
+            self._sound_ms.get(part, float("-inf")), self.clock.now_ms() - KEPT_MS
+        )
         weight = crashes = 0
-        first_ms = last_ms = float("-inf")
+        first_ms = float("-inf")
+        next_ms = float("inf")
         counted: set[int] = set()
         companions: set[str] = set()
-        for crash in sorted(self._crashes.values(), key=lambda one: one.at_ms):
+        for crash in reversed(self._by_part.get(part, ())):
+            if crash.at_ms <= since_ms or weight >= GUILTY_WEIGHT_IN_DOUBT:
+                break
             found = crash.heaviest(part, counted)
-            if found is None or crash.at_ms <= max(sound_ms, last_ms + SAME_MOMENT_MS):
+            if found is None or crash.at_ms > next_ms - SAME_MOMENT_MS:
                 continue
             if crash.has_part(quarantined):
                 continue
             prompt, lost = found
-            first_ms = crash.at_ms if not crashes else first_ms
             counted.add(prompt)
             companions.update(lost.parts)
-            weight, crashes, last_ms = weight + lost.weight, crashes + 1, crash.at_ms
+            weight, crashes = weight + lost.weight, crashes + 1
+            first_ms = next_ms = crash.at_ms
         return Evidence(weight, crashes, first_ms, frozenset(companions - {part}))
 
     def is_guilty(self, part: str, quarantined: typing.Container[str] = ()) -> bool:
@@ -229,15 +268,9 @@
 
     def guilty_parts(self, quarantined: typing.Container[str] = ()) -> list[str]:
         """Return the parts that have to be quarantined and are not yet."""
-        suspects = {
-            part
-            for crash in self._crashes.values()
-            for one in crash.prompts.values()
-            for part in one.parts
-        }
         return sorted(
             part
-            for part in suspects
+            for part in self._by_part
             if part not in quarantined and self.is_guilty(part, quarantined)
         )
 
@@ -249,21 +282,23 @@
         With ``observed_only`` those are left out that only others have seen.
         """
         now_ms = self.clock.now_ms()
-        return [
-            datagrams.CrashReport(
-                name,
-                *lifetime,
-                now_ms - crash.at_ms,
-                tuple(
-                    datagrams.LostPrompt(
-                        prompt,
-                        lost.begun,
-                        {part: self.sound_ago_ms(part) for part in lost.parts},
-                    )
-                    for prompt, lost in crash.prompts.items()
-                ),
-            )
+        changed_ms = {
+            lifetime: crash.observed_ms or 0.0 if observed_only else crash.changed_ms
             for lifetime, crash in self._crashes.items()
-            if (crash.observed_ms or 0.0 if observed_only else crash.changed_ms)
-            >= now_ms - span_ms
-        ]
+        }
+        recent = [one for one, at_ms in changed_ms.items() if at_ms >= now_ms - span_ms]
+        recent.sort(key=lambda one: -changed_ms[one])
+        return [self._report(name, one) for one in recent[:MAX_REPORTS]]
+
+    def _report(self, name: str, lifetime: Lifetime) -> datagrams.CrashReport:
+        crash = self._crashes[lifetime]
+        prompts = tuple(
+            datagrams.LostPrompt(
+                prompt,
+                lost.begun,
+                {part: self.sound_ago_ms(part) for part in lost.parts},
+            )
+            for prompt, lost in crash.prompts.items()
+        )
+        age_ms = self.clock.now_ms() - crash.at_ms
+        return datagrams.CrashReport(name, *lifetime, age_ms, prompts)
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -228,13 +228,22 @@
         return {name: one.born_ms for name, one in self._leaving.items()}
 
     def _target_reports(self) -> list[datagrams.Datagram]:
-        """Return reports of versions and departures learned of, and of the sources."""
+        """Return reports of versions and departures learned of recently."""
         return [
             *datagrams.version_reports(self.name, self._recent_versions()),
             *datagrams.leaving_reports(self.name, self._recent_leaving()),
-            *(one for source in self.report_sources for one in source()),
         ]
 
+    def _source_reports(self) -> list[datagrams.Datagram]:
+        return [one for source in self.report_sources for one in source()]
+
+    def send_source_reports(self) -> None:
+        """Send what the sources have to tell, once in each period."""
+        reports = self._source_reports()
+        receivers = self._receivers() if reports else ()
+        for one in reports:
+            self.send(one, receivers)
+
     def apply_digest(self, part: datagrams.Digest) -> None:
         """Apply one part of a hub's digest."""
         self.hubs.record_digest(part.hub)
@@ -576,7 +585,7 @@
         ]
 
     def _send_target_reports(self, receivers: list[str]) -> None:
-        for one in self._target_reports():
+        for one in (*self._target_reports(), *self._source_reports()):
             self.send(one, receivers)
             self.send(one, self._other_hubs())
 
@@ -588,6 +597,7 @@
             await asyncio.sleep(self.interval_ms() / 1_000)
             self.expire()
             self.broadcast()
+            self.send_source_reports()
 
     async def run_hub(self) -> None:
         """Do a hub's duties until cancelled."""
--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -19,6 +19,7 @@
 FIRST_TRIAL_MS = 300_000.0
 TRIAL_FACTOR = 4.0
 MAX_TRIAL_MS = 86_400_000.0
+EVALUATE_MS = 50.0  # a crash brings many losses at once
 CLAIM_MS = 30_000.0  # between two attempts of an instance to get a trial
 
 QUARANTINED = events.define(
@@ -76,12 +77,12 @@
         self.crash_log = crashes.CrashLog(clock)
         self.held: dict[str, Held] = {}
         self.confirm_ms: typing.Callable[[], float] = lambda: 0.0
-        self.on_loss: typing.Callable[[], None] = lambda: None
         self.on_suspect: OnPart = _ignore
         self.on_hold: OnPart = _ignore
         self.on_release: OnPart = _ignore
         self.on_trial_due: OnPart = _ignore
         self._suspected: set[str] = set()
+        self._changed: set[str] = set()
 
     # Requests.
 
@@ -117,8 +118,7 @@
     ) -> None:
         """Record that a target crashed before the first event of an answer."""
         if parts and self.crash_log.record_loss(lifetime, prompt, parts, begun):
-            self.on_loss()
-            self.evaluate()
+            self.evaluate(parts)
 
     def record_answer(self, parts: tuple[str, ...]) -> None:
         """Record a whole answer; it releases the parts of its prompt."""
@@ -130,10 +130,16 @@
 
     # Conclusions.
 
-    def evaluate(self) -> None:
-        """Begin to confirm the parts that have become guilty."""
-        for part in self.crash_log.guilty_parts(self.held.keys()):
-            if part not in self._suspected:
+    def evaluate(self, parts: typing.Iterable[str]) -> None:
+        """Look soon whether any of the parts, against which more speaks, is guilty."""
+        if not self._changed:
+            self.clock.after(EVALUATE_MS, self._evaluate)
+        self._changed.update(parts)
+
+    def _evaluate(self) -> None:
+        changed, self._changed = self._changed, set()
+        for part in sorted(changed - self._suspected - self.held.keys()):
+            if self.crash_log.is_guilty(part, self.held.keys()):
                 self._suspected.add(part)
                 self.on_suspect(part)
                 self.clock.after(self.confirm_ms(), lambda one=part: self._confirm(one))
--- a/cornelreach/gateway/quarantinesync.py
+++ b/cornelreach/gateway/quarantinesync.py
@@ -54,7 +54,6 @@
         gossip.handlers[datagrams.SoundQuery] = self.handle_query
         gossip.handlers[datagrams.SoundReport] = self.handle_sound
         quarantine.confirm_ms = self._confirm_ms
-        quarantine.on_loss = gossip.announce
         quarantine.on_suspect = self._ask
         quarantine.on_hold = lambda part: self._spawn(self._write(part))
         quarantine.on_release = self._forget
@@ -88,8 +87,8 @@
 
     def handle_crash(self, report: datagrams.CrashReport) -> None:
         """Merge another instance's report of a crash."""
-        if self.quarantine.crash_log.merge(report):
-            self.quarantine.evaluate()
+        if parts := self.quarantine.crash_log.merge(report):
+            self.quarantine.evaluate(parts)
 
     def handle_query(self, query: datagrams.SoundQuery) -> None:
         """Answer for the parts of which an answer was whole, and pass the rest on."""
@@ -111,7 +110,6 @@
 
     def _ask(self, part: str) -> None:
         self._queries[part] = self.clock.now_ms()
-        self.gossip.announce()
 
     # The store.
 
--- a/cornelreach/gateway/targetlimits.py
+++ b/cornelreach/gateway/targetlimits.py
@@ -20,6 +20,7 @@
 REFRESH_MS = 2_500.0  # after it, a limit that still holds is told again
 REFRESH_REPEAT_MS = 400.0
 KEPT_MS = 10_000.0
+MAX_REPORTED = 100  # targets in one round; those told longest ago come first
 
 
 class _Told:
@@ -31,6 +32,7 @@
         self.heard_ms = 0.0
         self.repeat_until_ms = 0.0
         self.refresh_ms = 0.0
+        self.told_ms = 0.0
 
     def is_due(self, now_ms: float) -> bool:
         """Return whether to tell it in this round."""
@@ -70,12 +72,9 @@
             return
         if reply.limit_per_s is None and (state.limit_per_s is None or not is_request):
             return
-        changed = reply.limit_per_s != state.limit_per_s
         at_ms, born_ms = self.clock.now_ms(), target.born_ms
         if self.registry.set_limit(target.id, born_ms, reply.limit_per_s, at_ms):
             self._tell(target.id, born_ms, reply.limit_per_s, at_ms)
-            if changed:
-                self.gossip.announce()
 
     def _tell(
         self, target: str, born_ms: int, per_s: float | None, heard_ms: float
@@ -96,13 +95,17 @@
             for target, told in self._told.items()
             if told.heard_ms >= now_ms - KEPT_MS
         }
-        due = {}
-        for target, told in self._told.items():
-            if told.is_due(now_ms):
-                due[target] = datagrams.NamedLimit(
-                    told.born_ms, told.per_s, now_ms - told.heard_ms
-                )
-        return [*datagrams.limit_reports(self.gossip.name, due)]
+        due = [
+            (target, told) for target, told in self._told.items() if told.is_due(now_ms)
+        ]
+        due.sort(key=lambda item: item[1].told_ms)
+        rows = {}
+        for target, told in due[:MAX_REPORTED]:
+            told.told_ms = now_ms
+            rows[target] = datagrams.NamedLimit(
+                told.born_ms, told.per_s, now_ms - told.heard_ms
+            )
+        return [*datagrams.limit_reports(self.gossip.name, rows)]
 
     def handle_report(self, report: datagrams.LimitReport) -> None:
         """Follow another instance's report; a hub passes on what is new."""
--- a/tools/hub_fleet.py
+++ b/tools/hub_fleet.py
@@ -83,6 +83,7 @@
         if one.name not in self.dead:
             one.expire()
             one.broadcast()
+            one.send_source_reports()
         self.call_after(one.interval_ms(), lambda: self._broadcast_periodically(one))
 
     def _relay_periodically(self, one):
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -113,6 +113,7 @@
 def _blames_all_parts() -> None:
     """Refuses all parts of a prompt on which an engine crashed."""
     crashes.CrashLog.is_guilty = lambda self, part, quarantined=(): True
+    quarantine.Quarantine.record_answer = lambda self, parts: None
 
 
 def _ignores_leaving() -> None:
