Drop replaced suspects from the index of crashes, and tell what they cost

Cause: a suspect that another replaced left its parts in the index for good. Change: a crash remembers all parts that it was indexed by. Result: the test of bounded memory failed on that before; 17 tests pass.

--- a/cornelreach/gateway/crashes.py
+++ b/cornelreach/gateway/crashes.py
@@ -78,6 +78,7 @@
         self.changed_ms = at_ms
         self.observed_ms: float | None = None  # the last change seen by this instance
         self.prompts: dict[int, _LostPrompt] = {}
+        self.parts: set[str] = set()  # also of suspects that others have replaced
 
     def add(self, prompt: int, lost: _LostPrompt, now_ms: float) -> bool:
         """Add a suspect; returns whether that is new."""
@@ -87,6 +88,7 @@
         if held is None and not self._has_room(lost):
             return False
         self.prompts[prompt] = lost
+        self.parts.update(lost.parts)
         self.changed_ms = now_ms
         return True
 
@@ -171,7 +173,7 @@
     def _add(self, crash: _Crash, prompt: int, lost: _LostPrompt) -> bool:
         if not crash.add(prompt, lost, self.clock.now_ms()):
             return False
-        for part in lost.parts:
+        for part in set(lost.parts):
             found = self._by_part.setdefault(part, [])
             if crash not in found:
                 found.append(crash)
@@ -193,12 +195,11 @@
             if len(self._crashes) < MAX_CRASHES and crash.at_ms >= oldest_ms:
                 return
             del self._crashes[lifetime]
-            for part in {part for one in crash.prompts.values() for part in one.parts}:
-                found = self._by_part.get(part, [])
-                if crash in found:
-                    found.remove(crash)
+            for part in crash.parts:
+                found = self._by_part[part]
+                found.remove(crash)
                 if not found:
-                    self._by_part.pop(part, None)
+                    del self._by_part[part]
 
     def record_sound(self, parts: typing.Iterable[str], at_ms: float) -> None:
         """Record that an answer to a prompt with these parts was whole."""
--- a/test/gateway/test_crashes.py
+++ b/test/gateway/test_crashes.py
@@ -135,7 +135,11 @@
     def test_memory_is_bounded(self):
         for number in range(2 * crashes.MAX_CRASHES):
             prompts = [("a", f"doc{number}.{one}") for one in range(50)]
-            self.crash(f"t{number}", *prompts, after_ms=200)
+            self.crash(f"t{number}", *prompts, begun=False, after_ms=200)
+            self.crash(f"t{number}", ("b", f"doc{number}"), after_ms=0)
+        self.crash("last", ("z",), begun=True, after_ms=crashes.KEPT_MS)
+        self.crash("later", ("y",), after_ms=1)
+        self.assertEqual(set(self.log._by_part), {"z", "y"})
         self.sound(*map(str, range(2 * crashes.MAX_SOUND)))
         self.assertLessEqual(len(self.log._crashes), crashes.MAX_CRASHES)
         self.assertLessEqual(len(self.log._sound_ms), crashes.MAX_SOUND)
