Keep the unknown parts of prompts with very many parts as suspects

Cause: only the first 16 parts of a prompt were looked at, so a bad one behind a long history was never refused. Change: all parts are checked at a request; of a lost prompt those 16 are kept that are least known to be sound. Result: the new test failed on the code before (no part was guilty), passes now (18 tests).

--- a/cornelreach/gateway/crashes.py
+++ b/cornelreach/gateway/crashes.py
@@ -46,7 +46,7 @@
 
 def shared_parts(call: calls.Call) -> tuple[str, ...]:
     """Return the names of a prompt's parts except the last, which is its own."""
-    return tuple(part_name(call.model, one.key) for one in call.parts[:-1][:MAX_PARTS])
+    return tuple(part_name(call.model, one.key) for one in call.parts[:-1])
 
 
 def prompt_hash(call: calls.Call) -> int:
@@ -147,7 +147,11 @@
     def record_loss(
         self, lifetime: Lifetime, prompt: int, parts: tuple[str, ...], begun: bool
     ) -> bool:
-        """Record a prompt lost with a target; returns whether that is new."""
+        """Record a prompt lost with a target; returns whether that is new.
+
+        Of very many parts those that are not known to be sound are kept.
+        """
+        parts = tuple(sorted(parts, key=self._sound_ms.__contains__)[:MAX_PARTS])
         now_ms = self.clock.now_ms()
         crash = self._crash(lifetime, now_ms)
         if not self._add(crash, prompt, _LostPrompt(begun, parts)):
--- a/test/gateway/test_crashes.py
+++ b/test/gateway/test_crashes.py
@@ -95,6 +95,15 @@
         self.crash("t9", ("bad", "doc9"))
         self.assertEqual(self.log.guilty_parts(), ["bad"])
 
+    # Guards against missing the bad part of a prompt with a long history.
+    def test_a_bad_part_behind_many_sound_ones_is_found(self):
+        history = [f"turn{number}" for number in range(40)]
+        self.sound(*(f"m.{one}" for one in history))
+        for target in ("t1", "t2"):
+            prompt = call(*history, "bad", f"own{target}")
+            self.crash(target, crashes.shared_parts(prompt))
+        self.assertEqual(self.log.guilty_parts(), ["m.bad"])
+
     def test_a_crash_that_a_quarantined_part_explains_counts_against_no_other(self):
         for number in range(9):
             self.crash(f"t{number}", ("bad", f"doc{number}"), ("a", f"own{number}"))
