--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -32,7 +32,10 @@
         "rest",
         [Fault(0.5, "rest", f"e{number}", 6.0) for number in range(3)],
     ),
-    "ignores-limits": ("limits", [Fault(0.5, "limit", "e0", 1.0)]),
+    "ignores-limits": (
+        "limits",
+        [Fault(0.5, "limit", f"e{number}", 1.0) for number in range(7)],
+    ),
     "forgets-registration": ("registered", [Fault(0.5, "restore", "", 1.0)]),
     "stays-on-old": ("versions", [Fault(0.5, "version", "", 10.0)]),
     "joins-streams": (
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -12,7 +12,7 @@
 HOST = "pool.example"
 DEADLINE_MS = 2_000
 MEAN_PAUSE_S = 0.05
-FIRST_PARTS = 4
+FIRST_PARTS = 2
 PART_TOKENS = 200
 
 
