Move request logging and the shares of limits into modules of their own

Change: requestlog has the lines and counters of requests, targetlimits decides whether a target's limit admits one. No behaviour changed.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -177,7 +177,7 @@
             self.site.bounds,
             self.site.regions,
             self.clock,
-            targetlimits.TargetLimits(self.gossip, self.mirror.registry, self.clock),
+            targetlimits.TargetLimits(self.gossip, self.mirror, self.clock),
         )
         self.engine_client = engines.EngineClient(self.http, self._record_control_reply)
         self.quarantine = quarantine.Quarantine(self.clock)
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -20,13 +20,14 @@
     mirror as mirror_module,
     quarantine as quarantine_module,
     refusals,
+    requestlog,
     requeststate,
     selection,
 )
 from cornelreach.http import client as http_client, messages, server
 from cornelreach.platform import headers
 from cornelreach.reports import metrics as metrics_module
-from cornelreach.util import events, timers
+from cornelreach.util import timers
 
 DEADLINE_MARGIN_S = 0.015  # reserved for returning the response to the caller
 FIRST_ATTEMPT_SHARE = 0.5  # of the time left, while the request may run once more
@@ -35,19 +36,6 @@
 
 STREAM_LOST = (http_client.ResponseLost, eventstream.EventTooLong, TimeoutError)
 
-ENDED = events.define(
-    2401,
-    "INFO",
-    "Request {id} on {route}: {outcome}, status {status}, tries {tries}.",
-    "Search the log for the identifier; see docs/OPERATIONS.md.",
-)
-ATTEMPT_ENDED = events.define(
-    2402,
-    "INFO",
-    "Request {id} at {target}: {outcome} ({reason}).",
-    "If there are many for one target: check it.",
-)
-
 
 class StaleChoice(Exception):
     """The chosen target stopped taking requests before the first byte was sent."""
@@ -81,6 +69,9 @@
 
     def __init__(self, dependencies: Dependencies) -> None:
         self.dependencies = dependencies
+        self.log = requestlog.RequestLog(
+            dependencies.mirror, dependencies.metrics, dependencies.clock
+        )
         self.active = 0
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -151,12 +142,12 @@
                 case requeststate.Answered(response):
                     if response.status < 300:
                         self.dependencies.quarantine.record_answer(request_state.parts)
-                    self._log(request_state, "answered", response.status)
+                    self.log.ended(request_state, "answered", response.status)
                     return response
                 case requeststate.Opened(answer):
                     return self._stream(request_state, chosen, answer)
         if request_state.failure is not None:
-            self._log(request_state, "failure", request_state.failure.status)
+            self.log.ended(request_state, "failure", request_state.failure.status)
             return request_state.failure
         refusal = request_state.refusal(loop.time())
         return self._refuse(request_state.call.request_id, request_state, refusal)
@@ -219,26 +210,10 @@
         chosen: selection.Choice,
         outcome: requeststate.Outcome,
     ) -> None:
-        reason = getattr(outcome, "reason", "")
-        if isinstance(outcome, requeststate.Failure):
-            reason = f"status {outcome.response.status}"
         self.dependencies.selector.record_failure(chosen, outcome)
-        fields: dict[str, str] = {}
         if isinstance(outcome, requeststate.Lost):
-            fields["progress"] = outcome.progress.value
-            fields["parts"] = ",".join(one.key for one in request_state.call.parts)
             self._record_crash(request_state, chosen, outcome)
-            self.dependencies.metrics.add(
-                "answers_lost_total", 1, request_state.service, outcome.progress.value
-            )
-        events.emit(
-            ATTEMPT_ENDED,
-            id=request_state.call.request_id,
-            target=chosen.target.id,
-            outcome=type(outcome).__name__.lower(),
-            reason=reason,
-            **fields,
-        )
+        self.log.attempt_failed(request_state, chosen.target.id, outcome)
 
     def _record_crash(
         self,
@@ -424,26 +399,7 @@
                 )
         finally:
             self.active -= 1
-            self._log_stream(request_state, outcome, framing, splitter)
-
-    def _log_stream(
-        self,
-        request_state: requeststate.RequestState,
-        outcome: str,
-        framing: str,
-        splitter: eventstream.EventSplitter,
-    ) -> None:
-        open_bytes = len(splitter.remainder())
-        is_open = "yes" if open_bytes else "no"
-        self.dependencies.metrics.add("streams_total", 1, outcome, framing, is_open)
-        self._log(
-            request_state,
-            outcome,
-            200,
-            framing=framing,
-            last_event=splitter.last_id,
-            open_event_bytes=open_bytes,
-        )
+            self.log.stream_ended(request_state, outcome, framing, splitter)
 
     async def _read_until_due(
         self,
@@ -484,46 +440,5 @@
         refusal: refusals.NamedRefusal,
     ) -> messages.Response:
         response = refusals.make_response(refusal, self.dependencies.random.random())
-        self._log(request_state, refusal.name, response.status, request_id)
+        self.log.ended(request_state, refusal.name, response.status, request_id)
         return response
-
-    def _log(
-        self,
-        request_state: requeststate.RequestState | None,
-        outcome: str,
-        status: int,
-        request_id: str = "",
-        **stream_fields: object,
-    ) -> None:
-        metrics = self.dependencies.metrics
-        metrics.add("requests_total", 1, outcome, str(status))
-        if request_state is not None and request_state.first_byte_s is not None:
-            first_ms = request_state.spent_ms(request_state.first_byte_s)
-            metrics.observe("first_byte_ms", first_ms, route=request_state.route.name)
-        now_ms = self.dependencies.clock.now_ms()
-        mirror = self.dependencies.mirror
-        fields: dict[str, typing.Any] = {"route": "-", "tries": ""}
-        if request_state is not None:
-            request_id = request_state.call.request_id
-            fields = {
-                "route": request_state.route.name,
-                "tries": " ".join(request_state.tries),
-                "service": request_state.service,
-                "chosen": request_state.choice_summary,
-                "prompt_tokens": request_state.call.prompt_tokens,
-                "first_ms": request_state.spent_ms(request_state.first_byte_s),
-                "total_ms": request_state.spent_ms(asyncio.get_running_loop().time()),
-            }
-            if request_state.call.last_event is not None:
-                fields["resumes"] = request_state.call.resumes
-                fields["after_event"] = request_state.call.last_event
-        events.emit(
-            ENDED,
-            id=request_id,
-            outcome=outcome,
-            status=status,
-            config=mirror.catalogue.version if mirror.catalogue else 0,
-            proof_age_ms=round(min(1e9, mirror.proof_age_ms(now_ms))),
-            **fields,
-            **stream_fields,
-        )
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -215,7 +215,7 @@
         free = self._targets_with_room(allowed, service, now_ms)
         if not free:
             max_ms = request_state.route.objective_ms * WAIT_SHARE
-            left_ms = self._limit_left_ms(allowed, now_ms)
+            left_ms = self.limits.left_ms(allowed, now_ms)
             if left_ms is not None and spent_ms + left_ms > max_ms:
                 return Limited(left_ms)
             return Wait(WAIT_MS, max_ms)
@@ -287,46 +287,11 @@
             one
             for one in targets
             if one.id not in closed
-            and self._within_limit(one, now_ms)
+            and self.limits.admits(one.id, now_ms)
             and self._within_cold_share(one, service, now_ms)
             and self._has_connection(one, share)
         ]
 
-    def _limit_share(
-        self, target: registry_module.Target, now_ms: float
-    ) -> quotas.LimitShare | None:
-        """Return this instance's share of the limit that a target named, if any."""
-        state = self.mirror.registry.state(target.id)
-        if state.limit_per_s is None:
-            return None
-        unheard_ms = now_ms - state.limit_ms
-        return quotas.limit_share(
-            self.mirror.fleet, target.id, state.limit_per_s, unheard_ms
-        )
-
-    def _within_limit(
-        self, target: registry_module.Target, now_ms: float, own: int = 0
-    ) -> bool:
-        """Return whether a request to a target stays within the limit that it named."""
-        share = self._limit_share(target, now_ms)
-        if share is None:
-            return True
-        state = self.mirror.registry.state(target.id)
-        return state.sends.admits(share.requests, now_ms, own, share.window_ms)
-
-    def _limit_left_ms(
-        self, targets: typing.Iterable[registry_module.Target], now_ms: float
-    ) -> float | None:
-        """Return when the first of some targets is below its limit; None if one is."""
-        waits_ms = []
-        for one in targets:
-            if self._within_limit(one, now_ms):
-                return None
-            share = self._limit_share(one, now_ms)
-            sends = self.mirror.registry.state(one.id).sends
-            waits_ms.append(sends.wait_ms(share, now_ms))
-        return min(waits_ms)
-
     def _has_connection(self, target: registry_module.Target, share: int) -> bool:
         address = http_client.parse_address(target.address)
         return self.http.open_connections(
@@ -470,7 +435,7 @@
         if registry.is_resting(target.id, now_ms):
             return False
         own = chosen.own_reservations()
-        if not self._within_limit(target, now_ms, own):
+        if not self.limits.admits(target.id, now_ms, own):
             return False
         if service is not None and not self._within_cold_share(
             target, service, now_ms, own
--- a/cornelreach/gateway/targetlimits.py
+++ b/cornelreach/gateway/targetlimits.py
@@ -4,14 +4,19 @@
 instance gets an answer, least of all one without a share of a small limit, so those
 that do tell the others, also when an answer names none any more::
 
-    limits.record_reply(target, reply)
+    limits.record_reply(target, reply, is_request=True)
     limits.reports()  # sent with each round of reports
+    limits.admits("engine-1", now_ms)  # within this instance's share
 """
 
+import typing
+
 from cornelreach.gateway import (
     calls,
     datagrams,
     gossip as gossip_module,
+    mirror as mirror_module,
+    quotas,
     registry as registry_module,
 )
 from cornelreach.util import timers
@@ -53,16 +58,53 @@
     def __init__(
         self,
         gossip: gossip_module.Gossip,
-        registry: registry_module.TargetRegistry,
+        mirror: mirror_module.Mirror,
         clock: timers.Timers,
     ) -> None:
         self.gossip = gossip
-        self.registry = registry
+        self.mirror = mirror
+        self.registry = mirror.registry
         self.clock = clock
         self._told: dict[str, _Told] = {}
         gossip.report_sources.append(self.reports)
         gossip.handlers[datagrams.LimitReport] = self.handle_report
 
+    # Requests.
+
+    def admits(self, target: str, now_ms: float, own: int = 0) -> bool:
+        """Return whether one more request stays within this instance's share.
+
+        ``own`` reservations belong to the request itself.
+        """
+        state = self.registry.state(target)
+        if state.limit_per_s is None:
+            return True
+        share = self._share(target, state, now_ms)
+        return state.sends.admits(share.requests, now_ms, own, share.window_ms)
+
+    def left_ms(
+        self, targets: typing.Iterable[registry_module.Target], now_ms: float
+    ) -> float | None:
+        """Return when the first of some targets admits a request; None if one does."""
+        waits_ms = []
+        for one in targets:
+            if self.admits(one.id, now_ms):
+                return None
+            state = self.registry.state(one.id)
+            share = self._share(one.id, state, now_ms)
+            waits_ms.append(state.sends.wait_ms(share, now_ms))
+        return min(waits_ms, default=None)
+
+    def _share(
+        self, target: str, state: registry_module.State, now_ms: float
+    ) -> quotas.LimitShare:
+        unheard_ms = now_ms - state.limit_ms
+        return quotas.limit_share(
+            self.mirror.fleet, target, state.limit_per_s, unheard_ms
+        )
+
+    # Answers, and reports of other instances.
+
     def record_reply(
         self, target: registry_module.Target, reply: calls.Reply, is_request: bool
     ) -> None:
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -202,7 +202,7 @@
             BOUNDS,
             {},
             self.clock,
-            targetlimits.TargetLimits(self.gossip, self.mirror.registry, self.clock),
+            targetlimits.TargetLimits(self.gossip, self.mirror, self.clock),
         )
         self.metrics = metrics.Metrics()
         parts = forwarding.Dependencies(
--- a/test/gateway/test_targetlimits.py
+++ b/test/gateway/test_targetlimits.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from cornelreach.gateway import calls, datagrams, targetlimits
+from cornelreach.gateway import (
+    calls,
+    datagrams,
+    mirror as mirror_module,
+    targetlimits,
+)
 from tools import hub_fleet as fleet_module
 
 CONTACT_MS = 3_000  # the shortest of the bounds on the users' sheets
@@ -19,10 +24,16 @@
     def __init__(self, size, **options):
         super().__init__(size, **options)
         self.limits = {
-            name: targetlimits.TargetLimits(one, one.registry, self.clock)
+            name: targetlimits.TargetLimits(one, self.mirror_of(one), self.clock)
             for name, one in self.instances.items()
         }
 
+    def mirror_of(self, instance):
+        """Return the records of an instance, with its own registry."""
+        mirror = mirror_module.Mirror(instance.name, 5_000, True)
+        mirror.registry = instance.registry
+        return mirror
+
     def answer(self, name, per_s, is_request=True, moved=False):
         """Let a target answer an instance."""
         target = self.instances[name].registry.targets["t1"]
