--- /dev/null
+++ b/tools/soak/checkcontext.py
@@ -0,0 +1,72 @@
+"""What checks share: the bounds, violations, and lookups in what was observed."""
+
+import typing
+
+from standins import wireengine
+from tools.soak import environment as environment_module
+
+CONTACT_S = 3.0
+DRAIN_S = 2.0
+SLACK_S = 0.25  # delay between sending and recording on a busy machine
+RESTARTS = frozenset(("kill", "term", "pause"))
+
+
+class Violation(typing.NamedTuple):
+    """A violated guarantee; ``request_id`` is empty if no request is involved."""
+
+    guarantee: str
+    request_id: str
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.guarantee}: {self.text} ({self.request_id or 'no request'})"
+
+
+Violations = typing.Iterator[Violation]
+
+
+class CheckContext:
+    """The environment, with lookups that several checks share."""
+
+    def __init__(self, environment: environment_module.Environment) -> None:
+        self.environment = environment
+        self.runs = environment.ledger.runs()
+        self.requests = {one.request_id: one for one in environment.requests}
+
+    def disturbances_of(
+        self, subject: str, start_s: float, end_s: float
+    ) -> list[environment_module.Disturbance]:
+        """Return the disturbances of a subject that overlap a time interval."""
+        return [
+            one
+            for one in self.environment.disturbances
+            if one.subject == subject and one.start_s <= end_s and one.end_s >= start_s
+        ]
+
+    def has_contact(self, edge: str, at_s: float) -> bool:
+        """Return whether the instance and the store were recently undisturbed."""
+        since_s = at_s - CONTACT_S
+        return not any(
+            self.disturbances_of(subject, since_s, at_s) for subject in (edge, "store")
+        )
+
+    def arrivals_after(
+        self, notice: wireengine.Notice
+    ) -> typing.Iterator[wireengine.Arrival]:
+        """Yield later arrivals from the instance that got a notice, in its lifetime.
+
+        Those of an instance that was stopped or paused since are left out.
+        """
+        edge = notice.request_id.partition("-")[0]
+        for one in self.environment.ledger.arrivals:
+            if (
+                one.at_s > notice.at_s
+                and (one.engine, one.born) == (notice.engine, notice.born)
+                and one.request_id.partition("-")[0] == edge
+                and not one.misdirected
+                and not any(
+                    found.kind in RESTARTS
+                    for found in self.disturbances_of(edge, notice.at_s, one.at_s)
+                )
+            ):
+                yield one
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -7,6 +7,7 @@
 import typing
 
 from tools.soak import (
+    checkcontext,
     checks,
     edges,
     environment as environment_module,
@@ -33,7 +34,7 @@
     """The result of a run; ``lines`` holds the log lines of each affected request."""
 
     faults: list[schedule.Fault]
-    violations: list[checks.Violation]
+    violations: list[checkcontext.Violation]
     lines: dict[str, list[str]]
     requests: int
     served: int
@@ -92,7 +93,7 @@
 def _make_outcome(
     environment: environment_module.Environment,
     faults: list[schedule.Fault],
-    violations: list[checks.Violation],
+    violations: list[checkcontext.Violation],
 ) -> Outcome:
     lines = {}
     for one in violations[:MAX_SHOWN_VIOLATIONS]:
