Release a wrongly refused part everywhere, also before its entry shows

Change: that instance tells the others, and deletes the entry once it is there; they release the part if the answer is younger than their refusal. Result: three new tests; one instance's answer releases the part in fleets of 7 and 63 in virtual time within half of contact_ms.

--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -20,6 +20,7 @@
 TRIAL_FACTOR = 4.0
 MAX_TRIAL_MS = 86_400_000.0
 EVALUATE_MS = 50.0  # a crash brings many losses at once
+RELEASED_MS = 30_000.0  # by then an entry that was being written has been read
 CLAIM_MS = 30_000.0  # between two attempts of an instance to get a trial
 
 QUARANTINED = events.define(
@@ -43,6 +44,7 @@
     """A quarantined part; ``version`` is that of its entry in the store, if written."""
 
     def __init__(self, now_ms: float) -> None:
+        self.since_ms = now_ms
         self.version: int | None = None
         self.trials = 0
         self.due_ms = now_ms + FIRST_TRIAL_MS
@@ -64,12 +66,20 @@
     """Ignore a change of a part."""
 
 
+OnRelease = typing.Callable[[str, int | None], None]
+
+
+def _ignore_release(part: str, version: int | None) -> None:
+    """Ignore a release."""
+
+
 class Quarantine:
     """The parts that are refused.
 
-    ``on_suspect`` is called with a part that is to be confirmed, ``on_hold`` and
-    ``on_release`` with one that this instance has quarantined or found to be sound,
-    ``on_trial_due`` with one of which a prompt may be tried.
+    ``on_suspect`` is called with a part that is to be confirmed, ``on_hold`` with one
+    that this instance has quarantined and ``on_trial_due`` with one of which a prompt
+    may be tried. ``on_release`` is called with a part that this instance found to be
+    sound and the version of its entry, if known; again if the entry shows later.
     """
 
     def __init__(self, clock: timers.Timers) -> None:
@@ -79,10 +89,11 @@
         self.confirm_ms: typing.Callable[[], float] = lambda: 0.0
         self.on_suspect: OnPart = _ignore
         self.on_hold: OnPart = _ignore
-        self.on_release: OnPart = _ignore
+        self.on_release: OnRelease = _ignore_release
         self.on_trial_due: OnPart = _ignore
         self._suspected: set[str] = set()
         self._changed: set[str] = set()
+        self._released_ms: dict[str, float] = {}
 
     # Requests.
 
@@ -122,12 +133,25 @@
 
     def record_answer(self, parts: tuple[str, ...]) -> None:
         """Record a whole answer; it releases the parts of its prompt."""
-        self.crash_log.record_sound(parts, self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        self.crash_log.record_sound(parts, now_ms)
         for part in parts:
             if part in self.held:
-                self.on_release(part)
+                self._remember_release(part, now_ms)
+                self.on_release(part, self.held[part].version)
                 self._release(part, "an answer was whole")
 
+    def _remember_release(self, part: str, now_ms: float) -> None:
+        oldest_ms = now_ms - RELEASED_MS
+        recent = [one for one in self._released_ms.items() if one[1] > oldest_ms]
+        self._released_ms = {**dict(recent), part: now_ms}
+
+    def record_answer_elsewhere(self, part: str, at_ms: float) -> None:
+        """Record another instance's whole answer; a later one releases its part."""
+        self.crash_log.record_sound((part,), at_ms)
+        if part in self.held and at_ms > self.held[part].since_ms:
+            self._release(part, "an answer was whole elsewhere")
+
     # Conclusions.
 
     def evaluate(self, parts: typing.Iterable[str]) -> None:
@@ -160,8 +184,11 @@
     # Entries of the store.
 
     def apply_entry(self, part: str, version: int, trials: int) -> None:
-        """Hold a part that has an entry in the store."""
+        """Hold a part that has an entry in the store, unless released here since."""
         now_ms = self.clock.now_ms()
+        if self._released_ms.get(part, float("-inf")) > now_ms - RELEASED_MS:
+            self.on_release(part, version)
+            return
         if part not in self.held:
             self.held[part] = Held(now_ms)
             events.emit(QUARANTINED, part=part, crashes=0, weight=0)
@@ -169,6 +196,7 @@
 
     def remove_entry(self, part: str) -> None:
         """Release a part whose entry was deleted: somebody knows that it is sound."""
+        self._released_ms.pop(part, None)
         if part in self.held:
             self.crash_log.record_sound((part,), self.clock.now_ms())
             self._release(part, "its entry was deleted")
--- a/cornelreach/gateway/quarantinesync.py
+++ b/cornelreach/gateway/quarantinesync.py
@@ -56,7 +56,7 @@
         quarantine.confirm_ms = self._confirm_ms
         quarantine.on_suspect = self._ask
         quarantine.on_hold = lambda part: self._spawn(self._write(part))
-        quarantine.on_release = self._forget
+        quarantine.on_release = self._announce_release
         quarantine.on_trial_due = lambda part: self._spawn(self._claim_trial(part))
 
     def _confirm_ms(self) -> float:
@@ -104,7 +104,7 @@
         """Apply another instance's whole answers."""
         now_ms = self.clock.now_ms()
         for part, ago_ms in report.parts.items():
-            self.quarantine.crash_log.record_sound((part,), now_ms - ago_ms)
+            self.quarantine.record_answer_elsewhere(part, now_ms - ago_ms)
             if self.gossip.is_relay():
                 self._replies.setdefault(part, now_ms)
 
@@ -157,10 +157,11 @@
             held.update(outcome.unwrap(), held.trials + 1, self.clock.now_ms())
             held.has_trial = True
 
-    def _forget(self, part: str) -> None:
-        held = self._held(part)
-        if held is not None and held.version is not None:
-            self._spawn(self._delete(part, held.version))
+    def _announce_release(self, part: str, version: int | None) -> None:
+        """Tell the others of a whole answer, and delete the entry once it is known."""
+        self._replies[part] = self.clock.now_ms()
+        if version is not None:
+            self._spawn(self._delete(part, version))
 
     async def _delete(self, part: str, version: int) -> None:
         while isinstance(
--- a/test/gateway/test_quarantine.py
+++ b/test/gateway/test_quarantine.py
@@ -16,7 +16,9 @@
         self.due, self.held, self.released = [], [], []
         self.quarantine.on_trial_due = self.due.append
         self.quarantine.on_hold = self.held.append
-        self.quarantine.on_release = self.released.append
+        self.quarantine.on_release = lambda part, version: self.released.append(
+            (part, version)
+        )
 
     def crash(self, count=2):
         """Crash some targets by prompts with a bad part."""
@@ -53,7 +55,28 @@
         self.hold()
         self.quarantine.record_answer(("a", "bad"))
         self.assertIsNone(self.quarantine.refuse_ms(("bad",)))
-        self.assertEqual(self.released, ["bad"])
+        self.assertEqual(self.released, [("bad", 7)])
+
+    # Guards against holding a sound part again whose entry was being written.
+    def test_an_entry_that_shows_after_the_release_is_given_back(self):
+        self.crash()
+        self.clock.advance(500)
+        self.quarantine.record_answer(("bad",))
+        self.quarantine.apply_entry("bad", 7, 0)
+        self.assertIsNone(self.quarantine.refuse_ms(("bad",)))
+        self.assertEqual(self.released, [("bad", None), ("bad", 7)])
+        self.quarantine.remove_entry("bad")
+        self.quarantine.apply_entry("bad", 9, 0)
+        self.assertTrue(self.quarantine.holds(("bad",)))
+
+    def test_a_later_whole_answer_elsewhere_releases_the_part_without_a_write(self):
+        self.hold()
+        held_ms = self.quarantine.held["bad"].since_ms
+        self.quarantine.record_answer_elsewhere("bad", held_ms - 1)
+        self.assertTrue(self.quarantine.holds(("bad",)))
+        self.quarantine.record_answer_elsewhere("bad", held_ms + 1)
+        self.assertFalse(self.quarantine.holds(("bad",)))
+        self.assertEqual(self.released, [])
 
     # Guards against a restarted instance that sends such prompts again.
     def test_an_entry_of_the_store_is_held_without_any_crash(self):
--- a/test/gateway/test_quarantinesync.py
+++ b/test/gateway/test_quarantinesync.py
@@ -33,7 +33,7 @@
             found = self.quarantines[name] = quarantine.Quarantine(self.clock)
             mirror = mirror_module.Mirror(name, 5_000, True)
             quarantinesync.QuarantineSync(found, one, None, mirror, self.clock)
-            found.on_hold = found.on_release = lambda part: None
+            found.on_hold = lambda part: None
 
     def crash(self, target, prompts):
         """Crash a target with prompts, each the name of an instance and parts."""
@@ -102,6 +102,17 @@
             fleet.run(CONTACT_MS)
             self.assertEqual(fleet.holders("a"), [], size)
 
+    # Guards against one instance's answer leaving a sound part refused at the others.
+    def test_a_whole_answer_releases_the_part_everywhere(self):
+        for size in (7, 63):
+            fleet = Fleet(size)
+            fleet.run(2_000)
+            self.storm(fleet)
+            fleet.run(CONTACT_MS)
+            fleet.quarantines["i1"].record_answer(("bad",))
+            fleet.run(CONTACT_MS / 2)
+            self.assertEqual(fleet.holders("bad"), [], size)
+
     def test_reports_end_after_a_crash(self):
         fleet = Fleet(7)
         fleet.run(2_000)
