Start an instance of the soak once after two stops that overlap

Cause: two stops of one instance both saw its ended process and both started it again; the first of the new processes was lost, went on after the run, and the run could wait for it for ever. Seen as processes left behind by soaks. Change: the second finds that another has started it.

--- a/tools/soak/edges.py
+++ b/tools/soak/edges.py
@@ -74,6 +74,7 @@
             )
         )
         self._log_reader: asyncio.Task[None] | None = None
+        self._restart_lock = asyncio.Lock()
 
     async def start(self) -> None:
         """Start a process with the settings of this instance."""
@@ -85,6 +86,12 @@
         )
         self._log_reader = asyncio.ensure_future(self._read_log(self.process))
 
+    async def restart(self, ended: asyncio.subprocess.Process) -> None:
+        """Start again after a process has ended, unless another fault did already."""
+        async with self._restart_lock:
+            if self.process is ended:
+                await self.start()
+
     async def _read_log(self, process: asyncio.subprocess.Process) -> None:
         async for line in process.stdout:
             self.log_lines.append(line)
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -313,8 +313,7 @@
         process = edge.process
         await edge.stop(number)
         await asyncio.sleep(RESTART_S)
-        if edge.process is process:
-            await edge.start()
+        await edge.restart(process)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(READY_WAIT_S):
                 while not await _is_ready(edge):
