Log until when prompts may begin on older weights

The log told when an instance read a new version of weights, but not since when it may have been set, nor until when prompts may begin on older ones, so an instance that read it late looked like one that started late. Event 2104 says both.

--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -17,7 +17,7 @@
     records as records_module,
     results,
 )
-from cornelreach.util import timers
+from cornelreach.util import events, timers
 
 # A version may have been set long before this process started. The previous one is
 # still allowed for a little less than the time of contact with the platform after which
@@ -26,6 +26,14 @@
 RESTORE_GRACE_MS = 10_000.0  # for the operator to write again what a copy lacks
 OLD_SHARE = 0.65  # of the bound; for the rest a request may be queued at an engine
 
+OLD_WEIGHTS = events.define(
+    2104,
+    "INFO",
+    "Version {version} of {model} was not set {unset_ms} ms ago; for {old_ms} ms more "
+    "prompts may begin on older ones.",
+    "Nothing; unset_ms is empty if this instance has just started.",
+)
+
 
 class BaseHandler(abc.ABC):
     """Base class of the handlers."""
@@ -171,6 +179,10 @@
     ) -> None:
         super().__init__(mirror, clock)
         self.version_ms = version_ms
+        self._proved_ms: float | None = None
+
+    def on_proof(self, at_ms: float) -> None:
+        self._proved_ms = max(at_ms, self._proved_ms or at_ms)
 
     def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
         first = self.kind not in self.mirror.synced
@@ -186,9 +198,24 @@
         if record.value is None:
             return
         found = records_module.decode_version(record)
-        if found is not None:
-            now_ms = self.clock.now_ms()
-            self.mirror.set_version(found.model, found.version, now_ms, now_ms + old_ms)
+        if found is None:
+            return
+        now_ms = self.clock.now_ms()
+        old_until_ms = now_ms + old_ms
+        if self.mirror.set_version(found.model, found.version, now_ms, old_until_ms):
+            self._log(found, now_ms, old_until_ms)
+
+    def _log(
+        self, found: records_module.ModelVersion, now_ms: float, old_until_ms: float
+    ) -> None:
+        unset_ms = None if self._proved_ms is None else round(now_ms - self._proved_ms)
+        events.emit(
+            OLD_WEIGHTS,
+            model=found.model,
+            version=found.version,
+            unset_ms=unset_ms,
+            old_ms=max(0, round(old_until_ms - now_ms)),
+        )
 
 
 class FleetHandler(BaseHandler):
