Add a failing test for weights that were replaced while an instance stood still

The instance reads the version 4.6 s late and allows prompts to begin on the older one until 9.8 s after it may have been set; 8 s are allowed.

--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -5,7 +5,14 @@
 
 from returns import result
 
-from cornelreach.gateway import hubs, mirror as mirror_module, recordhandlers, watching
+from cornelreach.gateway import (
+    gossip as gossip_module,
+    hubs,
+    mirror as mirror_module,
+    proofs,
+    recordhandlers,
+    watching,
+)
 from cornelreach.platform import records, results
 from cornelreach.util import timers
 
@@ -28,6 +35,11 @@
     return results.Record(records.CONFIG_MAIN, revision, {**CONFIG, "version": version})
 
 
+def weights(version, revision):
+    """Return the record of a version of weights."""
+    return results.Record("versions/m", revision, {"model": "m", "version": version})
+
+
 TIMING = watching.Timing(1_500, 500, 0.0, 2_000.0)
 
 
@@ -163,6 +175,63 @@
         self.assertEqual(self.mirror.catalogue.version, 3)
 
 
+class LateWeights(unittest.IsolatedAsyncioTestCase):
+    """The watcher of weights beside that of the configuration, whose calls are short.
+
+    Prompts may begin on older weights for 8 s after newer ones were set.
+    """
+
+    def setUp(self):
+        self.clock = timers.VirtualTimers(start_ms=60_000)
+        self.objects = Objects(self.clock)
+        self.mirror = mirror_module.Mirror("e", 5_000, True)
+        gossip = gossip_module.Gossip(
+            "e", "boot", self.mirror.registry, self.clock, "lj"
+        )
+        self.proofs = proofs.Proofs(gossip, self.clock, lambda at_ms: None)
+        self.config = self.make_watcher(
+            recordhandlers.CatalogueHandler(self.mirror, self.clock, lambda: None)
+        )
+        self.versions = self.make_watcher(
+            recordhandlers.VersionHandler(self.mirror, self.clock, 8_000)
+        )
+        self.proofs.anchor = self.config
+
+    def make_watcher(self, handler):
+        timing = watching.Timing(15_000, 15_000, 0.0, 2_000.0)
+        watcher = watching.Watcher(
+            self.objects, handler, timing, self.clock, random.Random(1)
+        )
+        self.proofs.add(watcher)
+        return watcher
+
+    async def poll(self, watcher, took_ms, answer):
+        """Make one call that takes some time."""
+        self.objects.script = [(took_ms, answer)]
+        await watcher.poll()
+
+    async def read_lists(self):
+        """Read both kinds for the first time."""
+        for watcher, record in (
+            (self.config, config(3, 9)),
+            (self.versions, weights(2, 9)),
+        ):
+            await self.poll(watcher, 0, result.Success(results.Listing(9, (record,))))
+
+    def old_until_ms(self):
+        """Return until when prompts may begin on older weights."""
+        return self.mirror.versions["m"].old_until_ms
+
+    # Guards against prompts on weights that were replaced while the instance stood
+    # still: the time for them counted from its waking.
+    async def test_a_version_read_late_leaves_no_more_time_for_older_weights(self):
+        await self.read_lists()
+        changes = result.Success(results.Changes(10, (weights(3, 10),)))
+        await self.poll(self.versions, 4_600, changes)
+        self.assertEqual(self.mirror.versions["m"].version, 3)
+        self.assertLessEqual(self.old_until_ms(), 60_000 + 8_000)
+
+
 class Kinds(unittest.TestCase):
     """The handlers of the other kinds of records."""
 
