Count the time for older weights from when newer ones may have been set

Cause: an instance allowed older weights for 0.65 of version_ms from when it read the new version. One that stood still or was cut off reads it seconds late, so the time ended seconds late as well; it broke where the rollout had lost its holder, so that engines still had the older version.

Change: the time counts from the last moment at which the version is known not to have been set, the freshness proof of the watch. A watch of versions waits up to 15 s and proved nothing until it ended; now the calls of the configuration's watch, which prove every 2 s, count for it when it ends, as they do for hubs.

test_the_old_version_is_allowed_for_a_grace_period_after_a_start now gives the handler the proof that each list brings; its checks are unchanged.

--- a/cornelreach/gateway/proofs.py
+++ b/cornelreach/gateway/proofs.py
@@ -95,7 +95,7 @@
         """Answer a query with the freshness of this instance's records."""
         now_ms = self.clock.now_ms()
         rows = {
-            prefix: (one.revision, one.changed_revision, now_ms - self._proved_ms(one))
+            prefix: (one.revision, one.changed_revision, now_ms - self.proved_ms(one))
             for prefix, one in self.watchers.items()
             if one.revision is not None and one.proved_ms is not None
         }
@@ -103,10 +103,10 @@
         reply = datagrams.FreshnessReply(self.gossip.name, query.number, rows, ago_ms)
         self.gossip.send(reply, (query.name,))
 
-    def _proved_ms(self, watcher: watching.Watcher) -> float:
+    def proved_ms(self, watcher: watching.Watcher) -> float | None:
         """Return when a watcher's copy is known to have been up to date."""
         proved_ms, anchor = watcher.proved_ms, self.anchor
-        if anchor is None or anchor.proved_ms is None:
+        if proved_ms is None or anchor is None or anchor.proved_ms is None:
             return proved_ms
         waiting_ms = watcher.waiting_since_ms
         settled_ms = min(anchor.proved_ms, self.clock.now_ms() - DELIVERY_MS)
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -166,7 +166,11 @@
 
 
 class VersionHandler(BaseHandler):
-    """Applies the desired version of each model's weights."""
+    """Applies the desired version of each model's weights.
+
+    The time for which prompts may begin on older ones counts from the last moment at
+    which the version is known not to have been set, however late it is read.
+    """
 
     prefix = records_module.VERSIONS
     kind = mirror_module.VERSIONS
@@ -184,27 +188,21 @@
     def on_proof(self, at_ms: float) -> None:
         self._proved_ms = max(at_ms, self._proved_ms or at_ms)
 
-    def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
-        first = self.kind not in self.mirror.synced
-        old_ms = START_GRACE_MS if first else self.version_ms * OLD_SHARE
-        for record in records:
-            self._apply(record, old_ms)
-        self.mirror.synced.add(self.kind)
-
     def on_change(self, record: results.Record) -> None:
-        self._apply(record, self.version_ms * OLD_SHARE)
-
-    def _apply(self, record: results.Record, old_ms: float) -> None:
         if record.value is None:
             return
         found = records_module.decode_version(record)
         if found is None:
             return
-        now_ms = self.clock.now_ms()
-        old_until_ms = now_ms + old_ms
+        now_ms, old_until_ms = self.clock.now_ms(), self._old_until_ms()
         if self.mirror.set_version(found.model, found.version, now_ms, old_until_ms):
             self._log(found, now_ms, old_until_ms)
 
+    def _old_until_ms(self) -> float:
+        if self._proved_ms is None:
+            return self.clock.now_ms() + START_GRACE_MS
+        return self._proved_ms + self.version_ms * OLD_SHARE
+
     def _log(
         self, found: records_module.ModelVersion, now_ms: float, old_until_ms: float
     ) -> None:
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -83,6 +83,9 @@
     def is_hub(self) -> bool:
         """Return whether other instances get their proofs from this one."""
 
+    def proved_ms(self, watcher: "Watcher") -> float | None:
+        """Return when a watcher's copy is known to have been up to date."""
+
 
 class Timing(typing.NamedTuple):
     """The timing of calls, in milliseconds.
@@ -242,6 +245,7 @@
                 raise
             return
         finally:
+            self._prove_until_now()
             self.waiting_since_ms = None
         if isinstance(outcome, result.Success):
             found = outcome.unwrap()
@@ -253,6 +257,16 @@
         else:
             await self._failed(outcome.failure())
 
+    def _prove_until_now(self) -> None:
+        """Record what other calls have proved while this watch was waiting.
+
+        A long watch proves nothing by itself until it ends, and what it brings then
+        must not seem to be possibly as old as the watch.
+        """
+        proved_ms = self.source.proved_ms(self) if self.source is not None else None
+        if proved_ms is not None:
+            self._prove(proved_ms)
+
     def wake(self) -> None:
         """End a rest: whether a call is needed may have changed."""
         self._wake.set()
--- a/test/gateway/test_proofs.py
+++ b/test/gateway/test_proofs.py
@@ -209,10 +209,10 @@
         )
         for waiting_ms, lost_ms, proved_ms in cases:
             watcher.waiting_since_ms, watcher.lost_ms = waiting_ms, lost_ms
-            self.assertEqual(source._proved_ms(watcher), proved_ms)
+            self.assertEqual(source.proved_ms(watcher), proved_ms)
         watcher.waiting_since_ms, watcher.lost_ms = now_ms - 5_000, None
         source.anchor.proved_ms = now_ms
-        self.assertEqual(source._proved_ms(watcher), now_ms - proofs.DELIVERY_MS)
+        self.assertEqual(source.proved_ms(watcher), now_ms - proofs.DELIVERY_MS)
 
     def test_changes_of_other_kinds_cause_no_calls(self):
         self.fleet.store.calls.clear()
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -1,5 +1,6 @@
 """Watching records: lists, watches, outages, compaction, age of the proof."""
 
+import asyncio
 import random
 import unittest
 
@@ -51,12 +52,15 @@
         self.script = []
         self.calls = []
         self.waits = []
+        self.waiting = {}  # calls that are answered by the test, by prefix
 
     async def list(self, prefix, after=""):
         return self._next(("list", prefix))
 
     async def watch(self, prefix, since, wait_ms, margin_ms=0):
         self.waits.append(wait_ms)
+        if prefix in self.waiting:
+            return await self.waiting[prefix]
         return self._next(("watch", since))
 
     def _next(self, call):
@@ -231,6 +235,22 @@
         self.assertEqual(self.mirror.versions["m"].version, 3)
         self.assertLessEqual(self.old_until_ms(), 60_000 + 8_000)
 
+    # Guards against refusing prompts early in an ordinary rollout of weights, as the
+    # watch of the versions had been waiting for long when it brought one.
+    async def test_a_version_read_at_once_leaves_time_for_the_rollout(self):
+        await self.read_lists()
+        waiting = asyncio.get_running_loop().create_future()
+        self.objects.waiting[records.VERSIONS] = waiting
+        polling = asyncio.ensure_future(self.versions.poll())
+        await asyncio.sleep(0)
+        for _ in range(5):
+            empty = result.Success(results.Changes(9, ()))
+            await self.poll(self.config, 15_000, empty)
+        self.clock.advance(1_000)
+        waiting.set_result(result.Success(results.Changes(10, (weights(3, 10),))))
+        await polling
+        self.assertGreaterEqual(self.old_until_ms() - self.clock.now_ms(), 4_000)
+
 
 class Kinds(unittest.TestCase):
     """The handlers of the other kinds of records."""
@@ -248,6 +268,7 @@
         old_until_ms = self.mirror.versions["m"].old_until_ms
         self.assertEqual(old_until_ms, 60_000 + recordhandlers.START_GRACE_MS)
         newer = record._replace(value={"model": "m", "version": 3})
+        handler.on_proof(60_000)
         handler.on_change(newer)
         named = self.mirror.versions["m"]
         self.assertEqual((named.version, named.learned_ms), (3, 60_000))
