Count the first time for older weights from the start of the process

Cause: an instance that starts allowed older weights for 2.5 s from its first list, since it is held to the bounds only contact_ms (3 s) after its start; one that takes longer to read the list passed that, and where contact_ms differs (4 and 5 s on larger sites) the fixed time did not follow it. The other way round, weights that were set while the store was away for all left no time at all once the last proof was older than 5.2 s, though no engine can have them.

Change: both are 0.65 of contact_ms, from the start of the process or the return of the platform.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -245,7 +245,9 @@
                 _timing_for(bounds.evacuate_ms),
             ),
             (
-                recordhandlers.VersionHandler(mirror, clock, version_ms),
+                recordhandlers.VersionHandler(
+                    mirror, clock, version_ms, bounds.contact_ms
+                ),
                 _timing_for(version_ms * VERSION_PROOF_SHARE),
             ),
             (
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -19,10 +19,6 @@
 )
 from cornelreach.util import events, timers
 
-# A version may have been set long before this process started. The previous one is
-# still allowed for a little less than the time of contact with the platform after which
-# a started instance is held to the bounds (3,000 ms in current deployments).
-START_GRACE_MS = 2_500.0
 RESTORE_GRACE_MS = 10_000.0  # for the operator to write again what a copy lacks
 OLD_SHARE = 0.65  # of the bound; for the rest a request may be queued at an engine
 
@@ -169,7 +165,10 @@
     """Applies the desired version of each model's weights.
 
     The time for which prompts may begin on older ones counts from the last moment at
-    which the version is known not to have been set, however late it is read.
+    which the version is known not to have been set, however late it is read. Where that
+    is long ago or not known, they are allowed for a part of ``contact_ms`` from the
+    start of this process or the return of the platform, as no instance is held to the
+    bound before it has been in contact for so long.
     """
 
     prefix = records_module.VERSIONS
@@ -180,14 +179,20 @@
         mirror: mirror_module.Mirror,
         clock: timers.Timers,
         version_ms: float,
+        contact_ms: float,
     ) -> None:
         super().__init__(mirror, clock)
         self.version_ms = version_ms
+        self.contact_ms = contact_ms
+        self._contact_since_ms = clock.now_ms()
         self._proved_ms: float | None = None
 
     def on_proof(self, at_ms: float) -> None:
         self._proved_ms = max(at_ms, self._proved_ms or at_ms)
 
+    def on_reconnect(self) -> None:
+        self._contact_since_ms = self.clock.now_ms()
+
     def on_change(self, record: results.Record) -> None:
         if record.value is None:
             return
@@ -199,9 +204,10 @@
             self._log(found, now_ms, old_until_ms)
 
     def _old_until_ms(self) -> float:
+        until_ms = self._contact_since_ms + self.contact_ms * OLD_SHARE
         if self._proved_ms is None:
-            return self.clock.now_ms() + START_GRACE_MS
-        return self._proved_ms + self.version_ms * OLD_SHARE
+            return until_ms
+        return max(until_ms, self._proved_ms + self.version_ms * OLD_SHARE)
 
     def _log(
         self, found: records_module.ModelVersion, now_ms: float, old_until_ms: float
--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -33,6 +33,7 @@
     thaw_ms: float
     version_ms: float
     evacuate_ms: float = 5_000
+    contact_ms: float = 3_000
 
 
 class Site(typing.NamedTuple):
@@ -88,6 +89,7 @@
     thaw_ms: typing.NotRequired[float]
     version_ms: typing.NotRequired[float]
     evacuate_ms: typing.NotRequired[float]
+    contact_ms: typing.NotRequired[float]
 
 
 class _File(typing.TypedDict):
@@ -158,4 +160,5 @@
         thaw_ms=found.get("thaw_ms", 0),
         version_ms=found.get("version_ms", 8_000),
         evacuate_ms=found.get("evacuate_ms", 5_000),
+        contact_ms=found.get("contact_ms", 3_000),
     )
