Let no proof count for other records before their changes have arrived

Cause: a waiting watch counts as proved by the configuration's calls once 150 ms have passed since the proved time. A hub that stood still may read the configuration's answer first: the proved time lies in the past then, while a change from before it waits in another connection.

Change: a proof counts 150 ms after it was learned, by which time a change from before has been read.

Found by looking for the cause of the late weights elsewhere: a time that counts from what it stands for and not from when it was read. Own test: such a proof counted at once before. Its former last check, that a proof of now counts but for 150 ms, is replaced: the proof known 150 ms ago counts, no younger one.

--- a/cornelreach/gateway/proofs.py
+++ b/cornelreach/gateway/proofs.py
@@ -104,12 +104,18 @@
         self.gossip.send(reply, (query.name,))
 
     def proved_ms(self, watcher: watching.Watcher) -> float | None:
-        """Return when a watcher's copy is known to have been up to date."""
-        proved_ms, anchor = watcher.proved_ms, self.anchor
-        if proved_ms is None or anchor is None or anchor.proved_ms is None:
+        """Return when a watcher's copy is known to have been up to date.
+
+        A proof that the anchor has just learned does not count yet: an earlier change
+        may still have to be read, as after the process was suspended.
+        """
+        proved_ms, settled_ms = watcher.proved_ms, None
+        if self.anchor is not None:
+            learned_ms = self.clock.now_ms() - DELIVERY_MS
+            settled_ms = self.anchor.proved_ms_at(learned_ms)
+        if proved_ms is None or settled_ms is None:
             return proved_ms
         waiting_ms = watcher.waiting_since_ms
-        settled_ms = min(anchor.proved_ms, self.clock.now_ms() - DELIVERY_MS)
         if waiting_ms is None or waiting_ms > settled_ms or watcher.lost_ms is not None:
             return proved_ms
         return max(proved_ms, settled_ms)
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import random
 import typing
@@ -25,6 +26,7 @@
 HUB_BATCH_MS = 100.0
 PUSH_GRACE_MS = 150.0  # a change that a hub's answer implies may be pushed meanwhile
 MAX_REST_MS = 5_000.0
+MAX_PROOFS = 8
 OUTAGE_REST_MS = 3_000.0  # while another watcher polls for the platform's return
 
 LOST = events.define(
@@ -134,6 +136,10 @@
         self.changed_revision = 0
         self._era: int | None = None
         self.proved_ms: float | None = None
+        # When each of the newest proofs was learned, and the time that it proved.
+        self._proofs: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=MAX_PROOFS
+        )
         self._behind_ms: float | None = None
         self._wake = asyncio.Event()
         self._reported_source = "the platform"
@@ -215,6 +221,7 @@
     def _prove(self, at_ms: float) -> None:
         if self.proved_ms is None or at_ms > self.proved_ms:
             self.proved_ms = at_ms
+            self._proofs.append((self.clock.now_ms(), at_ms))
         self.handler.on_proof(at_ms)
 
     # Calls to the platform.
@@ -257,6 +264,11 @@
         else:
             await self._failed(outcome.failure())
 
+    def proved_ms_at(self, now_ms: float) -> float | None:
+        """Return the proof that this instance had at a time, if it is remembered."""
+        known = (at_ms for learned_ms, at_ms in self._proofs if learned_ms <= now_ms)
+        return max(known, default=None)
+
     def _prove_until_now(self) -> None:
         """Record what other calls have proved while this watch was waiting.
 
--- a/test/gateway/test_proofs.py
+++ b/test/gateway/test_proofs.py
@@ -198,9 +198,15 @@
         source.anchor = watching.Watcher(
             None, Handler(), TIMING, self.fleet.clock, random.Random(1)
         )
-        now_ms = self.fleet.clock.now_ms()
-        watcher.proved_ms = now_ms - 9_000
-        source.anchor.proved_ms = now_ms - 1_000
+        clock = self.fleet.clock
+        watcher.proved_ms = clock.now_ms() - 9_000
+        source.anchor._prove(clock.now_ms() - 1_000)
+        watcher.waiting_since_ms = clock.now_ms() - 5_000
+        # Guards against a hub that wakes and proves a time before which a change lies
+        # unread, as the answer to another call was read first.
+        self.assertEqual(source.proved_ms(watcher), watcher.proved_ms)
+        clock.advance(proofs.DELIVERY_MS)
+        now_ms = clock.now_ms() - proofs.DELIVERY_MS
         cases = (
             (now_ms - 5_000, None, now_ms - 1_000),
             (now_ms - 500, None, watcher.proved_ms),
@@ -211,8 +217,8 @@
             watcher.waiting_since_ms, watcher.lost_ms = waiting_ms, lost_ms
             self.assertEqual(source.proved_ms(watcher), proved_ms)
         watcher.waiting_since_ms, watcher.lost_ms = now_ms - 5_000, None
-        source.anchor.proved_ms = now_ms
-        self.assertEqual(source.proved_ms(watcher), now_ms - proofs.DELIVERY_MS)
+        source.anchor._prove(now_ms + 100)
+        self.assertEqual(source.proved_ms(watcher), now_ms - 1_000)
 
     def test_changes_of_other_kinds_cause_no_calls(self):
         self.fleet.store.calls.clear()
