Check the weights of a choice again before its first byte

Cause: whether prompts may still begin on older weights was checked when the engine was chosen and not again with the connection open, unlike draining, rests, limits, cold rates and crashes. A choice that waited, or an instance that stood still after it, sent the prompt later. One whose engine had loaded other weights meanwhile was sent all the same and answered 421, which put the engine off for 250 ms.

Change: the choice is dropped if its engine holds other weights by now, or weights on which no prompt may begin any more; another engine is chosen.

Both new tests failed before.

--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -65,6 +65,7 @@
         fetch_from: tuple[str | None, ...] = (),
         save_to: tuple[str | None, ...] = (),
         late: bool = False,
+        model: str = "",
     ) -> None:
         self.target = target
         self.state = state
@@ -75,6 +76,7 @@
         self.fetch_from = fetch_from
         self.save_to = save_to
         self.late = late
+        self.model = model
         self.sent_ms = 0.0
         self.backlog_tokens = 0.0
         self._now_ms = now_ms
@@ -364,6 +366,7 @@
             self.clock.now_ms,
             *self._stores(demand.parts, salt, source, now_ms),
             late=late,
+            model=request_state.model,
         )
 
     def _stores(
@@ -442,8 +445,21 @@
         ):
             return False
         current = registry.targets[target.id]
+        if not self._has_chosen_weights(chosen, current, now_ms):
+            return False
         return (current.address, current.software) == (target.address, target.software)
 
+    def _has_chosen_weights(
+        self, chosen: Choice, current: registry_module.Target, now_ms: float
+    ) -> bool:
+        """Return whether a target holds the chosen weights, and they may be used."""
+        if not chosen.model:
+            return True
+        held = current.versions.get(chosen.model)
+        if held != chosen.version:
+            return False
+        return held is None or held >= self._oldest_version(chosen.model, now_ms)
+
     def record_reply(self, chosen: Choice, reply: calls.Reply) -> None:
         """Update the target's state and the measurements from the head of a reply."""
         now_ms = self.clock.now_ms()
--- a/test/gateway/test_selection.py
+++ b/test/gateway/test_selection.py
@@ -162,6 +162,24 @@
         self.registry.evacuated = frozenset({"lj"})
         self.assertFalse(self.harness.selector.still_open(chosen))
 
+    # Guards against prompts on replaced weights that were chosen in time and sent when
+    # a connection was open, or when the instance went on after it had stood still.
+    def test_a_choice_of_older_weights_ends_with_their_time(self):
+        self.set_version(self.now_ms + 60_000)
+        self.harness.gossip.closed.add("new")
+        chosen = self.choose()
+        self.assertEqual(chosen.target.id, "old")
+        self.assertTrue(self.harness.selector.still_open(chosen))
+        self.set_version(self.now_ms - 1)
+        self.assertFalse(self.harness.selector.still_open(chosen))
+
+    # Guards against a prompt that names a version which its engine has just replaced.
+    def test_a_choice_ends_when_its_engine_has_loaded_other_weights(self):
+        self.harness.gossip.closed.add("new")
+        chosen = self.choose()
+        self.registry.learn_versions("old", {"m": 2})
+        self.assertFalse(self.harness.selector.still_open(chosen))
+
     def test_counts_return_to_zero_however_often_released(self):
         chosen = self.choose()
         chosen.acquire()
