--- a/cornelreach/gateway/crashes.py
+++ b/cornelreach/gateway/crashes.py
@@ -19,6 +19,7 @@
 import typing
 
 from cornelreach.gateway import calls, datagrams
+from cornelreach.http import messages
 from cornelreach.util import hashing, timers
 
 BEGUN_WEIGHT = 2  # the target had begun to answer, as it does before it crashes
@@ -34,6 +35,7 @@
 MAX_SOUND = 8_192
 MAX_REPORTS = 8  # at a time; a power cut ends far more targets at one moment
 
+REQUEST_PREFIX = "request-"
 _PLAIN_NAME = re.compile(r"[0-9A-Za-z_-]{1,24}\Z")
 
 
@@ -54,6 +56,21 @@
     return hashing.name_hash(" ".join((call.model, *(one.key for one in call.parts))))
 
 
+def request_name(
+    request: messages.Request, host: str, caller: str, call: calls.Call
+) -> str:
+    """Return the name of a request, equal for each repetition of it.
+
+    Repetitions differ in their identifier, deadline and last event, so of the headers
+    only the prompt counts.
+    """
+    prompt = (call.model, *(one.key for one in call.parts))
+    own = (request.method, host, caller, *prompt)
+    encoded = (one.encode() for one in own)
+    digest = hashing.digest(request.target, request.body, *encoded)
+    return REQUEST_PREFIX + digest[:8].hex()
+
+
 class Lifetime(typing.NamedTuple):
     """One lifetime of a target."""
 
--- a/cornelreach/gateway/requestlog.py
+++ b/cornelreach/gateway/requestlog.py
@@ -44,13 +44,14 @@
         target: str,
         outcome: requeststate.Outcome,
     ) -> None:
-        """Log an attempt without a usable answer, and the parts of a lost prompt."""
+        """Log an attempt without a usable answer, and what was lost with it."""
         reason = getattr(outcome, "reason", "")
         if isinstance(outcome, requeststate.Failure):
             reason = f"status {outcome.response.status}"
         fields: dict[str, str] = {}
         if isinstance(outcome, requeststate.Lost):
             fields["progress"] = outcome.progress.value
+            fields["request"] = request_state.name
             fields["parts"] = ",".join(one.key for one in request_state.call.parts)
             self.metrics.add(
                 "answers_lost_total", 1, request_state.service, outcome.progress.value
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -1,6 +1,7 @@
 """An admitted request, the outcomes of its attempts, and whether it may be retried."""
 
 import enum
+import functools
 import typing
 
 from cornelreach.gateway import calls, catalogue, crashes, refusals
@@ -116,6 +117,12 @@
         self.is_trial = False
         self.parts = crashes.shared_parts(call)
 
+    @functools.cached_property
+    def name(self) -> str:
+        """Return the name that each repetition of the request has as well."""
+        caller = self.account.name if self.account else self.call.api_key or ""
+        return crashes.request_name(self.request, self.route.host, caller, self.call)
+
     @property
     def model(self) -> str:
         """Return the requested model, or an empty text for plain services."""
