Reproduce one request that crashes target after target

Three instances that hear each other, four targets on loopback that take all their connections along while they run one request.

--- a/test/gateway/test_repeatedcrashes.py
+++ b/test/gateway/test_repeatedcrashes.py
@@ -5,32 +5,126 @@
 
 import loguru
 
-from cornelreach.gateway import requestlog
-from test.gateway import test_forwarding
+from cornelreach.gateway import catalogue, hubs, mirror, quarantinesync, requestlog
+from test.gateway import harness as harness_module, test_forwarding
+from test.platform import objects
 
+Kind = catalogue.Kind
 POISON = b"poison"
+RUN_S = 0.02
+PAUSE_S = 0.12
 
 
-async def crash_on_poison(engine, head, body, writer):
-    """Answer; close the connection while the poisonous request runs."""
-    if body == POISON:
-        await asyncio.sleep(0.01)
+class CrashingEngine(harness_module.Engine):
+    """A target that takes all its connections along when it crashes."""
+
+    def __init__(self, name):
+        super().__init__(name, self.run)
+        self.writers = set()
+        self.crash_count = 0
+
+    async def serve(self, reader, writer):
+        """Answer the requests of one connection until the next crash."""
+        self.writers.add(writer)
+        await super().serve(reader, writer)
+        self.writers.discard(writer)
+
+    async def run(self, engine, head, body, writer):
+        """Answer; crash while the poisonous request runs."""
+        await asyncio.sleep(RUN_S)
+        if body != POISON:
+            writer.write(self.answer(head))
+            return True
+        self.crash_count += 1
+        for one in list(self.writers):
+            one.transport.abort()
         return False
-    writer.write(engine.answer(head))
 
 
 class Case(test_forwarding.Case):
-    """Targets that crash on one request, and requests with new identifiers."""
+    """Instances that hear each other, before targets that crash."""
 
-    async def asyncSetUp(self):
+    async def start_fleet(self, instances=3, engines=4):
+        """Start targets, and instances with a route of each kind without prompts."""
         self.numbers = itertools.count()
+        self.engines = [CrashingEngine(f"e{number}") for number in range(engines)]
+        for engine in self.engines:
+            await engine.start()
+        self.instances = [
+            await self.start_instance(f"i{number}") for number in range(instances)
+        ]
+        for one, other in itertools.permutations(self.instances, 2):
+            address = other.gossip.address()
+            one.gossip.members[other.gossip.name] = hubs.Member(*address, "lj", 1.0)
+
+    async def start_instance(self, name):
+        """Start one instance, whose quarantine is in no store."""
+        routes = [
+            harness_module.route("/safe/", "s", Kind.IDEMPOTENT),
+            harness_module.route("/once/", "s", Kind.AT_MOST_ONCE),
+        ]
+        service = harness_module.plain_service("s")
+        found = harness_module.make_catalogue(routes, [service])
+        harness = harness_module.Harness(found, self.engines, "s", name)
+        quarantine = harness.forwarder.dependencies.quarantine
+        sync = quarantinesync.QuarantineSync(
+            quarantine,
+            harness.gossip,
+            objects.FakeObjectStore(),
+            mirror.Mirror(name, 5_000, True),
+            harness.clock,
+        )
+        self.addCleanup(sync.close)
+        await harness.gossip.listen("127.0.0.1", 0)
+        reports = asyncio.ensure_future(harness.gossip.run())
+        self.addCleanup(reports.cancel)
+        await harness.start()
+        self.addAsyncCleanup(harness.stop)
+        return harness
 
     async def ask(self, harness, path="/safe/x", body=POISON, **fields):
-        """Send one attempt of a client to an instance; return the status."""
+        """Send one attempt of a client to an instance; return status and response."""
         number = next(self.numbers)
         fields.setdefault("x_cornelreach_request_id", f"id-{number}")
-        status, _ = await harness.send(path, body=body, **fields)
-        return status
+        return await harness.send(path, body=body, **fields)
+
+    async def repeat(self, times, **fields):
+        """Send a request again and again, to one instance after the other."""
+        answers = []
+        for number in range(times):
+            harness = self.instances[number % len(self.instances)]
+            answers.append(await self.ask(harness, **fields))
+            await asyncio.sleep(PAUSE_S)
+            self.restart_engines()
+        return answers
+
+    def restart_engines(self):
+        """Register all targets in another lifetime: those that crashed are back."""
+        born_ms = next(self.numbers) + 2
+        for harness in self.instances:
+            for engine in self.engines:
+                harness.register(engine, "s", born_ms=born_ms)
+
+    def crash_count(self):
+        """Return how often targets have crashed."""
+        return sum(engine.crash_count for engine in self.engines)
+
+
+class RepeatedCrashes(Case):
+    """What reaches the targets of such requests, and of sound ones beside them."""
+
+    # Guards against one request that its client repeats crashing target after target.
+    async def test_a_request_that_crashes_targets_stops_reaching_them(self):
+        for path in ("/safe/x", "/once/x"):
+            await self.start_fleet()
+            await self.repeat(3, path=path)
+            await asyncio.sleep(1)
+            before = self.crash_count()
+            self.assertGreaterEqual(before, 3)
+            answers = await self.repeat(8, path=path)
+            self.assertLessEqual(self.crash_count() - before, 3, path)
+            self.assertEqual(answers[-1][0], 503)
+            self.assertIn(b"retry-after", answers[-1][1].lower())
 
 
 class Log(Case):
@@ -38,7 +132,7 @@
 
     # Guards against logs that cannot tell a repeated request from others of its route.
     async def test_repetitions_of_a_lost_request_have_one_name(self):
-        await self.start(*[crash_on_poison] * 2)
+        await self.start_fleet(instances=1, engines=2)
         names = []
 
         def collect(message):
@@ -51,7 +145,7 @@
         changes = [{}, {"x_cornelreach_deadline_ms": "1500"}, {"path": "/safe/y"}]
         for fields in (*changes, {"method": "PUT"}, {"x_cornelreach_model": "m"}):
             names.append(set())
-            await self.ask(self.harness, **fields)
+            await self.ask(self.instances[0], **fields)
         self.assertEqual([len(one) for one in names], [1] * 5)
         self.assertEqual(names[0], names[1])
         self.assertEqual(len(set.union(*names)), 4)
