Refuse a request that crashes target after target

Cause: nothing recognised the repetition. A plain call has no parts, so its losses were not recorded at all, and a prompt that is repeated unchanged counted once.

Change: a request has a name, a hash of method, host, target, account (or key), prompt and body, which is recorded, reported, confirmed, kept in the store and tried again like the names of prompt parts. Three crashes make it guilty, or two that had begun to answer; five if it was sound shortly before or if as much speaks against something else in the same crashes. Crashes within 100 ms count each, unless other targets ended then without it. What a quarantined request explains counts against nothing else but the parts of its own prompt. The last 1,000 requests are kept.

Why it works: all instances add up the crashes that any of them saw, so the third is enough wherever it happened; a sound request that was lost beside the guilty one falls behind it at the next crash, or is cleared by a whole answer.

--- a/cornelreach/gateway/crashes.py
+++ b/cornelreach/gateway/crashes.py
@@ -1,23 +1,27 @@
-"""Evidence of prompt parts that crash targets.
+"""Evidence of prompt parts and requests that crash targets.
 
 A target that crashes takes all its answers along, so a single crash does not tell which
-prompt caused it. A prompt is suspect if its answer had not brought an event yet. A
+request caused it. A request is suspect if its answer had not brought an event yet. A
 shared part is guilty once crashes of several lifetimes, with different prompts, have
-all had it among their suspects, and no answer to it has been whole since::
+all had it among their suspects, and no answer to it has been whole since. A request is
+guilty once its repetitions have been among the suspects of several crashes::
 
-    crash_log.record_loss(Lifetime("engine-1", 7), prompt_hash, ("m.5c1e07a2",), True)
+    names = ("m.5c1e07a2", "request-91bd3f06e4402b7d")
+    crash_log.record_loss(Lifetime("engine-1", 7), prompt_hash, names, True)
     crash_log.guilty_parts(quarantined=())
 
-A crash that a quarantined part explains counts against no other part. More evidence is
-needed against a part of which an answer was whole shortly before the crashes, since
+A crash that something quarantined explains counts against nothing else. More evidence
+is needed against a part of which an answer was whole shortly before the crashes, since
 parts that many prompts share are suspects in most crashes, and against one of several
-parts that have been in the same prompts all along.
+parts or requests that have been in the same crashes all along.
 """
 
 import collections
 import re
 import typing
 
+import msgspec
+
 from cornelreach.gateway import calls, datagrams
 from cornelreach.http import messages
 from cornelreach.util import hashing, timers
@@ -31,7 +35,9 @@
 SAME_MOMENT_MS = 100.0  # crashes this close may have another cause, as a power cut
 MAX_CRASHES = 256
 MAX_PROMPTS = 12  # of one crash
+MAX_PLAIN_REQUESTS = 32  # of one crash, without parts
 MAX_PARTS = 16  # of one prompt
+MAX_NAMES = MAX_PARTS + 4  # of one prompt, with those of its requests
 MAX_SOUND = 8_192
 MAX_REPORTS = 8  # at a time; a power cut ends far more targets at one moment
 
@@ -64,13 +70,17 @@
     Repetitions differ in their identifier, deadline and last event, so of the headers
     only the prompt counts.
     """
-    prompt = (call.model, *(one.key for one in call.parts))
-    own = (request.method, host, caller, *prompt)
-    encoded = (one.encode() for one in own)
-    digest = hashing.digest(request.target, request.body, *encoded)
+    keys = tuple(one.key for one in call.parts)
+    own = (request.method, host, request.target, caller, call.model, keys)
+    digest = hashing.digest(msgspec.msgpack.encode(own), request.body)
     return REQUEST_PREFIX + digest[:8].hex()
 
 
+def is_request(name: str) -> bool:
+    """Return whether a name is that of a request; the others are those of parts."""
+    return name.startswith(REQUEST_PREFIX) and "." not in name
+
+
 class Lifetime(typing.NamedTuple):
     """One lifetime of a target."""
 
@@ -78,7 +88,21 @@
     born_ms: int
 
 
+class _Limits(typing.NamedTuple):
+    """The weights at which something is guilty."""
+
+    usual: int
+    in_doubt: int
+
+
+# A request repeats itself in all its crashes, so that fewer suffice than for a part.
+PART_LIMITS = _Limits(GUILTY_WEIGHT, GUILTY_WEIGHT_IN_DOUBT)
+REQUEST_LIMITS = _Limits(3, 5)
+
+
 class _LostPrompt(typing.NamedTuple):
+    """A lost prompt or plain request; ``parts`` names its request as well."""
+
     begun: bool
     parts: tuple[str, ...]
 
@@ -86,6 +110,23 @@
     def weight(self) -> int:
         return BEGUN_WEIGHT if self.begun else WAITING_WEIGHT
 
+    def merge(self, other: "_LostPrompt") -> "_LostPrompt":
+        """Return the weightier of two losses of a prompt, with the requests of both."""
+        main, rest = (other, self) if other.begun > self.begun else (self, other)
+        more = (n for n in rest.parts if is_request(n) and n not in main.parts)
+        return _LostPrompt(main.begun, (*main.parts, *more)[:MAX_NAMES])
+
+    def is_explanation(self, name: str, quarantined: typing.Container[str]) -> bool:
+        """Return whether something quarantined in it explains the crash for a name.
+
+        The parts of a quarantined request are still suspects in its crashes: one of
+        them may crash targets in other prompts as well.
+        """
+        return any(
+            one in quarantined and not (is_request(one) and name in self.parts)
+            for one in self.parts
+        )
+
 
 class _Crash:
     """The suspects of one crash, by the hash of the prompt."""
@@ -100,9 +141,9 @@
     def add(self, prompt: int, lost: _LostPrompt, now_ms: float) -> bool:
         """Add a suspect; returns whether that is new."""
         held = self.prompts.get(prompt)
-        if held is not None and held.begun >= lost.begun:
-            return False
-        if held is None and not self._has_room(lost):
+        if held is not None:
+            lost = held.merge(lost)
+        if lost == held or held is None and not self._has_room(lost):
             return False
         self.prompts[prompt] = lost
         self.parts.update(lost.parts)
@@ -111,7 +152,8 @@
 
     def _has_room(self, lost: _LostPrompt) -> bool:
         """Return whether a suspect fits, in place of one less suspect if need be."""
-        if len(self.prompts) < MAX_PROMPTS:
+        is_plain = all(map(is_request, lost.parts))
+        if len(self.prompts) < (MAX_PLAIN_REQUESTS if is_plain else MAX_PROMPTS):
             return True
         waiting = [prompt for prompt, one in self.prompts.items() if not one.begun]
         if not lost.begun or not waiting:
@@ -119,9 +161,23 @@
         del self.prompts[waiting[0]]
         return True
 
-    def has_part(self, parts: typing.Container[str]) -> bool:
-        """Return whether any suspect has one of these parts."""
-        return any(part in parts for one in self.prompts.values() for part in one.parts)
+    def is_explained(self, name: str, quarantined: typing.Container[str]) -> bool:
+        """Return whether something quarantined caused it, rather than this name."""
+        return any(
+            one.is_explanation(name, quarantined) for one in self.prompts.values()
+        )
+
+    def alternatives(self, name: str, lost: _LostPrompt) -> set[str]:
+        """Return what may have caused the crash in place of a name in a suspect."""
+        parts = {one for one in lost.parts if not is_request(one)}
+        if not is_request(name):
+            return parts
+        return parts.union(
+            one
+            for prompt in self.prompts.values()
+            for one in prompt.parts
+            if is_request(one)
+        )
 
     def heaviest(
         self, part: str, counted: typing.Container[int]
@@ -136,20 +192,21 @@
 
 
 class Evidence(typing.NamedTuple):
-    """What speaks against a part.
+    """What speaks against a part or a request.
 
-    ``first_ms`` is the time of the first crash, ``companions`` are the other parts of
-    the prompts that count.
+    ``first_ms`` is the time of the first crash, ``alternatives`` are what else may have
+    caused the crashes that count: other parts of the same prompts, and in place of a
+    request also the other requests.
     """
 
     weight: int
     crashes: int
     first_ms: float
-    companions: frozenset[str]
+    alternatives: frozenset[str]
 
 
 class CrashLog:
-    """The recent crashes, and the parts of which answers were whole."""
+    """The recent crashes, and the parts and requests of which answers were whole."""
 
     def __init__(self, clock: timers.Timers) -> None:
         self.clock = clock
@@ -168,7 +225,7 @@
 
         Of very many parts those that are not known to be sound are kept.
         """
-        parts = tuple(sorted(parts, key=self._sound_ms.__contains__)[:MAX_PARTS])
+        parts = tuple(sorted(parts, key=self._rank)[:MAX_PARTS])
         now_ms = self.clock.now_ms()
         crash = self._crash(lifetime, now_ms)
         if not self._add(crash, prompt, _LostPrompt(begun, parts)):
@@ -176,6 +233,9 @@
         crash.observed_ms = now_ms
         return True
 
+    def _rank(self, name: str) -> bool:
+        return not is_request(name) and name in self._sound_ms
+
     def merge(self, report: datagrams.CrashReport) -> set[str]:
         """Merge another instance's report; returns the parts that it says more of."""
         now_ms = self.clock.now_ms()
@@ -238,9 +298,9 @@
     # Conclusions.
 
     def evidence(self, part: str, quarantined: typing.Container[str] = ()) -> Evidence:
-        """Return what speaks against a part since its last whole answer.
+        """Return what speaks against a part or request since its last whole answer.
 
-        Crashes with a part in ``quarantined`` are left out.
+        Crashes that something in ``quarantined`` explains are left out.
         """
         since_ms = max(
             self._sound_ms.get(part, float("-inf")), self.clock.now_ms() - KEPT_MS
@@ -249,32 +309,47 @@
         first_ms = float("-inf")
         next_ms = float("inf")
         counted: set[int] = set()
-        companions: set[str] = set()
+        alternatives: set[str] = set()
         for crash in reversed(self._by_part.get(part, ())):
             if crash.at_ms <= since_ms or weight >= GUILTY_WEIGHT_IN_DOUBT:
                 break
             found = crash.heaviest(part, counted)
-            if found is None or crash.at_ms > next_ms - SAME_MOMENT_MS:
+            if found is None or self._is_repeated(part, crash, next_ms):
                 continue
-            if crash.has_part(quarantined):
+            if crash.is_explained(part, quarantined):
                 continue
             prompt, lost = found
-            counted.add(prompt)
-            companions.update(lost.parts)
+            if not is_request(part):
+                counted.add(prompt)
+            alternatives |= crash.alternatives(part, lost)
             weight, crashes = weight + lost.weight, crashes + 1
             first_ms = next_ms = crash.at_ms
-        return Evidence(weight, crashes, first_ms, frozenset(companions - {part}))
+        return Evidence(weight, crashes, first_ms, frozenset(alternatives - {part}))
+
+    def _is_repeated(self, name: str, crash: _Crash, next_ms: float) -> bool:
+        """Return whether a crash counts with the next one, as of the same moment.
+
+        A request that one target after the other crashed on is in all the crashes of
+        that moment.
+        """
+        if crash.at_ms <= next_ms - SAME_MOMENT_MS:
+            return False
+        return not is_request(name) or any(
+            abs(one.at_ms - crash.at_ms) < SAME_MOMENT_MS and name not in one.parts
+            for one in self._crashes.values()
+        )
 
     def is_guilty(self, part: str, quarantined: typing.Container[str] = ()) -> bool:
-        """Return whether a part has to be quarantined."""
+        """Return whether a part or request has to be quarantined."""
+        limits = REQUEST_LIMITS if is_request(part) else PART_LIMITS
         found = self.evidence(part, quarantined)
-        if found.weight >= GUILTY_WEIGHT_IN_DOUBT:
+        if found.weight >= limits.in_doubt:
             return True
-        if found.weight < GUILTY_WEIGHT or self._was_sound(part, found):
+        if found.weight < limits.usual or self._was_sound(part, found):
             return False
         return not any(
             self._is_rival(one, found, quarantined)
-            for one in found.companions
+            for one in found.alternatives
             if one not in quarantined
         )
 
@@ -284,12 +359,12 @@
     def _is_rival(
         self, part: str, found: Evidence, quarantined: typing.Container[str]
     ) -> bool:
-        """Return whether as much speaks against a part as was found for another."""
+        """Return whether as much speaks against a name as was found for another."""
         own = self.evidence(part, quarantined)
         return own.weight >= found.weight and not self._was_sound(part, own)
 
     def guilty_parts(self, quarantined: typing.Container[str] = ()) -> list[str]:
-        """Return the parts that have to be quarantined and are not yet."""
+        """Return the parts and requests that have to be quarantined and are not yet."""
         return sorted(
             part
             for part in self._by_part
--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -103,11 +103,11 @@
 
 
 class LostPrompt(typing.NamedTuple):
-    """A prompt whose answer was lost in a crash, before its first event.
+    """A prompt or plain call whose answer was lost in a crash, before its first event.
 
     ``prompt`` is a hash of the whole prompt, ``begun`` whether the target had begun to
-    answer. ``parts`` holds the prompt's shared parts, each with the time since an
-    answer to it was whole, or None if none is known.
+    answer. ``parts`` holds the prompt's shared parts and the request, each with the
+    time since an answer to it was whole, or None if none is known.
     """
 
     prompt: int
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -345,7 +345,8 @@
             "parts_known",
             lambda: sum(len(one.parts) for one in self.prompt_index.stores.values()),
         )
-        gauge("parts_quarantined", lambda: len(self.quarantine.held))
+        gauge("parts_quarantined", lambda: self.quarantine.count(requests=False))
+        gauge("requests_quarantined", lambda: self.quarantine.count(requests=True))
         gauge("peers_alive", lambda: len(self.gossip.live_instances()) - 1)
 
     async def _serve_metrics(self, request: messages.Request) -> messages.Response:
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -128,11 +128,11 @@
     ) -> messages.Response:
         loop = asyncio.get_running_loop()
         quarantine = self.dependencies.quarantine
-        request_state.refused_ms = quarantine.refuse_ms(request_state.parts)
+        request_state.refused_ms = quarantine.refuse_ms(request_state.suspects)
         if request_state.refused_ms is not None:
             refusal = refusals.quarantined(request_state.refused_ms)
             return self._refuse(request_state.call.request_id, request_state, refusal)
-        request_state.is_trial = quarantine.holds(request_state.parts)
+        request_state.is_trial = quarantine.holds(request_state.suspects)
         if not await self.dependencies.continuations.admit(request_state):
             refusal = refusals.unknown_origin()
             return self._refuse(request_state.call.request_id, request_state, refusal)
@@ -141,7 +141,9 @@
             match outcome:
                 case requeststate.Answered(response):
                     if response.status < 300:
-                        self.dependencies.quarantine.record_answer(request_state.parts)
+                        self.dependencies.quarantine.record_answer(
+                            request_state.suspects
+                        )
                     self.log.ended(request_state, "answered", response.status)
                     return response
                 case requeststate.Opened(answer):
@@ -177,13 +179,13 @@
         return None
 
     def _is_quarantined(self, request_state: requeststate.RequestState) -> bool:
-        """Return whether targets crash on the prompt; a trial is sent once."""
+        """Return whether targets crash on the request; a trial is sent once."""
         if request_state.is_trial and not request_state.times_sent:
             return False
         quarantine = self.dependencies.quarantine
-        if not quarantine.holds(request_state.parts):
+        if not quarantine.holds(request_state.suspects):
             return False
-        request_state.refused_ms = quarantine.refuse_ms(request_state.parts)
+        request_state.refused_ms = quarantine.refuse_ms(request_state.suspects)
         return True
 
     async def _attempt(
@@ -225,8 +227,8 @@
         if lost.closed and lost.progress is not progress.EVENTS:
             self.dependencies.quarantine.record_loss(
                 crashes.Lifetime(chosen.target.id, chosen.target.born_ms),
-                crashes.prompt_hash(request_state.call),
-                request_state.parts,
+                request_state.prompt_hash,
+                request_state.suspects,
                 lost.progress is progress.HEAD,
             )
 
@@ -289,7 +291,7 @@
         if not self.dependencies.selector.still_open(chosen):
             raise StaleChoice("the target no longer takes requests")
         if self._is_quarantined(request_state):
-            raise StaleChoice("targets crash on a part of the prompt")
+            raise StaleChoice("targets crash on the request")
         chosen.record_send()
         written.append(True)
         request_state.times_sent += 1
@@ -386,7 +388,7 @@
                         text = "the stream ended without an event"
                         raise http_client.ConnectionClosed(text)
                     outcome = "streamed"
-                    self.dependencies.quarantine.record_answer(request_state.parts)
+                    self.dependencies.quarantine.record_answer(request_state.suspects)
                     return
                 except STREAM_LOST as error:
                     outcome = "broken"
--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -1,10 +1,11 @@
-"""Quarantine of the prompt parts on which targets crash.
+"""Quarantine of the prompt parts and requests on which targets crash.
 
-A guilty part is confirmed before it is refused: another instance may have got whole
-answers to it. Each instance concludes for itself from the crashes that all report to
-each other, so that a part is refused everywhere although no instance has seen more than
-one or two of the crashes. The platform's store keeps the part, for instances that start
-later. It is tried again with one prompt, after a time that grows with each trial::
+What is said of parts holds for requests as well. A guilty part is confirmed before it
+is refused: another instance may have got whole answers to it. Each instance concludes
+for itself from the crashes that all report to each other, so that a part is refused
+everywhere although no instance has seen more than one or two of the crashes. The
+platform's store keeps the part, for instances that start later. It is tried again with
+one prompt, after a time that grows with each trial::
 
     left_ms = quarantine.refuse_ms(parts)  # None if the prompt may be sent
     quarantine.record_loss(lifetime, prompt_hash, parts, begun=True)
@@ -22,6 +23,7 @@
 EVALUATE_MS = 50.0  # a crash brings many losses at once
 RELEASED_MS = 30_000.0  # by then an entry that was being written has been read
 CLAIM_MS = 30_000.0  # between two attempts of an instance to get a trial
+MAX_REQUESTS = 1_000  # the oldest are released, as few ever come again
 
 QUARANTINED = events.define(
     2601,
@@ -29,14 +31,18 @@
     "Prompts with part {part} are refused: {crashes} targets crashed, weight {weight}.",
     "Look for what is special in that part; delete quarantines/{part} if it is sound.",
 )
-RELEASED = events.define(
-    2602, "INFO", "Prompts with part {part} are sent again: {reason}.", "Nothing."
-)
+RELEASED = events.define(2602, "INFO", "{part} is sent again: {reason}.", "Nothing.")
 TRIAL = events.define(
     2603,
     "INFO",
-    "One prompt with part {part} is sent as trial {trials}.",
-    "Nothing; if its target crashes: see event 2601.",
+    "One request with {part} is sent as trial {trials}.",
+    "Nothing; if its target crashes: see events 2601 and 2604.",
+)
+REQUEST_QUARANTINED = events.define(
+    2604,
+    "WARNING",
+    "{part} is refused: {crashes} targets crashed on it, weight {weight}.",
+    "Look for the request in lines 2402; delete quarantines/{part} if it is sound.",
 )
 
 
@@ -74,7 +80,7 @@
 
 
 class Quarantine:
-    """The parts that are refused.
+    """The parts and requests that are refused.
 
     ``on_suspect`` is called with a part that is to be confirmed, ``on_hold`` with one
     that this instance has quarantined and ``on_trial_due`` with one of which a prompt
@@ -98,7 +104,7 @@
     # Requests.
 
     def refuse_ms(self, parts: typing.Iterable[str]) -> float | None:
-        """Return for how long a prompt is refused, or None if it may be sent."""
+        """Return for how long a request is refused, or None if it may be sent."""
         if not self.held:
             return None
         found = {part: self.held[part] for part in parts if part in self.held}
@@ -132,7 +138,7 @@
             self.evaluate(parts)
 
     def record_answer(self, parts: tuple[str, ...]) -> None:
-        """Record a whole answer; it releases the parts of its prompt."""
+        """Record a whole answer; it releases the request and its prompt's parts."""
         now_ms = self.clock.now_ms()
         self.crash_log.record_sound(parts, now_ms)
         for part in parts:
@@ -152,6 +158,10 @@
         if part in self.held and at_ms > self.held[part].since_ms:
             self._release(part, "an answer was whole elsewhere")
 
+    def count(self, requests: bool) -> int:
+        """Return how many requests are refused, or how many parts."""
+        return sum(crashes.is_request(name) == requests for name in self.held)
+
     # Conclusions.
 
     def evaluate(self, parts: typing.Iterable[str]) -> None:
@@ -173,10 +183,20 @@
         if part in self.held or not self.crash_log.is_guilty(part, self.held.keys()):
             return
         found = self.crash_log.evidence(part, self.held.keys())
-        self.held[part] = Held(self.clock.now_ms())
-        events.emit(QUARANTINED, part=part, crashes=found.crashes, weight=found.weight)
+        self._hold(part, found.crashes, found.weight)
         self.on_hold(part)
 
+    def _hold(self, part: str, crash_count: int, weight: int) -> None:
+        self.held[part] = Held(self.clock.now_ms())
+        is_request = crashes.is_request(part)
+        event = REQUEST_QUARANTINED if is_request else QUARANTINED
+        events.emit(event, part=part, crashes=crash_count, weight=weight)
+        if is_request:
+            requests = list(filter(crashes.is_request, self.held))
+            for oldest in requests[:-MAX_REQUESTS]:
+                self.on_release(oldest, self.held[oldest].version)
+                self._release(oldest, "more recent ones are refused")
+
     def _release(self, part: str, reason: str) -> None:
         del self.held[part]
         events.emit(RELEASED, part=part, reason=reason)
@@ -190,8 +210,7 @@
             self.on_release(part, version)
             return
         if part not in self.held:
-            self.held[part] = Held(now_ms)
-            events.emit(QUARANTINED, part=part, crashes=0, weight=0)
+            self._hold(part, 0, 0)
         self.held[part].update(version, trials, now_ms)
 
     def remove_entry(self, part: str) -> None:
--- a/cornelreach/gateway/refusals.py
+++ b/cornelreach/gateway/refusals.py
@@ -76,11 +76,11 @@
 
 
 def quarantined(left_ms: float) -> NamedRefusal:
-    """Refuse because targets crash on a part of the prompt; a trial is ``left_ms`` off.
+    """Refuse because targets crash on the request; a trial of it is ``left_ms`` off.
 
     The wait is told in full, so that callers do not return in vain.
     """
-    text = "targets crash on a part of this prompt"
+    text = "targets crash on this request or on a part of its prompt"
     return _not_run("quarantined", errors.Code.UNAVAILABLE, text, math.ceil(left_ms))
 
 
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -6,6 +6,7 @@
 
 from cornelreach.gateway import calls, catalogue, crashes, refusals
 from cornelreach.http import client as http_client, messages
+from cornelreach.util import hashing
 
 MAX_TRIES = 5
 MIN_LEFT_MS = 20.0
@@ -79,7 +80,8 @@
     named, if that is why none was chosen. ``software`` is the only
     version of the targets' software at which a stream may go on, once it has begun.
     ``parts`` names the parts of the prompt that others may share; ``refused_ms`` is for
-    how long it is refused because of one of them, unless it is sent as their trial.
+    how long it is refused because targets crash on one of them or on the request
+    itself, unless it is sent as their trial.
     """
 
     def __init__(
@@ -123,6 +125,18 @@
         caller = self.account.name if self.account else self.call.api_key or ""
         return crashes.request_name(self.request, self.route.host, caller, self.call)
 
+    @functools.cached_property
+    def suspects(self) -> tuple[str, ...]:
+        """Return what a target may crash on: the request itself and the parts."""
+        return (self.name, *self.parts)
+
+    @property
+    def prompt_hash(self) -> int:
+        """Return a hash that repetitions of the prompt, or of a plain call, share."""
+        if self.call.parts:
+            return crashes.prompt_hash(self.call)
+        return hashing.name_hash(self.name)
+
     @property
     def model(self) -> str:
         """Return the requested model, or an empty text for plain services."""
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -95,6 +95,12 @@
         (),
         "Edge: prompt parts that are refused because targets crash on them.",
     ),
+    Spec(
+        "requests_quarantined",
+        "gauge",
+        (),
+        "Edge: requests that are refused because targets crash on them.",
+    ),
     Spec("peers_alive", "gauge", (), "Edge: peers heard from in the last few seconds."),
     Spec(
         "log_lines_dropped",
--- a/test/gateway/test_crashes.py
+++ b/test/gateway/test_crashes.py
@@ -6,6 +6,8 @@
 from cornelreach.gateway import calls, crashes, datagrams
 from cornelreach.util import timers
 
+BAD, SOUND = "request-bad", "request-sound"
+
 
 def call(*keys):
     """Return a prompt with these parts."""
@@ -28,6 +30,10 @@
             lifetime = crashes.Lifetime(target, 1)
             self.log.record_loss(lifetime, prompt, parts, begun)
 
+    def crash_on(self, target, *names, after_ms=1_000):
+        """Record a crash of a target with plain requests, each by its name."""
+        self.crash(target, *((one,) for one in names), begun=False, after_ms=after_ms)
+
     def sound(self, *parts):
         """Record a whole answer."""
         self.log.record_sound(parts, self.clock.now_ms())
@@ -182,3 +188,68 @@
             data = datagrams.encode(one)
             self.assertLessEqual(len(data), datagrams.MAX_BYTES)
             self.assertEqual(datagrams.decode(data), one)
+
+
+class RepeatedRequests(Case):
+    """Which requests are guilty."""
+
+    def test_a_request_of_three_crashes_is_guilty(self):
+        for number in range(3):
+            self.assertEqual(self.log.guilty_parts(), [])
+            self.crash_on(f"t{number}", BAD, f"request-{number}")
+        self.assertEqual(self.log.guilty_parts(), [BAD])
+
+    # Guards against refusing a sound request that was lost with the guilty one.
+    def test_a_request_in_the_same_crashes_needs_more_of_them(self):
+        for number in range(3):
+            self.crash_on(f"t{number}", BAD, SOUND)
+        self.assertEqual(self.log.guilty_parts(), [])
+        self.crash_on("t3", BAD)
+        self.assertEqual(self.log.guilty_parts(), [BAD])
+        self.crash_on("t4", BAD, SOUND)
+        self.assertEqual(self.log.guilty_parts({BAD}), [])
+
+    def test_a_whole_answer_clears_a_request(self):
+        for number in range(9):
+            self.crash_on(f"t{number}", SOUND)
+            self.sound(SOUND)
+        self.assertEqual(self.log.guilty_parts(), [])
+
+    # Guards against taking a power cut for crashes by a request that was repeated.
+    def test_crashes_of_one_moment_count_once_if_others_end_without_it(self):
+        for number in range(6):
+            self.crash_on(f"t{number}", BAD, after_ms=40)
+        self.assertEqual(self.log.guilty_parts(), [BAD])
+        self.clock.advance(crashes.KEPT_MS)
+        for number in range(10, 16):
+            self.crash_on(f"t{number}", SOUND, after_ms=40)
+            self.crash_on(f"u{number}", f"request-{number}", after_ms=5)
+        self.assertEqual(self.log.evidence(SOUND).weight, 2)
+
+    # Guards against refusing the shared parts of a prompt that alone comes back.
+    def test_a_repeated_prompt_is_refused_and_not_its_parts(self):
+        for number in range(9):
+            self.clock.advance(1_000)
+            lifetime = crashes.Lifetime(f"t{number}", 1)
+            self.log.record_loss(lifetime, 77, (BAD, "m.a", "m.b"), True)
+        self.assertEqual(self.log.guilty_parts(), [BAD])
+
+    # Guards against missing a part because each prompt with it was refused by itself.
+    def test_a_part_is_found_beside_its_quarantined_requests(self):
+        for number in range(4):
+            self.clock.advance(1_000)
+            lifetime = crashes.Lifetime(f"t{number}", 1)
+            prompt = number // 2
+            names = (f"request-{prompt}", "m.bad", f"m.doc{prompt}")
+            self.log.record_loss(lifetime, prompt, names, True)
+            self.log.record_loss(lifetime, 9, ("request-9", "m.a"), True)
+        held = {"request-0", "request-1"}
+        self.assertEqual(self.log.guilty_parts(held), ["m.bad"])
+
+    def test_requests_of_one_prompt_are_told_apart(self):
+        lifetime = crashes.Lifetime("t1", 1)
+        for name in (SOUND, BAD):
+            self.log.record_loss(lifetime, 77, (name, "m.a"), True)
+        for number in (2, 3):
+            self.crash_on(f"t{number}", BAD)
+        self.assertEqual(self.log.guilty_parts(), [BAD])
--- a/test/gateway/test_quarantine.py
+++ b/test/gateway/test_quarantine.py
@@ -106,6 +106,14 @@
         self.assertGreater(left_ms, 3.9 * quarantine.FIRST_TRIAL_MS)
         self.assertEqual(self.due, [])
 
+    def test_the_oldest_of_very_many_requests_are_released(self):
+        for number in range(quarantine.MAX_REQUESTS + 1):
+            self.quarantine.apply_entry(f"request-{number}", 7, 0)
+        self.quarantine.apply_entry("bad", 7, 0)
+        self.assertEqual(self.quarantine.count(requests=True), quarantine.MAX_REQUESTS)
+        self.assertEqual(self.quarantine.count(requests=False), 1)
+        self.assertEqual(self.released, [("request-0", 7)])
+
     def test_entries_are_written_again_after_a_restore(self):
         self.hold()
         self.held.clear()
--- a/test/gateway/test_quarantinesync.py
+++ b/test/gateway/test_quarantinesync.py
@@ -20,6 +20,7 @@
 from test.platform import objects
 from tools import hub_fleet as fleet_module
 
+REQUEST = "request-bad"
 CONTACT_MS = 3_000  # the shortest of the bounds on the users' sheets
 
 
@@ -75,6 +76,19 @@
             for number in range(5):
                 self.assertEqual(fleet.holders(f"doc{number}"), [], size)
 
+    # Guards against instances that forget a request which each of them sees once.
+    def test_a_request_is_refused_everywhere_after_its_third_crash(self):
+        for size in (2, 7, 63, 120):
+            fleet = Fleet(size)
+            fleet.loss = 0.1
+            fleet.run(2_000)
+            names = list(fleet.instances)
+            for number in range(3):
+                fleet.crash(f"t{number}", [(names[number * 7 % size], (REQUEST,))])
+                fleet.run(80)
+            fleet.run(CONTACT_MS)
+            self.assertEqual(fleet.holders(REQUEST), fleet.live_instances(), size)
+
     def test_lost_datagrams_and_dead_hubs_do_not_keep_it_from_spreading(self):
         for size in (7, 63):
             fleet = Fleet(size)
--- a/test/gateway/test_repeatedcrashes.py
+++ b/test/gateway/test_repeatedcrashes.py
@@ -126,6 +126,32 @@
             self.assertEqual(answers[-1][0], 503)
             self.assertIn(b"retry-after", answers[-1][1].lower())
 
+    # Guards against refusing sound requests that were lost in the same crashes.
+    async def test_sound_requests_lost_with_it_are_still_sent(self):
+        await self.start_fleet()
+        for harness in self.instances * 3:
+            sound = [self.ask(one, body=b"sound") for one in self.instances]
+            await asyncio.gather(*sound, self.ask(harness))
+            self.restart_engines()
+        await asyncio.sleep(1)
+        for harness in self.instances:
+            self.assertEqual((await self.ask(harness))[0], 503)
+            self.assertEqual((await self.ask(harness, body=b"sound"))[0], 200)
+
+    # Guards against a promise of "not run" for a request that may have run.
+    async def test_a_request_quarantined_while_it_runs_is_not_refused(self):
+        await self.start_fleet(instances=1)
+        quarantine = self.instances[0].forwarder.dependencies.quarantine
+        await self.ask(self.instances[0])
+        (name,) = quarantine.crash_log._by_part
+        self.restart_engines()
+        before = self.crash_count()
+        running = asyncio.ensure_future(self.ask(self.instances[0]))
+        await asyncio.sleep(RUN_S / 2)
+        quarantine.apply_entry(name, 7, 0)
+        self.assertEqual((await running)[0], 502)
+        self.assertEqual(self.crash_count(), before + 1)
+
 
 class Log(Case):
     """What the log says of a lost request."""
