Send a request that crashed three targets to no further one at once

Change: before a further attempt the crashes known here are enough. The request may have run, so it is answered 502 as before and nothing is promised that others would have to confirm.

Measured: test_a_request_of_three_crashes_gets_no_further_attempt failed on the code before (4 crashes, 3 expected) and passes, three runs of three.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -159,7 +159,7 @@
     ) -> selection.Choice | None:
         loop = asyncio.get_running_loop()
         while request_state.may_attempt(loop.time()):
-            if self._is_quarantined(request_state):
+            if self._is_quarantined(request_state) or self._is_suspect(request_state):
                 return None
             spent_ms = (loop.time() - request_state.request.received_s) * 1_000
             found = self.dependencies.selector.choose(request_state, spent_ms)
@@ -188,6 +188,17 @@
         request_state.refused_ms = quarantine.refuse_ms(request_state.suspects)
         return True
 
+    def _is_suspect(self, request_state: requeststate.RequestState) -> bool:
+        """Return whether one more target would probably crash on the request.
+
+        A request that has run is not refused as not run, so there is no need to wait
+        until others have confirmed that.
+        """
+        quarantine = self.dependencies.quarantine
+        return bool(request_state.possible_runs) and quarantine.suspects(
+            request_state.suspects
+        )
+
     async def _attempt(
         self, request_state: requeststate.RequestState, chosen: selection.Choice
     ) -> requeststate.Outcome:
--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -126,6 +126,11 @@
         """Return whether any of the parts is quarantined."""
         return bool(self.held) and any(part in self.held for part in parts)
 
+    def suspects(self, parts: typing.Iterable[str]) -> bool:
+        """Return whether any of the parts is guilty, if that is confirmed."""
+        held = self.held.keys()
+        return any(self.crash_log.is_guilty(part, held) for part in parts)
+
     def record_loss(
         self,
         lifetime: crashes.Lifetime,
--- a/test/gateway/test_repeatedcrashes.py
+++ b/test/gateway/test_repeatedcrashes.py
@@ -138,6 +138,15 @@
             self.assertEqual((await self.ask(harness))[0], 503)
             self.assertEqual((await self.ask(harness, body=b"sound"))[0], 200)
 
+    # Guards against a second attempt that takes one more target down.
+    async def test_a_request_of_three_crashes_gets_no_further_attempt(self):
+        await self.start_fleet()
+        await self.repeat(1)
+        await asyncio.sleep(2 * PAUSE_S)
+        self.assertEqual(self.crash_count(), 2)
+        status, _ = await self.ask(self.instances[1])
+        self.assertEqual((status, self.crash_count()), (502, 3))
+
     # Guards against a promise of "not run" for a request that may have run.
     async def test_a_request_quarantined_while_it_runs_is_not_refused(self):
         await self.start_fleet(instances=1)
