Break no stream off for a part that is only suspected

A further attempt, also that of a stream that goes on, was held back for any suspected part of its prompt. An instance that has just started suspects parts that the others know to be sound, until they have told it; streams with such a part would have been broken off meanwhile.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -191,12 +191,12 @@
     def _is_suspect(self, request_state: requeststate.RequestState) -> bool:
         """Return whether one more target would probably crash on the request.
 
-        A request that has run is not refused as not run, so there is no need to wait
-        until others have confirmed that.
+        A request that has run gets no promise that it was not, so others need not
+        confirm that first. Its parts may be those of many sound prompts.
         """
         quarantine = self.dependencies.quarantine
-        return bool(request_state.possible_runs) and quarantine.suspects(
-            request_state.suspects
+        return bool(request_state.possible_runs) and quarantine.is_suspected(
+            request_state.name
         )
 
     async def _attempt(
--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -126,10 +126,9 @@
         """Return whether any of the parts is quarantined."""
         return bool(self.held) and any(part in self.held for part in parts)
 
-    def suspects(self, parts: typing.Iterable[str]) -> bool:
-        """Return whether any of the parts is guilty, if that is confirmed."""
-        held = self.held.keys()
-        return any(self.crash_log.is_guilty(part, held) for part in parts)
+    def is_suspected(self, part: str) -> bool:
+        """Return whether a part would be quarantined if that were confirmed."""
+        return self.crash_log.is_guilty(part, self.held.keys())
 
     def record_loss(
         self,
