--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -128,11 +128,11 @@
     ) -> messages.Response:
         loop = asyncio.get_running_loop()
         quarantine = self.dependencies.quarantine
-        request_state.refused_ms = quarantine.refuse_ms(request_state.parts)
+        request_state.refused_ms = quarantine.refuse_ms(request_state.suspects)
         if request_state.refused_ms is not None:
             refusal = refusals.quarantined(request_state.refused_ms)
             return self._refuse(request_state.call.request_id, request_state, refusal)
-        request_state.is_trial = quarantine.holds(request_state.parts)
+        request_state.is_trial = quarantine.holds(request_state.suspects)
         if not await self.dependencies.continuations.admit(request_state):
             refusal = refusals.unknown_origin()
             return self._refuse(request_state.call.request_id, request_state, refusal)
@@ -141,7 +141,9 @@
             match outcome:
                 case requeststate.Answered(response):
                     if response.status < 300:
-                        self.dependencies.quarantine.record_answer(request_state.parts)
+                        self.dependencies.quarantine.record_answer(
+                            request_state.suspects
+                        )
                     self.log.ended(request_state, "answered", response.status)
                     return response
                 case requeststate.Opened(answer):
@@ -157,7 +159,7 @@
     ) -> selection.Choice | None:
         loop = asyncio.get_running_loop()
         while request_state.may_attempt(loop.time()):
-            if self._is_quarantined(request_state):
+            if self._is_quarantined(request_state) or self._is_suspect(request_state):
                 return None
             spent_ms = (loop.time() - request_state.request.received_s) * 1_000
             found = self.dependencies.selector.choose(request_state, spent_ms)
@@ -177,15 +179,26 @@
         return None
 
     def _is_quarantined(self, request_state: requeststate.RequestState) -> bool:
-        """Return whether targets crash on the prompt; a trial is sent once."""
+        """Return whether targets crash on the request; a trial is sent once."""
         if request_state.is_trial and not request_state.times_sent:
             return False
         quarantine = self.dependencies.quarantine
-        if not quarantine.holds(request_state.parts):
+        if not quarantine.holds(request_state.suspects):
             return False
-        request_state.refused_ms = quarantine.refuse_ms(request_state.parts)
+        request_state.refused_ms = quarantine.refuse_ms(request_state.suspects)
         return True
 
+    def _is_suspect(self, request_state: requeststate.RequestState) -> bool:
+        """Return whether one more target would probably crash on the request.
+
+        A request that has run gets no promise that it was not, so others need not
+        confirm that first. Its parts may be those of many sound prompts.
+        """
+        quarantine = self.dependencies.quarantine
+        return bool(request_state.possible_runs) and quarantine.is_suspected(
+            request_state.name
+        )
+
     async def _attempt(
         self, request_state: requeststate.RequestState, chosen: selection.Choice
     ) -> requeststate.Outcome:
@@ -225,8 +238,8 @@
         if lost.closed and lost.progress is not progress.EVENTS:
             self.dependencies.quarantine.record_loss(
                 crashes.Lifetime(chosen.target.id, chosen.target.born_ms),
-                crashes.prompt_hash(request_state.call),
-                request_state.parts,
+                request_state.prompt_hash,
+                request_state.suspects,
                 lost.progress is progress.HEAD,
             )
 
@@ -289,7 +302,7 @@
         if not self.dependencies.selector.still_open(chosen):
             raise StaleChoice("the target no longer takes requests")
         if self._is_quarantined(request_state):
-            raise StaleChoice("targets crash on a part of the prompt")
+            raise StaleChoice("targets crash on the request")
         chosen.record_send()
         written.append(True)
         request_state.times_sent += 1
@@ -386,7 +399,7 @@
                         text = "the stream ended without an event"
                         raise http_client.ConnectionClosed(text)
                     outcome = "streamed"
-                    self.dependencies.quarantine.record_answer(request_state.parts)
+                    self.dependencies.quarantine.record_answer(request_state.suspects)
                     return
                 except STREAM_LOST as error:
                     outcome = "broken"
