Give each version of weights a time of its own

What callers saw: prompts began on weights 8 s and more after newer ones had been named, at every instance, when still newer ones were named meanwhile.

Cause: the next version replaced the one before together with the time until which older weights are allowed, so that engines which had missed the first were used again. Each version is judged from its own confirmation.

Change: a version keeps those before it until their time is over; a prompt begins on none that any of them has ruled out.

--- a/cornelreach/gateway/mirror.py
+++ b/cornelreach/gateway/mirror.py
@@ -31,12 +31,28 @@
 class NamedVersion(typing.NamedTuple):
     """The version of weights that a model should have, and when it was learned.
 
-    Until ``old_until_ms`` requests may still go to engines with an older version.
+    Until ``old_until_ms`` requests may still go to engines with an older version, but
+    to none that ``earlier``, the version before, has ruled out or rules out meanwhile.
     """
 
     version: int
     learned_ms: float
     old_until_ms: float
+    earlier: "NamedVersion | None" = None
+
+    def oldest(self, now_ms: float) -> int:
+        """Return the oldest version on which requests may still begin."""
+        if now_ms >= self.old_until_ms:
+            return self.version
+        return 0 if self.earlier is None else self.earlier.oldest(now_ms)
+
+    def without_ruled_out(self, now_ms: float) -> "NamedVersion":
+        """Return this without the versions on which no request may begin any more."""
+        if self.earlier is None:
+            return self
+        if now_ms >= self.old_until_ms:
+            return self._replace(earlier=None)
+        return self._replace(earlier=self.earlier.without_ruled_out(now_ms))
 
 
 class Mirror:
@@ -79,7 +95,8 @@
         current = self.versions.get(model)
         if current is not None and version <= current.version:
             return False
-        self.versions[model] = NamedVersion(version, now_ms, old_until_ms)
+        earlier = None if current is None else current.without_ruled_out(now_ms)
+        self.versions[model] = NamedVersion(version, now_ms, old_until_ms, earlier)
         events.emit(VERSION_SET, model=model, version=version)
         self.on_version()
         return True
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -272,9 +272,7 @@
     def _oldest_version(self, model: str, now_ms: float) -> int:
         """Return the oldest version of a model that requests may still begin on."""
         wanted = self.mirror.versions.get(model)
-        if wanted is None or now_ms < wanted.old_until_ms:
-            return 0
-        return wanted.version
+        return 0 if wanted is None else wanted.oldest(now_ms)
 
     def _targets_with_room(
         self,
--- a/test/gateway/test_selection.py
+++ b/test/gateway/test_selection.py
@@ -180,6 +180,16 @@
         self.registry.learn_versions("old", {"m": 2})
         self.assertFalse(self.harness.selector.still_open(chosen))
 
+    # Guards against prompts on weights whose time is over, when still newer ones are
+    # named before every engine has the first: each version has a time of its own.
+    def test_a_second_version_reopens_no_engine_that_missed_the_first(self):
+        model = self.harness.mirror
+        model.set_version("m", 2, self.now_ms - 9_000, self.now_ms - 3_800)
+        self.harness.gossip.closed.add("new")
+        self.assertIsInstance(self.choose(), selection.Wait)
+        model.set_version("m", 3, self.now_ms, self.now_ms + 5_200)
+        self.assertIsInstance(self.choose(), selection.Wait)
+
     def test_counts_return_to_zero_however_often_released(self):
         chosen = self.choose()
         chosen.acquire()
