Prove nothing by a call that failed

Cause: since the time for older weights counts from proofs, a watch took over those of other calls also when it failed. A call that never reached the store proved that nothing had changed, and an evacuation that a copy of the store lacks ended by the proof of a moment before it was given up: the handler looked at the clock and not at what was proved.

Change: only a watch that was answered takes proofs over, and an evacuation ends by a proof of a time past its grace period.

--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -147,7 +147,7 @@
         self.mirror.synced.add(self.kind)
 
     def on_proof(self, at_ms: float) -> None:
-        if self._unconfirmed and self.clock.now_ms() >= self._unconfirmed_until_ms:
+        if self._unconfirmed and at_ms >= self._unconfirmed_until_ms:
             held = self.mirror.registry.evacuated - self._unconfirmed
             self._unconfirmed = set()
             self.mirror.set_evacuated(held)
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -252,9 +252,11 @@
                 raise
             return
         finally:
-            self._prove_until_now()
+            proved_ms = self._proved_by_others_ms()
             self.waiting_since_ms = None
         if isinstance(outcome, result.Success):
+            if proved_ms is not None:
+                self._prove(proved_ms)
             found = outcome.unwrap()
             self._succeeded(found, sent_ms, wait_ms)
             if found.records and self.timing.batch_ms:
@@ -269,15 +271,13 @@
         known = (at_ms for learned_ms, at_ms in self._proofs if learned_ms <= now_ms)
         return max(known, default=None)
 
-    def _prove_until_now(self) -> None:
-        """Record what other calls have proved while this watch was waiting.
+    def _proved_by_others_ms(self) -> float | None:
+        """Return what other calls have proved while this watch was waiting.
 
         A long watch proves nothing by itself until it ends, and what it brings then
         must not seem to be possibly as old as the watch.
         """
-        proved_ms = self.source.proved_ms(self) if self.source is not None else None
-        if proved_ms is not None:
-            self._prove(proved_ms)
+        return self.source.proved_ms(self) if self.source is not None else None
 
     def wake(self) -> None:
         """End a rest: whether a call is needed may have changed."""
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -269,6 +269,39 @@
         await polling
         self.assertGreaterEqual(self.old_until_ms() - self.clock.now_ms(), 4_000)
 
+    # Guards against prompts in an evacuated data centre: a failed call is no proof that
+    # the operator has not written the evacuation again.
+    async def test_a_failed_call_confirms_no_end_of_an_evacuation(self):
+        evacuations = self.make_watcher(
+            recordhandlers.EvacuationHandler(self.mirror, self.clock)
+        )
+        record = results.Record("evacuations/lj", 9, {})
+        await self.poll(evacuations, 0, result.Success(results.Listing(9, (record,))))
+        copy = results.make_version(1, 5)
+        await self.poll(evacuations, 0, result.Failure(results.Compacted(9)))
+        await self.poll(evacuations, 0, result.Success(results.Listing(copy, ())))
+        self.assertEqual(self.mirror.registry.evacuated, {"lj"})
+        away = result.Failure(results.Unavailable("unavailable", 1))
+        await self.poll(evacuations, recordhandlers.RESTORE_GRACE_MS, away)
+        self.assertEqual(self.mirror.registry.evacuated, {"lj"})
+
+    # Guards against counting the time for older weights from a moment at which the
+    # watch was not yet at the store: the proofs of other calls say nothing of it.
+    async def test_a_watch_that_waits_for_its_connection_proves_nothing(self):
+        await self.read_lists()
+        waiting = asyncio.get_running_loop().create_future()
+        self.objects.waiting[records.VERSIONS] = waiting
+        polling = asyncio.ensure_future(self.versions.poll())
+        await asyncio.sleep(0)
+        self.clock.advance(100)
+        changes = result.Success(results.Changes(10, (config(4, 10),)))
+        await self.poll(self.config, 100, changes)
+        self.clock.advance(800)
+        refused = results.Unavailable("no connection within 1000 ms", 1)
+        waiting.set_result(result.Failure(refused))
+        await polling
+        self.assertLessEqual(self.versions.proved_ms, 60_000)
+
 
 class Kinds(unittest.TestCase):
     """The handlers of the other kinds of records."""
