Take an old proof for a loss of contact, in larger fleets too

Cause: the time for older weights after the return of the platform was tied to the reconnection of the instance's own watch. One that follows a hub gets the version pushed before it has called again, and was left no time.

--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -166,9 +166,9 @@
 
     The time for which prompts may begin on older ones counts from the last moment at
     which the version is known not to have been set, however late it is read. Where that
-    is long ago or not known, they are allowed for a part of ``contact_ms`` from the
-    start of this process or the return of the platform, as no instance is held to the
-    bound before it has been in contact for so long.
+    is more than ``contact_ms`` ago, or not known, this instance had no contact with the
+    platform for so long, and is held to the bound only after being in contact again for
+    as long: they are allowed for a part of that.
     """
 
     prefix = records_module.VERSIONS
@@ -184,15 +184,12 @@
         super().__init__(mirror, clock)
         self.version_ms = version_ms
         self.contact_ms = contact_ms
-        self._contact_since_ms = clock.now_ms()
+        self._started_ms = clock.now_ms()
         self._proved_ms: float | None = None
 
     def on_proof(self, at_ms: float) -> None:
         self._proved_ms = max(at_ms, self._proved_ms or at_ms)
 
-    def on_reconnect(self) -> None:
-        self._contact_since_ms = self.clock.now_ms()
-
     def on_change(self, record: results.Record) -> None:
         if record.value is None:
             return
@@ -204,10 +201,14 @@
             self._log(found, now_ms, old_until_ms)
 
     def _old_until_ms(self) -> float:
-        until_ms = self._contact_since_ms + self.contact_ms * OLD_SHARE
+        contact_share_ms = self.contact_ms * OLD_SHARE
         if self._proved_ms is None:
+            return self._started_ms + contact_share_ms
+        until_ms = self._proved_ms + self.version_ms * OLD_SHARE
+        now_ms = self.clock.now_ms()
+        if now_ms - self._proved_ms < self.contact_ms:
             return until_ms
-        return max(until_ms, self._proved_ms + self.version_ms * OLD_SHARE)
+        return max(until_ms, now_ms + contact_share_ms)
 
     def _log(
         self, found: records_module.ModelVersion, now_ms: float, old_until_ms: float
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -253,6 +253,16 @@
         left_ms = self.old_until_ms() - self.clock.now_ms()
         self.assertTrue(1_500 <= left_ms <= 3_000, left_ms)
 
+    # Guards against refusing all prompts in a larger fleet when weights were set while
+    # the store was away: a hub pushes them before this instance has called again.
+    async def test_a_push_after_an_outage_leaves_time_for_older_weights(self):
+        await self.read_lists()
+        away = result.Failure(results.Unavailable("unavailable", 1))
+        await self.poll(self.versions, 9_000, away)
+        self.versions.apply_pushed(9, 10, (weights(3, 10),))
+        self.assertEqual(self.mirror.versions["m"].version, 3)
+        self.assertGreaterEqual(self.old_until_ms() - self.clock.now_ms(), 1_500)
+
     # Guards against refusing prompts early in an ordinary rollout of weights, as the
     # watch of the versions had been waiting for long when it brought one.
     async def test_a_version_read_at_once_leaves_time_for_the_rollout(self):
