Drop a choice whose engine has gone or started again

Cause: between a choice and its first byte two things were not looked at. An entry that lapsed with the store was dropped only by the next choice, so a request that waited for a connection reached an engine past the grace period. A new lifetime under the same identifier and address was not noticed either: the send counted for the state of the earlier one, so that a cold engine got more than its share.

Change: lapsed entries expire before the check, and the lifetime must be that of the choice.

--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -429,10 +429,11 @@
         """Return whether a chosen target still accepts the request."""
         target = chosen.target
         registry = self.mirror.registry
+        now_ms = self.clock.now_ms()
+        registry.expire(now_ms)
         if not registry.is_open(target.id, target.service):
             return False
         service = self.mirror.catalogue.services.get(target.service)
-        now_ms = self.clock.now_ms()
         if registry.is_resting(target.id, now_ms):
             return False
         own = chosen.own_reservations()
@@ -445,7 +446,11 @@
         current = registry.targets[target.id]
         if not self._has_chosen_weights(chosen, current, now_ms):
             return False
-        return (current.address, current.software) == (target.address, target.software)
+        return (current.address, current.software, current.born_ms) == (
+            target.address,
+            target.software,
+            target.born_ms,
+        )
 
     def _has_chosen_weights(
         self, chosen: Choice, current: registry_module.Target, now_ms: float
--- a/test/gateway/test_selection.py
+++ b/test/gateway/test_selection.py
@@ -190,6 +190,29 @@
         model.set_version("m", 3, self.now_ms, self.now_ms + 5_200)
         self.assertIsInstance(self.choose(), selection.Wait)
 
+    # Guards against requests to a target that is gone: the grace period of its entry
+    # ended while the request waited for a connection.
+    def test_a_choice_ends_with_the_grace_period_of_a_lapsed_entry(self):
+        now_ms = self.harness.clock.now_ms
+        self.registry.remove("new", now_ms())
+        self.registry.record_reconnect(now_ms())
+        self.registry.remove("old", now_ms())
+        chosen = self.choose()
+        self.assertEqual(chosen.target.id, "old")
+        self.registry._lapsed["old"] = now_ms() - 1
+        self.assertFalse(self.harness.selector.still_open(chosen))
+
+    # Guards against more requests than a cold engine tolerates: those that were chosen
+    # for an earlier lifetime are not counted for the present one.
+    def test_a_choice_ends_when_its_engine_has_started_again(self):
+        self.harness.gossip.closed.add("new")
+        chosen = self.choose()
+        chosen.acquire()
+        before = self.registry.targets["old"]
+        again = before._replace(born_ms=before.born_ms + 1)
+        self.registry.put(again, 10_000.0, self.harness.clock.now_ms())
+        self.assertFalse(self.harness.selector.still_open(chosen))
+
     def test_counts_return_to_zero_however_often_released(self):
         chosen = self.choose()
         chosen.acquire()
