Refuse requests of the same five crashes together

Requests of which each was in the same five crashes, without a whole answer to any, were confirmed one after the other. The first by name was refused and then explained the crashes for the other, so that a sound request could be refused in place of the guilty one, which needed three crashes more. They are judged by what was quarantined before any of them.

Measured: test_requests_of_the_same_crashes_are_refused_together failed on the code before (only one was held) and passes. Found by review, not seen in a run.

--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -176,19 +176,33 @@
 
     def _evaluate(self) -> None:
         changed, self._changed = self._changed, set()
+        requests = []
         for part in sorted(changed - self._suspected - self.held.keys()):
             if self.crash_log.is_guilty(part, self.held.keys()):
                 self._suspected.add(part)
                 self.on_suspect(part)
-                self.clock.after(self.confirm_ms(), lambda one=part: self._confirm(one))
-
-    def _confirm(self, part: str) -> None:
-        self._suspected.discard(part)
-        if part in self.held or not self.crash_log.is_guilty(part, self.held.keys()):
-            return
-        found = self.crash_log.evidence(part, self.held.keys())
-        self._hold(part, found.crashes, found.weight)
-        self.on_hold(part)
+                if crashes.is_request(part):
+                    requests.append(part)
+                else:
+                    self._confirm_later([part])
+        self._confirm_later(requests)
+
+    def _confirm_later(self, parts: list[str]) -> None:
+        if parts:
+            self.clock.after(self.confirm_ms(), lambda: self._confirm(parts))
+
+    def _confirm(self, parts: list[str]) -> None:
+        """Quarantine those that are still guilty, none of them in place of another.
+
+        Of requests in the same crashes, the first one would otherwise explain them.
+        """
+        held = frozenset(self.held)
+        for part in parts:
+            self._suspected.discard(part)
+            if part not in held and self.crash_log.is_guilty(part, held):
+                found = self.crash_log.evidence(part, held)
+                self._hold(part, found.crashes, found.weight)
+                self.on_hold(part)
 
     def _hold(self, part: str, crash_count: int, weight: int) -> None:
         self.held[part] = Held(self.clock.now_ms())
--- a/test/gateway/test_quarantine.py
+++ b/test/gateway/test_quarantine.py
@@ -106,6 +106,18 @@
         self.assertGreater(left_ms, 3.9 * quarantine.FIRST_TRIAL_MS)
         self.assertEqual(self.due, [])
 
+    # Guards against refusing a sound request alone, in place of the guilty one.
+    def test_requests_of_the_same_crashes_are_refused_together(self):
+        names = ("request-bad", "request-sound")
+        for number in range(crashes.REQUEST_LIMITS.in_doubt):
+            self.clock.advance(500)
+            self.assertFalse(self.quarantine.holds(names))
+            for one in names:
+                lifetime = crashes.Lifetime(f"t{number}", 1)
+                self.quarantine.record_loss(lifetime, hash(one), (one,), begun=False)
+        self.clock.advance(500)
+        self.assertEqual(set(self.quarantine.held), set(names))
+
     def test_the_oldest_of_very_many_requests_are_released(self):
         for number in range(quarantine.MAX_REQUESTS + 1):
             self.quarantine.apply_entry(f"request-{number}", 7, 0)
