Split the environment of the soak by noun

Injector carries out the faults of a schedule, Operator writes the objects of the operator, Edge tells whether it is ready; Environment keeps the processes, stand-ins and records. No behaviour changed: the same draws in the same order.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -11,7 +11,9 @@
 from tools.soak import (
     checkcontext,
     environment as environment_module,
+    injector,
     noticechecks,
+    operator,
     promptchecks,
 )
 
@@ -20,7 +22,7 @@
 VERSION_S = 8.0
 EVACUATE_S = 5.0
 LEASE_S = 3.0
-COLD_BOUND = environment_module.COLD_PER_S * 1.5 + 5
+COLD_BOUND = operator.COLD_PER_S * 1.5 + 5
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 56, 10.0
 MIN_SERVED_SHARE = 0.25
 LINK_KINDS = frozenset(("cut", "store-silent", "store-deaf", "store-reset"))
@@ -148,7 +150,7 @@
         if change.kind != "drain":
             continue
         due_s = change.at_s + checkcontext.DRAIN_S + checkcontext.SLACK_S
-        until_s = change.at_s + environment_module.DRAIN_EXIT_S
+        until_s = change.at_s + injector.DRAIN_EXIT_S
         for one in context.environment.ledger.arrivals:
             if one.engine != change.subject or not due_s < one.at_s < until_s:
                 continue
@@ -219,8 +221,7 @@
     for one in context.environment.ledger.arrivals:
         if (
             one.refused
-            or context.environment.engines[one.engine].service
-            != environment_module.POOL_SERVICE
+            or context.environment.engines[one.engine].service != operator.POOL_SERVICE
         ):
             continue
         due = [
--- a/tools/soak/edges.py
+++ b/tools/soak/edges.py
@@ -118,3 +118,16 @@
         return collections.Counter(
             msgspec.json.decode(line).get("event") for line in self.log_lines
         )
+
+    async def is_ready(self) -> bool:
+        """Return whether this instance reports that it is ready."""
+        try:
+            async with asyncio.timeout(0.5):
+                reader, writer = await asyncio.open_connection(self.host, READY_PORT)
+                try:
+                    writer.write(b"GET /api/ready HTTP/1.1\r\nhost: x\r\n\r\n")
+                    return b" 200 " in await reader.readline()
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError):
+            return False
--- /dev/null
+++ b/tools/soak/injector.py
@@ -0,0 +1,289 @@
+"""Injects the faults of a schedule into the environment of a soak run."""
+
+import asyncio
+import contextlib
+import signal
+import time
+import typing
+
+from tools.soak import (
+    edges as edges_module,
+    environment as environment_module,
+    operator,
+    proxy,
+    schedule,
+)
+
+COLD_S = 3.0
+COPY_AGE_S = 1.2  # how much the store loses when it comes back from a copy
+RESTORE_AWAY_S = 0.4
+REWRITE_S = 0.3  # until operator and engines have written again
+RESTART_S = 0.3
+CUT_S = 8.0  # longer than the bound on revoked keys
+VERSION_S = 9.0  # longer than the bound on old model versions
+LEAVE_EXIT_S = 4.0  # long enough for arrivals after the bound on leaving engines
+REST_S = 1.5
+POISON_S = 12.0  # past both bounds on prompts that crash engines
+POISON_PERIOD_S = 0.25
+LIMIT_S = 9.0  # past the bound on limits, and for a window more
+LIMIT_PER_S = 0.25
+DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
+
+
+class Injector:
+    """Carries out faults; the name of a kind is that of its method."""
+
+    def __init__(self, environment: environment_module.Environment) -> None:
+        self.environment = environment
+        self.operator = environment.operator
+
+    async def run_schedule(self, faults: typing.Sequence[schedule.Fault]) -> None:
+        """Inject the faults of a schedule; returns when the last one has ended."""
+        start_s = time.monotonic()
+        running = []
+        for fault in faults:
+            await asyncio.sleep(max(0.0, start_s + fault.at_s - time.monotonic()))
+            running.append(asyncio.ensure_future(self._inject(fault)))
+        await asyncio.gather(*running)
+
+    async def _inject(self, fault: schedule.Fault) -> None:
+        handler = getattr(self, "_do_" + fault.kind.replace("-", "_"))
+        start_s = time.monotonic()
+        subject = fault.subject
+        if fault.kind in schedule.STORE_KINDS:
+            subject = "store"
+        disturbance = environment_module.Disturbance(
+            subject, fault.kind, start_s, float("inf")
+        )
+        self.environment.disturbances.append(disturbance)
+        try:
+            await handler(fault)
+        finally:
+            self.environment.disturbances.remove(disturbance)
+            self.environment.disturbances.append(
+                disturbance._replace(end_s=time.monotonic())
+            )
+
+    async def _do_kill(self, fault: schedule.Fault) -> None:
+        edge = self.environment.edges[fault.subject]
+        await self._stop_and_restart(edge, signal.SIGKILL)
+
+    async def _do_term(self, fault: schedule.Fault) -> None:
+        await self._stop_and_restart(
+            self.environment.edges[fault.subject], signal.SIGTERM
+        )
+
+    async def _stop_and_restart(
+        self, edge: edges_module.Edge, number: signal.Signals
+    ) -> None:
+        process = edge.process
+        await edge.stop(number)
+        await asyncio.sleep(RESTART_S)
+        await edge.restart(process)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(environment_module.READY_WAIT_S):
+                while not await edge.is_ready():
+                    await asyncio.sleep(0.05)
+
+    async def _do_pause(self, fault: schedule.Fault) -> None:
+        edge = self.environment.edges[fault.subject]
+        edge.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        edge.send_signal(signal.SIGCONT)
+
+    async def _do_reload(self, fault: schedule.Fault) -> None:
+        self.environment.edges[fault.subject].send_signal(signal.SIGHUP)
+
+    async def _with_link_fault(self, fault: schedule.Fault, state: proxy.Link) -> None:
+        link = self.environment.links[fault.subject]
+        link.set_link(state)
+        await asyncio.sleep(fault.for_s)
+        link.set_link(proxy.Link.GOOD)
+
+    async def _do_store_silent(self, fault: schedule.Fault) -> None:
+        await self._with_link_fault(fault, proxy.Link.SILENT)
+
+    async def _do_store_deaf(self, fault: schedule.Fault) -> None:
+        await self._with_link_fault(fault, proxy.Link.DEAF)
+
+    async def _do_store_reset(self, fault: schedule.Fault) -> None:
+        await self._with_link_fault(fault, proxy.Link.RESET)
+
+    async def _do_store_slow(self, fault: schedule.Fault) -> None:
+        await self._with_link_fault(fault, proxy.Link.SLOW)
+
+    async def _do_cut(self, fault: schedule.Fault) -> None:
+        # Revokes a key while the instance is cut off for longer than the bound.
+        self.environment.links[fault.subject].set_link(proxy.Link.SILENT)
+        self._revoke(self.environment.edges[fault.subject])
+        await asyncio.sleep(CUT_S)
+        self.environment.links[fault.subject].set_link(proxy.Link.GOOD)
+
+    async def _do_link_silent(self, fault: schedule.Fault) -> None:
+        await self._with_link_fault(fault, proxy.Link.SILENT)
+
+    async def _do_link_reset(self, fault: schedule.Fault) -> None:
+        await self._with_link_fault(fault, proxy.Link.RESET)
+
+    def _set_store_faults(self, **faults: float) -> None:
+        self.environment.store.model.set_faults(faults, self.environment.store.now_ms())
+
+    async def _do_outage(self, fault: schedule.Fault) -> None:
+        self._set_store_faults(outage_ms=fault.for_s * 1_000)
+        await asyncio.sleep(fault.for_s)
+
+    async def _do_slow(self, fault: schedule.Fault) -> None:
+        self._set_store_faults(slow_ms=200.0)
+        await asyncio.sleep(fault.for_s)
+        self._set_store_faults(slow_ms=0.0)
+
+    async def _do_lose_answers(self, fault: schedule.Fault) -> None:
+        self._set_store_faults(lose_answers=3)
+        await asyncio.sleep(fault.for_s)
+        self._set_store_faults(lose_answers=0)
+
+    async def _do_compact(self, fault: schedule.Fault) -> None:
+        self.environment.store.model.compact()
+
+    async def _do_restore(self, fault: schedule.Fault) -> None:
+        # Operator and engines write again what the copy lacks; instances do the same.
+        model = self.environment.store.model
+        copy = model.copy()
+        # The copy is older than the entry of one instance, which has to write it again.
+        copy.objects.pop(
+            f"instances/{self.environment.random.choice(list(self.environment.edges))}",
+            None,
+        )
+        await asyncio.sleep(COPY_AGE_S)
+        self._set_store_faults(outage_ms=RESTORE_AWAY_S * 1_000)
+        await asyncio.sleep(RESTORE_AWAY_S)
+        if copy.era == model.era:
+            model.restore(copy)
+            self.environment.store.notify_watches()
+        await asyncio.sleep(REWRITE_S)
+        self.operator.write_again()
+
+    async def _do_leave(self, fault: schedule.Fault) -> None:
+        # The engine says that it leaves only in its answers, and serves until it ends.
+        engine = self.environment.engines[fault.subject]
+        engine.faults.leaving = True
+        await asyncio.sleep(LEAVE_EXIT_S)
+        engine.crash()
+        engine.faults.leaving = False
+        self.operator.write(f"servers/{fault.subject}", None)
+        await asyncio.sleep(0.5)
+        await self.environment.restart_engine(fault.subject)
+
+    async def _do_rest(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "rest_s", REST_S, 0.0)
+
+    async def _do_limit(self, fault: schedule.Fault) -> None:
+        engine = self.environment.engines[fault.subject]
+        self.environment.record_change("limit", fault.subject, engine.born)
+        engine.faults.limit_per_s = LIMIT_PER_S
+        await asyncio.sleep(LIMIT_S)
+        engine.faults.limit_per_s = None
+        self.environment.record_change("limit-end", fault.subject)
+
+    async def _do_crash(self, fault: schedule.Fault) -> None:
+        engine = self.environment.engines[fault.subject]
+        engine.crash()
+        await asyncio.sleep(fault.for_s)
+        await self.environment.restart_engine(fault.subject)
+
+    async def _do_poison(self, fault: schedule.Fault) -> None:
+        part = f"bad{len(self.environment.ledger.poisoned_parts)}"
+        self.environment.ledger.poisoned_parts.add(part)
+        self.environment.record_change("poison", part)
+        caller = self.environment.make_caller(
+            part, next(iter(self.environment.edges.values())), self.environment.any_key
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(POISON_S):
+                await caller.run_poisoned(part, POISON_PERIOD_S)
+        self.environment.record_change("poison-end", part)
+
+    async def _do_cold(self, fault: schedule.Fault) -> None:
+        # A cold engine registers as cold before it accepts requests.
+        engine = self.environment.engines[fault.subject]
+        engine.crash()
+        self.operator.write(f"servers/{fault.subject}", None)
+        await asyncio.sleep(0.5)
+        await self.environment.restart_engine(fault.subject, COLD_S)
+        await asyncio.sleep(COLD_S)
+
+    async def _do_dark(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "dark", True, False)
+
+    async def _do_errors(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "errors", 0.5, 0.0)
+
+    async def _do_lost(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "lost", 0.3, 0.0)
+
+    async def _do_garbled(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "garbled", 0.3, 0.0)
+
+    async def _do_late_orders(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "late_orders", 0.6, 0.0)
+
+    async def _with_engine_fault(
+        self, fault: schedule.Fault, field: str, value: typing.Any, normal: typing.Any
+    ) -> None:
+        faults = self.environment.engines[fault.subject].faults
+        setattr(faults, field, value)
+        await asyncio.sleep(fault.for_s)
+        setattr(faults, field, normal)
+
+    async def _do_drain(self, fault: schedule.Fault) -> None:
+        engine = self.environment.engines[fault.subject]
+        engine.draining = True
+        self.environment.write_entry(fault.subject)
+        self.environment.record_change("drain", fault.subject, engine.born)
+        await asyncio.sleep(DRAIN_EXIT_S)
+        engine.crash()
+        self.operator.write(f"servers/{fault.subject}", None)
+        await asyncio.sleep(fault.for_s)
+        await self.environment.restart_engine(fault.subject)
+
+    async def _do_forged(self, fault: schedule.Fault) -> None:
+        self.operator.write("servers/forged", {"service": 7, "address": "nowhere"})
+        await asyncio.sleep(fault.for_s)
+        self.operator.write("servers/forged", None)
+
+    async def _do_revoke(self, fault: schedule.Fault) -> None:
+        self._revoke(
+            self.environment.random.choice(list(self.environment.edges.values()))
+        )
+
+    def _revoke(self, edge: edges_module.Edge) -> None:
+        """Revoke a key, and start a caller that continues to use it at an instance."""
+        if len(self.operator.keys) <= 2:
+            return
+        key = self.operator.keys.pop(
+            self.environment.random.randrange(len(self.operator.keys))
+        )
+        self.operator.config_version += self.environment.random.randrange(1, 4)
+        self.operator.write_config()
+        self.environment.record_change("revoke", key)
+        self.environment.start_caller(f"{edge.name}-{key}", edge, lambda: key)
+
+    async def _do_route(self, fault: schedule.Fault) -> None:
+        self.operator.extra_routes.append(f"/extra{len(self.operator.extra_routes)}/")
+        self.operator.config_version += self.environment.random.randrange(1, 4)
+        self.operator.write_config()
+
+    async def _do_version(self, fault: schedule.Fault) -> None:
+        self.operator.model_version += 1
+        self.operator.write_version()
+        self.environment.record_change(
+            "version", operator.MODEL, self.operator.model_version
+        )
+        await asyncio.sleep(VERSION_S)
+
+    async def _do_evacuate(self, fault: schedule.Fault) -> None:
+        self.operator.write(f"evacuations/{fault.subject}", {})
+        self.environment.record_change("evacuate", fault.subject)
+        await asyncio.sleep(fault.for_s + 6.0)
+        self.environment.record_change("return", fault.subject)
+        self.operator.write(f"evacuations/{fault.subject}", None)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -11,6 +11,7 @@
     checks,
     edges,
     environment as environment_module,
+    injector,
     planted,
     schedule,
 )
@@ -72,7 +73,9 @@
     plan: Plan, environment: environment_module.Environment, show: PrintLine
 ) -> Outcome:
     faults = _choose_faults(plan, environment)
-    schedule_task = asyncio.ensure_future(environment.run_schedule(faults))
+    schedule_task = asyncio.ensure_future(
+        injector.Injector(environment).run_schedule(faults)
+    )
     while not schedule_task.done():
         await asyncio.wait({schedule_task}, timeout=CHECK_PERIOD_S)
         found = checks.find_violations(environment, ended=False)
