Repeat a request that crashes each engine in the soak, beside sound ones

The soak's poison is a part of many different prompts and never a whole request.

Beside it six callers repeat sound requests that take 0.15 s, so that they are often lost in the same crashes. Checks: after the third crash and contact_ms at most three more tries reach engines, as the users' pages say; sound requests of the same kind are served at half of their usual rate or more, each repeated one compared on its own.

--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -26,12 +26,16 @@
 EVENTS = 12
 UNFRAMED_SHARE = 0.2  # of answers that have neither length nor chunks
 LOAD_S = 0.3
+SLOW_S = 0.15
 MAX_QUEUED = 12
 LATE_ORDER_S = (2.0, 4.0)
 
 
 class Arrival(typing.NamedTuple):
-    """One request received by an engine; ``refused`` if it was not run."""
+    """One request received by an engine; ``refused`` if it was not run.
+
+    ``poison`` names a request that crashes engines.
+    """
 
     request_id: str
     engine: str
@@ -45,6 +49,7 @@
     born: int = 0
     misdirected: bool = False
     parts: tuple[str, ...] = ()
+    poison: str = ""
 
 
 class OrderRecord(typing.NamedTuple):
@@ -74,7 +79,7 @@
 
 
 class Crash(typing.NamedTuple):
-    """The crash of an engine by a prompt with a poisoned part."""
+    """The crash of an engine by a poisoned part of a prompt, or a whole request."""
 
     part: str
     engine: str
@@ -85,11 +90,15 @@
     """The requests and orders that all engines have received, and their notices.
 
     Prompts with a part in ``poisoned_parts``, unless it is their last, crash each
-    engine that begins to answer.
+    engine that begins to answer, and so do requests with a target and body in
+    ``poisoned_requests``, which has their names. Those in ``slow_requests`` take
+    longer.
     """
 
     def __init__(self) -> None:
         self.poisoned_parts: set[str] = set()
+        self.poisoned_requests: dict[tuple[str, bytes], str] = {}
+        self.slow_requests: set[tuple[str, bytes]] = set()
         self.crashes: list[Crash] = []
         self.notices: list[Notice] = []
         self.arrivals: list[Arrival] = []
@@ -142,11 +151,12 @@
 
 
 class RequestHead(typing.NamedTuple):
-    """Request line and headers of a request."""
+    """Request line and headers of a request, and its body once that is read."""
 
     method: str
     target: str
     fields: dict[str, str]
+    body: bytes = b""
 
     def get(self, name: bytes) -> str:
         """Return a header's value, empty if absent."""
@@ -265,10 +275,10 @@
             while True:
                 head = await read_head(reader)
                 length = int(head.fields.get("content-length", 0))
-                body = await reader.readexactly(length)
+                head = head._replace(body=await reader.readexactly(length))
                 while self.faults.dark:
                     await asyncio.sleep(0.05)
-                await self._answer(head, body, writer)
+                await self._answer(head, writer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # closed by the caller or by an injected fault
@@ -277,13 +287,11 @@
             self._unframed.discard(writer)
             writer.close()
 
-    async def _answer(
-        self, head: RequestHead, body: bytes, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _answer(self, head: RequestHead, writer: asyncio.StreamWriter) -> None:
         if head.target == engines.REPORT:
             self._reply(writer, 200, msgspec.json.encode(self._report()))
         elif head.target == engines.ORDER:
-            status = self._order(msgspec.json.decode(body))
+            status = self._order(msgspec.json.decode(head.body))
             if status:
                 self._reply(writer, status, b"")
             else:
@@ -389,16 +397,23 @@
             self.born,
             status == headers.MISDIRECTED,
             _part_keys(head),
+            self._poison(head),
         )
         self.request_log.arrivals.append(arrival)
         if head.get(headers.API_KEY):
             self.request_log.leaked_keys.append(arrival.request_id)
 
+    def _poison(self, head: RequestHead) -> str:
+        """Return the name of a request that crashes engines, otherwise nothing."""
+        return self.request_log.poisoned_requests.get((head.target, head.body), "")
+
     async def _run(self, head: RequestHead, writer: asyncio.StreamWriter) -> None:
         load_factor = max(1.0, self.running / self.slots)
         await asyncio.sleep(
             SERVICE_TIME_S * load_factor * self.random.uniform(0.5, 1.5)
         )
+        if (head.target, head.body) in self.request_log.slow_requests:
+            await asyncio.sleep(SLOW_S)
         request_id = head.get(headers.REQUEST_ID)
         extra = f"{headers.REQUEST_ID.decode()}: {request_id}\r\n" + self._load_header()
         chance = self.random.random()
@@ -413,6 +428,10 @@
         if head.get(headers.MODEL):
             await self._stream(head, writer, extra)
             return
+        if poison := self._poison(head):
+            await writer.drain()  # fails if the engine has crashed meanwhile
+            self._crash_on(poison)
+            return
         body = body_of(request_id, self.name)
         extra += f"{headers.SIGNATURE.decode()}: {signature_of(body)}\r\n"
         if self.random.random() < self.faults.garbled:
@@ -438,10 +457,11 @@
         fields += self._notice_headers()
         fields += f"{headers.SIGNATURE.decode()}: stream.{request_id}\r\n\r\n"
         writer.write(fields.encode())
-        if poisoned := self.request_log.poisoned_parts & {*_part_keys(head)[:-1]}:
+        poisoned = self.request_log.poisoned_parts & {*_part_keys(head)[:-1]}
+        if poison := self._poison(head) or "".join(sorted(poisoned)[:1]):
             await writer.drain()
             await asyncio.sleep(EVENT_GAP_S)
-            self._crash_on(poisoned.pop())
+            self._crash_on(poison)
             return
         cut_short = self.random.random() < self.faults.garbled
         start = int(head.get(headers.LAST_EVENT) or 0) + 1
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -61,6 +61,11 @@
     ),
     "forgets-crashes": ("poisoned prompts", [Fault(0.5, "poison", "", 1.0)]),
     "blames-all-parts": ("sound prompts", [Fault(3.5, "poison", "", 1.0)]),
+    "forgets-requests": ("repeated requests", [Fault(0.5, "repeat", "read", 1.0)]),
+    "blames-all-requests": (
+        "sound requests",
+        [Fault(3.5, "repeat", "stream", 1.0)],
+    ),
     "trusts-framing": (
         "whole answers",
         [Fault(0.5, "garbled", f"e{number}", 6.0) for number in range(3, 7)],
@@ -81,6 +86,10 @@
     # Prompts began on replaced weights at an instance that was paused when newer ones
     # were named, while no engine loaded them.
     run.Plan(1, 10, 2, faults=(Fault(0.5, "late-version", "edge1", 1.0),)),
+    # A request that crashed each engine came again, and reached engine after engine.
+    run.Plan(
+        1, 10, 2, faults=tuple(Fault(3.5, "repeat", k, 1.0) for k in ("read", "stream"))
+    ),
 ]
 
 
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -34,6 +34,23 @@
 )
 
 
+class Content(typing.NamedTuple):
+    """What a request asks for; one that comes again unchanged has a name."""
+
+    target: str
+    body: bytes = b""
+    parts: tuple[str, ...] = ()
+    name: str = ""
+
+
+def named_content(kind: RequestKind, name: str) -> Content:
+    """Return what a request of a kind with a name asks for."""
+    parts = ("0", name) if kind.model else ()
+    if kind.method == "GET":
+        return Content(f"{kind.path}?{name}", b"", parts, name)
+    return Content(kind.path, name.encode(), parts, name)
+
+
 class SentRequest(typing.NamedTuple):
     """A request and its result.
 
@@ -41,7 +58,8 @@
     ``complete`` tells whether the whole response arrived; ``body_error`` says what is
     wrong with its body. A request that goes on with a stream names in ``resumes`` the
     attempt that began it. ``events`` holds the software version of each event received.
-    ``parts`` are those of its prompt; ``poisoned`` is set if one crashes engines.
+    ``parts`` are those of its prompt; ``poisoned`` is set if one crashes engines, and
+    ``name`` is that of a request which comes again unchanged.
     """
 
     request_id: str
@@ -58,6 +76,7 @@
     events: tuple[str, ...] = ()
     parts: tuple[str, ...] = ()
     poisoned: bool = False
+    name: str = ""
 
 
 class Takeup(typing.NamedTuple):
@@ -93,6 +112,7 @@
         self.http = http_client.Client(connect_wait_ms=1_000)
         self.sent_count = 0
         self.poisoned_part = ""
+        self.content: Content | None = None
 
     async def run(self) -> None:
         """Send until cancelled."""
@@ -106,8 +126,19 @@
     async def run_poisoned(self, part: str, period_s: float) -> None:
         """Send prompts with a part that crashes engines, at any instance."""
         self.poisoned_part = part
+        await self._run_anywhere([one for one in REQUEST_KINDS if one.model], period_s)
+
+    async def run_repeated(
+        self, kind: RequestKind, content: Content, period_s: float
+    ) -> None:
+        """Send one request again and again, at any instance."""
+        self.content = content
+        await self._run_anywhere([kind], period_s)
+
+    async def _run_anywhere(
+        self, kinds: typing.Sequence[RequestKind], period_s: float
+    ) -> None:
         addresses = {self.edge: self.address, **self.others}
-        kinds = [one for one in REQUEST_KINDS if one.model]
         while True:
             edge, address = self.random.choice(list(addresses.items()))
             self.sent_count += 1
@@ -152,16 +183,18 @@
         reused_connection = self.http.has_idle_connection(address)
         sent_s = time.monotonic()
         status, complete, body_error = 0, False, ""
-        parts = self._draw_parts(request_id) if kind.model else ()
+        content = self.content or Content(
+            kind.path, b"", self._draw_parts(request_id) if kind.model else ()
+        )
         body = bytearray()
         try:
             async with asyncio.timeout(DEADLINE_MS / 1_000 + 0.5):
                 response = await self.http.send(
                     address,
                     kind.method,
-                    kind.path,
-                    b"",
-                    self._headers(kind, key, request_id, parts, takeup),
+                    content.target,
+                    content.body,
+                    self._headers(kind, key, request_id, content.parts, takeup),
                 )
                 status = response.status
                 async for part in response.parts():
@@ -188,8 +221,9 @@
             reused_connection,
             takeup.first if takeup else "",
             _versions(bytes(body)) if is_stream else (),
-            parts,
+            content.parts,
             bool(self.poisoned_part),
+            content.name,
         )
         self.requests.append(request)
         return request
--- a/tools/soak/checkcontext.py
+++ b/tools/soak/checkcontext.py
@@ -3,7 +3,7 @@
 import typing
 
 from standins import wireengine
-from tools.soak import environment as environment_module
+from tools.soak import callers, environment as environment_module
 
 CONTACT_S = 3.0
 DRAIN_S = 2.0
@@ -50,6 +50,15 @@
             self.disturbances_of(subject, since_s, at_s) for subject in (edge, "store")
         )
 
+    def is_calm(
+        self, request: callers.SentRequest, engines: typing.Iterable[str]
+    ) -> bool:
+        """Return whether a request met no disturbance of its instance and engines."""
+        start_s = request.sent_s - CONTACT_S
+        return self.has_contact(request.edge, request.sent_s) and not any(
+            self.disturbances_of(name, start_s, request.ended_s) for name in engines
+        )
+
     def arrivals_after(
         self, notice: wireengine.Notice
     ) -> typing.Iterator[wireengine.Arrival]:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -15,6 +15,7 @@
     noticechecks,
     operator,
     promptchecks,
+    repeatchecks,
 )
 
 CONFIG_S = 2.0
@@ -80,7 +81,7 @@
     """
     begun, taken_up = [], []
     for request in context.environment.requests:
-        if request.kind.name != "resume" or request.status == -1:
+        if request.kind.name != "resume" or request.status == -1 or request.name:
             continue
         start_s = request.sent_s - checkcontext.CONTACT_S
         if not context.has_contact(request.edge, request.sent_s) or any(
@@ -351,6 +352,8 @@
     streams_taken_up,
     promptchecks.poisoned_prompts,
     promptchecks.sound_prompts,
+    repeatchecks.repeated_requests,
+    repeatchecks.sound_requests,
     only_sent_requests,
     revoked_keys,
     current_configuration,
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -7,6 +7,7 @@
 import typing
 
 from tools.soak import (
+    callers,
     edges as edges_module,
     environment as environment_module,
     operator,
@@ -25,8 +26,10 @@
 HELD_S = 10.0  # past the bound on old model versions
 LEAVE_EXIT_S = 4.0  # long enough for arrivals after the bound on leaving engines
 REST_S = 1.5
-POISON_S = 12.0  # past both bounds on prompts that crash engines
+POISON_S = 12.0  # past both bounds on requests that crash engines
 POISON_PERIOD_S = 0.25
+SOUND_CALLERS = 6
+SOUND_PERIOD_S = 0.05
 LIMIT_S = 9.0  # past the bound on limits, and for a window more
 LIMIT_PER_S = 0.25
 DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
@@ -207,6 +210,35 @@
                 await caller.run_poisoned(part, POISON_PERIOD_S)
         self.environment.record_change("poison-end", part)
 
+    async def _do_repeat(self, fault: schedule.Fault) -> None:
+        # One request crashes each engine that runs it and comes again unchanged, beside
+        # sound ones that are often lost with it.
+        kind = next(one for one in callers.REQUEST_KINDS if one.name == fault.subject)
+        ledger = self.environment.ledger
+        number = len(ledger.poisoned_requests)
+        guilty = callers.named_content(kind, f"again{number}")
+        sound = [
+            callers.named_content(kind, f"sound{number}-{one}")
+            for one in range(SOUND_CALLERS)
+        ]
+        ledger.poisoned_requests[guilty.target, guilty.body] = guilty.name
+        ledger.slow_requests.update((one.target, one.body) for one in sound)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(POISON_S):
+                await asyncio.gather(
+                    self._repeat(kind, guilty, POISON_PERIOD_S),
+                    *(self._repeat(kind, one, SOUND_PERIOD_S) for one in sound),
+                )
+        self.environment.record_change("repeat-end", guilty.name)
+
+    async def _repeat(
+        self, kind: callers.RequestKind, content: callers.Content, period_s: float
+    ) -> None:
+        key = self.environment.any_key()
+        edge = next(iter(self.environment.edges.values()))
+        caller = self.environment.make_caller(content.name, edge, lambda: key)
+        await caller.run_repeated(kind, content, period_s)
+
     async def _do_cold(self, fault: schedule.Fault) -> None:
         # A cold engine registers as cold before it accepts requests.
         engine = self.environment.engines[fault.subject]
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -125,6 +125,30 @@
     quarantine.Quarantine.record_answer = lambda self, parts: None
 
 
+def _forgets_requests() -> None:
+    """Sends a request however many engines it has crashed, but not guilty parts."""
+    original = crashes.CrashLog.is_guilty
+
+    def is_guilty(
+        self: typing.Any, name: str, quarantined: typing.Container[str] = ()
+    ) -> bool:
+        return not crashes.is_request(name) and original(self, name, quarantined)
+
+    crashes.CrashLog.is_guilty = is_guilty
+
+
+def _blames_all_requests() -> None:
+    """Refuses all requests that were lost with an engine, also those served since."""
+    is_guilty = crashes.CrashLog.is_guilty
+    record_answer = quarantine.Quarantine.record_answer
+    crashes.CrashLog.is_guilty = lambda self, name, quarantined=(): (
+        crashes.is_request(name) or is_guilty(self, name, quarantined)
+    )
+    quarantine.Quarantine.record_answer = lambda self, names: record_answer(
+        self, tuple(one for one in names if not crashes.is_request(one))
+    )
+
+
 def _ignores_leaving() -> None:
     """Sends requests to engines that said they leave."""
     registry.TargetRegistry.mark_leaving = lambda self, target_id, born_ms: False
@@ -163,6 +187,8 @@
     "forgets-origins": _forgets_origins,
     "forgets-crashes": _forgets_crashes,
     "blames-all-parts": _blames_all_parts,
+    "forgets-requests": _forgets_requests,
+    "blames-all-requests": _blames_all_requests,
 }
 
 
--- a/tools/soak/promptchecks.py
+++ b/tools/soak/promptchecks.py
@@ -42,16 +42,15 @@
     first_parts = {one.parts[0] for one in context.environment.requests if one.poisoned}
     periods = list(_poisoned_periods(context))
     for request in context.environment.requests:
-        if request.poisoned or request.resumes or not request.parts:
+        if request.poisoned or request.name or request.resumes:
+            continue
+        if not request.parts:
             continue
         if request.parts[0] not in first_parts:
             continue
-        start_s = request.sent_s - checkcontext.CONTACT_S
-        if not context.has_contact(request.edge, request.sent_s) or any(
-            context.disturbances_of(name, start_s, request.ended_s)
-            for name in context.environment.engines
-        ):
+        if not context.is_calm(request, context.environment.engines):
             continue
+        start_s = request.sent_s - checkcontext.CONTACT_S
         if any(start <= request.sent_s <= end for start, end in periods):
             beside.append(bool(request.events))
         elif not any(start_s <= end and start <= start_s for start, end in periods):
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -8,7 +8,7 @@
 
 
 class Fault(typing.NamedTuple):
-    """A fault; ``subject`` is an instance, an engine, a data centre or empty."""
+    """A fault; ``subject`` is what it affects, or empty: an instance, for example."""
 
     at_s: float
     kind: str
@@ -30,8 +30,9 @@
 WEIGHTS = ((EDGE_KINDS, 4), (STORE_KINDS, 2), (ENGINE_KINDS, 4), (OPERATOR_KINDS, 3))
 # Each group is drawn after all others, so that seeds from before it existed keep their
 # faults.
-LATER_GROUPS = (("poison", "limit"), ("late-version",))
+LATER_GROUPS = (("poison", "limit"), ("late-version", "repeat"))
 LATER_PERIOD_S = 8.0
+REPEATED_KINDS = ("once", "read", "stream", "resume")  # of requests
 # Faults that consist of others.
 COMBINED_KINDS = ("late-version",)
 
@@ -63,6 +64,7 @@
             others = subjects.get(group, ("",))
             faults.append(fault._replace(at_s=later_s, subject=source.choice(others)))
     later_subjects = {"limit": engines, "late-version": edges}
+    later_subjects["repeat"] = REPEATED_KINDS
     for group in LATER_GROUPS:
         for _ in range(round(seconds / LATER_PERIOD_S)):
             kind = source.choice(group)
