Count no sound prompts of the soak while no engine has the named weights

Orders to all engines were held until 15.5 s (late-version), the holder of the lease had been killed at 7.3 s, and the store came back from a copy at about 12 s and again 1.6 s later; another instance took the lease at 18.8 s, after the previous holder's term and lease_ms, and engines had the named weights from 19.2 s on. Until then VERSION forbids the older ones and ONE forbids orders, so the refusals are right.

Change: both checks leave out prompts for which, contact_ms before they were sent, no engine had loaded the newest weights named by then. The planted bugs that they find name no weights.

--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -83,6 +83,9 @@
     # An instance cut off from the store when weights were named counted as late by the
     # time of the cut.
     run.Plan(seed=649, seconds=12, edges=3),
+    # Prompts were refused as no engine had the named weights yet, since the holder of
+    # the lease had been killed and the store had come back from a copy twice.
+    run.Plan(seed=818, seconds=12, edges=3),
     # Prompts began on replaced weights at an instance that was paused when newer ones
     # were named, while no engine loaded them.
     run.Plan(1, 10, 2, faults=(Fault(0.5, "late-version", "edge1", 1.0),)),
--- a/tools/soak/checkcontext.py
+++ b/tools/soak/checkcontext.py
@@ -53,12 +53,25 @@
     def is_calm(
         self, request: callers.SentRequest, engines: typing.Iterable[str]
     ) -> bool:
-        """Return whether a request met no disturbance of its instance and engines."""
+        """Return whether a request met no disturbance of its instance and engines.
+
+        Prompts are refused while no engine has loaded the weights named long before.
+        """
         start_s = request.sent_s - CONTACT_S
+        if request.kind.model and not self._has_loaded(start_s):
+            return False
         return self.has_contact(request.edge, request.sent_s) and not any(
             self.disturbances_of(name, start_s, request.ended_s) for name in engines
         )
 
+    def _has_loaded(self, at_s: float) -> bool:
+        """Return whether an engine had loaded the newest weights named by a time."""
+        newest: dict[str, int] = {}
+        for one in self.environment.changes:
+            if one.at_s <= at_s:
+                newest[one.kind] = max(one.value, newest.get(one.kind, 0))
+        return newest.get("load", 0) >= newest.get("version", 0)
+
     def arrivals_after(
         self, notice: wireengine.Notice
     ) -> typing.Iterator[wireengine.Arrival]:
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -132,7 +132,7 @@
             self.engines[name] = engine
             self.zones[name] = ZONES[number % len(ZONES)]
             await engine.start(self.shared_host)
-            engine.on_change = lambda one=name: self.write_entry(one)
+            engine.on_change = lambda one=name: self._record_load(one)
             engine.on_crash = lambda one=name: self._revive_later(one)
             self.links[name] = proxy.Proxy(engine.address)
             await self.links[name].start(self.shared_host)
@@ -186,6 +186,10 @@
             f"servers/{name}", self.engines[name].entry(self.zones[name], link.address)
         )
 
+    def _record_load(self, name: str) -> None:
+        self.write_entry(name)
+        self.record_change("load", name, self.engines[name].version)
+
     def record_change(self, kind: str, subject: str, value: int = 0) -> None:
         """Record a change that the store has just acknowledged."""
         now_s = time.monotonic()
