Judge draining in the soak by the lifetime of the engine that drains

Lifetime 1 drained from 11.1 s on and was ended at 12.6 s by the fault leave, which had begun at 8.6 s; lifetime 2 registered as ready at 13.1 s. The faults are old ones; the check compared the engine's name only.

Change: the check compares name and lifetime.

--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -86,6 +86,11 @@
     # Prompts were refused as no engine had the named weights yet, since the holder of
     # the lease had been killed and the store had come back from a copy twice.
     run.Plan(seed=818, seconds=12, edges=3),
+    # An engine that drained while another fault ended it was ready again in its next
+    # lifetime, and counted as draining.
+    run.Plan(
+        1, 10, 2, faults=(Fault(1, "leave", "e1", 1.0), Fault(3.5, "drain", "e1", 1.0))
+    ),
     # Prompts began on replaced weights at an instance that was paused when newer ones
     # were named, while no engine loaded them.
     run.Plan(1, 10, 2, faults=(Fault(0.5, "late-version", "edge1", 1.0),)),
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -147,14 +147,19 @@
 
 
 def draining_engines(context: checkcontext.CheckContext) -> checkcontext.Violations:
-    """No request is sent to a draining engine once the bound has passed."""
+    """No request is sent to a draining engine once the bound has passed.
+
+    An engine that has started again since is not draining any more.
+    """
     for change in context.environment.changes:
         if change.kind != "drain":
             continue
         due_s = change.at_s + checkcontext.DRAIN_S + checkcontext.SLACK_S
         until_s = change.at_s + injector.DRAIN_EXIT_S
         for one in context.environment.ledger.arrivals:
-            if one.engine != change.subject or not due_s < one.at_s < until_s:
+            if (one.engine, one.born) != (change.subject, change.value):
+                continue
+            if not due_s < one.at_s < until_s:
                 continue
             edge = one.request_id.partition("-")[0]
             if not one.refused and context.has_contact(edge, one.at_s):
