--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -11,8 +11,11 @@
 from tools.soak import (
     checkcontext,
     environment as environment_module,
+    injector,
     noticechecks,
+    operator,
     promptchecks,
+    repeatchecks,
 )
 
 CONFIG_S = 2.0
@@ -20,10 +23,11 @@
 VERSION_S = 8.0
 EVACUATE_S = 5.0
 LEASE_S = 3.0
-COLD_BOUND = environment_module.COLD_PER_S * 1.5 + 5
+COLD_BOUND = operator.COLD_PER_S * 1.5 + 5
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 56, 10.0
 MIN_SERVED_SHARE = 0.25
 LINK_KINDS = frozenset(("cut", "store-silent", "store-deaf", "store-reset"))
+LINK_KINDS |= frozenset(("link-silent", "link-reset"))
 SERVING_KINDS = frozenset(("garbled", "late-orders"))
 MIN_TAKEN_UP = 12  # streams
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -77,7 +81,7 @@
     """
     begun, taken_up = [], []
     for request in context.environment.requests:
-        if request.kind.name != "resume" or request.status == -1:
+        if request.kind.name != "resume" or request.status == -1 or request.name:
             continue
         start_s = request.sent_s - checkcontext.CONTACT_S
         if not context.has_contact(request.edge, request.sent_s) or any(
@@ -143,14 +147,19 @@
 
 
 def draining_engines(context: checkcontext.CheckContext) -> checkcontext.Violations:
-    """No request is sent to a draining engine once the bound has passed."""
+    """No request is sent to a draining engine once the bound has passed.
+
+    An engine that has started again since is not draining any more.
+    """
     for change in context.environment.changes:
         if change.kind != "drain":
             continue
         due_s = change.at_s + checkcontext.DRAIN_S + checkcontext.SLACK_S
-        until_s = change.at_s + environment_module.DRAIN_EXIT_S
+        until_s = change.at_s + injector.DRAIN_EXIT_S
         for one in context.environment.ledger.arrivals:
-            if one.engine != change.subject or not due_s < one.at_s < until_s:
+            if (one.engine, one.born) != (change.subject, change.value):
+                continue
+            if not due_s < one.at_s < until_s:
                 continue
             edge = one.request_id.partition("-")[0]
             if not one.refused and context.has_contact(edge, one.at_s):
@@ -214,25 +223,23 @@
 
 
 def model_versions(context: checkcontext.CheckContext) -> checkcontext.Violations:
-    """An instance in contact with the store stops using old versions in time."""
+    """An instance in contact with the store stops using old versions in time.
+
+    The bound counts in one stretch in which neither the store nor a link of the
+    instance or the engine was disturbed.
+    """
     named = [one for one in context.environment.changes if one.kind == "version"]
     for one in context.environment.ledger.arrivals:
         if (
             one.refused
-            or context.environment.engines[one.engine].service
-            != environment_module.POOL_SERVICE
+            or context.environment.engines[one.engine].service != operator.POOL_SERVICE
         ):
             continue
-        due = [
-            c.value
-            for c in named
-            if c.at_s + VERSION_S + checkcontext.SLACK_S < one.at_s
-        ]
         edge = one.request_id.partition("-")[0]
-        # The bound counts in one stretch in which no link was disrupted.
         start_s = one.at_s - VERSION_S
+        due = [c.value for c in named if c.at_s < start_s]
         undisturbed = context.has_contact(edge, one.at_s) and not any(
-            other != edge or found.kind in LINK_KINDS
+            other == "store" or found.kind in LINK_KINDS
             for other in ("store", one.engine, edge)
             for found in context.disturbances_of(other, start_s, one.at_s)
         )
@@ -350,6 +357,8 @@
     streams_taken_up,
     promptchecks.poisoned_prompts,
     promptchecks.sound_prompts,
+    repeatchecks.repeated_requests,
+    repeatchecks.sound_requests,
     only_sent_requests,
     revoked_keys,
     current_configuration,
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -73,6 +73,15 @@
     mirror.Mirror.set_version = set_version
 
 
+def _counts_from_reading() -> None:
+    """Counts the time for older weights from when the newer version was read."""
+
+    def old_until_ms(self: typing.Any) -> float:
+        return self.clock.now_ms() + self.version_ms * recordhandlers.OLD_SHARE
+
+    recordhandlers.VersionHandler._old_until_ms = old_until_ms
+
+
 def _joins_streams() -> None:
     """Resumes a broken stream from its start instead of its last event."""
     original = forwarding.Forwarder._resume
@@ -116,6 +125,30 @@
     quarantine.Quarantine.record_answer = lambda self, parts: None
 
 
+def _forgets_requests() -> None:
+    """Sends a request however many engines it has crashed, but not guilty parts."""
+    original = crashes.CrashLog.is_guilty
+
+    def is_guilty(
+        self: typing.Any, name: str, quarantined: typing.Container[str] = ()
+    ) -> bool:
+        return not crashes.is_request(name) and original(self, name, quarantined)
+
+    crashes.CrashLog.is_guilty = is_guilty
+
+
+def _blames_all_requests() -> None:
+    """Refuses all requests that were lost with an engine, also those served since."""
+    is_guilty = crashes.CrashLog.is_guilty
+    record_answer = quarantine.Quarantine.record_answer
+    crashes.CrashLog.is_guilty = lambda self, name, quarantined=(): (
+        crashes.is_request(name) or is_guilty(self, name, quarantined)
+    )
+    quarantine.Quarantine.record_answer = lambda self, names: record_answer(
+        self, tuple(one for one in names if not crashes.is_request(one))
+    )
+
+
 def _ignores_leaving() -> None:
     """Sends requests to engines that said they leave."""
     registry.TargetRegistry.mark_leaving = lambda self, target_id, born_ms: False
@@ -146,6 +179,7 @@
     "trusts-keys": _trusts_keys,
     "ignores-draining": _ignores_draining,
     "ignores-cold": _ignores_cold,
+    "counts-from-reading": _counts_from_reading,
     "stays-on-old": _stays_on_old,
     "joins-streams": _joins_streams,
     "trusts-framing": _trusts_framing,
@@ -153,6 +187,8 @@
     "forgets-origins": _forgets_origins,
     "forgets-crashes": _forgets_crashes,
     "blames-all-parts": _blames_all_parts,
+    "forgets-requests": _forgets_requests,
+    "blames-all-requests": _blames_all_requests,
 }
 
 
