--- a/test/gateway/test_selection.py
+++ b/test/gateway/test_selection.py
@@ -213,6 +213,18 @@
         self.registry.put(again, 10_000.0, self.harness.clock.now_ms())
         self.assertFalse(self.harness.selector.still_open(chosen))
 
+    # Guards against the full rate to an engine that started again, because the answer
+    # to a request sent before its failure is read after it.
+    def test_an_answer_to_an_earlier_request_ends_no_suspicion(self):
+        self.harness.gossip.closed.add("new")
+        chosen = self.choose()
+        chosen.acquire()
+        chosen.record_send()
+        self.registry.eject("old", "reset", self.harness.clock.now_ms() + 1)
+        reply = calls.Reply(200, "id", True, False, False, None, None)
+        self.harness.selector.record_reply(chosen, reply)
+        self.assertTrue(self.registry.state("old").suspected)
+
     def test_counts_return_to_zero_however_often_released(self):
         chosen = self.choose()
         chosen.acquire()
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -263,6 +263,18 @@
         self.assertEqual(self.mirror.versions["m"].version, 3)
         self.assertGreaterEqual(self.old_until_ms() - self.clock.now_ms(), 1_500)
 
+    # Guards against refusing all prompts after an outage of the store that began right
+    # after weights were set: no engine could be ordered to load them.
+    async def test_an_outage_leaves_time_for_weights_replaced_just_before_it(self):
+        await self.read_lists()
+        changes = result.Success(results.Changes(10, (weights(3, 10),)))
+        away = result.Failure(results.Unavailable("unavailable", 1))
+        empty = result.Success(results.Changes(10, ()))
+        await self.poll(self.versions, 0, changes)
+        await self.poll(self.versions, 9_000, away)
+        await self.poll(self.versions, 0, empty)
+        self.assertGreaterEqual(self.old_until_ms() - self.clock.now_ms(), 1_500)
+
     # Guards against refusing prompts early in an ordinary rollout of weights, as the
     # watch of the versions had been waiting for long when it brought one.
     async def test_a_version_read_at_once_leaves_time_for_the_rollout(self):
