--- a/cornelreach/gateway/continuations.py
+++ b/cornelreach/gateway/continuations.py
@@ -6,8 +6,8 @@
 
     if not await continuations.admit(request_state):
         refuse()  # it cannot be told which version began the stream
-    if not await continuations.confirm(request_state, target):
-        return  # another target; this one started anew since its entry was written
+    if doubt := await continuations.doubt(request_state, target):
+        return  # another target; this one may have started anew since its entry
     continuations.bind(request_state, target.software)  # before each part
 """
 
@@ -22,12 +22,13 @@
 from cornelreach.reports import metrics as metrics_module
 from cornelreach.util import timers
 
-Confirm = typing.Callable[[registry_module.Target], typing.Awaitable[bool]]
+# None means that the target could not be asked.
+Confirm = typing.Callable[[registry_module.Target], typing.Awaitable[bool | None]]
 
 MARGIN_MS = 2_000.0  # a caller's last attempt may end after its stream's deadline
 
 
-async def _trust_entry(target: registry_module.Target) -> bool:
+async def _trust_entry(target: registry_module.Target) -> bool | None:
     """Take the entry of a target for that of its present lifetime."""
     return True
 
@@ -60,10 +61,10 @@
             keep_ms = max(call.deadline_ms or 0.0, route.timeout_ms) + MARGIN_MS
             self.origins.record(call.request_id, origin, keep_ms)
 
-    async def confirm(
+    async def doubt(
         self, request_state: requeststate.RequestState, target: registry_module.Target
-    ) -> bool:
-        """Return whether a target still has the software that its entry says.
+    ) -> str:
+        """Return why a target may not have the software that its entry says, if so.
 
         A target may start again under its identifier with other software, before its
         new entry is read. It is asked before a stream goes on there, and before one
@@ -71,15 +72,18 @@
         """
         goes_on = request_state.software is not None
         if not target.born_ms or not (goes_on or request_state.route.resumable):
-            return True
+            return ""
         state = self.registry.state(target.id)
         failed = state.unconfirmed or self.origins.gossip.is_suspected(target.id)
         if not goes_on and not failed:
-            return True
-        if not await self.is_current(target):
-            return False
+            return ""
+        is_current = await self.is_current(target)
+        if is_current is None:
+            return "its report could not be read"
+        if not is_current:
+            return "the entry is of an earlier lifetime"
         state.unconfirmed = False
-        return True
+        return ""
 
     async def admit(self, request_state: requeststate.RequestState) -> bool:
         """Bind a stream that its caller takes up to its origin.
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -23,6 +23,7 @@
     proofs,
     quarantine,
     quarantinesync,
+    reach,
     recordhandlers,
     registry as registry_module,
     rollouts,
@@ -158,6 +159,7 @@
             self.clock,
             self.site.zone,
         )
+        self.reach = reach.Reach(self.mirror.registry, self.clock)
         self.balancer = balancer.Balancer(
             self.mirror.registry, self.gossip, self.site.zone, self.random
         )
@@ -295,14 +297,17 @@
         for target in self.mirror.registry.targets_at(address):
             self.selector.record_notices(target, reply)
 
-    async def _is_current(self, target: registry_module.Target) -> bool:
-        """Return whether an engine's own report is of the lifetime of its entry."""
+    async def _is_current(self, target: registry_module.Target) -> bool | None:
+        """Return whether an engine's own report is of the lifetime of its entry.
+
+        None means that the report could not be read.
+        """
         config = self.mirror.catalogue
         service = config.services.get(target.service) if config else None
         if service is None or service.engine is None:
             return True
         report = await self.engine_client.report(target.address, CONFIRM_WAIT_MS)
-        return report is not None and report.born_ms in (0, target.born_ms)
+        return None if report is None else report.born_ms in (0, target.born_ms)
 
     def _restart_watchers(self, others: list[watching.Watcher]) -> None:
         """Repeat the waiting calls of the other watchers after an outage."""
@@ -326,6 +331,7 @@
             "targets_suspected",
             lambda: sum(one.suspected for one in registry.states.values()),
         )
+        gauge("cut_off", lambda: int(self.reach.is_cut_off()))
         gauge(
             "targets_resting",
             lambda: sum(
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -253,11 +253,11 @@
         )
         try:
             async with asyncio.timeout_at(self._attempt_due_s(request_state)):
-                if not await self.dependencies.continuations.confirm(
+                doubt = await self.dependencies.continuations.doubt(
                     request_state, chosen.target
-                ):
-                    text = "the entry is of an earlier lifetime"
-                    return requeststate.NotSent(text, at_fault=False)
+                )
+                if doubt:
+                    return requeststate.NotSent(doubt, at_fault=False)
                 answer = await self._send(request_state, chosen, before_write)
                 progress = requeststate.Progress.HEAD
                 return await self._read_answer(request_state, chosen, answer)
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -144,6 +144,8 @@
         self.reconnected_ms = 0.0
         self.on_change: typing.Callable[[], None] = lambda: None
         self.on_eject: typing.Callable[[], None] = lambda: None
+        self.on_failure: typing.Callable[[str, str], None] = lambda target, reason: None
+        self.on_answer: typing.Callable[[str], None] = lambda target: None
         self._by_service: dict[str, dict[str, Target]] = {}
         self._open: dict[str, list[Target]] = {}  # by service, until the next change
         self._open_evacuated = self.evacuated
@@ -410,7 +412,7 @@
         """
         if target_id in self.targets:
             state = self.state(target_id)
-            state.suspected = False
+            self._clear_suspicion(target_id, state)
             if cold_ms > 0:
                 state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
 
@@ -425,6 +427,12 @@
         state.ejected_until_ms = now_ms + wait_ms
         events.emit(EJECTED, target=target_id, wait_ms=wait_ms, reason=reason)
         self.on_eject()
+        self.on_failure(target_id, reason)
+
+    def _clear_suspicion(self, target_id: str, state: State) -> None:
+        was_suspected, state.suspected = state.suspected, False
+        if was_suspected:
+            self.on_answer(target_id)
 
     def record_outcome(self, target_id: str, ok: bool, answer_ms: float) -> None:
         """Update a target's error rate and answer time from the end of a request."""
@@ -486,5 +494,5 @@
             state.cold_until_ms = max(state.cold_until_ms, now_ms + reply.cold_ms)
         if not reply.not_run:
             state.failures = state.sheds = 0
-            state.suspected = False
+            self._clear_suspicion(target_id, state)
             state.ejected_until_ms = 0.0
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -415,7 +415,8 @@
                 )
         except (OSError, TimeoutError) as error:
             self._count_closed(address)
-            raise RequestNotSent(f"cannot connect to {address}: {error}") from error
+            reason = str(error) or f"no answer within {self.connect_wait_ms} ms"
+            raise RequestNotSent(f"cannot connect to {address}: {reason}") from error
         except BaseException:
             self._count_closed(address)
             raise
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -82,6 +82,7 @@
     ),
     Spec("targets_open", "gauge", (), "Edge: targets that take new requests."),
     Spec("targets_suspected", "gauge", (), "Edge: targets suspected of having failed."),
+    Spec("cut_off", "gauge", (), "Edge: 1 while no target is reached."),
     Spec("targets_resting", "gauge", (), "Edge: targets that asked for a rest."),
     Spec("targets_limited", "gauge", (), "Edge: targets that named a limit."),
     Spec("targets_leaving", "gauge", (), "Edge: targets that said they leave."),
