--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -9,6 +9,7 @@
     continuations,
     forwarding,
     gossip as gossip_module,
+    hubs,
     mirror as mirror_module,
     promptindex,
     quarantine,
@@ -176,7 +177,7 @@
 class Harness:
     """A forwarder behind a server on loopback, in front of engines."""
 
-    def __init__(self, found, engines, service, name="edge-1"):
+    def __init__(self, found, engines, service, name="edge-1", connect_ms=2_000):
         self.clock = timers.LoopTimers()
         self.mirror = mirror_module.Mirror(name, 5_000, True)
         self.mirror.synced = set(mirror_module.REQUIRED)
@@ -185,7 +186,7 @@
         self.mirror.fleet = quotas.Fleet(name, (name,))
         self.mirror.record_proof(self.clock.now_ms())
         self.engines = engines
-        self.http = http_client.Client(connect_wait_ms=2_000, ack_timeout_ms=900)
+        self.http = http_client.Client(connect_wait_ms=connect_ms, ack_timeout_ms=900)
         self.gossip = gossip_module.Gossip(
             name, "b", self.mirror.registry, self.clock, "lj"
         )
@@ -245,6 +246,13 @@
         """Listen for callers."""
         self.server = await server.start("127.0.0.1", 0, self.forwarder.handle)
 
+    async def join(self, members):
+        """Listen for other instances, and add this one to the shared members."""
+        self.gossip.members.update(members)
+        await self.gossip.listen("127.0.0.1", 0)
+        host, port = self.gossip.address()
+        return {self.gossip.name: hubs.Member(host, port, "lj")}
+
     async def kill(self):
         """End the instance; its engines go on."""
         self.server.stop_listening()
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -1,7 +1,9 @@
 """A loopback TCP proxy that injects link faults."""
 
 import asyncio
+import contextlib
 import enum
+import socket
 
 from cornelreach.http import sockets
 
@@ -16,10 +18,15 @@
     SILENT = "silent"  # bytes are held back in both directions
     DEAF = "deaf"  # bytes from the server are held back
     SLOW = "slow"
+    REFUSED = "refused"  # new connections are refused, open ones live on
+    HUNG = "hung"  # new connections are not answered, open ones fall silent
 
 
 SLOW_S = 0.15
 HOLD_POLL_S = 0.02
+QUEUED = 2  # connections that fill the queue of a listener without backlog
+CLOSED_LINKS = (Link.REFUSED, Link.HUNG)
+SILENT_LINKS = (Link.SILENT, Link.HUNG)
 
 
 class Proxy:
@@ -31,6 +38,7 @@
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._full: list[socket.socket] = []  # a listener with a full queue
 
     async def start(self, host: str) -> None:
         """Listen on a free port of the host."""
@@ -39,14 +47,46 @@
 
     def set_link(self, link: Link) -> None:
         """Set the link fault; a reset aborts open connections."""
-        self.link = link
+        before, self.link = self.link, link
+        if link in CLOSED_LINKS:
+            self._server.close()
+            self._empty_queue()
+        if link is Link.HUNG:
+            self._fill_queue()
+        elif before in CLOSED_LINKS and link not in CLOSED_LINKS:
+            self._empty_queue()
+            listener = socket.create_server(self._host_and_port())
+            asyncio.ensure_future(self._listen(listener))
         if link is Link.RESET:
             for writer in self._writers:
                 sockets.reset(writer.transport)
 
+    def _host_and_port(self) -> tuple[str, int]:
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
+    async def _listen(self, listener: socket.socket) -> None:
+        self._server = await asyncio.start_server(self._accept, sock=listener)
+
+    def _fill_queue(self) -> None:
+        """Listen without ever accepting, so that the kernel drops new connections."""
+        self._full = [socket.create_server(self._host_and_port(), backlog=0)]
+        for _ in range(QUEUED):
+            queued = socket.socket()
+            queued.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                queued.connect(self._host_and_port())
+            self._full.append(queued)
+
+    def _empty_queue(self) -> None:
+        for one in self._full:
+            one.close()
+        self._full = []
+
     def close(self) -> None:
         """Stop listening and abort open connections."""
         self._server.close()
+        self._empty_queue()
         for writer in self._writers:
             writer.transport.abort()
 
@@ -97,5 +137,5 @@
     async def _delay(self, from_server: bool) -> None:
         if self.link is Link.SLOW:
             await asyncio.sleep(SLOW_S)
-        while self.link is Link.SILENT or (self.link is Link.DEAF and from_server):
+        while self.link in SILENT_LINKS or (self.link is Link.DEAF and from_server):
             await asyncio.sleep(HOLD_POLL_S)
