Pass requests on where this instance reaches no engine

Cause: an instance knew of single engines that they did not answer, but not of itself that it reached none. It tried one after the other for as long as a connection may take, and refused; each failure also put off the probe that would have told.

Change: engines to which no connection opens are known as out of reach. A request for which all are goes through another instance, once and never further, which checks key, route and configuration again, keeps all limits by its own shares and says whether it sent the request. What was sent, may have run and where goes along, so that retries and runs are counted once. Where others decline too, the caller is refused at once. What an instance without links suspects is no longer told to others.

Why it works: the links between instances are sound, and one that is sound treats the request as that of a caller of its own.

--- a/cornelreach/gateway/continuations.py
+++ b/cornelreach/gateway/continuations.py
@@ -63,7 +63,7 @@
 
     async def doubt(
         self, request_state: requeststate.RequestState, target: registry_module.Target
-    ) -> str:
+    ) -> requeststate.NotSent | None:
         """Return why a target may not have the software that its entry says, if so.
 
         A target may start again under its identifier with other software, before its
@@ -72,18 +72,19 @@
         """
         goes_on = request_state.software is not None
         if not target.born_ms or not (goes_on or request_state.route.resumable):
-            return ""
+            return None
         state = self.registry.state(target.id)
         failed = state.unconfirmed or self.origins.gossip.is_suspected(target.id)
         if not goes_on and not failed:
-            return ""
+            return None
         is_current = await self.is_current(target)
         if is_current is None:
-            return "its report could not be read"
+            return requeststate.NotSent("its report could not be read")
         if not is_current:
-            return "the entry is of an earlier lifetime"
+            text = "the entry is of an earlier lifetime"
+            return requeststate.NotSent(text, at_fault=False)
         state.unconfirmed = False
-        return ""
+        return None
 
     async def admit(self, request_state: requeststate.RequestState) -> bool:
         """Bind a stream that its caller takes up to its origin.
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -15,6 +15,7 @@
     balancer,
     calls,
     continuations,
+    detours,
     forwarding,
     gossip as gossip_module,
     mirror as mirror_module,
@@ -73,6 +74,8 @@
 SETTINGS_POLL_MS = 1_000
 BODY_WAIT_MS = 30_000
 CALLER_CONNECTIONS = 2_000
+PASSED_ON_HEADER_BYTES = 2_048  # what one instance adds for another
+PEER_IDLE_MS = 10_000  # longer than instances keep idle connections to each other
 
 STARTED = events.define(
     2001, "INFO", "Instance {name} in {zone} listens at {address}.", "Nothing."
@@ -160,6 +163,7 @@
             self.site.zone,
         )
         self.reach = reach.Reach(self.mirror.registry, self.clock)
+        self.gossip.is_cut_off = self.reach.is_cut_off
         self.balancer = balancer.Balancer(
             self.mirror.registry, self.gossip, self.site.zone, self.random
         )
@@ -202,6 +206,9 @@
                     self._is_current,
                 ),
                 self.quarantine,
+                detours.Detours(
+                    self.mirror, self.gossip, self.selector, self.clock, self.random
+                ),
             )
         )
 
@@ -379,11 +386,18 @@
             idle_ms=int(found.idle_ms),
             connections=CALLER_CONNECTIONS,
         )
+        self.peer_server.limits = self.front.limits._replace(
+            header_bytes=found.header_bytes + PASSED_ON_HEADER_BYTES,
+            idle_ms=PEER_IDLE_MS,
+        )
 
     async def start(self) -> None:
         """Start listening, register, and watch the platform's records."""
         self.front = await self._listen(self.site.front, self.forwarder.handle)
         self.readiness = await self._listen(self.site.readiness, self._answer_readiness)
+        self.peer_server = await self._listen(
+            f"{self.site.ip}:{self.site.ports[0]}", self.forwarder.handle_passed_on
+        )
         self.metrics_server = await self._listen(
             f"{self.site.ip}:{METRICS_PORT}", self._serve_metrics
         )
@@ -472,7 +486,7 @@
 
     async def stop(self) -> None:
         """Stop gracefully within the grace period."""
-        self.stopping = self.rollouts.stopping = True
+        self.stopping = self.rollouts.stopping = self.forwarder.stopping = True
         loop = asyncio.get_running_loop()
         end_s = loop.time() + (self.site.bounds.grace_ms - STOP_MARGIN_MS) / 1_000
         events.emit(STOPPING, name=self.site.name, active=self.forwarder.active)
@@ -482,8 +496,10 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(end_s):
                 await self.front.wait_closed()
+                await self.forwarder.wait_idle()
         events.emit(STOPPED, name=self.site.name, active=self.forwarder.active)
         self.front.abort()
+        self.peer_server.abort()
         self.prompt_store_watcher.close()
         self.rollouts.close()
         self.quarantine_sync.close()
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -16,6 +16,7 @@
     catalogue,
     continuations as continuations_module,
     crashes,
+    detours as detours_module,
     eventstream,
     mirror as mirror_module,
     quarantine as quarantine_module,
@@ -29,6 +30,7 @@
 from cornelreach.reports import metrics as metrics_module
 from cornelreach.util import timers
 
+IDLE_POLL_S = 0.02
 DEADLINE_MARGIN_S = 0.015  # reserved for returning the response to the caller
 FIRST_ATTEMPT_SHARE = 0.5  # of the time left, while the request may run once more
 # Statuses that imply that the request was not run.
@@ -62,6 +64,10 @@
     metrics: metrics_module.Metrics
     continuations: continuations_module.Continuations
     quarantine: quarantine_module.Quarantine
+    detours: detours_module.Detours
+
+
+Way = selection.Choice | detours_module.Detour
 
 
 class Forwarder:
@@ -73,6 +79,7 @@
             dependencies.mirror, dependencies.metrics, dependencies.clock
         )
         self.active = 0
+        self.stopping = False
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Forward one request of a caller and return the response."""
@@ -81,16 +88,68 @@
         if isinstance(found, refusals.NamedRefusal):
             return self._refuse(call.request_id, None, found)
         self.dependencies.selector.count_request(found.service)
+        return await self._run(found, self._forward)
+
+    async def handle_passed_on(self, request: messages.Request) -> messages.Response:
+        """Forward a request that another instance could not send to any target.
+
+        The other instance has counted it among the requests of its service. It is
+        declined if no target is reached from here either.
+        """
+        order = detours_module.read_order(request)
+        if order is None or self.stopping:
+            return self._decline(request, "not taken")
+        found = self._admit(request, headers.read_call(request.headers))
+        if isinstance(found, refusals.NamedRefusal):
+            return self._decline(request, found.name)
+        if self.dependencies.mirror.catalogue.version < order.config:
+            return self._decline(request, "older configuration")
+        if all(one.service != order.service for one in found.route.shares):
+            return self._decline(request, "another service")
+        detours_module.follow(found, order)
+        return await self._run(found, self._forward_passed_on)
+
+    def _decline(self, request: messages.Request, reason: str) -> messages.Response:
+        request_id = headers.read_call(request.headers).request_id
+        response = self._refuse(request_id, None, refusals.declined(reason))
+        return detours_module.with_report(response, detours_module.Report(True))
+
+    async def _run(
+        self,
+        request_state: requeststate.RequestState,
+        forward: typing.Callable[
+            [requeststate.RequestState], typing.Awaitable[messages.Response]
+        ],
+    ) -> messages.Response:
         self.active += 1
         streaming = False
         try:
-            response = await self._forward(found)
+            response = await forward(request_state)
             streaming = response.stream is not None
             return response
         finally:
             if not streaming:
                 self.active -= 1
 
+    async def _forward_passed_on(
+        self, request_state: requeststate.RequestState
+    ) -> messages.Response:
+        response = await self._send_on(request_state)
+        target = (
+            request_state.tries[-1].partition(":")[0] if request_state.tries else ""
+        )
+        report = detours_module.Report(
+            request_state.is_unreached and bool(request_state.refused_as),
+            target,
+            request_state.answered_by,
+        )
+        return detours_module.with_report(response, report)
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is under way."""
+        while self.active:
+            await asyncio.sleep(IDLE_POLL_S)
+
     def _admit(
         self, request: messages.Request, call: calls.Call
     ) -> requeststate.RequestState | refusals.NamedRefusal:
@@ -126,7 +185,6 @@
     async def _forward(
         self, request_state: requeststate.RequestState
     ) -> messages.Response:
-        loop = asyncio.get_running_loop()
         quarantine = self.dependencies.quarantine
         request_state.refused_ms = quarantine.refuse_ms(request_state.suspects)
         if request_state.refused_ms is not None:
@@ -136,6 +194,13 @@
         if not await self.dependencies.continuations.admit(request_state):
             refusal = refusals.unknown_origin()
             return self._refuse(request_state.call.request_id, request_state, refusal)
+        return await self._send_on(request_state)
+
+    async def _send_on(
+        self, request_state: requeststate.RequestState
+    ) -> messages.Response:
+        """Send a request to targets until one answers, or refuse it."""
+        loop = asyncio.get_running_loop()
         while (chosen := await self._choose(request_state)) is not None:
             outcome = await self._attempt(request_state, chosen)
             match outcome:
@@ -154,15 +219,15 @@
         refusal = request_state.refusal(loop.time())
         return self._refuse(request_state.call.request_id, request_state, refusal)
 
-    async def _choose(
-        self, request_state: requeststate.RequestState
-    ) -> selection.Choice | None:
+    async def _choose(self, request_state: requeststate.RequestState) -> Way | None:
         loop = asyncio.get_running_loop()
         while request_state.may_attempt(loop.time()):
             if self._is_quarantined(request_state) or self._is_suspect(request_state):
                 return None
             spent_ms = (loop.time() - request_state.request.received_s) * 1_000
             found = self.dependencies.selector.choose(request_state, spent_ms)
+            if isinstance(found, selection.Unreached):
+                found = self._choose_unreached(request_state, spent_ms)
             if isinstance(found, selection.Resting):
                 request_state.resting_ms = found.left_ms
                 return None
@@ -178,6 +243,28 @@
             await asyncio.sleep(wait_s)
         return None
 
+    def _choose_unreached(
+        self, request_state: requeststate.RequestState, spent_ms: float
+    ) -> Way | selection.Wait | selection.Resting | selection.Limited | None:
+        """Return a way through another instance, or a last try from here.
+
+        A target whose ejection is over is tried once though it could not be reached
+        before, unless others have just said that they reach none either.
+        """
+        detours = self.dependencies.detours
+        if (detour := detours.choose(request_state)) is not None:
+            return detour
+        hopeless = request_state.is_passed_on or detours.is_hopeless(
+            request_state.service
+        )
+        if not request_state.unreached and not hopeless:
+            selector = self.dependencies.selector
+            found = selector.choose(request_state, spent_ms, unreached_too=True)
+            if not isinstance(found, selection.Unreached):
+                return found
+        request_state.is_unreached = True
+        return None
+
     def _is_quarantined(self, request_state: requeststate.RequestState) -> bool:
         """Return whether targets crash on the request; a trial is sent once."""
         if request_state.is_trial and not request_state.times_sent:
@@ -200,6 +287,22 @@
         )
 
     async def _attempt(
+        self, request_state: requeststate.RequestState, chosen: Way
+    ) -> requeststate.Outcome:
+        if isinstance(chosen, detours_module.Detour):
+            outcome = await self.dependencies.detours.exchange(request_state, chosen)
+        else:
+            outcome = await self._attempt_here(request_state, chosen)
+        request_state.record_outcome(chosen.target.id, outcome)
+        request_state.choice_summary = chosen.summary
+        self.dependencies.metrics.add("tries_total", 1, type(outcome).__name__.lower())
+        if isinstance(outcome, requeststate.Answered | requeststate.Opened):
+            request_state.answered_by = chosen.target.software
+        else:
+            self._attempt_failed(request_state, chosen, outcome)
+        return outcome
+
+    async def _attempt_here(
         self, request_state: requeststate.RequestState, chosen: selection.Choice
     ) -> requeststate.Outcome:
         chosen.acquire()
@@ -210,22 +313,20 @@
         finally:
             if not isinstance(outcome, requeststate.Opened):
                 chosen.release()
-        request_state.record_outcome(chosen.target.id, outcome)
-        request_state.choice_summary = chosen.summary
-        self.dependencies.metrics.add("tries_total", 1, type(outcome).__name__.lower())
-        if not isinstance(outcome, requeststate.Answered | requeststate.Opened):
-            self._attempt_failed(request_state, chosen, outcome)
         return outcome
 
     def _attempt_failed(
         self,
         request_state: requeststate.RequestState,
-        chosen: selection.Choice,
+        chosen: Way,
         outcome: requeststate.Outcome,
     ) -> None:
-        self.dependencies.selector.record_failure(chosen, outcome)
-        if isinstance(outcome, requeststate.Lost):
-            self._record_crash(request_state, chosen, outcome)
+        if isinstance(chosen, detours_module.Detour):
+            self.dependencies.detours.record_outcome(chosen, outcome)
+        else:
+            self.dependencies.selector.record_failure(chosen, outcome)
+            if isinstance(outcome, requeststate.Lost):
+                self._record_crash(request_state, chosen, outcome)
         self.log.attempt_failed(request_state, chosen.target.id, outcome)
 
     def _record_crash(
@@ -256,8 +357,8 @@
                 doubt = await self.dependencies.continuations.doubt(
                     request_state, chosen.target
                 )
-                if doubt:
-                    return requeststate.NotSent(doubt, at_fault=False)
+                if doubt is not None:
+                    return doubt
                 answer = await self._send(request_state, chosen, before_write)
                 progress = requeststate.Progress.HEAD
                 return await self._read_answer(request_state, chosen, answer)
@@ -355,7 +456,7 @@
     def _stream(
         self,
         request_state: requeststate.RequestState,
-        chosen: selection.Choice,
+        chosen: Way,
         answer: http_client.ClientResponse,
     ) -> messages.Response:
         length = answer.header("content-length")
@@ -370,7 +471,7 @@
     async def _relay(
         self,
         request_state: requeststate.RequestState,
-        chosen: selection.Choice,
+        chosen: Way,
         answer: http_client.ClientResponse,
     ) -> typing.AsyncIterator[bytes]:
         """Yield a stream's whole events; one that breaks off may be resumed.
@@ -431,10 +532,10 @@
     async def _resume(
         self,
         request_state: requeststate.RequestState,
-        chosen: selection.Choice,
+        chosen: Way,
         splitter: eventstream.EventSplitter,
         lost: requeststate.Lost,
-    ) -> tuple[selection.Choice, http_client.ClientResponse]:
+    ) -> tuple[Way, http_client.ClientResponse]:
         """Continue a broken stream from another target, or raise ClientDisconnected."""
         request_state.record_outcome(chosen.target.id, lost)
         self._attempt_failed(request_state, chosen, lost)
@@ -453,5 +554,7 @@
         refusal: refusals.NamedRefusal,
     ) -> messages.Response:
         response = refusals.make_response(refusal, self.dependencies.random.random())
+        if request_state is not None:
+            request_state.refused_as = refusal.name
         self.log.ended(request_state, refusal.name, response.status, request_id)
         return response
--- a/cornelreach/gateway/gossip.py
+++ b/cornelreach/gateway/gossip.py
@@ -113,6 +113,7 @@
         self.on_prompt_store_update: DatagramHandler[datagrams.PromptStoreUpdate] = (
             _ignore
         )
+        self.is_cut_off: typing.Callable[[], bool] = lambda: False
         self.on_role_change: typing.Callable[[], None] = lambda: None
         self.on_freshness_query: DatagramHandler[datagrams.FreshnessQuery] = _ignore
         self.on_freshness_reply: DatagramHandler[datagrams.FreshnessReply] = _ignore
@@ -444,10 +445,17 @@
             self._sequence,
             loads,
             tuple(sorted(self.closed)),
-            tuple(n for n, state in self.registry.states.items() if state.suspected),
+            self._own_suspicions(),
             self._hub,
         )
 
+    def _own_suspicions(self) -> tuple[str, ...]:
+        """Return the targets that do not answer; none if that tells nothing of them."""
+        if self.is_cut_off():
+            return ()
+        states = self.registry.states.items()
+        return tuple(name for name, state in states if state.suspected)
+
     def broadcast(self) -> None:
         """Send one round of reports; if idle, only often enough to show liveness."""
         report = self._own_report()
--- a/cornelreach/gateway/probing.py
+++ b/cornelreach/gateway/probing.py
@@ -86,7 +86,9 @@
             )
         except FAILURES as error:
             self.http.close_idle(address)
-            registry.eject(target_id, f"probe: {error}", self.clock.now_ms())
+            registry.eject(
+                target_id, f"probe: {error}", self.clock.now_ms(), unreached=True
+            )
         else:
             reply = headers.read_reply(status, fields)
             registry.restore(target_id, reply.cold_ms or 0.0, self.clock.now_ms())
--- a/cornelreach/gateway/reach.py
+++ b/cornelreach/gateway/reach.py
@@ -1,7 +1,7 @@
 """Whether this instance reaches any target at all.
 
-A target that does not answer is suspected. If all of them are, the links of this
-instance are the likelier cause, and its suspicions say nothing of the targets::
+If no connection to any target can be opened, the links of this instance are the
+likelier cause, and its suspicions say nothing of the targets::
 
     reach = Reach(registry, clock)
     if reach.is_cut_off():
@@ -38,14 +38,14 @@
         registry.on_answer = self.record_answer
 
     def is_cut_off(self) -> bool:
-        """Return whether there are targets in service and none of them answers."""
+        """Return whether there are targets in service and none of them is reached."""
         opened = [
             one.id
             for one in self.registry.targets.values()
             if self.registry.is_open(one.id, one.service)
         ]
         return bool(opened) and all(
-            self.registry.state(one).suspected for one in opened
+            self.registry.state(one).unreached for one in opened
         )
 
     def record_failure(self, target: str, reason: str) -> None:
--- a/cornelreach/gateway/refusals.py
+++ b/cornelreach/gateway/refusals.py
@@ -84,6 +84,17 @@
     return _not_run("quarantined", errors.Code.UNAVAILABLE, text, math.ceil(left_ms))
 
 
+def targets_unreached() -> NamedRefusal:
+    """Refuse because neither this instance nor another one reaches a target."""
+    text = "no target of this service can be reached now"
+    return _not_run("targets-unreached", errors.Code.UNAVAILABLE, text, 400)
+
+
+def declined(reason: str) -> NamedRefusal:
+    """Refuse a request of another instance, which may find a third one."""
+    return _not_run("declined", errors.Code.UNAVAILABLE, reason, 400)
+
+
 def no_version() -> NamedRefusal:
     """Refuse because no target of the version that began a stream accepts requests."""
     text = "no target of the version that began this stream takes requests now"
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -26,6 +26,7 @@
 MAX_REMEMBERED = 4_096  # lifetimes of targets that left
 FIRST_EJECT_MS = 600
 MAX_EJECT_MS = 5_000
+MAX_LAST_EJECT_MS = 1_000  # while no target of its service answers
 MAX_BACK_OFF_MS = 1_000
 NEWEST_WEIGHT = 0.1  # weight of the newest answer in a target's moving averages
 
@@ -100,6 +101,7 @@
         self.failures = 0
         self.sheds = 0
         self.suspected = False
+        self.unreached = False  # whether no connection could be opened
         self.unconfirmed = False  # whether this is still the lifetime of its entry
         self.error_share = 0.0
         self.answer_ms: float | None = None
@@ -401,9 +403,13 @@
         kept = [one for one in opened if self._is_in_use(one.id, now_ms)]
         return kept or opened
 
+    def is_ejected(self, target_id: str, now_ms: float) -> bool:
+        """Return whether a target is not used for some time after a failed call."""
+        return self.state(target_id).ejected_until_ms > now_ms
+
     def _is_in_use(self, target_id: str, now_ms: float) -> bool:
         state = self.state(target_id)
-        return not state.suspected and state.ejected_until_ms <= now_ms
+        return not state.suspected and not self.is_ejected(target_id, now_ms)
 
     def restore(self, target_id: str, cold_ms: float, now_ms: float) -> None:
         """Clear the suspicion of a target that answered a probe.
@@ -416,12 +422,27 @@
             if cold_ms > 0:
                 state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
 
-    def eject(self, target_id: str, reason: str, now_ms: float) -> None:
-        """Eject a target after a failed call, for longer with each failure in a row."""
+    def eject(
+        self, target_id: str, reason: str, now_ms: float, unreached: bool = False
+    ) -> None:
+        """Eject a target after a failed call, for longer with each failure in a row.
+
+        With ``unreached``, no connection to it could be opened. A failure during an
+        ejection does not put off the probe that ends it.
+        """
         if target_id not in self.targets:
             return
         state = self.state(target_id)
-        wait_ms = min(MAX_EJECT_MS, FIRST_EJECT_MS * 2**state.failures)
+        state.unreached = state.unreached or unreached
+        if state.suspected and self.is_ejected(target_id, now_ms):
+            state.unconfirmed = True
+            self.on_failure(target_id, reason)
+            return
+        others = self._by_service[self.targets[target_id].service]
+        # The only ones that there are get another try soon.
+        is_last = all(self.state(one).suspected or one == target_id for one in others)
+        longest_ms = MAX_LAST_EJECT_MS if is_last else MAX_EJECT_MS
+        wait_ms = min(longest_ms, FIRST_EJECT_MS * 2**state.failures)
         state.failures += 1
         state.suspected = state.unconfirmed = True
         state.ejected_until_ms = now_ms + wait_ms
@@ -431,6 +452,7 @@
 
     def _clear_suspicion(self, target_id: str, state: State) -> None:
         was_suspected, state.suspected = state.suspected, False
+        state.unreached = False
         if was_suspected:
             self.on_answer(target_id)
 
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -81,7 +81,12 @@
     version of the targets' software at which a stream may go on, once it has begun.
     ``parts`` names the parts of the prompt that others may share; ``refused_ms`` is for
     how long it is refused because targets crash on one of them or on the request
-    itself, unless it is sent as their trial.
+    itself, unless it is sent as their trial. ``unreached`` counts the targets to which
+    no connection could be opened, ``reached`` names those that got the request, and
+    ``is_unreached`` is set if no way to any is left. ``detours`` counts the attempts
+    through other instances; one that another instance passed on (``is_passed_on``)
+    makes none. ``answered_by`` is the software that answered, ``refused_as`` the name
+    of the refusal.
     """
 
     def __init__(
@@ -117,6 +122,13 @@
         self.software: str | None = None
         self.refused_ms: float | None = None
         self.is_trial = False
+        self.unreached = 0
+        self.reached: set[str] = set()
+        self.is_unreached = False
+        self.detours = 0
+        self.is_passed_on = False
+        self.answered_by = ""
+        self.refused_as = ""
         self.parts = crashes.shared_parts(call)
 
     @functools.cached_property
@@ -137,6 +149,11 @@
             return crashes.prompt_hash(self.call)
         return hashing.name_hash(self.name)
 
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the answer is a series of events."""
+        return self.route.kind is catalogue.Kind.STREAM
+
     @property
     def model(self) -> str:
         """Return the requested model, or an empty text for plain services."""
@@ -164,6 +181,10 @@
         name = type(outcome).__name__.lower()
         self.tries.append(f"{target}:{name}")
         self.tried.add(target)
+        if not isinstance(outcome, NotSent):
+            self.reached.add(target)
+        elif outcome.at_fault:
+            self.unreached += 1
         if isinstance(outcome, Failure | Lost):
             self.possible_runs += 1
         if isinstance(outcome, Failure):
@@ -193,6 +214,8 @@
             return refusals.targets_resting(self.resting_ms)
         if self.limited_ms is not None:
             return refusals.targets_limited(self.limited_ms)
+        if self.is_unreached:
+            return refusals.targets_unreached()
         if self.software is not None:
             return refusals.no_version()
         return refusals.no_target()
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -28,6 +28,7 @@
 OLD_WEIGHTS_COST = 8_000.0  # prompt tokens
 NOT_HOSTED = -1  # below every version of a model
 WAIT_MS = 40.0
+MAX_UNREACHED = 2  # targets that one request finds out of reach
 WAIT_SHARE = 0.2  # of the objective; the longest wait before a request is refused
 
 
@@ -50,6 +51,10 @@
     left_ms: float
 
 
+class Unreached(typing.NamedTuple):
+    """No target that may get the request can be reached from here."""
+
+
 class Choice:
     """The target chosen for one attempt, and the accounting of that attempt."""
 
@@ -193,11 +198,16 @@
         return self._retries[service]
 
     def choose(
-        self, request_state: requeststate.RequestState, spent_ms: float = 0.0
-    ) -> Choice | Wait | Resting | Limited | None:
+        self,
+        request_state: requeststate.RequestState,
+        spent_ms: float = 0.0,
+        unreached_too: bool = False,
+    ) -> Choice | Wait | Resting | Limited | Unreached | None:
         """Return a target, or how long to wait for one, or None if there is none.
 
-        ``spent_ms`` is the time since the request was received.
+        ``spent_ms`` is the time since the request was received. Targets to which no
+        connection could be opened are chosen only with ``unreached_too``, once their
+        ejection is over.
         """
         now_ms = self.clock.now_ms()
         service = self.mirror.catalogue.services.get(request_state.service)
@@ -207,13 +217,24 @@
             request_state.service
         ).admits_retry(self.mirror.fleet, now_ms):
             return None
-        self.mirror.registry.expire(now_ms)
+        registry = self.mirror.registry
+        registry.expire(now_ms)
         allowed = self._allowed_targets(request_state, service, now_ms)
         if not allowed:
-            left_ms = self.mirror.registry.rest_left_ms(
+            left_ms = registry.rest_left_ms(
                 service.name, now_ms, request_state.software
             )
-            return None if left_ms is None else Resting(left_ms)
+            if left_ms is not None:
+                return Resting(left_ms)
+            return Unreached() if request_state.unreached else None
+        if unreached_too:
+            allowed = [
+                one for one in allowed if not registry.is_ejected(one.id, now_ms)
+            ]
+            if not allowed:
+                return Unreached()
+        elif self._is_out_of_reach(allowed, request_state):
+            return Unreached()
         free = self._targets_with_room(allowed, service, now_ms)
         if not free:
             max_ms = request_state.route.objective_ms * WAIT_SHARE
@@ -223,6 +244,15 @@
             return Wait(WAIT_MS, max_ms)
         return self._pick(free, request_state, service, now_ms, spent_ms)
 
+    def _is_out_of_reach(
+        self,
+        allowed: typing.Iterable[registry_module.Target],
+        request_state: requeststate.RequestState,
+    ) -> bool:
+        if request_state.unreached >= MAX_UNREACHED:
+            return True
+        return all(self.mirror.registry.state(one.id).unreached for one in allowed)
+
     def _allowed_targets(
         self,
         request_state: requeststate.RequestState,
@@ -233,7 +263,7 @@
             service.name, now_ms, request_state.software
         )
         tried = request_state.tried
-        zones = self._allowed_zones(request_state)
+        zones = self.allowed_zones(request_state)
         model = request_state.model
         oldest = self._oldest_version(model, now_ms)
         return [
@@ -248,7 +278,7 @@
             )
         ]
 
-    def _allowed_zones(
+    def allowed_zones(
         self, request_state: requeststate.RequestState
     ) -> set[str] | None:
         """Return the data centres that a request may go to; None means all."""
@@ -519,4 +549,4 @@
             registry.record_outcome(target, False, now_ms - chosen.sent_ms)
             registry.eject(target, outcome.reason, now_ms)
         elif isinstance(outcome, requeststate.NotSent) and outcome.at_fault:
-            registry.eject(target, outcome.reason, now_ms)
+            registry.eject(target, outcome.reason, now_ms, unreached=True)
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -29,6 +29,7 @@
 SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 STORE_ERA = b"store-era"
+DETOUR = b"cornelreach-detour"  # between instances
 
 HOP_BY_HOP = frozenset(
     (
@@ -59,6 +60,7 @@
         KV_SOURCE,
         KV_TARGET,
         LAST_EVENT,
+        DETOUR,
         b"x-cornelreach-pin-ms",
         b"x-cornelreach-kv-hold",
         b"x-cornelreach-kv-backup",
@@ -67,7 +69,7 @@
     )
 )
 # Dropped from responses: what a target tells this system about itself.
-INTERNAL = frozenset((SERVER_LOAD, SERVER_LEAVING, SERVER_LIMIT))
+INTERNAL = frozenset((SERVER_LOAD, SERVER_LEAVING, SERVER_LIMIT, DETOUR))
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
@@ -141,6 +143,15 @@
     return tuple(forwarded)
 
 
+def passed_on_headers(
+    headers: messages.Headers, deadline_ms: float, field: tuple[bytes, bytes]
+) -> messages.Headers:
+    """Return the headers with which another instance gets a caller's request."""
+    dropped = _connection_options(headers) | HOP_BY_HOP | {DEADLINE, field[0]}
+    kept = tuple((name, value) for name, value in headers if name not in dropped)
+    return (*kept, (DEADLINE, str(max(1, int(deadline_ms))).encode()), field)
+
+
 def _by_part(stores: tuple[str | None, ...]) -> str | None:
     if not any(stores):
         return None
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -7,10 +7,12 @@
     balancer,
     catalogue,
     continuations,
+    detours,
     forwarding,
     gossip as gossip_module,
     hubs,
     mirror as mirror_module,
+    probing,
     promptindex,
     quarantine,
     quotas,
@@ -206,6 +208,8 @@
             targetlimits.TargetLimits(self.gossip, self.mirror, self.clock),
         )
         self.metrics = metrics.Metrics()
+        self.tasks = []
+        self.peer_server = None
         parts = forwarding.Dependencies(
             self.mirror,
             self.selector,
@@ -220,6 +224,9 @@
                 self.metrics,
             ),
             quarantine.Quarantine(self.clock),
+            detours.Detours(
+                self.mirror, self.gossip, self.selector, self.clock, source
+            ),
         )
         # As if the instance had known the targets for a minute.
         self.mirror.registry.replace((), self.clock.now_ms() - 60_000)
@@ -251,12 +258,23 @@
         self.gossip.members.update(members)
         await self.gossip.listen("127.0.0.1", 0)
         host, port = self.gossip.address()
+        self.peer_server = await server.start(
+            host, port, self.forwarder.handle_passed_on
+        )
+        prober = probing.Prober(self.mirror, self.http, self.clock)
+        for run in (prober.run, self.gossip.run):
+            self.tasks.append(asyncio.ensure_future(run()))
         return {self.gossip.name: hubs.Member(host, port, "lj")}
 
     async def kill(self):
         """End the instance; its engines go on."""
         self.server.stop_listening()
         self.server.abort()
+        for task in self.tasks:
+            task.cancel()
+        if self.peer_server is not None:
+            self.peer_server.stop_listening()
+            self.peer_server.abort()
         self.gossip.close()
         await self.http.close()
 
--- a/test/gateway/test_reach.py
+++ b/test/gateway/test_reach.py
@@ -23,18 +23,20 @@
 
     # Guards against callers being kept by an instance that does not know that it
     # reaches no target.
-    def test_no_answer_of_any_target_means_that_the_instance_is_cut_off(self):
+    def test_no_connection_to_any_target_means_that_the_instance_is_cut_off(self):
         self.assertFalse(self.reach.is_cut_off())
-        self.registry.eject("e0", "no answer", 0)
+        self.registry.eject("e0", "no connection", 0, unreached=True)
         self.assertFalse(self.reach.is_cut_off())
-        self.registry.eject("e1", "no answer", 0)
+        self.registry.eject("e1", "no answer in time", 0)
+        self.assertFalse(self.reach.is_cut_off())
+        self.registry.eject("e1", "no connection", 0, unreached=True)
         self.assertTrue(self.reach.is_cut_off())
         self.registry.restore("e0", 0, 100)
         self.assertFalse(self.reach.is_cut_off())
 
     # Guards against a target that drains hiding that none of the others is reached.
     def test_only_targets_in_service_count(self):
-        self.registry.eject("e0", "no answer", 0)
+        self.registry.eject("e0", "no connection", 0, unreached=True)
         self.put("e1", "t", draining=True)
         self.assertTrue(self.reach.is_cut_off())
         self.put("e0", "s", draining=True)
