Keep in the store which software versions may have begun streams

Callers saw: after all instances were killed while two software versions served, or when the old one had just left, a stream taken up by its caller was answered 200 and ran to its end, with the first part of one version and the rest of the other.

Cause: which versions have left lately was known only to the processes. An instance that had just started saw one version and let a caller that names no attempt go on; one that names its attempt was refused even where there had been one version only.

Change: software/SERVICE lists the versions that may have begun streams that still go on. A stream goes on without a known origin only if entry and sight name one.

Why it works: the store outlives the processes, and the entry is written when the second version comes into sight, long before the first has left.

--- a/cornelreach/gateway/catalogue.py
+++ b/cornelreach/gateway/catalogue.py
@@ -119,8 +119,14 @@
         self.accounts = accounts
         self.limits = limits
         self._routes: dict[str, dict[str, Route]] = {}
+        # The longest that a stream which may be resumed lasts, by service.
+        self.resumable_ms: dict[str, float] = {}
         for route in routes:
             self._routes.setdefault(route.host, {})[route.prefix] = route
+            for share in route.shares if route.resumable else ():
+                longest_ms = self.resumable_ms.get(share.service, 0.0)
+                timeout_ms = max(longest_ms, route.timeout_ms)
+                self.resumable_ms[share.service] = timeout_ms
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None.
--- a/cornelreach/gateway/continuations.py
+++ b/cornelreach/gateway/continuations.py
@@ -17,6 +17,7 @@
     catalogue,
     registry as registry_module,
     requeststate,
+    softwareversions,
     streamorigins,
 )
 from cornelreach.reports import metrics as metrics_module
@@ -42,6 +43,7 @@
         registry: registry_module.TargetRegistry,
         clock: timers.Timers,
         metrics: metrics_module.Metrics,
+        versions: softwareversions.SoftwareVersions,
         is_current: Confirm = _trust_entry,
     ) -> None:
         self.is_current = is_current
@@ -49,6 +51,7 @@
         self.registry = registry
         self.clock = clock
         self.metrics = metrics
+        self.versions = versions
 
     def bind(self, request_state: requeststate.RequestState, software: str) -> None:
         """Bind a stream to the software of its first event; later calls do nothing."""
@@ -112,13 +115,15 @@
         """Return the origin if the route has one service, and this one version."""
         route, service = request_state.route, request_state.service
         now_ms = self.clock.now_ms()
-        found = self.registry.software_versions(service, route.timeout_ms, now_ms)
+        found = self.versions.possible(service, now_ms)
         if len(route.shares) > 1 or len(found) != 1:
             return None
-        # A caller that names no attempt knows only services of a single version, so the
-        # versions in sight suffice.
-        if request_state.call.resumes and not self.registry.is_listed_for(
+        # Before the store's entry is known, a caller that names no attempt goes on
+        # where one version is in sight.
+        known = self.versions.is_kept(service) or self.registry.is_listed_for(
             route.timeout_ms, now_ms
-        ):
+        )
+        if request_state.call.resumes and not known:
             return None
-        return streamorigins.Origin(service, found.pop())
+        (software,) = found
+        return streamorigins.Origin(service, software)
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -29,6 +29,7 @@
     registry as registry_module,
     rollouts,
     selection,
+    softwareversions,
     streamorigins,
     targetlimits,
     watching,
@@ -190,6 +191,9 @@
         self.quarantine_sync = quarantinesync.QuarantineSync(
             self.quarantine, self.gossip, self.objects, self.mirror, self.clock
         )
+        self.software_versions = softwareversions.SoftwareVersions(
+            self.mirror, self.objects, self.clock
+        )
         self.forwarder = forwarding.Forwarder(
             forwarding.Dependencies(
                 self.mirror,
@@ -203,6 +207,7 @@
                     self.mirror.registry,
                     self.clock,
                     self.metrics,
+                    self.software_versions,
                     self._is_current,
                 ),
                 self.quarantine,
@@ -259,6 +264,10 @@
                 ),
                 _timing_for(version_ms * VERSION_PROOF_SHARE),
             ),
+            (
+                recordhandlers.SoftwareHandler(mirror, clock, self.software_versions),
+                _timing_for(LONG_WATCH_MS),
+            ),
             (
                 recordhandlers.FleetHandler(
                     mirror, clock, self.gossip.members, self._register_again
@@ -414,6 +423,7 @@
         self._tasks.append(asyncio.ensure_future(self.proofs.run()))
         self._tasks.append(asyncio.ensure_future(self._register()))
         self._tasks.append(asyncio.ensure_future(self._watch_settings()))
+        self.clock.every(softwareversions.CHECK_MS, self.software_versions.check)
         events.emit(
             STARTED, name=self.site.name, zone=self.site.zone, address=self.site.front
         )
@@ -503,5 +513,6 @@
         self.prompt_store_watcher.close()
         self.rollouts.close()
         self.quarantine_sync.close()
+        self.software_versions.close()
         for task in self._tasks:
             task.cancel()
--- a/cornelreach/gateway/mirror.py
+++ b/cornelreach/gateway/mirror.py
@@ -13,7 +13,8 @@
 
 CATALOGUE, TARGETS, EVACUATIONS, VERSIONS = "catalogue", "targets", "zones", "models"
 FLEET = "fleet"  # the fleet's limits are divided by it
-REQUIRED = {CATALOGUE, TARGETS, EVACUATIONS, VERSIONS, FLEET}
+SOFTWARE = "software"
+REQUIRED = {CATALOGUE, TARGETS, EVACUATIONS, VERSIONS, FLEET, SOFTWARE}
 PROOF_MARGIN_MS = 200  # time from the check until the first byte reaches the target
 
 CATALOGUE_APPLIED = events.define(
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -8,6 +8,7 @@
     mirror as mirror_module,
     quarantine as quarantine_module,
     quotas,
+    softwareversions,
 )
 from cornelreach.http import client as http_client
 from cornelreach.platform import (
@@ -16,6 +17,7 @@
     quarantines,
     records as records_module,
     results,
+    software,
 )
 from cornelreach.util import events, timers
 
@@ -335,3 +337,31 @@
         else:
             trials = quarantines.read_trials(record)
             self.quarantine.apply_entry(part, record.version, trials)
+
+
+class SoftwareHandler(BaseHandler):
+    """Applies the entries of the software versions of each service."""
+
+    prefix = software.PREFIX
+    kind = mirror_module.SOFTWARE
+
+    def __init__(
+        self,
+        mirror: mirror_module.Mirror,
+        clock: timers.Timers,
+        versions: softwareversions.SoftwareVersions,
+    ) -> None:
+        super().__init__(mirror, clock)
+        self.versions = versions
+
+    def on_restore(self) -> None:
+        # Entries that the copy lacks are written again.
+        self.versions.forget_revisions()
+
+    def on_change(self, record: results.Record) -> None:
+        service = record.key.removeprefix(self.prefix)
+        if record.value is None:
+            self.versions.remove_entry(service)
+        else:
+            versions = software.read_versions(record)
+            self.versions.apply_entry(service, versions, record.version)
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -18,6 +18,7 @@
     quotas,
     registry,
     selection,
+    softwareversions,
     streamorigins,
     targetlimits,
 )
@@ -179,7 +180,9 @@
 class Harness:
     """A forwarder behind a server on loopback, in front of engines."""
 
-    def __init__(self, found, engines, service, name="edge-1", connect_ms=2_000):
+    def __init__(
+        self, found, engines, service, name="edge-1", connect_ms=2_000, store=None
+    ):
         self.clock = timers.LoopTimers()
         self.mirror = mirror_module.Mirror(name, 5_000, True)
         self.mirror.synced = set(mirror_module.REQUIRED)
@@ -208,6 +211,9 @@
             targetlimits.TargetLimits(self.gossip, self.mirror, self.clock),
         )
         self.metrics = metrics.Metrics()
+        self.software_versions = softwareversions.SoftwareVersions(
+            self.mirror, store, self.clock
+        )
         self.tasks = []
         self.peer_server = None
         parts = forwarding.Dependencies(
@@ -222,6 +228,7 @@
                 self.mirror.registry,
                 self.clock,
                 self.metrics,
+                self.software_versions,
             ),
             quarantine.Quarantine(self.clock),
             detours.Detours(
@@ -256,16 +263,25 @@
     async def join(self, members):
         """Listen for other instances, and add this one to the shared members."""
         self.gossip.members.update(members)
-        await self.gossip.listen("127.0.0.1", 0)
-        host, port = self.gossip.address()
-        self.peer_server = await server.start(
-            host, port, self.forwarder.handle_passed_on
-        )
+        host, port = await self._listen_for_peers()
         prober = probing.Prober(self.mirror, self.http, self.clock)
         for run in (prober.run, self.gossip.run):
             self.tasks.append(asyncio.ensure_future(run()))
         return {self.gossip.name: hubs.Member(host, port, "lj")}
 
+    async def _listen_for_peers(self):
+        """Listen on one port for datagrams and connections, which others may use."""
+        while True:
+            self.peer_server = await server.start(
+                "127.0.0.1", 0, self.forwarder.handle_passed_on
+            )
+            try:
+                await self.gossip.listen("127.0.0.1", self.peer_server.port)
+            except OSError:
+                self.peer_server.stop_listening()
+                continue
+            return self.gossip.address()
+
     async def kill(self):
         """End the instance; its engines go on."""
         self.server.stop_listening()
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -1,9 +1,12 @@
 """Streams that go on while engines of several software versions serve."""
 
+import asyncio
 import time
 
-from cornelreach.gateway import hubs
+from cornelreach.gateway import hubs, recordhandlers
+from cornelreach.platform import software
 from test.gateway import harness as harness_module, test_forwarding
+from test.platform import objects
 
 EVENTS = 4
 UNTRIED = 8  # streams; by chance all of them would go on right once in 256 runs
@@ -29,8 +32,8 @@
     async def start_versions(self):
         """Start both engines and one instance."""
         await self.start(stream, stream)
-        for engine, software in zip(self.engines, ("v1", "v2"), strict=True):
-            self.harness.register(engine, "s", software=software)
+        for engine, version in zip(self.engines, ("v1", "v2"), strict=True):
+            self.harness.register(engine, "s", software=version)
 
     async def begin(self, harness, number, engine=0):
         """Begin a stream at one engine; it is broken off for its caller too."""
@@ -142,8 +145,8 @@
         """Start another instance; both know each other's address for datagrams."""
         found = self.harness.mirror.catalogue
         other = harness_module.Harness(found, self.engines, "s", "edge-2")
-        for engine, software in zip(self.engines, ("v1", "v2"), strict=True):
-            other.register(engine, "s", software=software)
+        for engine, version in zip(self.engines, ("v1", "v2"), strict=True):
+            other.register(engine, "s", software=version)
         await other.start()
         self.addAsyncCleanup(other.stop)
         pair = {"edge-1": self.harness, "edge-2": other}
@@ -182,6 +185,88 @@
         self.assertEqual(counts, [UNTRIED // 2] * 2)
 
 
+class Restarted(Case):
+    """All instances were down; what an instance knows comes from the store."""
+
+    async def start_again(self):
+        """Kill the instance, and start one that reads the store's entries."""
+        await self.harness.kill()
+        found = self.harness.mirror.catalogue
+        other = harness_module.Harness(found, (), "s", "edge-2", store=self.store)
+        other.mirror.registry._listed_ms = other.clock.now_ms()
+        handler = recordhandlers.SoftwareHandler(
+            other.mirror, other.clock, other.software_versions
+        )
+        records = self.store.store.listing(software.PREFIX).records
+        handler.on_list(records, reconnected=False)
+        await other.start()
+        self.addAsyncCleanup(other.stop)
+        return other
+
+    async def begin_on_first_version(self):
+        """Let an instance see two versions, and begin a stream on the first."""
+        self.store = objects.FakeObjectStore()
+        await self.start_versions()
+        self.harness.software_versions.objects = self.store
+        self.harness.software_versions.check()
+        await asyncio.sleep(0.01)
+        return await self.begin(self.harness, 1)
+
+    # Guards against streams joined from two versions after all instances were killed.
+    async def test_a_stream_does_not_go_on_at_the_version_that_is_left(self):
+        attempt = await self.begin_on_first_version()
+        other = await self.start_again()
+        other.register(self.engines[1], "s", software="v2")
+        for named in (None, attempt):
+            got = await self.go_on(other, 1, named)
+            self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
+        self.assertEqual(self.resumed_at(), set())
+
+    # Guards against refusing callers where no other version can have begun a stream.
+    async def test_a_stream_goes_on_where_there_was_one_version_all_the_while(self):
+        self.store = objects.FakeObjectStore()
+        await self.start(stream, stream)
+        for engine in self.engines:
+            self.harness.register(engine, "s", software="v1")
+        self.harness.mirror.registry._software_left_ms.clear()
+        self.harness.software_versions.objects = self.store
+        self.harness.software_versions.check()
+        await asyncio.sleep(0.01)
+        attempt = await self.begin(self.harness, 1)
+        other = await self.start_again()
+        other.register(self.engines[1], "s", software="v1")
+        for named in (None, attempt):
+            got = await self.go_on(other, 1, named)
+            self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
+
+    # Guards against entries that grow with each release, and refuse callers for ever.
+    async def test_an_entry_loses_a_version_once_its_streams_have_ended(self):
+        await self.begin_on_first_version()
+        versions, registry = (
+            self.harness.software_versions,
+            self.harness.mirror.registry,
+        )
+        registry.remove("e0", self.harness.clock.now_ms() - 60_000)
+        registry._software_left_ms = {("s", "v1"): self.harness.clock.now_ms() - 60_000}
+        versions.check()
+        await asyncio.sleep(0.01)
+        entry = self.store.store.read(software.key("s")).unwrap()
+        self.assertEqual(software.read_versions(entry), {"v2"})
+
+    # Guards against writes by every instance, and by one that has read nothing.
+    async def test_an_entry_is_written_only_if_it_differs(self):
+        await self.begin_on_first_version()
+        for _ in range(3):
+            self.harness.software_versions.check()
+            await asyncio.sleep(0.01)
+        self.assertEqual(self.store.store.revision, 1)
+        self.harness.mirror.synced.clear()
+        self.harness.register(self.engines[1], "s", software="v3")
+        self.harness.software_versions.check()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.store.store.revision, 1)
+
+
 class OneVersion(Case):
     """Where one software version has served all the while, nothing need be known."""
 
