Lose no answer to an engine that is silent for a second

Callers saw: requests in progress, and connections at rest, at a sound engine that fell silent for a second were lost: work that had run was reported as unknown, or repeated.

Cause: TCP_USER_TIMEOUT was 700 ms beside keepalive probes of one second. On Linux that option also decides when unanswered probes end a connection, whatever their count: a silence of 1,050 ms that begins with the last part ends it at 2 s.

Change: 3.1 s, so that a silence of less than two seconds ends none in any phase. What the short time found is found by a new connection instead: 600 ms without a sign of a target, one at a time for each; if it cannot be opened, new requests go elsewhere and those that may be repeated leave after 1.6 s. PLATFORM_SILENCE_MS stays: a watch that is opened again loses nothing.

--- a/cornelreach/gateway/detours.py
+++ b/cornelreach/gateway/detours.py
@@ -30,7 +30,7 @@
 
 CONNECT_MS = 150  # instances answer at once, or not at all
 IDLE_MS = 5_000
-ACK_TIMEOUT_MS = 1_000
+ACK_TIMEOUT_MS = 3_100  # as for targets
 DECLINED_MS = 500.0
 SILENT_MS = 1_000.0
 MAX_DETOURS = 3  # of one request
@@ -86,6 +86,9 @@
         """Keep what ends the accounting of this attempt."""
         self._release = release
 
+    def record_part(self) -> None:
+        """Ignore that a part of the answer has come."""
+
     def release(self) -> None:
         """End the accounting of this attempt; idempotent."""
         release, self._release = self._release, None
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -29,6 +29,7 @@
     registry as registry_module,
     rollouts,
     selection,
+    silence,
     softwareversions,
     streamorigins,
     targetlimits,
@@ -48,7 +49,10 @@
 from cornelreach.util import errors, events, timers
 
 ENGINE_CONNECT_MS = 200
-ENGINE_SILENCE_MS = 700
+# Until the kernel gives up a connection whose data is not acknowledged. One with an
+# unanswered keepalive probe ends at the first probe after that time, here at 4 s, so a
+# target that is silent for less than two seconds loses no answer.
+ENGINE_SILENCE_MS = 3_100
 ENGINE_IDLE_MS = 5_000
 CONFIRM_WAIT_MS = 250
 PLATFORM_SILENCE_MS = 1_500
@@ -214,6 +218,7 @@
                 detours.Detours(
                     self.mirror, self.gossip, self.selector, self.clock, self.random
                 ),
+                silence.Silence(self.mirror.registry, self.http, self.clock),
             )
         )
 
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -24,6 +24,7 @@
     requestlog,
     requeststate,
     selection,
+    silence as silence_module,
 )
 from cornelreach.http import client as http_client, messages, server
 from cornelreach.platform import headers
@@ -65,6 +66,7 @@
     continuations: continuations_module.Continuations
     quarantine: quarantine_module.Quarantine
     detours: detours_module.Detours
+    silence: silence_module.Silence
 
 
 Way = selection.Choice | detours_module.Detour
@@ -353,13 +355,18 @@
             self._before_write, request_state, chosen, written
         )
         try:
-            async with asyncio.timeout_at(self._attempt_due_s(request_state)):
+            due_s = self._attempt_due_s(request_state)
+            async with asyncio.timeout_at(due_s) as timeout:
                 doubt = await self.dependencies.continuations.doubt(
                     request_state, chosen.target
                 )
                 if doubt is not None:
                     return doubt
-                answer = await self._send(request_state, chosen, before_write)
+                give_up = functools.partial(timeout.reschedule, 0.0)
+                with self.dependencies.silence.watch(
+                    chosen.target, give_up if request_state.may_repeat() else None
+                ):
+                    answer = await self._send(request_state, chosen, before_write)
                 progress = requeststate.Progress.HEAD
                 return await self._read_answer(request_state, chosen, answer)
         except http_client.RequestNotSent as error:
@@ -487,6 +494,7 @@
                 framing = answer.framing
                 try:
                     async for part in self._read_until_due(request_state, answer):
+                        chosen.record_part()
                         if data := splitter.feed(part):
                             continuations.bind(request_state, chosen.target.software)
                             yield data
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -98,6 +98,7 @@
         self.resting_until_ms = 0.0
         self.limit_per_s: float | None = None
         self.limit_ms = 0.0  # when the target was last heard to name it, or none
+        self.heard_ms = 0.0  # when the last answer or part of one came
         self.failures = 0
         self.sheds = 0
         self.suspected = False
@@ -510,6 +511,7 @@
         if target_id not in self.targets:
             return
         state = self.state(target_id)
+        state.heard_ms = now_ms
         if reply.load is not None:
             state.load, state.load_ms = reply.load, now_ms
         if reply.cold_ms:
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -196,9 +196,12 @@
         """Return whether another attempt is allowed, apart from the retry budget."""
         if len(self.tries) >= MAX_TRIES or self.left_ms(now_s) < MIN_LEFT_MS:
             return False
-        if not self.possible_runs:
-            return True
-        return self.route.repeatable and self.possible_runs < self.route.attempts
+        return not self.possible_runs or self.may_repeat(0)
+
+    def may_repeat(self, under_way: int = 1) -> bool:
+        """Return whether it may run again after the attempts that are under way."""
+        runs = self.possible_runs + under_way
+        return self.route.repeatable and runs < self.route.attempts
 
     def refusal(self, now_s: float) -> refusals.NamedRefusal:
         """Return the refusal that tells the caller whether its request may have run."""
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -133,6 +133,10 @@
         else:
             self.state.sends.record(self.sent_ms)
 
+    def record_part(self) -> None:
+        """Record that a part of the answer has come."""
+        self.state.heard_ms = self._now_ms()
+
     def own_reservations(self) -> int:
         """Return how many requests this one has reserved in its target's window."""
         return int(self._reserved)
--- /dev/null
+++ b/cornelreach/gateway/silence.py
@@ -0,0 +1,96 @@
+"""Targets that fall silent while a request waits for its answer.
+
+A sound target may be silent for a second, so the kernel gives a connection up much
+later than callers wait. In the meantime a new connection tells whether the target can
+be reached: if not, new requests go elsewhere, and those that may be repeated leave it
+once a sound one would have gone on::
+
+    with silence.watch(chosen, give_up):
+        answer = await send()
+"""
+
+import asyncio
+import contextlib
+import typing
+
+from cornelreach.gateway import registry as registry_module
+from cornelreach.http import client as http_client
+from cornelreach.util import timers
+
+CHECK_MS = 600.0  # without a sign of the target
+GIVE_UP_MS = 1_600.0  # longer than a sound target is silent
+
+GiveUp = typing.Callable[[], None]
+
+
+class Silence:
+    """Checks silent targets by a new connection, one at a time for each."""
+
+    def __init__(
+        self,
+        registry: registry_module.TargetRegistry,
+        http: http_client.Client,
+        clock: timers.Timers,
+    ) -> None:
+        self.registry = registry
+        self.http = http
+        self.clock = clock
+        self._checks: dict[str, asyncio.Task[None]] = {}
+
+    @contextlib.contextmanager
+    def watch(
+        self, target: registry_module.Target, give_up: GiveUp | None = None
+    ) -> typing.Iterator[None]:
+        """Watch a target while an answer is awaited; call ``give_up`` if it is lost."""
+        watch = _Watch(self, target, give_up)
+        try:
+            yield
+        finally:
+            watch.close()
+
+    def check(self, target: registry_module.Target) -> None:
+        """Open a connection to a target, unless that is being done."""
+        task = self._checks.get(target.id)
+        if task is None or task.done():
+            self._checks[target.id] = asyncio.ensure_future(self._check(target))
+
+    async def _check(self, target: registry_module.Target) -> None:
+        try:
+            await self.http.open_idle(http_client.parse_address(target.address))
+        except http_client.RequestNotSent as error:
+            reason = f"silent, and {error}"
+            self.registry.eject(target.id, reason, self.clock.now_ms(), unreached=True)
+        finally:
+            self._checks.pop(target.id, None)
+
+
+class _Watch:
+    """The wait of one request; a timer checks the target each time it is silent."""
+
+    def __init__(
+        self, silence: Silence, target: registry_module.Target, give_up: GiveUp | None
+    ) -> None:
+        self.silence = silence
+        self.target = target
+        self.give_up = give_up
+        self.start_ms = silence.clock.now_ms()
+        self._timer = silence.clock.after(CHECK_MS, self._on_timer)
+
+    def _on_timer(self) -> None:
+        registry, clock = self.silence.registry, self.silence.clock
+        state = registry.state(self.target.id)
+        silent_ms = clock.now_ms() - max(self.start_ms, state.heard_ms)
+        wait_ms = CHECK_MS
+        if silent_ms < CHECK_MS:
+            wait_ms = CHECK_MS - silent_ms
+        elif silent_ms >= GIVE_UP_MS and state.unreached and self.give_up is not None:
+            self.give_up()
+            return
+        else:
+            self.silence.check(self.target)
+            wait_ms = min(CHECK_MS, max(1.0, GIVE_UP_MS - silent_ms))
+        self._timer = clock.after(wait_ms, self._on_timer)
+
+    def close(self) -> None:
+        """Stop watching."""
+        self._timer.cancel()
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -391,6 +391,21 @@
                 raise ConnectionResetError("a response to another request has no end")
             event = await connection.event()
 
+    async def open_idle(self, address: Address) -> None:
+        """Open a connection and keep it for reuse; raises RequestNotSent."""
+        self._keep(address, await self._connect(address), self.idle_timeout_ms)
+
+    def _keep(
+        self, address: Address, connection: _Connection, idle_limit_ms: float
+    ) -> None:
+        idle = self._idle.setdefault(address, collections.deque())
+        if len(idle) >= MAX_IDLE_CONNECTIONS:
+            connection.abort()
+            return
+        connection.idle = True
+        connection.idle_until_ms = time.monotonic() * 1_000 + idle_limit_ms
+        idle.append(connection)
+
     async def _acquire(self, address: Address) -> _Connection:
         idle = self._idle.get(address)
         now_ms = time.monotonic() * 1_000
@@ -439,22 +454,17 @@
             connection.h11.our_state is h11.DONE
             and connection.h11.their_state is h11.DONE
         )
-        idle = self._idle.setdefault(address, collections.deque())
         idle_limit_ms = self._idle_limit_ms(headers)
-        full = len(idle) >= MAX_IDLE_CONNECTIONS
         if (
             not done
             or connection.unusable
             or connection.h11.trailing_data[0]
-            or full
             or idle_limit_ms <= 0
         ):
             connection.abort()
             return
         connection.h11.start_next_cycle()
-        connection.idle = True
-        connection.idle_until_ms = time.monotonic() * 1_000 + idle_limit_ms
-        idle.append(connection)
+        self._keep(address, connection, idle_limit_ms)
 
     def _idle_limit_ms(self, headers: messages.Headers) -> float:
         keep_alive = messages.find_header(headers, "keep-alive") or ""
