Keep brittle engines from falling over

Cause: nothing read Server-Brittle. Full engines were found by being turned away, by every instance on its own, and each request turned away was sent to the next one.

Change: a brittle engine gets a request within this instance's share of its places, or a place lent while places are known to be free, to a few instances by rank and no faster than they learn of each other. What may be turned away is bounded, over all instances, to a quarter of N, and a request that was sent once takes no more risk. One engine stands for its service until the others answer. The rest waits as usual or is refused at once.

Why it works: shares of places never add up to more than there are, so only lent places and the few requests at risk can be turned away.

--- a/cornelreach/gateway/calls.py
+++ b/cornelreach/gateway/calls.py
@@ -65,7 +65,8 @@
     ``moved`` if another target or model version now has that address. ``leaving`` is
     set if the target says that it is about to stop; ``rest_ms`` is how long it asks
     this instance to send it nothing, ``limit_per_s`` how many requests a second it
-    takes from all instances together.
+    takes from all instances together, ``bears`` how many requests a second it can turn
+    away without falling over, if it is brittle.
     """
 
     status: int
@@ -78,3 +79,4 @@
     leaving: bool = False
     rest_ms: float | None = None
     limit_per_s: float | None = None
+    bears: int | None = None
--- a/cornelreach/gateway/quotas.py
+++ b/cornelreach/gateway/quotas.py
@@ -24,6 +24,7 @@
 SAFE_SHARE = 0.8  # margin: instances disagree on the fleet size while one starts
 BUCKET_MS = 1_000
 CACHED_SHARES = 2_048
+CACHED_RANKS = 16_384
 MAX_LIMIT_PER_S = 1_000_000.0
 
 
@@ -54,6 +55,18 @@
     return share + (1 if ranked.index(fleet.name) < remainder else 0)
 
 
+def place_share(fleet: Fleet, target: str, places: int) -> int:
+    """Return how many places of a target belong to this instance."""
+    share, remainder = divmod(places, fleet.size)
+    return share + (1 if remainder and _rank(fleet, target) < remainder else 0)
+
+
+@functools.lru_cache(maxsize=CACHED_RANKS)
+def _rank(fleet: Fleet, target: str) -> int:
+    names = set(fleet.names) | {fleet.name}
+    return hashing.rendezvous(target.encode(), names).index(fleet.name)
+
+
 class LimitShare(typing.NamedTuple):
     """How many requests an instance may send to a target in any window."""
 
@@ -133,6 +146,10 @@
         sent = self._count(now_ms - window_ms, share)
         return sent + self._reserved - own < share
 
+    def count(self, now_ms: float, window_ms: float = WINDOW_MS) -> int:
+        """Return how many requests were sent in a window that ends now."""
+        return self._count(now_ms - window_ms, len(self._sent_ms))
+
     def wait_ms(self, share: LimitShare, now_ms: float) -> float:
         """Return how long until a request fits into a share; its window at most."""
         if len(self._sent_ms) < share.requests or not share.requests:
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -98,6 +98,10 @@
         self.resting_until_ms = 0.0
         self.limit_per_s: float | None = None
         self.limit_ms = 0.0  # when the target was last heard to name it, or none
+        self.bears: int | None = None  # requests a second that it can turn away
+        self.bears_ms = 0.0
+        self.turned_away_ms = float("-inf")
+        self.risked = quotas.SendWindow()  # requests that it may turn away
         self.heard_ms = 0.0  # when the last answer or part of one came
         self.failures = 0
         self.sheds = 0
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -5,6 +5,7 @@
 
 from cornelreach.gateway import (
     balancer as balancer_module,
+    brittleness as brittleness_module,
     calls,
     catalogue,
     mirror as mirror_module,
@@ -178,6 +179,7 @@
         self.mirror = mirror
         self.balancer = balancer
         self.limits = limits
+        self.brittleness = brittleness_module.Brittleness(mirror, balancer, clock)
         self.prompt_index = prompt_index
         self.http = http
         self.bounds = bounds
@@ -239,7 +241,13 @@
                 return Unreached()
         elif self._is_out_of_reach(allowed, request_state):
             return Unreached()
-        free = self._targets_with_room(allowed, service, now_ms)
+        tokens = request_state.call.context_tokens
+        was_sent = bool(request_state.reached)
+        free = [
+            one
+            for one in self._targets_with_room(allowed, service, now_ms)
+            if self.brittleness.admits(one, service, tokens, now_ms, was_sent)
+        ]
         if not free:
             max_ms = request_state.route.objective_ms * WAIT_SHARE
             left_ms = self.limits.left_ms(allowed, now_ms)
@@ -359,6 +367,7 @@
         registry = self.mirror.registry
         if service.engine is None or not request_state.model:
             target = self.balancer.choose_plain(targets, now_ms)
+            self.brittleness.record_choice(target, service, 0, now_ms)
             state = registry.state(target.id)
             return Choice(target, state, 0, 0, None, None, self.clock.now_ms)
         demand = balancer_module.prompt_request(request_state.call)
@@ -377,6 +386,7 @@
             service,
             self._old_weights_costs(request_state.model, now_ms),
         )
+        self.brittleness.record_choice(target, service, demand.context_tokens, now_ms)
         salt = salt_of(target)
         self.balancer.record_prompt(
             target.id, salt, demand, service.engine.memory_tokens
@@ -453,10 +463,11 @@
         return lambda target: salt(target.versions.get(model, 0))
 
     def announce(self, chosen: Choice) -> None:
-        """Tell the peers that a prompt is being sent to an engine."""
+        """Tell the peers of a prompt, or a request to a brittle target, at once."""
         if chosen.salt is not None:
             target = chosen.target.id
             chosen.backlog_tokens = self.balancer.prefill_backlog(target)
+        if chosen.salt is not None or chosen.state.bears is not None:
             self.balancer.gossip.announce()
 
     def still_open(self, chosen: Choice) -> bool:
@@ -517,6 +528,7 @@
         The sender of a "moved" answer is whichever target is at the address now.
         """
         self.limits.record_reply(target, reply, is_request)
+        self.brittleness.record_reply(target, reply)
         if not reply.leaving and reply.rest_ms is None:
             return
         registry = self.mirror.registry
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -27,6 +27,7 @@
 KV_TARGET = b"x-cornelreach-kv-target"
 SERVER_LEAVING = b"server-leaving"
 SERVER_LIMIT = b"server-limit"
+SERVER_BRITTLE = b"server-brittle"
 RETRY_AFTER = b"retry-after"
 STORE_ERA = b"store-era"
 DETOUR = b"cornelreach-detour"  # between instances
@@ -69,7 +70,9 @@
     )
 )
 # Dropped from responses: what a target tells this system about itself.
-INTERNAL = frozenset((SERVER_LOAD, SERVER_LEAVING, SERVER_LIMIT, DETOUR))
+INTERNAL = frozenset(
+    (SERVER_LOAD, SERVER_LEAVING, SERVER_LIMIT, SERVER_BRITTLE, DETOUR)
+)
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
@@ -181,6 +184,7 @@
     found = dict(reversed(headers))
     not_run = NOT_EXECUTED in found or status == MISDIRECTED
     cold_ms = _number(_text(found, COLD_REMAINING))
+    bears = _number(_text(found, SERVER_BRITTLE))
     return calls.Reply(
         status=status,
         request_id=_text(found, REQUEST_ID) or None,
@@ -192,6 +196,7 @@
         leaving=_text(found, SERVER_LEAVING) == "1",
         rest_ms=retry_after_ms(headers) if status == UNAVAILABLE else None,
         limit_per_s=decoding.parse_decimal(_text(found, SERVER_LIMIT)),
+        bears=None if bears is None else int(bears),
     )
 
 
