Let the soak cut instances off from all engines

The proxies of engines reset the connections of one process, old and new ones, by the ports that it holds; clients, store and other instances still reach it. The check is that of the users' page: from three seconds on, first tries there are served two thirds as often as elsewhere, or no more than 10 + 1 in 50 fail.

--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -37,6 +37,7 @@
         "limits",
         [Fault(0.5, "limit", f"e{number}", 1.0) for number in range(7)],
     ),
+    "passes-nothing-on": ("reached", [Fault(0.5, "engines-cut", "edge0", 1.0)]),
     "forgets-registration": ("registered", [Fault(0.5, "restore", "", 1.0)]),
     "counts-from-reading": (
         "versions",
@@ -112,6 +113,8 @@
     # Prompts began on replaced weights at an instance that was paused when newer ones
     # were named, while no engine loaded them.
     run.Plan(1, 10, 2, faults=(Fault(0.5, "late-version", "edge1", 1.0),)),
+    # An instance that reached no engine refused its callers, though others reached them.
+    run.Plan(1, 8, 2, faults=(Fault(0.5, "engines-cut", "edge0", 1.0),)),
     # A request that crashed each engine came again, and reached engine after engine.
     run.Plan(
         1, 10, 2, faults=tuple(Fault(3.5, "repeat", k, 1.0) for k in ("read", "stream"))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -15,6 +15,7 @@
     noticechecks,
     operator,
     promptchecks,
+    reachchecks,
     repeatchecks,
 )
 
@@ -27,7 +28,7 @@
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 56, 10.0
 MIN_SERVED_SHARE = 0.25
 LINK_KINDS = frozenset(("cut", "store-silent", "store-deaf", "store-reset"))
-LINK_KINDS |= frozenset(("link-silent", "link-reset"))
+LINK_KINDS |= frozenset(("link-silent", "link-reset", reachchecks.KIND))
 SERVING_KINDS = frozenset(("garbled", "late-orders"))
 MIN_TAKEN_UP = 12  # streams
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -372,6 +373,7 @@
     single_order_holder,
     retry_budget,
     graceful_stops,
+    reachchecks.cut_off_instances,
     recovery,
     registered_instances,
     no_unexpected_exit,
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -14,6 +14,7 @@
     callers,
     edges as edges_module,
     operator as operator_module,
+    processports,
     proxy,
 )
 
@@ -69,6 +70,7 @@
         self.engines: dict[str, wireengine.WireEngine] = {}
         self.zones: dict[str, str] = {}
         self.links: dict[str, proxy.Proxy] = {}
+        self.cut_off: set[str] = set()  # instances that reach no engine
         self._edge_count = edges
         self._tasks: list[asyncio.Task[typing.Any]] = []
         self._ids: dict[str, str] = {}
@@ -134,10 +136,17 @@
             await engine.start(self.shared_host)
             engine.on_change = lambda one=name: self._record_load(one)
             engine.on_crash = lambda one=name: self._revive_later(one)
-            self.links[name] = proxy.Proxy(engine.address)
+            self.links[name] = proxy.Proxy(engine.address, self._cut_ports)
             await self.links[name].start(self.shared_host)
             self.write_entry(name)
 
+    def _cut_ports(self) -> set[int]:
+        """Return the local ports of the instances that are cut off from engines."""
+        ports: set[int] = set()
+        for name in self.cut_off:
+            ports |= processports.of_process(self.edges[name].process.pid)
+        return ports
+
     async def _start_edge(self, number: int) -> None:
         name = f"edge{number}"
         link = proxy.Proxy(f"{self.shared_host}:{self.store_server.port}")
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -20,6 +20,7 @@
 RESTORE_AWAY_S = 0.4
 REWRITE_S = 0.3  # until operator and engines have written again
 RESTART_S = 0.3
+ENGINES_CUT_S = 7.0  # past the time in which an instance may find out
 CUT_S = 8.0  # longer than the bound on revoked keys
 VERSION_S = 9.0  # longer than the bound on old model versions
 LATE_S = 4.5  # from naming a version until one instance can learn of it
@@ -126,6 +127,14 @@
         await asyncio.sleep(CUT_S)
         self.environment.links[fault.subject].set_link(proxy.Link.GOOD)
 
+    async def _do_engines_cut(self, fault: schedule.Fault) -> None:
+        cut_off = self.environment.cut_off
+        cut_off.add(fault.subject)
+        for name in self.environment.engines:
+            self.environment.links[name].reset_cut()
+        await asyncio.sleep(ENGINES_CUT_S)
+        cut_off.discard(fault.subject)
+
     async def _do_link_silent(self, fault: schedule.Fault) -> None:
         await self._with_link_fault(fault, proxy.Link.SILENT)
 
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -10,6 +10,7 @@
 from cornelreach.gateway import (
     continuations,
     crashes,
+    detours,
     eventstream,
     forwarding,
     mirror,
@@ -164,6 +165,11 @@
     targetlimits.TargetLimits.record_reply = lambda self, *reply, **more: None
 
 
+def _passes_nothing_on() -> None:
+    """Refuses requests for which no engine is reached, though others reach some."""
+    detours.Detours.choose = lambda self, request_state: None
+
+
 def _forgets_registration() -> None:
     """Does not register again when the store comes back from a copy."""
     recordhandlers.FleetHandler.on_restore = lambda self: None
@@ -173,6 +179,7 @@
     "ignores-leaving": _ignores_leaving,
     "ignores-rest": _ignores_rest,
     "ignores-limits": _ignores_limits,
+    "passes-nothing-on": _passes_nothing_on,
     "forgets-registration": _forgets_registration,
     "repeats": _repeats,
     "refuses-after-run": _refuses_after_run,
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -4,6 +4,7 @@
 import contextlib
 import enum
 import socket
+import typing
 
 from cornelreach.http import sockets
 
@@ -32,8 +33,13 @@
 class Proxy:
     """Forwards connections to a target address."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(
+        self,
+        target: str,
+        cut_ports: typing.Callable[[], typing.Container[int]] = tuple,
+    ) -> None:
         self.target = target
+        self.cut_ports = cut_ports
         self.link = Link.GOOD
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -61,6 +67,16 @@
             for writer in self._writers:
                 sockets.reset(writer.transport)
 
+    def reset_cut(self) -> None:
+        """Reset the open connections of the callers that are cut off."""
+        ports = self.cut_ports()
+        for writer in list(self._writers):
+            if self._peer_port(writer) in ports:
+                sockets.reset(writer.transport)
+
+    def _peer_port(self, writer: asyncio.StreamWriter) -> int:
+        return (writer.get_extra_info("peername") or ("", 0))[1]
+
     def _host_and_port(self) -> tuple[str, int]:
         host, _, port = self.address.rpartition(":")
         return host, int(port)
@@ -93,6 +109,9 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._peer_port(writer) in self.cut_ports():
+            sockets.reset(writer.transport)
+            return
         self._writers.add(writer)
         try:
             await self._forward(reader, writer)
