Answer requests that arrive as a stop begins

Callers saw: during a planned stop requests that had just been accepted were cut off without an answer.

Cause: the listener was closed at once, which resets what the kernel has accepted and nobody has taken; connections of which half a request had been read counted as idle.

Change: listening ends 100 ms after the stop begins; connections are idle only if no part of a request has been read. Later requests are answered with a close.

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -21,6 +21,9 @@
 READ_BYTES = 65_536
 DRAIN_BYTES = 65_536
 HTTP_1_1 = b"1.1"
+# For requests on their way, and connections that the kernel has accepted, when a stop
+# begins.
+LINGER_S = 0.1
 
 HANDLER_FAILED = events.define(
     1001, "ERROR", "Request handler failed: {error}.", "Report it with the log line."
@@ -92,6 +95,12 @@
             with contextlib.suppress(Exception):
                 await self.writer.wait_closed()
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no part of a request has been read."""
+        is_between = self.h11.their_state is h11.IDLE
+        return not self.busy and is_between and not self.h11.trailing_data[0]
+
     def _close(self) -> None:
         if self._ends_with_connection():
             self.abort()
@@ -336,6 +345,7 @@
         self.connections: set[Connection] = set()
         self.keep_alive_disabled = False
         self.listener: asyncio.Server | None = None
+        self._lingering = False
 
     @property
     def port(self) -> int:
@@ -366,22 +376,30 @@
             connection.closing = True
 
     def stop_listening(self) -> None:
-        """Refuse new connections and close idle ones; calls in progress continue."""
+        """Refuse new connections and close idle ones; calls in progress continue.
+
+        Requests that arrive before that, within ``LINGER_S``, are still answered.
+        """
         # Covers connections whose task has not started yet.
-        self.keep_alive_disabled = True
+        self.disable_keep_alive()
+        self._lingering = True
+        self.listener.get_loop().call_later(LINGER_S, self._end_listening)
+
+    def _end_listening(self) -> None:
+        self._lingering = False
         self.listener.close()
         for connection in self.connections:
-            connection.closing = True
-            if not connection.busy:
+            if connection.is_idle:
                 connection.writer.close()
 
     async def wait_closed(self) -> None:
-        """Wait until all connections are closed."""
-        while self.connections:
+        """Wait until nothing is accepted and all connections are closed."""
+        while self._lingering or self.connections:
             await asyncio.sleep(0.02)
 
     def abort(self) -> None:
-        """Abort every connection that is still open."""
+        """Refuse new connections and abort every one that is still open."""
+        self.listener.close()
         for connection in self.connections:
             connection.abort()
 
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -117,6 +117,32 @@
         self.assertEqual((status, body), (200, b"kept"))
         await asyncio.wait_for(self.server.wait_closed(), 5)
 
+    # Guards against requests that have just been accepted being cut off by a stop.
+    async def test_requests_that_arrive_as_a_stop_begins_are_answered(self):
+        running = await server.start("127.0.0.1", 0, echo)
+        request = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\n"
+        callers = []
+        for sent in (request + b"kept", request):
+            for _ in range(4):
+                caller = socket.create_connection(("127.0.0.1", running.port))
+                self.addCleanup(caller.close)
+                caller.sendall(sent)
+                callers.append((caller, (request + b"kept")[len(sent) :]))
+        running.stop_listening()
+        await asyncio.sleep(0.03)
+        streams = []
+        for caller, rest in callers:
+            reader, writer = await asyncio.open_connection(sock=caller)
+            self.addCleanup(writer.close)
+            writer.write(rest)
+            streams.append(reader)
+        for reader in streams:
+            answer = await reader.read()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            self.assertIn(b"connection: close", answer.lower())
+            self.assertTrue(answer.endswith(b"kept"), answer)
+        await asyncio.wait_for(running.wait_closed(), 5)
+
     async def test_connection_accepted_while_stopping_is_closed(self):
         # A connection that the kernel has accepted, but whose task has not started, is
         # not yet in server.connections when stop_listening closes the idle ones.
