Tell late copies of answers from those of probes, reports and orders

Callers of the control calls saw: the second copy of an answer, late on a connection that is in use again, was taken for the answer to a probe or a report, so that an engine seemed to be leaving, or up.

Cause: requests are matched by their identifier, but calls without one took any answer.

Change: an answer with an identifier belongs to none of them; it is passed over.

Evidence: the new test fails before ((200, leaving) taken for the probe's 503) and passes after.

--- a/cornelreach/gateway/probing.py
+++ b/cornelreach/gateway/probing.py
@@ -82,7 +82,11 @@
         address = http_client.parse_address(target.address)
         try:
             status, _, fields = await self.http.call(
-                address, "GET", service.health_path, wait_ms=WAIT_MS
+                address,
+                "GET",
+                service.health_path,
+                wait_ms=WAIT_MS,
+                matches=headers.control_matcher,
             )
         except FAILURES as error:
             self.http.close_idle(address)
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -323,12 +323,20 @@
         wait_ms: float | None = None,
         before_write: typing.Callable[[], None] | None = None,
         new_connection: bool = False,
+        matches: Matches = any_response,
     ) -> tuple[int, bytes, messages.Headers]:
         """Send a request and return the status, the whole body and the headers."""
         try:
             async with asyncio.timeout(None if wait_ms is None else wait_ms / 1_000):
                 response = await self.send(
-                    address, method, target, body, headers, before_write, new_connection
+                    address,
+                    method,
+                    target,
+                    body,
+                    headers,
+                    before_write,
+                    new_connection,
+                    matches,
                 )
                 return response.status, await response.read(), response.headers
         except TimeoutError:
--- a/cornelreach/platform/engines.py
+++ b/cornelreach/platform/engines.py
@@ -95,7 +95,11 @@
         parsed_address = http_client.parse_address(address)
         try:
             status, body, fields = await self.http.call(
-                parsed_address, "GET", REPORT, wait_ms=wait_ms
+                parsed_address,
+                "GET",
+                REPORT,
+                wait_ms=wait_ms,
+                matches=headers.control_matcher,
             )
             self.on_reply(address, headers.read_reply(status, fields))
             if status != 200:
@@ -143,6 +147,7 @@
                 CALL_WAIT_MS,
                 before_write=before_write,
                 new_connection=True,
+                matches=headers.control_matcher,
             )
         except (http_client.RequestNotSent, http_client.ResponseLost):
             return 0
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -213,6 +213,10 @@
     return matches
 
 
+# For calls without an identifier, whose answers bear none either.
+control_matcher = response_matcher("")
+
+
 def _load(text: str) -> calls.Load | None:
     numbers = [_number(value) for value in text.split(",")]
     if len(numbers) != 3 or None in numbers:
--- a/test/gateway/test_probing.py
+++ b/test/gateway/test_probing.py
@@ -93,3 +93,26 @@
         await prober.probe("e0")
         self.assertEqual(self.request_count(), 0)
         self.assertIsInstance(found, catalogue.Catalogue)
+
+    # Guards against the second copy of an answer, late on a connection that is in use
+    # again, being taken for that of a probe.
+    async def test_a_late_copy_of_an_answer_does_not_answer_a_probe(self):
+        async def answer_twice(engine, head, body, writer):
+            if not head[""].startswith("GET /health"):
+                await harness_module.answer_ok(engine, head, body, writer)
+                self.copy = engine.answer(head, extra="server-leaving: 1\r\n")
+                return
+            writer.write(self.copy)
+            writer.write(b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n")
+
+        await self.start(answer_twice)
+        await self.harness.send("/safe/x")
+        replies = []
+        prober = probing.Prober(
+            self.harness.mirror,
+            self.harness.http,
+            self.harness.clock,
+            lambda target, reply: replies.append(reply),
+        )
+        await prober.probe("e0")
+        self.assertEqual([(one.status, one.leaving) for one in replies], [(503, False)])
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -113,7 +113,7 @@
     # Prompts began on replaced weights at an instance that was paused when newer ones
     # were named, while no engine loaded them.
     run.Plan(1, 10, 2, faults=(Fault(0.5, "late-version", "edge1", 1.0),)),
-    # An instance that reached no engine refused its callers, though others reached them.
+    # An instance that reached no engine refused its callers; others were served.
     run.Plan(1, 8, 2, faults=(Fault(0.5, "engines-cut", "edge0", 1.0),)),
     # A request that crashed each engine came again, and reached engine after engine.
     run.Plan(
