Count only keys in force, and overlapping cuts, in the soak's cut of engines

In a play with logs a caller with a revoked key, which the fault adds at an instance, got 69 to 74 answers 401 in the same window, and the end of one cut ended another one that overlapped it. The check leaves requests with revoked keys out, as that of the recovery does, and cuts are counted.

--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -1,6 +1,7 @@
 """The environment of a soak run: store, engines, proxies and instances."""
 
 import asyncio
+import collections
 import contextlib
 import pathlib
 import random
@@ -70,7 +71,8 @@
         self.engines: dict[str, wireengine.WireEngine] = {}
         self.zones: dict[str, str] = {}
         self.links: dict[str, proxy.Proxy] = {}
-        self.cut_off: set[str] = set()  # instances that reach no engine
+        # Instances that reach no engine, with the number of faults that cut them off.
+        self.cut_off: collections.Counter[str] = collections.Counter()
         self._edge_count = edges
         self._tasks: list[asyncio.Task[typing.Any]] = []
         self._ids: dict[str, str] = {}
@@ -143,7 +145,7 @@
     def _cut_ports(self) -> set[int]:
         """Return the local ports of the instances that are cut off from engines."""
         ports: set[int] = set()
-        for name in self.cut_off:
+        for name in +self.cut_off:
             ports |= processports.of_process(self.edges[name].process.pid)
         return ports
 
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -129,11 +129,11 @@
 
     async def _do_engines_cut(self, fault: schedule.Fault) -> None:
         cut_off = self.environment.cut_off
-        cut_off.add(fault.subject)
+        cut_off[fault.subject] += 1
         for name in self.environment.engines:
             self.environment.links[name].reset_cut()
         await asyncio.sleep(ENGINES_CUT_S)
-        cut_off.discard(fault.subject)
+        cut_off[fault.subject] -= 1
 
     async def _do_link_silent(self, fault: schedule.Fault) -> None:
         await self._with_link_fault(fault, proxy.Link.SILENT)
--- a/tools/soak/reachchecks.py
+++ b/tools/soak/reachchecks.py
@@ -15,12 +15,13 @@
     Counted from some time after the cut on, at instances without other disturbance.
     """
     environment = context.environment
+    revoked = {one.subject for one in environment.changes if one.kind == "revoke"}
     for cut in [one for one in environment.disturbances if one.kind == KIND]:
         here: list[bool] = []
         elsewhere: list[bool] = []
         for request in environment.requests:
             found = _cuts_of_calm_instance(context, request, cut)
-            if found is None:
+            if found is None or request.key in revoked:
                 continue
             served = request.status == 200 and request.complete
             if request.edge == cut.subject:
