Leave the rollout's lease to others while no engine is reached

The holder kept renewing its lease and asking engines that it did not reach.

Change: an instance that reaches no engine does not contend and lets its lease lapse.

Evidence: the new test fails before (the engines keep version 1 for 8 s) and passes after, with the pause between two holders kept; 7 tests of test_rollouts pass.

--- a/cornelreach/gateway/rollouts.py
+++ b/cornelreach/gateway/rollouts.py
@@ -117,7 +117,11 @@
         while True:
             self._changed.clear()
             outdated = outdated_engines(self.mirror)
-            if outdated and not self.stopping:
+            if outdated and self.gossip.is_cut_off():
+                # Another instance, which reaches engines, takes the lease over.
+                self._contend_ms = None
+                await asyncio.sleep(MAX_PAUSE_MS / 1_000)
+            elif outdated and not self.stopping:
                 await self._contend()
                 if self.lease.is_held(self.clock.now_ms()):
                     self._start(outdated)
--- a/test/gateway/test_rollouts.py
+++ b/test/gateway/test_rollouts.py
@@ -71,6 +71,10 @@
             self.mirror, self.lease, lease_runner, engines, clock, loads
         )
 
+    def is_holder(self):
+        """Return whether this instance holds the lease."""
+        return self.lease.is_held(self.clock.now_ms())
+
     def set_version(self, version):
         """Set the desired version of the model."""
         now_ms = self.clock.now_ms()
@@ -99,6 +103,29 @@
             for name, one in self.members.items()
         }
 
+    # Guards against new weights that wait for a holder that reaches no engine.
+    def test_a_holder_that_reaches_no_engine_leaves_the_lease_to_others(self):
+        async def scenario(clock):
+            self.build(clock)
+            for one in self.members.values():
+                one.set_version(2)
+            while not (
+                holders := [n for n, m in self.members.items() if m.is_holder()]
+            ):
+                await asyncio.sleep(0.01)
+            cut = self.members[holders[0]]
+            lost = Engines(clock, list(self.engines.versions))
+            lost.dead = True
+            cut.rollouts.engines = lost
+            cut.rollouts.gossip.is_cut_off = lambda: True
+            await asyncio.sleep(8)
+            self.assertEqual(set(self.engines.versions.values()), {2})
+            self.check_orders()
+            for task in self.tasks.values():
+                task.cancel()
+
+        self.play(scenario)
+
     def check_orders(self):
         """Assert a single holder for each fence, and the pause between two holders."""
         fences = {}
