Try targets in reach after two that are not, and decline only what was not sent

Cause: two targets out of reach counted as all of them where no other instance could help, and a decline looked at where the request ended, not at whether it was sent.

Change: without another instance each target in reach is tried; a request is declined only if no attempt here reached a target.

Evidence: both new tests fail before (503 with one target of five up, three of three runs; 503 after a run) and pass after; test_cutoff and test_detours pass.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -136,12 +136,14 @@
     async def _forward_passed_on(
         self, request_state: requeststate.RequestState
     ) -> messages.Response:
+        sent_before = request_state.times_sent
         response = await self._send_on(request_state)
+        was_sent = request_state.times_sent > sent_before
         target = (
             request_state.tries[-1].partition(":")[0] if request_state.tries else ""
         )
         report = detours_module.Report(
-            request_state.is_unreached and bool(request_state.refused_as),
+            request_state.is_unreached and not was_sent,
             target,
             request_state.answered_by,
         )
@@ -259,11 +261,12 @@
         hopeless = request_state.is_passed_on or detours.is_hopeless(
             request_state.service
         )
-        if not request_state.unreached and not hopeless:
-            selector = self.dependencies.selector
-            found = selector.choose(request_state, spent_ms, unreached_too=True)
-            if not isinstance(found, selection.Unreached):
-                return found
+        retry = not request_state.unreached and not hopeless
+        found = self.dependencies.selector.choose(
+            request_state, spent_ms, here_only=True, retry=retry
+        )
+        if not isinstance(found, selection.Unreached):
+            return found
         request_state.is_unreached = True
         return None
 
@@ -562,7 +565,5 @@
         refusal: refusals.NamedRefusal,
     ) -> messages.Response:
         response = refusals.make_response(refusal, self.dependencies.random.random())
-        if request_state is not None:
-            request_state.refused_as = refusal.name
         self.log.ended(request_state, refusal.name, response.status, request_id)
         return response
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -85,8 +85,7 @@
     no connection could be opened, ``reached`` names those that got the request, and
     ``is_unreached`` is set if no way to any is left. ``detours`` counts the attempts
     through other instances; one that another instance passed on (``is_passed_on``)
-    makes none. ``answered_by`` is the software that answered, ``refused_as`` the name
-    of the refusal.
+    makes none. ``answered_by`` is the software that answered.
     """
 
     def __init__(
@@ -128,7 +127,6 @@
         self.detours = 0
         self.is_passed_on = False
         self.answered_by = ""
-        self.refused_as = ""
         self.parts = crashes.shared_parts(call)
 
     @functools.cached_property
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -207,13 +207,14 @@
         self,
         request_state: requeststate.RequestState,
         spent_ms: float = 0.0,
-        unreached_too: bool = False,
+        here_only: bool = False,
+        retry: bool = False,
     ) -> Choice | Wait | Resting | Limited | Unreached | None:
         """Return a target, or how long to wait for one, or None if there is none.
 
-        ``spent_ms`` is the time since the request was received. Targets to which no
-        connection could be opened are chosen only with ``unreached_too``, once their
-        ejection is over.
+        ``spent_ms`` is the time since the request was received. With ``here_only`` no
+        other instance can send it, so that any target in reach is tried; with ``retry``
+        also one to which no connection could be opened, once its ejection is over.
         """
         now_ms = self.clock.now_ms()
         service = self.mirror.catalogue.services.get(request_state.service)
@@ -233,10 +234,8 @@
             if left_ms is not None:
                 return Resting(left_ms)
             return Unreached() if request_state.unreached else None
-        if unreached_too:
-            allowed = [
-                one for one in allowed if not registry.is_ejected(one.id, now_ms)
-            ]
+        if here_only:
+            allowed = self._last_targets(allowed, retry, now_ms)
             if not allowed:
                 return Unreached()
         elif self._is_out_of_reach(allowed, request_state):
@@ -265,6 +264,15 @@
             return True
         return all(self.mirror.registry.state(one.id).unreached for one in allowed)
 
+    def _last_targets(
+        self, allowed: list[registry_module.Target], retry: bool, now_ms: float
+    ) -> list[registry_module.Target]:
+        registry = self.mirror.registry
+        reached = [one for one in allowed if not registry.state(one.id).unreached]
+        if reached or not retry:
+            return reached
+        return [one for one in allowed if not registry.is_ejected(one.id, now_ms)]
+
     def _allowed_targets(
         self,
         request_state: requeststate.RequestState,
--- a/test/gateway/test_detours.py
+++ b/test/gateway/test_detours.py
@@ -69,6 +69,21 @@
         self.assertIn(status, (502, 504))
         self.assertEqual(len(self.requests()), 1)
 
+    # Guards against an instance declining what it has sent to an engine, which would be
+    # reported as not run.
+    async def test_what_was_lost_elsewhere_is_not_declined(self):
+        async def break_off(engine, head, body, writer):
+            for one in self.engines:
+                self.sound.mirror.registry.eject(
+                    one.name, "lost", self.sound.clock.now_ms(), unreached=True
+                )
+            return False
+
+        await self.start(break_off)
+        status, _ = await self.cut.send("/safe/x")
+        self.assertIn(status, (502, 504))
+        self.assertEqual(len(self.requests()), 1)
+
     # Guards against a caller that has left keeping an engine at work.
     async def test_a_caller_that_leaves_ends_the_work(self):
         await self.start(answer_late)
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -72,6 +72,19 @@
         left_ms = int(head["x-cornelreach-deadline-ms"])
         self.assertTrue(1_000 < left_ms <= 2_000, left_ms)
 
+    # Guards against refusing a request after two targets that are down, by an instance
+    # without others, though a third one is up.
+    async def test_a_target_is_found_among_others_that_are_down(self):
+        await self.start(*[harness_module.answer_ok] * 5)
+        for engine in self.engines[1:]:
+            engine.server.close()
+            await engine.server.wait_closed()
+        for number in range(3):
+            status, _ = await self.harness.send(
+                "/once/x", x_cornelreach_request_id=f"id-{number}"
+            )
+            self.assertEqual(status, 200)
+
     async def test_outcomes_and_first_bytes_are_counted(self):
         await self.start(harness_module.answer_ok)
         await self.harness.send("/safe/x")
