Check the entries of software versions only when something has changed

Cause: the check went through all targets four times a second, at 12,000 engines a sizeable part of what control may cost. A timer also kept the state of a target that had gone.

Change: a count of the registry's changes; without one every two seconds.

--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -149,6 +149,7 @@
         self.states: dict[str, State] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.reconnected_ms = 0.0
+        self.changes = 0
         self.on_change: typing.Callable[[], None] = lambda: None
         self.on_eject: typing.Callable[[], None] = lambda: None
         self.on_failure: typing.Callable[[str, str], None] = lambda target, reason: None
@@ -207,6 +208,7 @@
         self._log_change(before, target)
 
     def _changed(self) -> None:
+        self.changes += 1
         self._open.clear()
         self.on_change()
 
--- a/cornelreach/gateway/silence.py
+++ b/cornelreach/gateway/silence.py
@@ -78,7 +78,9 @@
 
     def _on_timer(self) -> None:
         registry, clock = self.silence.registry, self.silence.clock
-        state = registry.state(self.target.id)
+        state = registry.states.get(self.target.id)
+        if state is None:
+            return  # the target has gone
         silent_ms = clock.now_ms() - max(self.start_ms, state.heard_ms)
         wait_ms = CHECK_MS
         if silent_ms < CHECK_MS:
--- a/cornelreach/gateway/softwareversions.py
+++ b/cornelreach/gateway/softwareversions.py
@@ -19,6 +19,7 @@
 from cornelreach.util import events, hashing, timers
 
 CHECK_MS = 250.0
+IDLE_CHECK_MS = 2_000.0  # if nothing has changed
 WRITERS = 5  # instances that write an entry, each later than the one before
 STAGGER_MS = 400.0
 RETRY_MS = 1_000.0
@@ -53,6 +54,8 @@
         self.clock = clock
         self._held: dict[str, _Held] = {}
         self._due_ms: dict[str, float] = {}
+        self._checked_changes = -1
+        self._next_check_ms = 0.0
         self._writing: dict[str, asyncio.Task[None]] = {}
 
     def possible(self, service: str, now_ms: float) -> frozenset[str]:
@@ -82,11 +85,13 @@
         if held is None or held.versions != versions:
             events.emit(KEPT, service=service, versions=",".join(sorted(versions)))
         self._held[service] = _Held(versions, revision)
+        self._next_check_ms = 0.0
 
     def remove_entry(self, service: str) -> None:
         """Apply the removal of an entry; what it said is written again."""
         if (held := self._held.get(service)) is not None:
             self._held[service] = held._replace(revision=None)
+            self._next_check_ms = 0.0
 
     def forget_revisions(self) -> None:
         """Write entries again that an older copy of the store may lack."""
@@ -97,7 +102,10 @@
         """Write the entries that differ from what this instance knows."""
         if self.mirror.catalogue is None or not self.mirror.is_synced():
             return
-        now_ms = self.clock.now_ms()
+        now_ms, changes = self.clock.now_ms(), self.mirror.registry.changes
+        if now_ms < self._next_check_ms and changes == self._checked_changes:
+            return
+        self._checked_changes = changes
         for service in self.mirror.catalogue.resumable_ms:
             wanted = self._wanted(service, now_ms)
             held = self._held.get(service)
@@ -109,6 +117,7 @@
             ):
                 self._due_ms[service] = now_ms + RETRY_MS
                 self._write(service, wanted)
+        self._next_check_ms = 0.0 if self._due_ms else now_ms + IDLE_CHECK_MS
 
     def _wanted(self, service: str, now_ms: float) -> frozenset[str]:
         """Return the versions to keep: all, until this instance has seen enough."""
