Take targets that are slow to answer a probe for reachable

Cause: every failed probe counted as one whose connection could not be opened.

Change: only a connection that is refused, hangs or is closed counts; a probe that is not answered in time leaves the target suspected, as before.

Evidence: the new test fails before and passes after; test_cutoff, test_silence, test_detours and test_reach pass.

--- a/cornelreach/gateway/probing.py
+++ b/cornelreach/gateway/probing.py
@@ -24,6 +24,8 @@
 
 FAILURES = (http_client.RequestNotSent, http_client.ResponseLost)
 
+UNREACHED = (http_client.RequestNotSent, http_client.ConnectionClosed)
+
 OnReply = typing.Callable[[registry_module.Target, calls.Reply], None]
 
 
@@ -90,9 +92,10 @@
             )
         except FAILURES as error:
             self.http.close_idle(address)
-            registry.eject(
-                target_id, f"probe: {error}", self.clock.now_ms(), unreached=True
-            )
+            # One that is only slow to answer may have its places taken.
+            unreached = isinstance(error, UNREACHED)
+            now_ms = self.clock.now_ms()
+            registry.eject(target_id, f"probe: {error}", now_ms, unreached)
         else:
             reply = headers.read_reply(status, fields)
             registry.restore(target_id, reply.cold_ms or 0.0, self.clock.now_ms())
--- a/test/gateway/test_probing.py
+++ b/test/gateway/test_probing.py
@@ -1,5 +1,7 @@
 """Suspected targets are probed before callers' requests are sent to them."""
 
+import asyncio
+
 from cornelreach.gateway import catalogue, probing
 from test.gateway import harness as harness_module, test_forwarding
 
@@ -94,6 +96,25 @@
         self.assertEqual(self.request_count(), 0)
         self.assertIsInstance(found, catalogue.Catalogue)
 
+    # Guards against refusing callers of targets that are full, as if out of reach.
+    async def test_a_target_that_is_slow_to_answer_a_probe_is_in_reach(self):
+        async def late(engine, head, body, writer):
+            await asyncio.sleep(2 * probing.WAIT_MS / 1_000)
+
+        await self.start(late, harness_module.answer_ok)
+        registry = self.harness.mirror.registry
+        prober = probing.Prober(
+            self.harness.mirror, self.harness.http, self.harness.clock
+        )
+        self.engines[1].server.close()
+        await self.engines[1].server.wait_closed()
+        for name in ("e0", "e1"):
+            registry.eject(name, "no answer in time", 0)
+            await prober.probe(name)
+        states = [registry.state(name) for name in ("e0", "e1")]
+        self.assertEqual([one.suspected for one in states], [True, True])
+        self.assertEqual([one.unreached for one in states], [False, True])
+
     # Guards against the second copy of an answer, late on a connection that is in use
     # again, being taken for that of a probe.
     async def test_a_late_copy_of_an_answer_does_not_answer_a_probe(self):
