--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -21,9 +21,8 @@
 READ_BYTES = 65_536
 DRAIN_BYTES = 65_536
 HTTP_1_1 = b"1.1"
-# For requests on their way, and connections that the kernel has accepted, when a stop
-# begins.
-LINGER_S = 0.1
+ACCEPT_S = 0.005  # for connections that the kernel has accepted
+LINGER_S = 0.1  # for requests on their way when a stop begins
 
 HANDLER_FAILED = events.define(
     1001, "ERROR", "Request handler failed: {error}.", "Report it with the log line."
@@ -378,16 +377,18 @@
     def stop_listening(self) -> None:
         """Refuse new connections and close idle ones; calls in progress continue.
 
-        Requests that arrive before that, within ``LINGER_S``, are still answered.
+        What the kernel has accepted is taken first, and idle connections are closed
+        after ``LINGER_S``: requests that arrive before that are still answered.
         """
         # Covers connections whose task has not started yet.
         self.disable_keep_alive()
         self._lingering = True
-        self.listener.get_loop().call_later(LINGER_S, self._end_listening)
+        loop = self.listener.get_loop()
+        loop.call_later(ACCEPT_S, self.listener.close)
+        loop.call_later(LINGER_S, self._close_idle)
 
-    def _end_listening(self) -> None:
+    def _close_idle(self) -> None:
         self._lingering = False
-        self.listener.close()
         for connection in self.connections:
             if connection.is_idle:
                 connection.writer.close()
