--- a/tools/soak/processports.py
+++ b/tools/soak/processports.py
@@ -6,6 +6,10 @@
 import re
 
 SOCKET = re.compile(r"socket:\[(\d+)\]")
+# The local port and the inode of a connection that is established.
+ESTABLISHED = re.compile(
+    r": [0-9A-F]{8}:([0-9A-F]{4}) \S+ 01 \S+ \S+ \S+ +\d+ +\d+ (\d+) "
+)
 
 
 def of_process(pid: int) -> set[int]:
@@ -18,8 +22,8 @@
                     inodes.add(found[1])
     ports = set()
     with contextlib.suppress(OSError):
-        for line in pathlib.Path(f"/proc/{pid}/net/tcp").read_text().splitlines()[1:]:
-            fields = line.split()
-            if fields[9] in inodes:
-                ports.add(int(fields[1].rpartition(":")[2], 16))
+        table = pathlib.Path(f"/proc/{pid}/net/tcp").read_text()
+        for port, inode in ESTABLISHED.findall(table):
+            if inode in inodes:
+                ports.add(int(port, 16))
     return ports
