Show that kept connections stay bound to the limits of an old config

Case 4: after a config has raised max_body_bytes, the first long request on each connection that was opened before is refused with 413, which no client repeats.

--- a/review/harness.py
+++ b/review/harness.py
@@ -339,6 +339,36 @@
         writer.close()
 
 
+class KeptConnection:
+    """A client's connection, which is used again until it is closed."""
+
+    def __init__(self) -> None:
+        self.opened = 0
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def exchange(self, host: str, port: int, request: bytes) -> Reply:
+        """Send one request and return the answer; opens the connection if need be."""
+        if self._streams is None or self._streams[0].at_eof():
+            self.close()
+            self._streams = await asyncio.open_connection(host, port)
+            self.opened += 1
+        reader, writer = self._streams
+        reply = None
+        try:
+            writer.write(request)
+            reply = await read_reply(reader)
+            return reply
+        finally:
+            if reply is None or reply.headers.get("connection") == "close":
+                self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
+
+
 class Sent(typing.NamedTuple):
     """A request of a client, and its end."""
 
@@ -390,22 +420,27 @@
         """Add a line to the record."""
         self.notes.append(f"{time.monotonic() - self.start_s:8.3f} s  {text}")
 
-    def write_config(self, routes: typing.Sequence[dict[str, typing.Any]]) -> None:
-        """Confirm the first config."""
+    def write_config(
+        self,
+        routes: typing.Sequence[dict[str, typing.Any]],
+        version: int = 3,
+        max_body_bytes: int = 4_194_304,
+    ) -> float:
+        """Write a config; return when it was confirmed."""
         names = sorted({one["service"] for one in routes})
         services = [
             {"name": one, "health_path": "/health", "max_connections": 110}
             for one in names
         ]
-        self.store.write(
+        return self.store.write(
             "config/main",
             {
-                "version": 3,
+                "version": version,
                 "routes": list(routes),
                 "services": services,
                 "limits": {
                     "max_header_bytes": 16_384,
-                    "max_body_bytes": 4_194_304,
+                    "max_body_bytes": max_body_bytes,
                     "header_timeout_ms": 3_000,
                     "idle_timeout_ms": 15_000,
                 },
@@ -441,12 +476,22 @@
                     await asyncio.sleep(0.1)
 
     async def send(
-        self, edge: str, kind: str, method: str, target: str, deadline_ms: int = 1_000
+        self,
+        edge: str,
+        kind: str,
+        method: str,
+        target: str,
+        deadline_ms: int = 1_000,
+        body_bytes: int = 600,
+        kept: "KeptConnection | None" = None,
     ) -> Sent:
-        """Send a client's request on a connection of its own, and record its end."""
+        """Send a client's request and record its end.
+
+        It goes on a connection of its own, unless a kept one is given.
+        """
         self._count += 1
         request_id = f"{self._count:016x}"
-        body = b"x" * 600 if method == "POST" else b""
+        body = b"x" * body_bytes if method == "POST" else b""
         request = (
             f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\n"
             f"X-Cornelreach-Request-Id: {request_id}\r\n"
@@ -456,7 +501,11 @@
         sent_s, status, whole = time.monotonic(), 0, False
         try:
             async with asyncio.timeout(deadline_ms / 1_000):
-                reply = await exchange(self.edges[edge].host, FRONT, request)
+                host = self.edges[edge].host
+                if kept is None:
+                    reply = await exchange(host, FRONT, request)
+                else:
+                    reply = await kept.exchange(host, FRONT, request)
             status = reply.status
             signed = "x-cornelreach-response-signature" in reply.headers
             whole = signed and reply.body.startswith(request_id.encode())
