--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -65,6 +65,13 @@
     "Nothing; if it lasts: the target is in need. None means that this is over.",
 )
 
+UNMARKED = events.define(
+    2209,
+    "WARNING",
+    "Target {target}, started at {born_ms}, says that it leaves, but its entry {entry}.",
+    "Compare with the target's own log, and with when its entry was written.",
+)
+
 
 class Target(typing.NamedTuple):
     """An entry of the platform's list; ``versions`` maps models to versions.
@@ -266,7 +273,9 @@
             return
         if now_ms < self.reconnected_ms + LAPSE_GRACE_MS:
             self._lapsed[target_id] = self.reconnected_ms + LAPSE_GRACE_MS
-            self._emit(self.targets[target_id], "lapsed, kept for a grace period")
+            ago_ms = round(now_ms - self.reconnected_ms)
+            change = f"lapsed; kept, as the platform returned {ago_ms} ms ago"
+            self._emit(self.targets[target_id], change)
             return
         self._drop(target_id, now_ms)
 
@@ -320,7 +329,11 @@
     def mark_leaving(self, target_id: str, born_ms: int) -> bool:
         """Close a target that leaves; return whether that is new."""
         target = self.targets.get(target_id)
-        if target is None or target.born_ms != born_ms or self.is_leaving(target):
+        if target is None or target.born_ms != born_ms:
+            entry = "is missing" if target is None else f"says {target.born_ms}"
+            events.emit(UNMARKED, target=target_id, born_ms=born_ms, entry=entry)
+            return False
+        if self.is_leaving(target):
             return False
         _remember(self._leaving, target)
         self._changed()
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -38,7 +38,8 @@
 RECONNECTED = events.define(
     2112,
     "INFO",
-    "The platform's records {prefix} are watched again after {lost_ms} ms.",
+    "The platform's records {prefix} are watched again after {lost_ms} ms; last "
+    "confirmed {age_ms} ms ago.",
     "Nothing.",
 )
 RESTORED = events.define(
@@ -341,8 +342,12 @@
         return sent_ms + wait_ms if waited and not found.records else sent_ms
 
     def _reconnected(self) -> None:
-        lost_ms = round(self.clock.now_ms() - self.lost_ms)
-        events.emit(RECONNECTED, prefix=self.handler.prefix, lost_ms=lost_ms)
+        events.emit(
+            RECONNECTED,
+            prefix=self.handler.prefix,
+            lost_ms=round(self.clock.now_ms() - self.lost_ms),
+            age_ms=round(min(1e9, self._age_ms())),
+        )
         self.lost_ms = None
         self.handler.on_reconnect()
         self.on_reconnect()
