--- a/test/gateway/test_registry.py
+++ b/test/gateway/test_registry.py
@@ -118,6 +118,45 @@
         self.assertTrue(self.is_open())
         self.assertFalse(self.registry.mark_leaving("t1", 1))
 
+    # Guards against requests to a target that said it leaves while its entry was gone:
+    # the mark was dropped, and the entry came back.
+    def test_a_target_that_leaves_while_its_entry_is_missing_stays_closed(self):
+        self.registry.remove("t1", 60_000)
+        self.assertTrue(self.registry.mark_leaving("t1", 1))
+        self.registry.put(target(), 0, 60_100)
+        self.assertFalse(self.is_open())
+
+    # Guards against requests to a target that said it leaves, after a copy of the list
+    # brought back the lifetime before, or an entry that shows it only later.
+    def test_marks_of_two_lifetimes_stand_beside_each_other(self):
+        self.registry.mark_leaving("t1", 1)
+        self.registry.mark_leaving("t1", 2)
+        self.assertFalse(self.is_open())
+        self.registry.put(target(born_ms=2), 0, 60_000)
+        self.assertFalse(self.is_open())
+        self.registry.put(target(born_ms=3), 0, 60_100)
+        self.assertTrue(self.is_open())
+
+    # Guards against requests to a draining target after an older write of it: the store
+    # may carry one out late, or come back from a copy.
+    def test_an_older_write_of_a_target_reopens_nothing(self):
+        self.registry.put(target(sequence=7, draining=True), 0, 60_000)
+        self.registry.put(target(sequence=6), 0, 60_100)
+        self.assertFalse(self.is_open())
+        self.registry.put(target(sequence=8), 0, 60_200)
+        self.assertTrue(self.is_open())
+
+    # Guards against requests to a target whose answer, read as one of the lifetime
+    # before, said that it leaves: its entry showed the restart only later.
+    def test_a_new_lifetime_of_a_target_that_leaves_is_probed_first(self):
+        self.registry.put(target("t2"), 0, 0)
+        self.registry.mark_leaving("t1", 1)
+        self.registry.put(target(born_ms=2), 0, 60_000)
+        usable = [one.id for one in self.registry.usable("s", 60_001)]
+        self.assertEqual(usable, ["t2"])
+        self.registry.restore("t1", 0.0, 60_100)
+        self.assertEqual(len(self.registry.usable("s", 60_101)), 2)
+
     def test_without_a_start_time_an_entry_that_returns_is_a_new_lifetime(self):
         self.registry.put(target(born_ms=0), 0, 1)
         self.registry.mark_leaving("t1", 0)
