Keep what an answer says of leaving for each lifetime, listed or not

What callers saw: requests went on to an engine that had said in an answer that it leaves (DRAIN), and ended with it. Cause: mark_leaving did nothing unless the entry was listed, with the start time of the chosen target, and one mark was kept for each identifier. An answer that came while the entry was gone, or before a restart under the same identifier showed, closed nothing, and the entry opened the target when it was back. Change: marks are kept by identifier and start time, with or without an entry. A new lifetime of a target of which an earlier one said it leaves is probed before it gets requests, since that answer may have been its own; the answer to the probe bears the header too.

--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -65,10 +65,10 @@
     "Nothing; if it lasts: the target is in need. None means that this is over.",
 )
 
-UNMARKED = events.define(
+UNLISTED = events.define(
     2209,
     "WARNING",
-    "Target {target}, started at {born_ms}, says that it leaves, but its entry {entry}.",
+    "Target {target}, started at {born_ms}, says that it leaves; its entry {entry}.",
     "Compare with the target's own log, and with when its entry was written.",
 )
 
@@ -140,12 +140,17 @@
     return target._replace(versions=newest)
 
 
-def _remember(lifetimes: dict[str, int], target: Target) -> None:
-    """Remember a lifetime of a target, and forget the oldest of too many."""
-    lifetimes.pop(target.id, None)
-    lifetimes[target.id] = target.born_ms
-    while len(lifetimes) > MAX_REMEMBERED:
-        del lifetimes[next(iter(lifetimes))]
+Lifetimes = typing.TypeVar("Lifetimes")
+
+
+def _remember(
+    memory: dict[str, Lifetimes], target_id: str, lifetimes: Lifetimes
+) -> None:
+    """Remember lifetimes of a target, and forget the oldest of too many targets."""
+    memory.pop(target_id, None)
+    memory[target_id] = lifetimes
+    while len(memory) > MAX_REMEMBERED:
+        del memory[next(iter(memory))]
 
 
 class TargetRegistry:
@@ -166,7 +171,7 @@
         self._open_evacuated = self.evacuated
         self._lapsed: dict[str, float] = {}
         # Start times of the lifetimes that said they leave, and of removed ones.
-        self._leaving: dict[str, int] = {}
+        self._leaving: dict[str, frozenset[int]] = {}
         self._gone: dict[str, int] = {}
         # After a restore: until when old entries are doubted, and which stay closed.
         self._restored_until_ms = 0.0
@@ -211,9 +216,19 @@
         state = self.state(target.id)
         if cold_ms > 0:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
+        if before is None and self._may_be_leaving(target):
+            state.suspected = True
+            self.on_eject()
         self._changed()
         self._log_change(before, target)
 
+    def _may_be_leaving(self, target: Target) -> bool:
+        """Return whether an earlier lifetime of a target said that it leaves.
+
+        That answer may have been of this lifetime, before its entry was read.
+        """
+        return target.id in self._leaving and not self.is_leaving(target)
+
     def _changed(self) -> None:
         self.changes += 1
         self._open.clear()
@@ -301,7 +316,7 @@
         self._software_left_ms[target.service, target.software] = now_ms
         self._by_service[target.service].pop(target_id, None)
         self._forget(target_id)
-        _remember(self._gone, target)
+        _remember(self._gone, target_id, target.born_ms)
         if not target.born_ms:
             self._leaving.pop(target_id, None)  # lifetimes cannot be told apart
         self._changed()
@@ -324,20 +339,27 @@
 
     def is_leaving(self, target: Target) -> bool:
         """Return whether this lifetime of a target said in an answer that it leaves."""
-        return self._leaving.get(target.id) == target.born_ms
+        return target.born_ms in self._leaving.get(target.id, frozenset())
 
     def mark_leaving(self, target_id: str, born_ms: int) -> bool:
-        """Close a target that leaves; return whether that is new."""
+        """Close a lifetime of a target that leaves; return whether that is new.
+
+        The entry of that lifetime may be missing, and come back.
+        """
+        marked = self._leaving.get(target_id, frozenset())
+        if born_ms in marked:
+            return False
         target = self.targets.get(target_id)
-        if target is None or target.born_ms != born_ms:
+        is_listed = target is not None and target.born_ms == born_ms
+        if not is_listed and not born_ms:
+            return False  # lifetimes cannot be told apart
+        _remember(self._leaving, target_id, marked | {born_ms})
+        if is_listed:
+            self._changed()
+            self._emit(target, "leaving, as its answer says")
+        else:
             entry = "is missing" if target is None else f"says {target.born_ms}"
-            events.emit(UNMARKED, target=target_id, born_ms=born_ms, entry=entry)
-            return False
-        if self.is_leaving(target):
-            return False
-        _remember(self._leaving, target)
-        self._changed()
-        self._emit(target, "leaving, as its answer says")
+            events.emit(UNLISTED, target=target_id, born_ms=born_ms, entry=entry)
         return True
 
     def is_resting(self, target_id: str, now_ms: float) -> bool:
