Let an older write of a target's entry reopen nothing

What callers could see: requests to a draining engine, after the store had carried out an earlier write of it late, or had come back from a copy. Cause: an entry that says ready was believed after one of the same lifetime that said draining; its sequence, which grows with each write, was not compared. Evidence: test_an_older_write_of_a_target_reopens_nothing failed before. Change: an entry of the same start time with a lower sequence changes nothing; the engine's next write does.

--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -76,7 +76,8 @@
 class Target(typing.NamedTuple):
     """An entry of the platform's list; ``versions`` maps models to versions.
 
-    ``software`` is the version of the target's own software.
+    ``software`` is the version of the target's own software; ``sequence`` grows with
+    each write of one lifetime, which begins at ``born_ms``.
     """
 
     id: str
@@ -88,6 +89,7 @@
     versions: typing.Mapping[str, int]
     born_ms: int
     software: str = ""
+    sequence: int = 0
 
 
 class State:
@@ -131,6 +133,11 @@
         return now_ms < self.resting_until_ms
 
 
+def _is_older(target: Target, known: Target) -> bool:
+    same_lifetime = bool(target.born_ms) and target.born_ms == known.born_ms
+    return same_lifetime and target.sequence < known.sequence
+
+
 def _newest_versions(target: Target, known: typing.Mapping[str, int]) -> Target:
     # Until it restarts, a target's versions only increase; its entry may lag behind.
     newest = {
@@ -197,9 +204,15 @@
         return found
 
     def put(self, target: Target, cold_ms: float, now_ms: float) -> None:
-        """Add or update an entry; if the target has restarted, its state is reset."""
+        """Add or update an entry; if the target has restarted, its state is reset.
+
+        A write that is older than the known entry of the same lifetime changes nothing:
+        the platform may carry one out late, or come back from a copy.
+        """
         before = self.targets.get(target.id)
         self._lapsed.pop(target.id, None)
+        if before is not None and _is_older(target, before):
+            return
         if now_ms < self._restored_until_ms and self._was_closed(target):
             self._held_back[target.id] = self._restored_until_ms
         if before is not None and before.software != target.software:
--- a/cornelreach/platform/records.py
+++ b/cornelreach/platform/records.py
@@ -269,6 +269,7 @@
         versions={model["name"]: model["version"] for model in hosted},
         born_ms=found.get("born", 0),
         software=found["version"],
+        sequence=found["sequence"],
     )
     return DiscoveredTarget(target, found.get("cold_remaining_ms", 0.0))
 
