Tell outages of the store from the loss of an own link, and drop what left

What callers saw: requests sent to engines later than drain_ms after they had left (DRAIN); bookings under way end with the engine. Cause: each watch that failed counted as an outage of the platform's store. Entries that go in an outage may have lapsed, so they were kept for 2,200 ms after it, also if only this instance's link or a single watch was lost, and drain_ms is 2,000. Change: gateway/outages decides. A failure that is shorter than entries need to lapse keeps nothing. After a longer one the other instances are asked, with the messages that hubs are asked with, whether they have read the store meanwhile; if one has, nothing has lapsed. With no such answer entries are kept as before.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -19,6 +19,7 @@
     forwarding,
     gossip as gossip_module,
     mirror as mirror_module,
+    outages,
     probing,
     promptindex,
     proofs,
@@ -42,6 +43,7 @@
     engines,
     leases,
     promptstores,
+    records,
     results,
     site as site_module,
 )
@@ -290,12 +292,15 @@
         ]
         others = [self._make_watcher(handler, timing) for handler, timing in rest]
         self.watchers = [first, *others]
-        self.proofs = proofs.Proofs(
-            self.gossip, clock, mirror.registry.record_reconnect
-        )
+        self.proofs = proofs.Proofs(self.gossip, clock)
         for watcher in self.watchers:
             self.proofs.add(watcher)
         self.proofs.anchor = first
+        self.outages = outages.Outages(
+            self.gossip, self.proofs, mirror.registry, clock, self.site.report_ms
+        )
+        for watcher in (first, self.proofs.watchers[records.TARGETS]):
+            watcher.on_outage = self.outages.record_return
         self.gossip.on_role_change = self._role_changed
         for watcher in others:
             watcher.recovery_watcher = first
@@ -332,7 +337,6 @@
 
     def _restart_watchers(self, others: list[watching.Watcher]) -> None:
         """Repeat the waiting calls of the other watchers after an outage."""
-        self.proofs.reconnected_ms = self.clock.now_ms()
         for one in others:
             one.restart()
 
--- a/cornelreach/gateway/hubs.py
+++ b/cornelreach/gateway/hubs.py
@@ -118,6 +118,11 @@
                 del self._reported_ms[name]
                 self._probe_ms.pop(name, None)
 
+    def foremost(self) -> list[str]:
+        """Return the first hubs of each data centre, whether silent or not."""
+        self._rank()
+        return [name for zone in self._ranked.values() for name in zone[:HUB_COUNT]]
+
     def followed_hub(self) -> str:
         """Return the first live hub of this data centre, or this instance."""
         self._rank()
--- a/cornelreach/gateway/proofs.py
+++ b/cornelreach/gateway/proofs.py
@@ -31,6 +31,14 @@
 MAX_OPEN_QUERIES = 16
 
 
+class Question(typing.NamedTuple):
+    """What several instances were asked at a time, and who gets their answers."""
+
+    number: int
+    sent_ms: float
+    on_reply: typing.Callable[[datagrams.FreshnessReply, float], None]
+
+
 class Proofs:
     """Sends and answers queries, and pushes changes, for an instance's watchers."""
 
@@ -38,15 +46,15 @@
         self,
         gossip: gossip_module.Gossip,
         clock: timers.Timers,
-        on_reconnect: typing.Callable[[float], None],
     ) -> None:
         self.gossip = gossip
         self.clock = clock
-        self.on_reconnect = on_reconnect
+        self.on_reconnect: typing.Callable[[float], None] = lambda at_ms: None
         self.reconnected_ms: float | None = None
         self.anchor: watching.Watcher | None = None
         self.watchers: dict[str, watching.Watcher] = {}
         self._queries: dict[int, float] = {}
+        self._question: Question | None = None
         self._number = 0
         gossip.on_freshness_query = self.handle_query
         gossip.on_freshness_reply = self.handle_reply
@@ -91,6 +99,20 @@
             datagrams.FreshnessQuery(self.gossip.name, self._number), (hub,)
         )
 
+    def ask(
+        self,
+        names: typing.Iterable[str],
+        on_reply: typing.Callable[[datagrams.FreshnessReply, float], None],
+    ) -> None:
+        """Ask instances how fresh their copies are.
+
+        Each answer is passed on with the time of the question, until the next one.
+        """
+        self._number += 1
+        self._question = Question(self._number, self.clock.now_ms(), on_reply)
+        query = datagrams.FreshnessQuery(self.gossip.name, self._number)
+        self.gossip.send(query, names)
+
     def handle_query(self, query: datagrams.FreshnessQuery) -> None:
         """Answer a query with the freshness of this instance's records."""
         now_ms = self.clock.now_ms()
@@ -122,6 +144,10 @@
 
     def handle_reply(self, reply: datagrams.FreshnessReply) -> None:
         """Apply the proofs of a hub, with ages counted back from the query."""
+        question = self._question
+        if question is not None and reply.number == question.number:
+            question.on_reply(reply, question.sent_ms)
+            return
         sent_ms = self._queries.pop(reply.number, None)
         if sent_ms is None:
             return
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -59,13 +59,9 @@
         """Ignore the proof; only that of the configuration is used."""
         return
 
-    def on_reconnect(self) -> None:
-        """Ignore the reconnection."""
-        return
-
     def on_restore(self) -> None:
-        """Treat the return of an older copy of the records like a reconnection."""
-        self.on_reconnect()
+        """Ignore that the next list comes from an older copy of the records."""
+        return
 
 
 class CatalogueHandler(BaseHandler):
@@ -94,7 +90,7 @@
         if self.mirror.catalogue is not None:
             self.mirror.record_proof(at_ms)
 
-    def on_reconnect(self) -> None:
+    def on_restore(self) -> None:
         self.mirror.registry.record_reconnect(self.clock.now_ms())
 
 
@@ -119,9 +115,6 @@
         if found is not None:
             self.mirror.registry.put(found.target, found.cold_ms, now_ms)
 
-    def on_reconnect(self) -> None:
-        self.mirror.registry.record_reconnect(self.clock.now_ms())
-
     def on_restore(self) -> None:
         self.mirror.registry.record_restore(self.clock.now_ms())
 
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -191,6 +191,19 @@
         """Record that the platform's list is available again after an outage."""
         self.reconnected_ms = max(self.reconnected_ms, at_ms)
 
+    def end_outage(self, now_ms: float) -> int:
+        """Drop the entries that were kept as lapsed; return how many there were.
+
+        After a restore they are kept all the same.
+        """
+        if now_ms < self._restored_until_ms:
+            return 0
+        self.reconnected_ms = 0.0
+        lapsed = list(self._lapsed)
+        for target_id in lapsed:
+            self._drop(target_id, now_ms)
+        return len(lapsed)
+
     def record_restore(self, now_ms: float) -> None:
         """Record that the platform's list came back from an older copy."""
         self.record_reconnect(now_ms)
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -70,13 +70,22 @@
     def on_proof(self, at_ms: float) -> None:
         """Record that nothing newer than what was applied existed at a time."""
 
-    def on_reconnect(self) -> None:
-        """Record that the platform answers again."""
-
     def on_restore(self) -> None:
         """Record that the next list comes from an older copy of the records."""
 
 
+class Outage(typing.NamedTuple):
+    """A time in which the calls of a watcher failed, from the first to the last one.
+
+    ``silent`` is set if the first one ended without any word from the platform, so that
+    its connection may have been dead for some time.
+    """
+
+    lost_ms: float
+    returned_ms: float
+    silent: bool
+
+
 class ProofSource(typing.Protocol):
     """Where freshness proofs come from other than the platform."""
 
@@ -129,7 +138,9 @@
         self.clock = clock
         self.random = random_source
         self.lost_ms: float | None = None
+        self._lost_silently = False
         self.on_reconnect: typing.Callable[[], None] = lambda: None
+        self.on_outage: typing.Callable[[Outage], None] = lambda outage: None
         self.on_changes: typing.Callable[..., None] = lambda *changes: None
         self.source: ProofSource | None = None
         self.recovery_watcher: Watcher | None = None
@@ -342,14 +353,15 @@
         return sent_ms + wait_ms if waited and not found.records else sent_ms
 
     def _reconnected(self) -> None:
+        outage = Outage(self.lost_ms, self.clock.now_ms(), self._lost_silently)
         events.emit(
             RECONNECTED,
             prefix=self.handler.prefix,
-            lost_ms=round(self.clock.now_ms() - self.lost_ms),
+            lost_ms=round(outage.returned_ms - outage.lost_ms),
             age_ms=round(min(1e9, self._age_ms())),
         )
         self.lost_ms = None
-        self.handler.on_reconnect()
+        self.on_outage(outage)
         self.on_reconnect()
 
     async def _failed(self, error: results.ReadError | results.WatchError) -> None:
@@ -358,6 +370,7 @@
             return
         if self.lost_ms is None:
             self.lost_ms = self.clock.now_ms()
+            self._lost_silently = getattr(error, "silent", False)
             events.emit(
                 LOST, prefix=self.handler.prefix, reason=getattr(error, "message", "")
             )
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -256,8 +256,11 @@
         await self.before_call(kind)
         try:
             response = await self._send(kind, "GET", path, b"", (), wait_ms)
-        except (http_client.RequestNotSent, http_client.ResponseLost) as error:
+        except http_client.RequestNotSent as error:
             return result.Failure(results.Unavailable(str(error)))
+        except http_client.ResponseLost as error:
+            silent = not isinstance(error, http_client.ConnectionClosed)
+            return result.Failure(results.Unavailable(str(error), silent=silent))
         if response.status == 429 or response.status >= 500:
             return result.Failure(_unavailable(response))
         return result.Success(response)
--- a/cornelreach/platform/results.py
+++ b/cornelreach/platform/results.py
@@ -102,11 +102,15 @@
 
 
 class Unavailable(typing.NamedTuple):
-    """The call was not carried out; it can be retried after ``retry_after_ms``."""
+    """The call was not carried out; it can be retried after ``retry_after_ms``.
+
+    ``silent`` is set if the platform did not even close the connection.
+    """
 
     message: str
     retry_after_ms: int = 1_000
     remedy: str = "retry the call later"
+    silent: bool = False
 
 
 class OutcomeUnknown(typing.NamedTuple):
--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -39,7 +39,8 @@
 class Site(typing.NamedTuple):
     """Where a process runs, the addresses it listens on, and the platform's address.
 
-    ``power`` is the share of processors that the process may use.
+    ``power`` is the share of processors that the process may use, ``report_ms`` the
+    interval at which targets write their entries.
     """
 
     name: str
@@ -54,6 +55,7 @@
     reads_per_s: float
     writes_per_s: float
     power: float = 1.0
+    report_ms: float = 1_200
 
 
 class _Listen(typing.TypedDict):
@@ -102,6 +104,7 @@
     bounds: _Bounds
     platform: _Platform
     limits: typing.NotRequired[_Limits]
+    heartbeat_ms: typing.NotRequired[float]
 
 
 def read(path: str) -> bytes | None:
@@ -135,6 +138,7 @@
         reads_per_s=found["platform"]["reads_per_s"],
         writes_per_s=found["platform"]["writes_per_s"],
         power=_power(found.get("limits", {})),
+        report_ms=found.get("heartbeat_ms", 1_200),
     )
 
 
--- a/test/gateway/test_outages.py
+++ b/test/gateway/test_outages.py
@@ -181,6 +181,20 @@
         await self.run_ms(STEP_MS)
         self.assertFalse(self.is_open("t1"))
 
+    # Guards against requests to a target that has left, in a fleet whose instances tell
+    # hubs alone what they know.
+    async def test_in_a_larger_fleet_the_hubs_are_asked(self):
+        for edge in self.edges.values():
+            for number in range(hubs.MAX_DIRECT):
+                member = hubs.Member(f"x{number}", 1, "far", power=0.5)
+                edge.gossip.members[f"x{number}"] = member
+        self.store.away = {"a"}
+        await self.run_ms(6_000)
+        self.store.remove("t1")
+        self.store.away = set()
+        await self.run_ms(500)
+        self.assertFalse(self.is_open("t1"))
+
     async def test_an_entry_that_lapsed_while_the_store_was_away_is_kept(self):
         self.store.away = {"a", "b"}
         await self.run_ms(6_000)
--- a/test/gateway/test_proofs.py
+++ b/test/gateway/test_proofs.py
@@ -99,7 +99,7 @@
                 self.clock,
                 random.Random(1),
             )
-            source = proofs.Proofs(one, self.clock, lambda at_ms: None)
+            source = proofs.Proofs(one, self.clock)
             source.add(watcher)
             self.watchers[name] = watcher
             self.call_after(
@@ -248,7 +248,7 @@
         fleet = fleet_module.HubFleet(12)
         fleet.run(2_000)
         name = next(n for n in fleet.instances if not fleet.instances[n].is_hub())
-        source = proofs.Proofs(fleet.instances[name], fleet.clock, lambda at_ms: None)
+        source = proofs.Proofs(fleet.instances[name], fleet.clock)
         source.add(self.watcher)
         asked_ms = fleet.clock.now_ms()
         source.send_query()
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -192,7 +192,7 @@
         gossip = gossip_module.Gossip(
             "e", "boot", self.mirror.registry, self.clock, "lj"
         )
-        self.proofs = proofs.Proofs(gossip, self.clock, lambda at_ms: None)
+        self.proofs = proofs.Proofs(gossip, self.clock)
         self.config = self.make_watcher(
             recordhandlers.CatalogueHandler(self.mirror, self.clock, lambda: None)
         )
