Close an engine that says it leaves to a caller of another instance

What callers could see: requests at an engine that had said it leaves (DRAIN), sent by an instance that had passed such an answer on. Cause: an instance that reaches no engine passes requests through another one, which follows what the answer says and strips it. The first one learned it only from that one's next datagram, if at all. Change: the answer between the two bears the start of the lifetime that leaves, in Server-Leaving, which instances of the release before drop unread.

--- a/cornelreach/gateway/detours.py
+++ b/cornelreach/gateway/detours.py
@@ -117,10 +117,18 @@
     request_state.last_event = order.last_event
 
 
-def with_report(response: messages.Response, report: Report) -> messages.Response:
-    """Return a response that tells the first instance what was done."""
-    field = (headers.DETOUR, msgspec.json.encode(report))
-    return response._replace(headers=(*response.headers, field))
+def with_report(
+    response: messages.Response, report: Report, departed_ms: int | None = None
+) -> messages.Response:
+    """Return a response that tells the first instance what was done.
+
+    ``departed_ms`` is when the lifetime of the target began, if it says that it leaves.
+    It is no field of the report, which instances of an earlier release could not read.
+    """
+    fields = [(headers.DETOUR, msgspec.json.encode(report))]
+    if departed_ms is not None:
+        fields.append((headers.SERVER_LEAVING, str(departed_ms).encode()))
+    return response._replace(headers=(*response.headers, *fields))
 
 
 class Detours:
@@ -310,6 +318,14 @@
             (headers.DETOUR, msgspec.json.encode(order)),
         )
 
+    def _follow_departure(
+        self, target: str, answer: http_client.ClientResponse
+    ) -> None:
+        """Close a target that says it leaves, here too: this instance told a caller."""
+        born = answer.header(headers.SERVER_LEAVING.decode()) or ""
+        if decoding.is_number(born):
+            self.mirror.registry.mark_leaving(target, int(born))
+
     async def _read_answer(
         self,
         request_state: requeststate.RequestState,
@@ -328,6 +344,7 @@
             return requeststate.NotRun("declined")
         request_state.first_byte_s = asyncio.get_running_loop().time()
         detour.target = Via(f"{detour.peer}>{report.target}", report.software)
+        self._follow_departure(report.target, answer)
         reply = headers.read_reply(answer.status, answer.headers)
         success = 200 <= reply.status < 300
         if success and not (
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -147,7 +147,7 @@
             target,
             request_state.answered_by,
         )
-        return detours_module.with_report(response, report)
+        return detours_module.with_report(response, report, request_state.departed_ms)
 
     async def wait_idle(self) -> None:
         """Wait until no request is under way."""
@@ -438,6 +438,7 @@
     ) -> requeststate.Outcome:
         reply = headers.read_reply(answer.status, answer.headers)
         self.dependencies.selector.record_reply(chosen, reply)
+        request_state.departed_ms = chosen.target.born_ms if reply.leaving else None
         request_state.first_byte_s = asyncio.get_running_loop().time()
         if reply.not_run:
             # Its head says all; the body is read to keep the connection.
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -85,7 +85,8 @@
     no connection could be opened, ``reached`` names those that got the request, and
     ``is_unreached`` is set if no way to any is left. ``detours`` counts the attempts
     through other instances; one that another instance passed on (``is_passed_on``)
-    makes none. ``answered_by`` is the software that answered.
+    makes none. ``answered_by`` is the software that answered, ``departed_ms`` when the
+    lifetime of its target began if the answer says that it leaves.
     """
 
     def __init__(
@@ -127,6 +128,7 @@
         self.detours = 0
         self.is_passed_on = False
         self.answered_by = ""
+        self.departed_ms: int | None = None
         self.parts = crashes.shared_parts(call)
 
     @functools.cached_property
--- a/test/gateway/test_detours.py
+++ b/test/gateway/test_detours.py
@@ -42,6 +42,21 @@
         self.assertNotIn("x-api-key", head)
         self.assertLessEqual(int(head["x-cornelreach-deadline-ms"]), 2_000)
 
+    # Guards against requests to an engine that has said it leaves, in an answer that
+    # came through another instance, once the engine can be reached from here again.
+    async def test_an_engine_that_says_elsewhere_that_it_leaves_is_closed(self):
+        async def leave(engine, head, body, writer):
+            writer.write(engine.answer(head, extra="Server-Leaving: 1\r\n"))
+
+        await self.start(leave)
+        self.sound.gossip.members.clear()  # it tells nobody by itself
+        status, answer = await self.cut.send("/safe/a")
+        self.assertEqual((status, b"leaving" in answer.lower()), (200, False))
+        is_open = self.cut.mirror.registry.is_open
+        opened = [one.name for one in self.engines if is_open(one.name, "s")]
+        idle = [one.name for one in self.engines if not one.requests]
+        self.assertEqual(opened, idle)
+
     # Guards against requests that travel from instance to instance.
     async def test_a_request_passes_through_one_other_instance_at_most(self):
         await self.start(linked=3, direct=0)
