Look for other software versions in the store before a stream's origin is guessed

Cause: a stream whose origin no instance tells goes on where one version is in sight. In sight of such an instance is what it read before; the others' answers with the origin did not reach it in 150 ms. Change: before it goes on so, what has changed in the entries of targets and of software versions is read from the store. If that shows another version, or cannot be done in 400 ms, the caller is refused (unknown-origin). Callers that asked at the same time share a call; callers whose origin is known make none.

--- a/cornelreach/gateway/continuations.py
+++ b/cornelreach/gateway/continuations.py
@@ -11,6 +11,7 @@
     continuations.bind(request_state, target.software)  # before each part
 """
 
+import asyncio
 import typing
 
 from cornelreach.gateway import (
@@ -26,6 +27,7 @@
 # None means that the target could not be asked.
 Confirm = typing.Callable[[registry_module.Target], typing.Awaitable[bool | None]]
 
+READ_MS = 400.0  # for the store's answer, while a caller waits
 MARGIN_MS = 2_000.0  # a caller's last attempt may end after its stream's deadline
 
 
@@ -101,7 +103,7 @@
         origin = await self.origins.find(call.resumes) if call.resumes else None
         known = "kept"
         if origin is None:
-            origin = self._only_origin(request_state)
+            origin = await self._only_origin(request_state)
             known = "unknown" if origin is None else "only-version"
         self.metrics.add("streams_taken_up_total", 1, known)
         if origin is None:
@@ -109,10 +111,26 @@
         request_state.service, request_state.software = origin
         return any(one.service == origin.service for one in route.shares)
 
-    def _only_origin(
+    async def _only_origin(
+        self, request_state: requeststate.RequestState
+    ) -> streamorigins.Origin | None:
+        """Return the origin if the route has one service, and this one version.
+
+        This instance may have missed a version that began streams at others, and they
+        its question, so that version is looked for in the store too.
+        """
+        if self._origin_in_sight(request_state) is None:
+            return None
+        try:
+            async with asyncio.timeout(READ_MS / 1_000):
+                is_read = await self.versions.read_now()
+        except TimeoutError:
+            return None
+        return self._origin_in_sight(request_state) if is_read else None
+
+    def _origin_in_sight(
         self, request_state: requeststate.RequestState
     ) -> streamorigins.Origin | None:
-        """Return the origin if the route has one service, and this one version."""
         route, service = request_state.route, request_state.service
         now_ms = self.clock.now_ms()
         found = self.versions.possible(service, now_ms)
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -46,6 +46,7 @@
     records,
     results,
     site as site_module,
+    software,
 )
 from cornelreach.reports import metrics
 from cornelreach.util import errors, events, timers
@@ -296,6 +297,7 @@
         for watcher in self.watchers:
             self.proofs.add(watcher)
         self.proofs.anchor = first
+        self.software_versions.read_now = self._read_software
         self.outages = outages.Outages(
             self.gossip, self.proofs, mirror.registry, clock, self.site.report_ms
         )
@@ -306,6 +308,12 @@
             watcher.recovery_watcher = first
         first.on_reconnect = lambda: self._restart_watchers(others)
 
+    async def _read_software(self) -> bool:
+        """Read the entries that name software versions, as they are now."""
+        kinds = (records.TARGETS, software.PREFIX)
+        read = (self.proofs.watchers[one].read_now() for one in kinds)
+        return all(await asyncio.gather(*read))
+
     def _platform_restored(self, era: int) -> None:
         """Read everything again: the platform's store came back from a copy."""
         self.lease.on_restore(era, self.clock.now_ms())
--- a/cornelreach/gateway/softwareversions.py
+++ b/cornelreach/gateway/softwareversions.py
@@ -33,6 +33,11 @@
 )
 
 
+async def _trust_entries() -> bool:
+    """Take the entries that were read for those of now."""
+    return True
+
+
 class _Held(typing.NamedTuple):
     """A service's entry; ``revision`` is None if it has to be written again."""
 
@@ -52,6 +57,8 @@
         self.mirror = mirror
         self.objects = objects
         self.clock = clock
+        # Reads what has changed until now; returns whether that could be done.
+        self.read_now: typing.Callable[[], typing.Awaitable[bool]] = _trust_entries
         self._held: dict[str, _Held] = {}
         self._due_ms: dict[str, float] = {}
         self._checked_changes = -1
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -158,6 +158,8 @@
         self._failures = 0
         self.waiting_since_ms: float | None = None
         self._call: asyncio.Task[typing.Any] | None = None
+        self._reading = asyncio.Lock()
+        self._read_ms: float | None = None  # when the last extra call was sent
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -238,6 +240,26 @@
 
     # Calls to the platform.
 
+    async def read_now(self) -> bool:
+        """Read what has changed until now; return whether that could be done.
+
+        The call that is waiting for changes goes on beside it. One call serves all
+        that ask before it is sent.
+        """
+        asked_ms = self.clock.now_ms()
+        async with self._reading:
+            if self.revision is None:
+                return False
+            if self._read_ms is not None and self._read_ms >= asked_ms:
+                return True
+            sent_ms = self.clock.now_ms()
+            outcome = await self._watch(RETURN_WAIT_MS)
+            if not isinstance(outcome, result.Success):
+                return False
+            self._succeeded(outcome.unwrap(), sent_ms, RETURN_WAIT_MS)
+            self._read_ms = sent_ms
+            return True
+
     def _wait_ms(self) -> int:
         # During an outage calls wait only briefly: a long watch would show the return
         # of the platform only with the next event.
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -275,6 +275,33 @@
         got = await self.go_on(self.harness, 1, "never-seen")
         self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
 
+    # Guards against two versions in one stream: an instance that was cut off or stood
+    # still has neither seen the new version nor heard the answers of the others.
+    async def test_an_instance_that_missed_a_version_does_not_guess(self):
+        await self.start(stream, stream)
+        versions = self.harness.software_versions
+
+        async def read_now():
+            self.harness.register(self.engines[1], "s", software="v2")
+            return True
+
+        versions.read_now = read_now
+        got = await self.go_on(self.harness, 1, "begun-elsewhere")
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
+        self.assertEqual(self.resumed_at(), set())
+
+    # Guards against the same at an instance that cannot read the store either.
+    async def test_an_instance_without_the_store_does_not_guess(self):
+        await self.start(stream, stream)
+
+        async def read_now():
+            return False
+
+        self.harness.software_versions.read_now = read_now
+        got = await self.go_on(self.harness, 1, "begun-elsewhere")
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
+        self.assertEqual(self.resumed_at(), set())
+
     # Guards against an instance that has just started knowing too few versions.
     async def test_an_instance_that_has_just_started_does_not_guess(self):
         await self.start(stream, stream)
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -142,6 +142,22 @@
         self.assertEqual(self.mirror.proof_ms, 1_000)
         self.assertEqual(self.watcher._wait_ms(), watching.RETURN_WAIT_MS)
 
+    async def test_what_has_changed_is_read_beside_a_waiting_call(self):
+        listing = result.Success(results.Listing(9, (config(3, 9),)))
+        await self.play((0, listing))
+        waiting = asyncio.get_running_loop().create_future()
+        self.objects.waiting[records.CONFIG] = waiting
+        read = asyncio.gather(*(self.watcher.read_now() for _ in range(3)))
+        await asyncio.sleep(0)
+        del self.objects.waiting[records.CONFIG]
+        waiting.set_result(result.Success(results.Changes(11, (config(5, 11),))))
+        self.assertEqual(await read, [True] * 3)  # by one call
+        self.assertEqual(self.mirror.catalogue.version, 5)
+        self.clock.advance(1)
+        away = result.Failure(results.Unavailable("unavailable", 1))
+        self.objects.script = [(20, away)]
+        self.assertFalse(await self.watcher.read_now())
+
     async def test_an_older_configuration_is_ignored(self):
         listing = result.Success(results.Listing(9, (config(5, 9),)))
         older = result.Success(results.Changes(10, (config(4, 10),)))
