Believe an answer on a kept connection only if it names the request

Cause: an answer without an identifier was taken for the answer to the request that waits. An engine that writes an earlier refusal once more on a kept connection answers the next request with it, if it bears no identifier; with one it was skipped already. Evidence: the test failed before (503 for a request that ran). Change: once a connection has brought an answer, only answers that name the request count; others are read and dropped, and the true one is waited for. On a new connection nothing earlier can be written again, so nothing changes there.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -401,6 +401,7 @@
             ),
             before_write=before_write,
             matches=headers.response_matcher(request_state.call.request_id),
+            matches_again=headers.named_matcher(request_state.call.request_id),
         )
 
     def _before_write(
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -90,6 +90,7 @@
         self.transport: asyncio.Transport | None = None
         self.idle = False
         self.unusable = False
+        self.has_responded = False
         self.idle_until_ms = 0.0
         self.on_connection_lost: typing.Callable[[], None] | None = None
         self._error: Exception | None = None
@@ -280,6 +281,7 @@
         before_write: typing.Callable[[], None] | None = None,
         new_connection: bool = False,
         matches: Matches = any_response,
+        matches_again: Matches | None = None,
     ) -> ClientResponse:
         """Send a request and return the response once its headers have arrived.
 
@@ -287,7 +289,9 @@
         written; if it raises, the request is not sent. ``new_connection`` opens a new
         connection, for calls that must not be repeated: the server may have closed an
         idle connection without this client having noticed. A response that ``matches``
-        rejects is read and discarded. Raises RequestNotSent or ResponseLost.
+        rejects is read and discarded; once the connection has brought a response,
+        ``matches_again`` decides in its place, as a server may write that one again.
+        Raises RequestNotSent or ResponseLost.
         """
         connection = await (
             self._connect(address) if new_connection else self._acquire(address)
@@ -302,7 +306,9 @@
         response = ClientResponse(self, address, connection)
         try:
             connection.transport.write(data)
-            head = await self._receive_head(connection, method, matches)
+            head = await self._receive_head(
+                connection, method, matches, matches_again or matches
+            )
         except (h11.RemoteProtocolError, OSError) as error:
             connection.abort()
             raise _lost(f"no response from {address}: {error}", error) from error
@@ -365,13 +371,19 @@
         return b"".join(parts)
 
     async def _receive_head(
-        self, connection: _Connection, method: str, matches: Matches
+        self,
+        connection: _Connection,
+        method: str,
+        matches: Matches,
+        matches_again: Matches,
     ) -> h11.Response:
         stray_count = interim_count = 0
         while True:
             event = await connection.event()
             if isinstance(event, h11.Response):
-                if matches(_headers(event)):
+                check = matches_again if connection.has_responded else matches
+                connection.has_responded = True
+                if check(_headers(event)):
                     return event
                 stray_count += 1
                 if stray_count > MAX_STRAY_RESPONSES:
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -203,7 +203,8 @@
 def response_matcher(request_id: str) -> typing.Callable[[messages.Headers], bool]:
     """Return a predicate that tells whether response headers belong to a request.
 
-    A response without a request identifier matches, since refusals carry none.
+    A response without a request identifier matches, since those of other instances and
+    to control calls carry none.
     """
     wanted = request_id.encode("latin-1")
 
@@ -213,6 +214,16 @@
     return matches
 
 
+def named_matcher(request_id: str) -> typing.Callable[[messages.Headers], bool]:
+    """Return a predicate that tells whether response headers name a request."""
+    wanted = request_id.encode("latin-1")
+
+    def matches(headers: messages.Headers) -> bool:
+        return [value for name, value in headers if name == REQUEST_ID] == [wanted]
+
+    return matches
+
+
 # For calls without an identifier, whose answers bear none either.
 control_matcher = response_matcher("")
 
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -195,6 +195,31 @@
             )
             self.assertTrue(answer.endswith(b"yours"))
 
+    # Guards against "not run" being told of a request that runs: an engine wrote its
+    # refusal of an earlier request again, which bears no identifier.
+    async def test_an_earlier_refusal_that_is_written_again_is_skipped(self):
+        refusal = (
+            b"HTTP/1.1 503 X\r\nx-cornelreach-not-executed: 1\r\n"
+            b"content-length: 0\r\n\r\n"
+        )
+
+        async def refuse_again(engine, head, body, writer):
+            writer.write(refusal)
+            if len(engine.requests) > 1:
+                await asyncio.sleep(0.01)
+                writer.write(engine.answer(head, body=b"yours"))
+
+        await self.start(refuse_again)
+        status, _ = await self.harness.send("/once/x")
+        self.assertEqual(status, 503)
+        for path in ("/once/x", "/safe/x"):
+            self.harness.mirror.registry.state("e0").ejected_until_ms = 0.0
+            status, answer = await self.harness.send(
+                path, x_cornelreach_request_id=f"id-{path}"
+            )
+            self.assertEqual((status, answer[-5:]), (200, b"yours"))
+        self.assertEqual((self.request_count(), self.engines[0].connections), (3, 1))
+
     async def test_extra_bytes_after_a_response_close_the_connection(self):
         async def doubled(engine, head, body, writer):
             writer.write(engine.answer(head) * 2)
