Decode what another writer may put into the store once, into types that hold no bad value

Cause: an answer of the store was decoded whole, so that one object spoiled all; addresses, ports and numbers were taken as they came and failed where they were used, in choices, timers and datagrams; an error in a handler ended its watch. The class: input of others that is checked where it is used, or not at all. Change: platform/pages passes over objects that cannot be decoded (an Unreadable stands in their place) with a splitter that needs no stack; records and leases decode into bounded types; addresses are IP and port. An entry of a target that becomes unreadable names no target. Errors that come all the same end one call or one round of a task (util/guards).

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -49,7 +49,7 @@
     software,
 )
 from cornelreach.reports import metrics
-from cornelreach.util import errors, events, timers
+from cornelreach.util import errors, events, guards, timers
 
 ENGINE_CONNECT_MS = 200
 # Until the kernel gives up a connection whose data is not acknowledged. One with an
@@ -427,30 +427,36 @@
         self.metrics_server = await self._listen(
             f"{self.site.ip}:{METRICS_PORT}", self._serve_metrics
         )
-        self._tasks = [
-            asyncio.ensure_future(one.run()) for one in (*self.watchers, self.rollouts)
-        ]
+        for watcher in self.watchers:
+            self._keep_running(f"watch {watcher.handler.prefix}", watcher.run)
+        self._keep_running("rollouts", self.rollouts.run)
         await self.gossip.listen(self.site.ip, self.site.ports[0])
         prober = probing.Prober(
             self.mirror, self.http, self.clock, self.selector.record_notices
         )
-        self._tasks.append(asyncio.ensure_future(prober.run()))
-        self._tasks.append(asyncio.ensure_future(self.gossip.run()))
-        self._tasks.append(asyncio.ensure_future(self.gossip.run_hub()))
-        self._tasks.append(asyncio.ensure_future(self.proofs.run()))
-        self._tasks.append(asyncio.ensure_future(self._register()))
-        self._tasks.append(asyncio.ensure_future(self._watch_settings()))
+        self._keep_running("probing", prober.run)
+        self._keep_running("gossip", self.gossip.run)
+        self._keep_running("hub", self.gossip.run_hub)
+        self._keep_running("proofs", self.proofs.run)
+        self._keep_running("registration", self._register)
+        self._keep_running("settings", self._watch_settings)
         self.clock.every(softwareversions.CHECK_MS, self.software_versions.check)
         events.emit(
             STARTED, name=self.site.name, zone=self.site.zone, address=self.site.front
         )
 
+    def _keep_running(
+        self, name: str, run: typing.Callable[[], typing.Awaitable[None]]
+    ) -> None:
+        task = asyncio.ensure_future(guards.keep_running(name, run))
+        self._tasks.append(task)
+
     async def _listen(self, address: str, handler: server.Handler) -> server.Server:
         host, _, port = address.rpartition(":")
         return await server.start(host, int(port), handler)
 
     def _register_again(self) -> None:
-        self._tasks.append(asyncio.ensure_future(self._register()))
+        self._keep_running("registration", self._register)
 
     async def _register(self) -> None:
         """Register this instance; fleet-wide limits are divided by these entries."""
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -19,7 +19,7 @@
     results,
     software,
 )
-from cornelreach.util import events, timers
+from cornelreach.util import decoding, events, guards, timers
 
 RESTORE_GRACE_MS = 10_000.0  # for the operator to write again what a copy lacks
 # Shares of the bound from the reading of a new version and from the last proof without
@@ -48,7 +48,7 @@
 
     def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
         for record in records:
-            self.on_change(record)
+            guards.call(self.on_change, record)
         self.mirror.synced.add(self.kind)
 
     @abc.abstractmethod
@@ -114,6 +114,9 @@
         found = records_module.decode_target(record)
         if found is not None:
             self.mirror.registry.put(found.target, found.cold_ms, now_ms)
+            return
+        # It names no target to use, whatever it said before.
+        self.mirror.registry.drop(record.key.removeprefix(self.prefix), now_ms)
 
     def on_restore(self) -> None:
         self.mirror.registry.record_restore(self.clock.now_ms())
@@ -270,11 +273,13 @@
 
     def _add_member(self, name: str, record: results.Record) -> None:
         instance = platform_client.read_instance(record)
-        if instance is not None:
-            address = http_client.parse_address(instance.peer_address)
-            self.members[name] = hubs.Member(
-                address.host, address.port, instance.data_centre, instance.power
-            )
+        if instance is None or not decoding.is_address(instance.peer_address):
+            self.members.pop(name, None)
+            return
+        address = http_client.parse_address(instance.peer_address)
+        self.members[name] = hubs.Member(
+            address.host, address.port, instance.data_centre, instance.power
+        )
 
 
 class LeaseHandler(BaseHandler):
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -320,6 +320,11 @@
             return
         self._drop(target_id, now_ms)
 
+    def drop(self, target_id: str, now_ms: float) -> None:
+        """Remove an entry at once, if there is one."""
+        if target_id in self.targets:
+            self._drop(target_id, now_ms)
+
     def replace(self, listed: typing.Container[str], now_ms: float) -> None:
         """Remove all entries that are not in a full list."""
         if self._listed_ms is None:
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -16,7 +16,7 @@
 from returns import result
 
 from cornelreach.platform import results
-from cornelreach.util import events, timers
+from cornelreach.util import events, guards, timers
 
 RETRY_MS = 120.0
 MAX_RETRY_MS = 600.0
@@ -228,7 +228,7 @@
         if self.revision is None or not before <= self.revision < after:
             return
         for record in records:
-            self.handler.on_change(record)
+            guards.call(self.handler.on_change, record)
         self.revision = self.changed_revision = after
         self._behind_ms = None
 
@@ -353,7 +353,7 @@
         # A push may have been applied while the call was waiting.
         if found.revision >= self.revision:
             for record in found.records:
-                self.handler.on_change(record)
+                guards.call(self.handler.on_change, record)
             before, self.revision = self.revision, found.revision
             if found.records:
                 self.changed_revision = found.revision
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -20,7 +20,7 @@
 from returns import result
 
 from cornelreach.http import client as http_client, messages
-from cornelreach.platform import headers as header_codec, results
+from cornelreach.platform import headers as header_codec, pages, results
 from cornelreach.util import decoding, events
 
 CALL_WAIT_MS = 2_000
@@ -29,6 +29,7 @@
 MAX_RETRY_AFTER_MS = 60_000
 OBJECTS = "/api/objects/"
 INSTANCES = "instances/"
+MAX_POWER = 1_024  # processors
 
 BAD_INSTANCE = events.define(
     1203,
@@ -44,42 +45,16 @@
     "Nothing; records are read again. If it repeats: ask the platform's operators.",
 )
 
-BeforeCall = typing.Callable[[str], typing.Awaitable[None]]
-
-
-class _Metadata(typing.TypedDict):
-    name: str
-    revision: int
-
-
-class _Object(typing.TypedDict):
-    """One object; ``metadata.revision`` is the revision of its last change."""
-
-    metadata: _Metadata
-    spec: typing.Any
-
-
-class _Page(typing.TypedDict):
-    items: list[_Object]
-    more_pages: bool
-    store_revision: int
+OBJECT = msgspec.json.Decoder(pages.Object).decode
 
-
-class _Event(typing.TypedDict):
-    object: _Object
-    deleted: bool
-
-
-class _Changes(typing.TypedDict):
-    events: list[_Event]
-    store_revision: int
+BeforeCall = typing.Callable[[str], typing.Awaitable[None]]
 
 
 class _Instance(typing.TypedDict):
     data_centre: str
     peer_address: str
     state: str
-    power: typing.NotRequired[float]
+    power: typing.NotRequired[typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_POWER)]]
 
 
 class _Response(typing.NamedTuple):
@@ -133,7 +108,7 @@
         """Return one object, or NotFound."""
         response = await self._read("read", _object_path(key), self.call_wait_ms)
         kind, _ = split_key(key)
-        decoded = response.bind(lambda found: _decode_read(found, _Object, key))
+        decoded = response.bind(lambda found: _decode_read(found, OBJECT, key))
         era = _era_of(response)
         return decoded.map(lambda found: _record(kind, found, era))
 
@@ -180,7 +155,9 @@
             query = "?" + urllib.parse.urlencode({"after": name}) if name else ""
             path = _kind_path(kind) + query
             response = await self._read("read", path, self.call_wait_ms)
-            page = response.bind(lambda found: _decode_read(found, _Page, prefix))
+            page = response.bind(
+                lambda found: _decode_read(found, pages.decode_page, prefix)
+            )
             if isinstance(page, result.Failure):
                 return page
             found = page.unwrap()
@@ -225,7 +202,9 @@
             response.unwrap().status == 410 or era != results.era_of(since)
         ):
             return result.Failure(results.Compacted(since))
-        decoded = response.bind(lambda found: _decode_read(found, _Changes, prefix))
+        decoded = response.bind(
+            lambda found: _decode_read(found, pages.decode_changes, prefix)
+        )
         return decoded.map(
             lambda found: results.Changes(
                 results.make_version(era, found["store_revision"]),
@@ -348,14 +327,14 @@
     return response.unwrap().era if isinstance(response, result.Success) else 0
 
 
-def _record(kind: str, fields: _Object, era: int) -> results.Record:
+def _record(kind: str, fields: pages.Object, era: int) -> results.Record:
     metadata = fields["metadata"]
     key = f"{kind}/{metadata['name']}"
     version = results.make_version(era, metadata["revision"])
     return results.Record(key, version, fields["spec"])
 
 
-def _change(kind: str, event: _Event, era: int) -> results.Record:
+def _change(kind: str, event: pages.Event, era: int) -> results.Record:
     record = _record(kind, event["object"], era)
     return record._replace(value=None) if event["deleted"] else record
 
@@ -364,7 +343,8 @@
     """Return the instance in a list entry, or None if it cannot be decoded."""
     try:
         fields = msgspec.convert(record.value, _Instance)
-    except decoding.DECODE_ERRORS as error:
+        decoding.check_port(fields["peer_address"])
+    except (ValueError, *decoding.DECODE_ERRORS) as error:
         events.emit(BAD_INSTANCE, key=record.key, error=error)
         return None
     return results.Instance(split_key(record.key)[1], **fields)
@@ -383,7 +363,7 @@
 
 
 def _decode_read(
-    response: _Response, kind: type, key: str
+    response: _Response, decode: typing.Callable[[bytes], typing.Any], key: str
 ) -> result.Result[typing.Any, results.ReadError]:
     if response.status == 404:
         return result.Failure(results.NotFound(key, era=response.era))
@@ -392,8 +372,8 @@
             results.Rejected(f"read of {key}: HTTP status {response.status}")
         )
     try:
-        return result.Success(msgspec.json.decode(response.body, type=kind))
-    except decoding.DECODE_ERRORS as error:
+        return result.Success(decode(response.body))
+    except (ValueError, *decoding.DECODE_ERRORS) as error:
         text = f"malformed response to the read of {key}: {error}"
         return result.Failure(results.Unavailable(text))
 
@@ -408,7 +388,7 @@
     if response.status not in (200, 201, 409):
         return result.Failure(_write_error(response, key))
     try:
-        found = msgspec.json.decode(response.body, type=_Object)
+        found = OBJECT(response.body)
     except decoding.DECODE_ERRORS as error:
         text = f"malformed response to a write: {error}"
         return result.Failure(results.OutcomeUnknown(key, text))
--- a/cornelreach/platform/leases.py
+++ b/cornelreach/platform/leases.py
@@ -19,10 +19,11 @@
 import asyncio
 import typing
 
+import msgspec
 from returns import result
 
 from cornelreach.platform import results
-from cornelreach.util import events, timers as timers_module
+from cornelreach.util import decoding, events, timers as timers_module
 
 PREFIX = "leases/"
 TERM_MS = 9_000
@@ -30,6 +31,8 @@
 RENEWALS_IN_TERM = 3
 READ_MS = 1_000
 RETRY_MS = 300
+MAX_FENCE = 2**53 - 1
+MAX_TERM_MS = 600_000
 ERA_FENCES = 1_000_000_000  # more than the revisions of one era of the store
 
 ACQUIRED = events.define(
@@ -43,6 +46,14 @@
 )
 
 
+UNREADABLE = events.define(
+    1205,
+    "WARNING",
+    "The entry of lease {key} cannot be decoded and names no holder: {error}.",
+    "Nothing; the next holder replaces it. If it repeats: find out who writes there.",
+)
+
+
 class Record(typing.TypedDict):
     """Value of the object of a lease; an empty ``holder`` means released.
 
@@ -51,11 +62,27 @@
 
     holder: str
     boot: str
-    fence: int
-    term_ms: int
+    fence: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_FENCE)]
+    term_ms: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TERM_MS)]
     attempt: str
 
 
+def _read_record(record: results.Record) -> tuple[results.Record, int]:
+    """Return a record and its fence; one that cannot be decoded names no holder.
+
+    Each fence was written at a revision that is not lower than it, so the record's own
+    is at least as high as the fence that is lost with it.
+    """
+    if record.value is None:
+        return record, 0
+    try:
+        value = msgspec.convert(record.value, Record)
+    except decoding.DECODE_ERRORS as error:
+        events.emit(UNREADABLE, key=record.key, error=str(error))
+        return record._replace(value=None), results.revision_of(record.version)
+    return record._replace(value=value), value["fence"]
+
+
 class Read(typing.NamedTuple):
     """Step: read the object of the lease."""
 
@@ -201,7 +228,7 @@
 
     def _process_record(self, record: results.Record, now_ms: float) -> None:
         self.on_restore(results.era_of(record.version), now_ms)
-        fence = (record.value or {}).get("fence", 0)
+        record, fence = _read_record(record)
         self._newest_fence = max(self._newest_fence, fence)
         if self._record is not None and record.version < self._record.version:
             return
--- a/cornelreach/platform/quarantines.py
+++ b/cornelreach/platform/quarantines.py
@@ -13,12 +13,13 @@
 from cornelreach.util import decoding
 
 PREFIX = "quarantines/"
+MAX_TRIALS = 64
 
 
 class Entry(typing.TypedDict):
     """``trials`` counts the prompts that were sent since, to see if they crash."""
 
-    trials: int
+    trials: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TRIALS)]
 
 
 def key(part: str) -> str:
--- a/cornelreach/platform/records.py
+++ b/cornelreach/platform/records.py
@@ -19,6 +19,10 @@
 EVACUATIONS = "evacuations/"
 VERSIONS = "versions/"
 
+MAX_TEXT = 1_024  # characters
+MAX_COUNT = 2**53 - 1  # the largest that every JSON decoder takes
+MAX_COLD_MS = 86_400_000.0
+
 READY, DRAINING = "ready", "draining"
 
 UNREADABLE = events.define(
@@ -104,29 +108,34 @@
     tenants: typing.NotRequired[list[_Tenant] | None]
 
 
+Text = typing.Annotated[str, msgspec.Meta(max_length=MAX_TEXT)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Wait = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]
+
+
 class _Hosted(typing.TypedDict):
-    name: str
-    version: int
+    name: Text
+    version: Count
 
 
 class _Server(typing.TypedDict):
     """An entry of service discovery; ``version`` is the engine's software version."""
 
-    service: str
-    address: str
-    zone: str
+    service: Text
+    address: Text
+    zone: Text
     state: typing.Literal["ready", "draining"]
-    slots: int
-    cold_remaining_ms: typing.NotRequired[float]
+    slots: Count
+    cold_remaining_ms: typing.NotRequired[Wait]
     models: typing.NotRequired[list[_Hosted]]
-    born: typing.NotRequired[int]
-    sequence: int
-    version: str
+    born: typing.NotRequired[Count]
+    sequence: Count
+    version: Text
 
 
 class _Version(typing.TypedDict):
-    model: str
-    version: int
+    model: Text
+    version: Count
 
 
 Decoded = typing.TypeVar("Decoded")
@@ -150,12 +159,21 @@
     try:
         return msgspec.convert(record.value, kind)
     except decoding.DECODE_ERRORS as error:
-        events.emit(
-            UNREADABLE, key=record.key, revision=record.version, error=str(error)
-        )
+        _report(record, error)
         return None
 
 
+def _report(record: results.Record, error: Exception) -> None:
+    unreadable = isinstance(record.value, results.Unreadable)
+    reason = record.value.error if unreadable else str(error)
+    events.emit(
+        UNREADABLE,
+        key=record.key,
+        revision=results.revision_of(record.version),
+        error=reason[:MAX_TEXT],
+    )
+
+
 def decode_catalogue(record: results.Record) -> catalogue.Catalogue | None:
     """Return the configuration in an object, or None."""
     found = _decode(record, _Config)
@@ -258,6 +276,11 @@
     found = _decode(record, _Server)
     if found is None:
         return None
+    try:
+        decoding.check_address(found["address"])
+    except ValueError as error:
+        _report(record, error)
+        return None
     hosted = found.get("models", [])
     target = registry.Target(
         id=record.key.removeprefix(TARGETS),
--- a/cornelreach/platform/results.py
+++ b/cornelreach/platform/results.py
@@ -47,6 +47,12 @@
     value: typing.Any
 
 
+class Unreadable(typing.NamedTuple):
+    """Stands in place of a value that cannot be decoded."""
+
+    error: str
+
+
 class Listing(typing.NamedTuple):
     """All objects under a prefix, complete as of ``revision``."""
 
--- a/cornelreach/util/decoding.py
+++ b/cornelreach/util/decoding.py
@@ -10,12 +10,16 @@
         return None
 """
 
+import functools
+import ipaddress
 import re
 
 import msgspec
 
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 MAX_DIGITS = 18
+MAX_PORT = 65_535
+CACHED_ADDRESSES = 16_384
 DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?")
 
 
@@ -24,6 +28,34 @@
     return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
 
 
+@functools.lru_cache(maxsize=CACHED_ADDRESSES)
+def check_address(text: str) -> None:
+    """Raise ValueError unless a text is an IP address and a port, as in ``IP:PORT``."""
+    host = text.rpartition(":")[0]
+    bare = host[1:-1] if host.startswith("[") and host.endswith("]") else host
+    try:
+        ipaddress.ip_address(bare)
+    except ValueError:
+        raise ValueError(f"address {text[:64]!r} is not of the form IP:PORT") from None
+    check_port(text)
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP address and a port."""
+    try:
+        check_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def check_port(text: str) -> None:
+    """Raise ValueError unless a text ends in a port, as in ``HOST:PORT``."""
+    host, _, port = text.rpartition(":")
+    if not host or not is_number(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"address {text[:64]!r} has no port from 1 to {MAX_PORT}")
+
+
 def parse_decimal(text: str) -> float | None:
     """Return a decimal number without sign or exponent, or None for other texts.
 
