Take only an instance whose own outage is known for a witness

Cause: an answer's newest row of any kind was taken for contact; kinds other than the configuration are read again without their instance having noticed its outage. Change: only the row of the configuration counts, whose watch notes an outage, and every outage that can hide a lapse is told to others, also where this instance keeps nothing itself. test_an_instance_that_was_away_is_no_witness failed before.

--- a/cornelreach/gateway/outages.py
+++ b/cornelreach/gateway/outages.py
@@ -59,16 +59,13 @@
 
     def record_return(self, outage: watching.Outage) -> None:
         """Keep entries that go now, if they can have lapsed in an outage."""
-        if not self._may_lapse(outage):
+        failing_ms = outage.returned_ms - outage.lost_ms
+        away_ms = failing_ms + (SILENCE_MS if outage.silent else 0.0)
+        if away_ms < self.lapse_ms:
             return
         self.proofs.reconnected_ms = outage.returned_ms
-        self._begin(outage.lost_ms, outage.returned_ms)
-
-    def _may_lapse(self, outage: watching.Outage) -> bool:
-        failing_ms = outage.returned_ms - outage.lost_ms
-        if outage.silent:
-            return failing_ms >= max(MIN_FAILING_MS, self.lapse_ms - SILENCE_MS)
-        return failing_ms >= self.lapse_ms
+        if failing_ms >= MIN_FAILING_MS:
+            self._begin(outage.lost_ms, outage.returned_ms)
 
     def record_hub_return(self, at_ms: float) -> None:
         """Keep entries that go, as the hub that this instance follows does."""
@@ -100,11 +97,14 @@
         return [one for one in names if one != self.gossip.name]
 
     def _apply_answer(self, reply: datagrams.FreshnessReply, sent_ms: float) -> None:
-        """Treat what went as gone if another instance was in contact all the time."""
-        if self._lost_ms is None or not reply.rows:
+        """Treat what went as gone if another instance was in contact all the time.
+
+        Only the calls of its anchor tell that it was away itself.
+        """
+        row = reply.rows.get(self.proofs.anchor.handler.prefix)
+        if self._lost_ms is None or row is None:
             return
-        read_ms = sent_ms - min(age_ms for _, _, age_ms in reply.rows.values())
-        if read_ms < self._lost_ms + MARGIN_MS:
+        if sent_ms - row[2] < self._lost_ms + MARGIN_MS:
             return
         ago_ms = reply.regained_ago_ms
         if ago_ms is not None and sent_ms - ago_ms >= self._lost_ms - SILENCE_MS:
--- a/test/gateway/test_outages.py
+++ b/test/gateway/test_outages.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from cornelreach.gateway import edge as edge_module, hubs
-from cornelreach.platform import records, results, site as site_module
+from cornelreach.platform import records, results, site as site_module, software
 from cornelreach.util import timers
 from test.gateway import harness
 
@@ -21,7 +21,7 @@
     "sequence": 1,
     "version": "v1",
 }
-WATCHED = (records.CONFIG, records.TARGETS)
+WATCHED = (records.CONFIG, records.TARGETS, software.PREFIX)
 STEP_MS = 100.0
 
 
@@ -109,6 +109,7 @@
     async def asyncSetUp(self):
         self.clock = timers.VirtualTimers(start_ms=60_000)
         self.store = Store()
+        self.order = 1
         self.edges = {}
         for name in ("a", "b"):
             self.edges[name] = self.make_edge(name)
@@ -138,7 +139,7 @@
         while self.clock.now_ms() < end_ms:
             self.clock.advance(STEP_MS)
             for edge in self.edges.values():
-                for watcher in edge.watchers:
+                for watcher in edge.watchers[:: self.order]:
                     if watcher.handler.prefix in WATCHED:
                         await watcher.poll()
                 edge.mirror.registry.expire(self.clock.now_ms())
@@ -206,6 +207,28 @@
         await self.run_ms(1_500)
         self.assertTrue(self.is_open("t1"))
 
+    # Guards against engines that are dropped after an outage of the store: another
+    # instance had read some kind of record again, but not noticed its own outage.
+    async def test_an_instance_that_was_away_is_no_witness(self):
+        self.order = -1
+        self.store.away = {"a", "b"}
+        await self.run_ms(6_000)
+        self.store.remove("t1")
+        self.store.away = set()
+        await self.poll("b", software.PREFIX)
+        await self.poll("a", records.CONFIG)
+        await self.poll("a", records.TARGETS)
+        self.assertTrue(self.is_open("t1"))
+        await self.run_ms(1_500)
+        self.assertTrue(self.is_open("t1"))
+
+    async def poll(self, name, prefix):
+        """Let one watcher of an instance make a call."""
+        (watcher,) = [
+            one for one in self.edges[name].watchers if one.handler.prefix == prefix
+        ]
+        await watcher.poll()
+
     async def test_an_entry_that_lapsed_and_stays_away_is_gone(self):
         self.store.away = {"a", "b"}
         await self.run_ms(6_000)
