Let each connection end itself, and take the limits in force when a request begins

Cause: the server closed idle connections from outside, looking at what h11 had read, while bytes lay in the stream's buffer or the system's; the limits were copied when a connection was accepted. The class: a decision on a copy of what another part knows. Change: a stop ends the wait of each connection's own task, as the idle time does. The task looks once more whether anything has arrived, and only else closes; it passes nothing on after that. Limits are read when a request begins, the idle time again whenever it seems over.

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -22,6 +22,7 @@
 DRAIN_BYTES = 65_536
 HTTP_1_1 = b"1.1"
 ACCEPT_S = 0.005  # for connections that the kernel has accepted
+LOOP_PASSES = 2  # the first one asks the system, the second one takes what it has
 LINGER_S = 0.1  # for requests on their way when a stop begins
 
 HANDLER_FAILED = events.define(
@@ -60,22 +61,27 @@
 
 
 class Connection:
-    """One accepted connection: reads requests in turn and writes the responses."""
+    """One accepted connection: reads requests in turn and writes the responses.
+
+    The limits of a request are those that are in force when it begins.
+    """
 
     def __init__(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         handler: Handler,
-        limits: limits_module.Limits,
+        current_limits: typing.Callable[[], limits_module.Limits],
     ) -> None:
         self.reader = reader
         self.writer = writer
         self.handler = handler
-        self.limits = limits
+        self.current_limits = current_limits
+        self.limits = current_limits()
         self.closing = False
-        self.busy = False
-        self.h11 = h11.Connection(h11.SERVER, limits.header_bytes)
+        self.ending = False  # whether it is closed as soon as no request arrives
+        self.h11 = h11.Connection(h11.SERVER, self.limits.header_bytes)
+        self._idle_timeout: asyncio.Timeout | None = None
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -94,11 +100,11 @@
             with contextlib.suppress(Exception):
                 await self.writer.wait_closed()
 
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no part of a request has been read."""
-        is_between = self.h11.their_state is h11.IDLE
-        return not self.busy and is_between and not self.h11.trailing_data[0]
+    def end_if_idle(self) -> None:
+        """Close the connection, now or after its request, once nothing more arrives."""
+        self.ending = self.closing = True
+        if self._idle_timeout is not None:
+            self._idle_timeout.reschedule(asyncio.get_running_loop().time())
 
     def _close(self) -> None:
         if self._ends_with_connection():
@@ -130,11 +136,7 @@
             return False
         if request is None:
             return False
-        self.busy = True
-        try:
-            await self._handle(request)
-        finally:
-            self.busy = False
+        await self._handle(request)
         reusable = self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
         return reusable and not self.closing
 
@@ -229,14 +231,9 @@
             raise Refused(refusal)
 
     async def _next_head(self) -> h11.Request | None:
+        if not self.h11.trailing_data[0] and not await self._wait_for_request():
+            return None
         event = self._next_event()
-        if event is h11.NEED_DATA and not self.h11.trailing_data[0]:
-            try:
-                async with asyncio.timeout(self.limits.idle_ms / 1_000):
-                    await self._receive()
-            except TimeoutError:
-                return None
-            event = self._next_event()
         if event is h11.NEED_DATA:
             wait_ms = self.limits.header_wait_ms
             event = await self._with_timeout(
@@ -244,6 +241,45 @@
             )
         return event if isinstance(event, h11.Request) else None
 
+    async def _wait_for_request(self) -> bool:
+        """Wait for the first bytes of a request, for as long as the client may be idle.
+
+        Returns False if the connection is to be closed: nothing has arrived then. A
+        timeout may also end a wait whose data is there, if the process did not run.
+        """
+        begin_s = asyncio.get_running_loop().time()
+        data: bytes | None = None
+        while data is None:
+            end_s = begin_s + self.current_limits().idle_ms / 1_000
+            if self.ending or end_s <= asyncio.get_running_loop().time():
+                data = await self._received_data()
+                break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(end_s) as self._idle_timeout:
+                    data = await self.reader.read(READ_BYTES)
+            self._idle_timeout = None
+        if data is None:
+            return False
+        self._apply_limits()
+        self.h11.receive_data(data)
+        return True
+
+    async def _received_data(self) -> bytes | None:
+        """Return what has arrived, in the buffers of the process or the system."""
+        for _ in range(LOOP_PASSES):
+            await asyncio.sleep(0)
+        try:
+            async with asyncio.timeout(0):
+                return await self.reader.read(READ_BYTES)
+        except TimeoutError:
+            return None
+
+    def _apply_limits(self) -> None:
+        """Take over the limits in force; h11 keeps that of headers for its lifetime."""
+        before, self.limits = self.limits, self.current_limits()
+        if self.limits.header_bytes != before.header_bytes:
+            self.h11 = h11.Connection(h11.SERVER, self.limits.header_bytes)
+
     async def _wait_for_event(self) -> object:
         while (event := self._next_event()) is h11.NEED_DATA:
             await self._receive()
@@ -344,7 +380,7 @@
         self.connections: set[Connection] = set()
         self.keep_alive_disabled = False
         self.listener: asyncio.Server | None = None
-        self._lingering = False
+        self._lingering = self._ending = False
 
     @property
     def port(self) -> int:
@@ -355,8 +391,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection, or close it if there are too many."""
-        connection = Connection(reader, writer, self.handler, self.limits)
+        connection = Connection(reader, writer, self.handler, lambda: self.limits)
         connection.closing = self.keep_alive_disabled
+        connection.ending = self._ending
         if len(self.connections) >= self.limits.connections:
             writer.close()
             return
@@ -388,10 +425,9 @@
         loop.call_later(LINGER_S, self._close_idle)
 
     def _close_idle(self) -> None:
-        self._lingering = False
+        self._lingering, self._ending = False, True
         for connection in self.connections:
-            if connection.is_idle:
-                connection.writer.close()
+            connection.end_if_idle()
 
     async def wait_closed(self) -> None:
         """Wait until nothing is accepted and all connections are closed."""
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 
 from cornelreach.http import client, limits, messages, server
@@ -143,6 +144,74 @@
             self.assertTrue(answer.endswith(b"kept"), answer)
         await asyncio.wait_for(running.wait_closed(), 5)
 
+    # Guards against a request that is received, but not read yet, when its connection
+    # is closed: it was passed on, and its caller got nothing.
+    async def test_what_has_arrived_as_idle_connections_are_closed_is_answered(self):
+        request = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nkept"
+        for blocked_s in (0.0, 0.02):
+            for early_s in (0.0, 0.001, 0.003, 0.01):
+                running = await server.start("127.0.0.1", 0, echo)
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", running.port
+                )
+                self.addCleanup(writer.close)
+                await asyncio.sleep(0.01)
+                running.stop_listening()
+                await asyncio.sleep(server.LINGER_S - early_s - 0.002)
+                writer.write(request)
+                time.sleep(blocked_s)  # the process does not run
+                answer = await reader.read()
+                if answer:
+                    self.assertTrue(answer.endswith(b"kept"), answer)
+                else:
+                    self.assertLessEqual(blocked_s + early_s, 0.001)
+                await asyncio.wait_for(running.wait_closed(), 5)
+
+    # Guards against the same as a connection has been idle for too long.
+    async def test_what_has_arrived_as_the_idle_time_ends_is_answered(self):
+        idle = limits.Limits(idle_ms=60)
+        running = await server.start("127.0.0.1", 0, echo, idle)
+        self.addCleanup(running.stop_listening)
+        reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
+        self.addCleanup(writer.close)
+        await asyncio.sleep(0.03)
+        writer.write(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nkept")
+        time.sleep(0.06)
+        self.assertIn(b"kept", await reader.read(1_000))
+        self.assertEqual(await reader.read(), b"")
+
+    # Guards against kept connections that stay bound to the limits of an old config.
+    async def test_limits_are_those_in_force_when_a_request_begins(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        self.addCleanup(writer.close)
+
+        async def send(body_bytes, header_bytes):
+            head = f"POST / HTTP/1.1\r\nhost: x\r\nx-a: {'a' * header_bytes}\r\n"
+            head += f"content-length: {body_bytes}\r\n\r\n"
+            writer.write(head.encode() + b"b" * body_bytes)
+            answer = await reader.readuntil(b"\r\n\r\n")
+            length = answer.lower().partition(b"content-length: ")[2].split(b"\r\n")[0]
+            await reader.readexactly(int(length))
+            return int(answer.split(b" ")[1])
+
+        self.assertEqual(await send(900, 100), 200)
+        self.server.limits = SMALL._replace(body_bytes=3_000, header_bytes=9_000)
+        self.assertEqual(await send(2_900, 8_000), 200)
+        self.server.limits = SMALL
+        self.assertEqual(await send(1_100, 100), 413)
+
+    # Guards against a kept connection closed by an idle time that has been raised.
+    async def test_a_raised_idle_time_holds_for_idle_connections(self):
+        self.server.limits = SMALL._replace(idle_ms=50)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        self.addCleanup(writer.close)
+        await asyncio.sleep(0.02)
+        self.server.limits = SMALL._replace(idle_ms=2_000)
+        await asyncio.sleep(0.15)
+        writer.write(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nok")
+        answer = await reader.readuntil(b"ok")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+
     async def test_connection_accepted_while_stopping_is_closed(self):
         # A connection that the kernel has accepted, but whose task has not started, is
         # not yet in server.connections when stop_listening closes the idle ones.
