--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -28,6 +28,9 @@
 LOAD_S = 0.3
 SLOW_S = 0.15
 MAX_QUEUED = 12
+EARLIER_REFUSAL = (
+    b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n%s: 1\r\n\r\n" % headers.NOT_EXECUTED
+)
 LATE_ORDER_S = (2.0, 4.0)
 
 
@@ -119,7 +122,9 @@
 
     ``leaving`` is told in every answer, and so is ``limit_per_s``; while ``rest_s`` is
     set, requests are refused and their senders asked to wait for that long. With
-    ``held_orders`` orders are neither answered nor carried out.
+    ``held_orders`` orders are neither answered nor carried out. ``refuse_again`` is the
+    share of requests on kept connections before whose answers an earlier refusal is
+    written once more, without an identifier.
     """
 
     def __init__(self) -> None:
@@ -131,6 +136,7 @@
         self.garbled = 0.0
         self.late_orders = 0.0
         self.held_orders = False
+        self.refuse_again = 0.0
         self.dark = False
 
 
@@ -221,6 +227,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._unframed: set[asyncio.StreamWriter] = set()
+        self._answered: set[asyncio.StreamWriter] = set()
         self._orders: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, cold_s: float = 0.0) -> None:
@@ -285,6 +292,7 @@
         finally:
             self._writers.discard(writer)
             self._unframed.discard(writer)
+            self._answered.discard(writer)
             writer.close()
 
     async def _answer(self, head: RequestHead, writer: asyncio.StreamWriter) -> None:
@@ -323,6 +331,7 @@
         extra: str = "",
         framed: bool = True,
     ) -> None:
+        self._answered.add(writer)
         extra += self._notice_headers()
         length = f"content-length: {len(body)}\r\n" if framed else ""
         fields = f"HTTP/1.1 {status} X\r\n{length}{extra}\r\n"
@@ -367,6 +376,8 @@
                 extra += f"{headers.RETRY_AFTER.decode()}: {self.faults.rest_s}\r\n"
             self._reply(writer, status, b"", extra)
             return
+        if writer in self._answered and self.random.random() < self.faults.refuse_again:
+            writer.write(EARLIER_REFUSAL)
         self.running += 1
         try:
             await self._run(head, writer)
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -37,6 +37,16 @@
         "limits",
         [Fault(0.5, "limit", f"e{number}", 1.0) for number in range(7)],
     ),
+    "keeps-what-left": (
+        "draining",
+        [Fault(0.5 + 3.5 * one, "withdraw", f"e{one}", 1.0) for one in range(3)],
+    ),
+    "trusts-addresses": ("damaged records", [Fault(3.5, "damage", "", 6.0)]),
+    "trusts-refusals": (
+        "once",
+        [Fault(0.5, "refuse-again", f"e{number}", 6.0) for number in range(3)],
+    ),
+    "guesses-origins": ("one software", [Fault(0.5, "out-of-step", "edge1", 1.0)]),
     "passes-nothing-on": ("reached", [Fault(0.5, "engines-cut", "edge0", 1.0)]),
     "forgets-registration": ("registered", [Fault(0.5, "restore", "", 1.0)]),
     "counts-from-reading": (
@@ -120,6 +130,19 @@
 ]
 
 
+# Of issue 42: an engine that leaves as watches are cut, records of another writer, an
+# earlier refusal that is written again, an instance that misses a software version.
+LEAVING_PLANS = [
+    run.Plan(1, 10, 2, faults=tuple(BUG_SCHEDULES[name][1]))
+    for name in (
+        "keeps-what-left",
+        "trusts-addresses",
+        "trusts-refusals",
+        "guesses-origins",
+    )
+]
+
+
 PLANS_AT_ONCE = 3
 
 
@@ -157,6 +180,10 @@
     async def test_regression_seeds(self):
         await self.assert_no_violations(REGRESSION_PLANS)
 
+    # Guards against the faults of issue 42, each by itself.
+    async def test_leaving_engines_and_damaged_answers(self):
+        await self.assert_no_violations(LEAVING_PLANS)
+
     # Guards against refusing sound requests for what a repeated one beside them does.
     async def test_sound_requests_beside_a_repeated_one_at_the_last_engine(self):
         await self.assert_no_violations(REPEATING_PLANS)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -10,6 +10,7 @@
 
 from tools.soak import (
     checkcontext,
+    damagechecks,
     environment as environment_module,
     injector,
     noticechecks,
@@ -367,6 +368,7 @@
     noticechecks.leaving_engines,
     noticechecks.resting_engines,
     noticechecks.limited_engines,
+    damagechecks.served_beside_damage,
     cold_engine_rate,
     evacuated_data_centres,
     model_versions,
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -6,6 +6,8 @@
 import time
 import typing
 
+import msgspec
+
 from tools.soak import (
     callers,
     edges as edges_module,
@@ -33,6 +35,10 @@
 SOUND_PERIOD_S = 0.05
 LIMIT_S = 9.0  # past the bound on limits, and for a window more
 LIMIT_PER_S = 0.25
+WATCHES_CUT_S = 0.3
+OLD_SOFTWARE, NEW_SOFTWARE = "1.0", "2.0"
+ONE_VERSION_S = 7.0  # until streams of other versions have ended, and are forgotten
+OUT_OF_STEP_S = 4.0  # less than the bound on revoked keys
 DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
 
 
@@ -291,6 +297,71 @@
         await asyncio.sleep(fault.for_s)
         await self.environment.restart_engine(fault.subject)
 
+    async def _do_withdraw(self, fault: schedule.Fault) -> None:
+        # An engine leaves without a report, as the watches of all instances are cut.
+        engine = self.environment.engines[fault.subject]
+        links = [self.environment.links[name] for name in self.environment.edges]
+        for link in links:
+            link.set_link(proxy.Link.RESET)
+        self.operator.write(f"servers/{fault.subject}", None)
+        self.environment.record_change("drain", fault.subject, engine.born)
+        await asyncio.sleep(WATCHES_CUT_S)
+        for link in links:
+            link.set_link(proxy.Link.GOOD)
+        await asyncio.sleep(DRAIN_EXIT_S - WATCHES_CUT_S)
+        engine.crash()
+        await asyncio.sleep(fault.for_s)
+        await self.environment.restart_engine(fault.subject)
+
+    async def _do_damage(self, fault: schedule.Fault) -> None:
+        entry = self.environment.engines["e0"].entry("north", "10.0.0.1:80")
+        damaged = {
+            "deep": b"[" * 50_000 + b"]" * 50_000,
+            "number": b'{"service": "s", "slots": 1' + b"0" * 400 + b"}",
+            "port": {**entry, "address": "127.0.0.1:99999"},
+            "address": {**entry, "address": "nowhere"},
+        }
+        for name, value in damaged.items():
+            self.operator.write(f"servers/{name}", value)
+        self.environment.record_change("damage", "")
+        await asyncio.sleep(fault.for_s)
+        self.environment.record_change("damage-end", "")
+        for name in damaged:
+            self.operator.write(f"servers/{name}", None)
+
+    async def _do_refuse_again(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "refuse_again", 0.5, 0.0)
+
+    async def _do_out_of_step(self, fault: schedule.Fault) -> None:
+        # New software joins while an instance reaches neither store nor instances.
+        environment = self.environment
+        pool = [name for name, one in environment.engines.items() if one.model]
+        for name in pool:
+            await self._renew(name, OLD_SOFTWARE)
+        await asyncio.sleep(ONE_VERSION_S)
+        key = f"instances/{fault.subject}"
+        entry = msgspec.json.decode(environment.store.model.copy().objects[key].value)
+        nowhere = f"{environment.shared_host}:1"
+        self.operator.write(key, {**entry, "peer_address": nowhere})
+        environment.links[fault.subject].set_link(proxy.Link.SILENT)
+        renewed = pool[: len(pool) // 2]
+        for name in renewed:
+            await self._renew(name, NEW_SOFTWARE)
+            environment.engines[name].faults.garbled = 0.9
+        await asyncio.sleep(OUT_OF_STEP_S)
+        for name in renewed:
+            environment.engines[name].faults.garbled = 0.0
+        environment.links[fault.subject].set_link(proxy.Link.GOOD)
+        self.operator.write(key, entry)
+
+    async def _renew(self, name: str, software: str) -> None:
+        """Start an engine again with other software."""
+        engine = self.environment.engines[name]
+        engine.crash()
+        engine.software = software
+        await engine.start(self.environment.shared_host)
+        self.environment.write_entry(name)
+
     async def _do_forged(self, fault: schedule.Fault) -> None:
         self.operator.write("servers/forged", {"service": 7, "address": "nowhere"})
         await asyncio.sleep(fault.for_s)
--- a/tools/soak/operator.py
+++ b/tools/soak/operator.py
@@ -37,9 +37,10 @@
         self._written: dict[str, typing.Any] = {}
 
     def write(self, key: str, value: typing.Any) -> None:
-        """Write an object directly, bypassing the store's faults."""
+        """Write an object directly, bypassing the store's faults; bytes as they are."""
         self._written[key] = value
-        body = None if value is None else msgspec.json.encode(value)
+        raw = value is None or isinstance(value, bytes)
+        body = value if raw else msgspec.json.encode(value)
         self.store.model.seed(key, body)
         self.store.notify_watches()
 
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -11,9 +11,11 @@
     continuations,
     crashes,
     detours,
+    edge as edge_module,
     eventstream,
     forwarding,
     mirror,
+    outages,
     quarantine,
     quotas,
     recordhandlers,
@@ -23,8 +25,11 @@
     rollouts,
     streamorigins,
     targetlimits,
+    watching,
 )
+from cornelreach.platform import headers
 from cornelreach.ui import edge
+from cornelreach.util import decoding
 
 
 def _repeats() -> None:
@@ -170,12 +175,44 @@
     detours.Detours.choose = lambda self, request_state: None
 
 
+def _keeps_what_left() -> None:
+    """Takes each failed watch for an outage in which entries may have lapsed."""
+
+    def record_return(self: typing.Any, outage: watching.Outage) -> None:
+        self.registry.record_reconnect(outage.returned_ms)
+
+    outages.Outages.record_return = record_return
+
+
+def _trusts_addresses() -> None:
+    """Takes any text for the address of a target."""
+    decoding.check_address = lambda text: None
+
+
+def _trusts_refusals() -> None:
+    """Takes any answer without an identifier for that to the request that waits."""
+    headers.named_matcher = headers.response_matcher
+
+
+async def _read_nothing(self: typing.Any) -> bool:
+    return True
+
+
+def _guesses_origins() -> None:
+    """Guesses the software that began a stream from what it read before."""
+    edge_module.Edge._read_software = _read_nothing
+
+
 def _forgets_registration() -> None:
     """Does not register again when the store comes back from a copy."""
     recordhandlers.FleetHandler.on_restore = lambda self: None
 
 
 PLANTED_BUGS = {
+    "keeps-what-left": _keeps_what_left,
+    "trusts-addresses": _trusts_addresses,
+    "trusts-refusals": _trusts_refusals,
+    "guesses-origins": _guesses_origins,
     "ignores-leaving": _ignores_leaving,
     "ignores-rest": _ignores_rest,
     "ignores-limits": _ignores_limits,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -30,7 +30,11 @@
 WEIGHTS = ((EDGE_KINDS, 4), (STORE_KINDS, 2), (ENGINE_KINDS, 4), (OPERATOR_KINDS, 3))
 # Each group is drawn after all others, so that seeds from before it existed keep their
 # faults.
-LATER_GROUPS = (("poison", "limit"), ("late-version", "repeat"))
+LATER_GROUPS = (
+    ("poison", "limit"),
+    ("late-version", "repeat"),
+    ("withdraw", "damage", "refuse-again"),
+)
 LATER_PERIOD_S = 8.0
 REPEATED_KINDS = ("once", "read", "stream", "resume")  # of requests
 # Faults that consist of others.
@@ -65,6 +69,7 @@
             faults.append(fault._replace(at_s=later_s, subject=source.choice(others)))
     later_subjects = {"limit": engines, "late-version": edges}
     later_subjects["repeat"] = REPEATED_KINDS
+    later_subjects["withdraw"] = later_subjects["refuse-again"] = engines
     for group in LATER_GROUPS:
         for _ in range(round(seconds / LATER_PERIOD_S)):
             kind = source.choice(group)
