Ask a target which lifetime it is before a stream begins out of step

What callers could see: one answer with events of two software versions (ORDER). Cause: a target was asked for its lifetime only after a failed call. This one had closed idle connections alone, and the instance knew that it had read nothing for seconds. Change: a target that closes an idle connection unannounced counts as one that may have started again; and while the configuration is overdue for its proof, each target is asked once a second.

--- a/cornelreach/gateway/continuations.py
+++ b/cornelreach/gateway/continuations.py
@@ -27,6 +27,7 @@
 # None means that the target could not be asked.
 Confirm = typing.Callable[[registry_module.Target], typing.Awaitable[bool | None]]
 
+CONFIRMED_MS = 1_000.0  # for which a target's own word holds, without its entry
 READ_MS = 400.0  # for the store's answer, while a caller waits
 MARGIN_MS = 2_000.0  # a caller's last attempt may end after its stream's deadline
 
@@ -73,14 +74,14 @@
 
         A target may start again under its identifier with other software, before its
         new entry is read. It is asked before a stream goes on there, and before one
-        that may go on later begins at a target that failed since it was last asked.
+        that may go on later begins at a target that failed or closed connections since
+        it was last asked, or whose entry may be outdated.
         """
         goes_on = request_state.software is not None
         if not target.born_ms or not (goes_on or request_state.route.resumable):
             return None
         state = self.registry.state(target.id)
-        failed = state.unconfirmed or self.origins.gossip.is_suspected(target.id)
-        if not goes_on and not failed:
+        if not (goes_on or self._may_be_another(target, state)):
             return None
         is_current = await self.is_current(target)
         if is_current is None:
@@ -89,8 +90,21 @@
             text = "the entry is of an earlier lifetime"
             return requeststate.NotSent(text, at_fault=False)
         state.unconfirmed = False
+        state.confirmed_ms = self.clock.now_ms()
         return None
 
+    def _may_be_another(
+        self, target: registry_module.Target, state: registry_module.State
+    ) -> bool:
+        """Return whether a target may have started again since its entry was read."""
+        if state.unconfirmed or self.origins.gossip.is_suspected(target.id):
+            return True
+        now_ms = self.clock.now_ms()
+        return (
+            self.versions.mirror.is_out_of_step(now_ms)
+            and now_ms - state.confirmed_ms > CONFIRMED_MS
+        )
+
     async def admit(self, request_state: requeststate.RequestState) -> bool:
         """Bind a stream that its caller takes up to its origin.
 
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -163,6 +163,9 @@
             idle_timeout_ms=ENGINE_IDLE_MS,
             ack_timeout_ms=ENGINE_SILENCE_MS,
         )
+        self.http.on_idle_closed = lambda address: self.mirror.registry.record_closed(
+            f"{address.host}:{address.port}"
+        )
         self.gossip = gossip_module.Gossip(
             self.site.name,
             self.boot,
--- a/cornelreach/gateway/mirror.py
+++ b/cornelreach/gateway/mirror.py
@@ -29,6 +29,9 @@
 EVACUATED = events.define(2103, "INFO", "Evacuated data centres: {zones}.", "Nothing.")
 
 
+STEP_SHARE = 0.5  # of the bound on revoked keys; they are confirmed more often
+
+
 class NamedVersion(typing.NamedTuple):
     """The version of weights that a model should have, and when it was learned.
 
@@ -118,6 +121,10 @@
         """Return the time since the configuration was last confirmed as the newest."""
         return float("inf") if self.proof_ms is None else now_ms - self.proof_ms
 
+    def is_out_of_step(self, now_ms: float) -> bool:
+        """Return whether the records were not confirmed when they should have been."""
+        return self.proof_age_ms(now_ms) > self.revoke_ms * STEP_SHARE
+
     def may_use_keys(self, now_ms: float) -> bool:
         """Return whether the configuration is fresh enough to accept API keys.
 
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -117,6 +117,7 @@
         self.suspected = False
         self.unreached = False  # whether no connection could be opened
         self.unconfirmed = False  # whether this is still the lifetime of its entry
+        self.confirmed_ms = float("-inf")  # when it last said so itself
         self.error_share = 0.0
         self.answer_ms: float | None = None
 
@@ -529,6 +530,14 @@
         if was_suspected:
             self.on_answer(target_id)
 
+    def record_closed(self, address: str) -> None:
+        """Record that the targets at an address closed idle connections unannounced.
+
+        Whichever was there may have started again since.
+        """
+        for target in self.targets_at(address):
+            self.state(target.id).unconfirmed = True
+
     def record_outcome(self, target_id: str, ok: bool, answer_ms: float) -> None:
         """Update a target's error rate and answer time from the end of a request."""
         if target_id not in self.targets:
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -93,6 +93,7 @@
         self.has_responded = False
         self.idle_until_ms = 0.0
         self.on_connection_lost: typing.Callable[[], None] | None = None
+        self.on_idle_closed: typing.Callable[[], None] | None = None
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._unread_bytes = 0
@@ -113,13 +114,21 @@
         self._wake()
 
     def eof_received(self) -> None:
+        self._end_idle()
         self.unusable = True
         if not self.idle:
             with contextlib.suppress(h11.RemoteProtocolError):
                 self.h11.receive_data(b"")
         self._wake()
 
+    def _end_idle(self) -> None:
+        """Tell that the server closed the connection before its idle time was over."""
+        early = time.monotonic() * 1_000 < self.idle_until_ms
+        if self.idle and not self.unusable and early and self.on_idle_closed:
+            self.on_idle_closed()
+
     def connection_lost(self, error: Exception | None) -> None:
+        self._end_idle()
         self.unusable = True
         self._error = error or ConnectionResetError("the connection was closed")
         self._wake()
@@ -253,6 +262,8 @@
         self.connect_wait_ms = connect_wait_ms
         self.idle_timeout_ms = idle_timeout_ms
         self.ack_timeout_ms = ack_timeout_ms
+        # Called with an address whose server closed an idle connection unannounced.
+        self.on_idle_closed: typing.Callable[[Address], None] = lambda address: None
         self.opened = 0
         self.held_bytes = 0
         self._idle: dict[Address, collections.deque[_Connection]] = {}
@@ -456,6 +467,7 @@
             self._count_closed(address)
             raise
         connection.on_connection_lost = lambda: self._count_closed(address)
+        connection.on_idle_closed = lambda: self.on_idle_closed(address)
         self.opened += 1
         if self.ack_timeout_ms:
             _set_tcp_timeouts(connection.transport, self.ack_timeout_ms)
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -95,6 +95,7 @@
         self.requests = []
         self.gone = asyncio.Event()
         self.connections = 0
+        self.writers = []
         self.server = None
 
     async def start(self):
@@ -106,6 +107,7 @@
     async def serve(self, reader, writer):
         """Answer the requests of one connection."""
         self.connections += 1
+        self.writers.append(writer)
         try:
             while await self.serve_one(reader, writer):
                 pass
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -4,6 +4,7 @@
 import time
 
 from cornelreach.gateway import hubs, recordhandlers
+from cornelreach.http import client as http_client
 from cornelreach.platform import software
 from test.gateway import harness as harness_module, test_forwarding
 from test.platform import objects
@@ -130,6 +131,48 @@
             )
         self.assertEqual(self.engines[0].requests, [])
 
+    # Guards against a stream bound to software that its target had before it started
+    # again, at an instance that cannot read its new entry.
+    async def test_a_stream_begins_out_of_step_at_a_target_that_was_asked(self):
+        await self.start_versions()
+        continuations = self.harness.forwarder.dependencies.continuations
+        asked = []
+
+        async def is_current(target):
+            asked.append(target.id)
+            return target.id != "e0"
+
+        continuations.is_current = is_current
+        mirror = self.harness.mirror
+        mirror.record_proof(self.harness.clock.now_ms())
+        self.assertFalse(mirror.is_out_of_step(self.harness.clock.now_ms()))
+        mirror.proof_ms -= mirror.revoke_ms * 0.6
+        for number in range(UNTRIED):
+            await self.harness.stream(
+                "/resume/x", x_cornelreach_request_id=f"id-{number}"
+            )
+        self.assertEqual(self.engines[0].requests, [])
+        self.assertIn("e0", asked)
+        self.assertLess(asked.count("e1"), UNTRIED)
+
+    # Guards against the same where only its idle connections told of the new start.
+    async def test_a_target_that_closed_idle_connections_is_asked(self):
+        await self.start_versions()
+        self.harness.mirror.record_proof(self.harness.clock.now_ms())
+        self.harness.http.on_idle_closed = lambda address: (
+            self.harness.mirror.registry.record_closed(f"127.0.0.1:{address.port}")
+        )
+        await self.harness.http.open_idle(
+            http_client.parse_address(self.engines[0].address)
+        )
+        state = self.harness.mirror.registry.state("e0")
+        self.assertFalse(state.unconfirmed)
+        await asyncio.sleep(0.01)
+        for writer in self.engines[0].writers:
+            writer.close()
+        await asyncio.sleep(0.01)
+        self.assertTrue(state.unconfirmed)
+
     # Guards against the same at an instance other than the one that began, now dead.
     async def test_a_caller_goes_on_at_another_instance(self):
         await self.start_versions()
