Save nothing in a store that came back empty while its old parts may be offered

Cause: the hub knew the new epoch and let parts be saved again; instances that follow it took the old epoch's parts for held until the next event of the store was relayed, at most for 1.5 s, and engines fetched them as they were written. Requests that wait at engines do the same in any fleet. Change: a store gets no parts for 2.5 s after its epoch was first seen, by which time nobody offers those of an earlier one and engines have begun with what they had; a hub relays a new epoch as soon as it has listed it.

--- a/cornelreach/gateway/promptindex.py
+++ b/cornelreach/gateway/promptindex.py
@@ -30,6 +30,10 @@
 RETRY_MS = 300.0
 ROLE_CHECK_MS = 20_000.0  # in case a change of the role was missed
 FRESH_MS = 1_500.0  # the wait of a poll plus a margin for the call
+QUEUED_MS = 1_000.0  # until engines have begun with the requests that they have
+# A store that came back empty gets no parts while anybody may offer those that it had:
+# they would be fetched while they are being written.
+SETTLE_MS = FRESH_MS + QUEUED_MS
 MAX_FILL_SHARE = 0.95
 MIN_DELAY_MS = 80.0  # smaller delays are within the engines' own jitter
 MAX_DELAY_SHARE = 2.0  # of the prefill time, as a prefill also delays other prompts
@@ -57,6 +61,8 @@
     def __init__(self, store: catalogue.PromptStore) -> None:
         self.store = store
         self.epoch: int | None = None
+        self.settled_ms = 0.0
+        self._last_epoch: int | None = None  # also while the present one is not known
         self.position = 0
         self.parts: dict[promptstores.PartKey, int] = {}
         self.tokens = 0
@@ -93,10 +99,21 @@
         self.tokens = 0
         self.saving.clear()
 
+    def _set_epoch(self, epoch: int, now_ms: float) -> None:
+        self.epoch = epoch
+        if epoch != self._last_epoch:
+            self._last_epoch = epoch
+            self.settled_ms = now_ms + SETTLE_MS
+
+    def is_settled(self, now_ms: float) -> bool:
+        """Return whether nobody offers parts of an earlier incarnation any more."""
+        return now_ms >= self.settled_ms
+
     def apply_listing(self, batch: promptstores.Batch, now_ms: float) -> None:
         """Replace the contents with a full listing."""
         self.clear()
-        self.epoch, self.position = batch.epoch, batch.position
+        self._set_epoch(batch.epoch, now_ms)
+        self.position = batch.position
         self._apply(batch.changes)
         self.answered_ms = now_ms
 
@@ -119,7 +136,7 @@
         """
         if update.epoch != self.epoch:
             self.clear()
-            self.epoch = update.epoch
+            self._set_epoch(update.epoch, now_ms)
         self.position = update.position
         self._apply(
             promptstores.Stored(promptstores.PartKey(salt, key), tokens)
@@ -189,7 +206,9 @@
         with_room = [
             one
             for one in usable
-            if one.has_room(part.tokens) and one.delay_ms(now_ms) <= SLOW_MS
+            if one.has_room(part.tokens)
+            and one.delay_ms(now_ms) <= SLOW_MS
+            and one.is_settled(now_ms)
         ]
         if not with_room:
             return None
@@ -293,6 +312,8 @@
         if contents.epoch is None:
             batch = await self.client.listing(address)
             contents.apply_listing(batch, self.clock.now_ms())
+            if self.uses_hubs() and self.gossip.is_hub():
+                self._relay(contents, batch._replace(changes=()))
             events.emit(
                 STORE_FOUND, store=contents.store.name, parts=len(contents.parts)
             )
--- a/test/gateway/test_promptindex.py
+++ b/test/gateway/test_promptindex.py
@@ -1,5 +1,6 @@
 """The index of the prompt stores, and when a part may be fetched from one."""
 
+import asyncio
 import random
 import unittest
 
@@ -91,7 +92,30 @@
         self.prompt_index = promptindex.PromptIndex()
         self.prompt_index.configure([store("small", 10_000), store("large", 90_000)])
         for contents in self.prompt_index.stores.values():
-            contents.apply_listing(batch(0), 0)
+            contents.apply_listing(batch(0), -promptindex.SETTLE_MS)
+            contents.apply_events(batch(0), 0)
+
+    # Guards against fetches of parts that are being written: one instance saves them in
+    # a store that came back empty while another still takes them for held there.
+    def test_a_part_is_not_saved_while_others_may_offer_that_of_an_earlier_epoch(self):
+        held = batch(1, Stored(Key("v1.", "p"), 100))
+        part = Part("p", 100)
+        other = promptindex.PromptIndex()
+        other.configure([store("small"), store("large")])
+        for index in (self.prompt_index, other):
+            for contents in index.stores.values():
+                contents.apply_listing(held, 0)
+        for contents in self.prompt_index.stores.values():
+            contents.apply_listing(batch(0, epoch=8), 1)
+        places = set()
+        for now_ms in range(1, 2 * int(promptindex.SETTLE_MS), 50):
+            for contents in self.prompt_index.stores.values():
+                contents.apply_events(batch(0, epoch=8), now_ms)
+            offered = other.find_source(part, "v1.", now_ms)
+            saved = self.prompt_index.choose_store(part, "v1.", now_ms)
+            self.assertFalse(offered and saved, now_ms)
+            places.add(saved)
+        self.assertGreater(len(places), 1)  # it is saved once that is over
 
     def test_parts_are_spread_in_proportion_to_size(self):
         counts = {"small:1": 0, "large:1": 0}
@@ -135,6 +159,32 @@
             found, None, gossip.clock, gossip, random.Random(1)
         )
 
+    # Guards against instances that follow a hub offering parts of a store's old epoch
+    # until its next event.
+    def test_a_hub_relays_the_epoch_of_a_store_that_came_back(self):
+        found = fleet.HubFleet(40)
+        found.run(2_000)
+        watchers = list(map(self.watcher, found.instances.values()))
+        hub = next(one for one in watchers if one.is_watching())
+        follower = next(
+            one
+            for one in watchers
+            if one.gossip.followed_hub() == hub.gossip.name and not one.is_watching()
+        )
+        update = datagrams.PromptStoreUpdate("a", 7, 12, 0.0, (("v1.", "p", 500),))
+        follower.apply_relayed(update)
+
+        class Client:
+            async def listing(self, address):
+                return batch(0, epoch=8)
+
+        hub.client = Client()
+        asyncio.run(hub._step(hub.prompt_index.stores["a:1"]))
+        found.run(500)
+        now_ms = found.clock.now_ms()
+        part = Part("p", 500)
+        self.assertIsNone(follower.prompt_index.find_source(part, "v1.", now_ms))
+
     def test_all_watch_in_a_small_fleet_and_only_hubs_in_a_large_one(self):
         for size, expected in ((8, 8), (40, len(fleet.ZONES))):
             found = fleet.HubFleet(size)
