Wait for a stopped instance in the test of an unreachable one

The test asked for the status right after stop_listening, in the 5 ms in which a stopping server still takes what the kernel has accepted: on a fast machine it is answered, and for an operator that is right. The instance that the test means is one that has stopped; it now waits for that. The check is the same.

--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -217,6 +217,7 @@
         self.assertEqual(behind, {"one": "0", "two": "1"})
         self.assertIn("north/rules", status.text)
         self.servers[2].stop_listening()
+        await self.servers[2].wait_closed()
         status = await self.cli("status")
         self.assertEqual(status.code, Exit.UNREACHABLE)
         self.assertIn("no response", status.text)
