Look whether a connection is open before giving it up

What callers saw: refusals (targets-unreached) by instances whose process had not run for some ten ms: sound engines counted as out of reach, at the instance that passes requests on too. Cause: a connection that opens while the process stands still and the time for it are found at once, and the timeout won. The class: a fault of the observer, here a pause of its own, taken for one of what it observes. Change: when the time is over, the event loop takes over what the system has, and only then is the connection given up.

--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -29,6 +29,7 @@
 MAX_HELD_BYTES = 33_554_432  # of all bodies that a client is reading whole
 PAUSE_READING_BYTES = 262_144
 CACHED_ADDRESSES = 16_384
+LOOP_PASSES = 8  # of the event loop, to take over a connection that is open
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
 
@@ -449,16 +450,9 @@
         return await self._connect(address)
 
     async def _connect(self, address: Address) -> _Connection:
-        loop = asyncio.get_running_loop()
         self._open_counts[address] += 1
         try:
-            async with asyncio.timeout(self.connect_wait_ms / 1_000):
-                _, connection = await loop.create_connection(
-                    _Connection,
-                    address.host,
-                    address.port,
-                    ssl=self.tls if address.tls else None,
-                )
+            connection = await self._open(address)
         except (OSError, TimeoutError) as error:
             self._count_closed(address)
             reason = str(error) or f"no answer within {self.connect_wait_ms} ms"
@@ -473,6 +467,33 @@
             _set_tcp_timeouts(connection.transport, self.ack_timeout_ms)
         return connection
 
+    async def _open(self, address: Address) -> _Connection:
+        """Open a connection; raises TimeoutError if it is not there in time.
+
+        A process that did not run meanwhile finds the time over and the connection
+        open, so what has happened is looked at before the connection is given up.
+        """
+        opening = asyncio.ensure_future(
+            asyncio.get_running_loop().create_connection(
+                _Connection,
+                address.host,
+                address.port,
+                ssl=self.tls if address.tls else None,
+            )
+        )
+        try:
+            await asyncio.wait({opening}, timeout=self.connect_wait_ms / 1_000)
+            for _ in range(LOOP_PASSES):
+                if not opening.done():
+                    await asyncio.sleep(0)
+            if not opening.done():
+                raise TimeoutError
+            return opening.result()[1]
+        except BaseException:
+            opening.add_done_callback(_abort_opened)
+            opening.cancel()
+            raise
+
     def _count_closed(self, address: Address) -> None:
         self._open_counts[address] -= 1
         if self._open_counts[address] <= 0:
@@ -519,6 +540,12 @@
         await asyncio.sleep(0)
 
 
+def _abort_opened(opening: asyncio.Future[tuple[typing.Any, _Connection]]) -> None:
+    """Close a connection that nobody waits for any more."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[1].abort()
+
+
 def _headers(head: h11.Response) -> messages.Headers:
     return tuple((bytes(key), bytes(value)) for key, value in head.headers)
 
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -56,6 +56,21 @@
         self.server.stop_listening()
         self.server.abort()
 
+    # Guards against a sound server that counts as unreachable because the client's own
+    # process did not run.
+    async def test_a_connection_that_opens_while_the_client_stands_still_is_used(self):
+        hasty = client.Client(connect_wait_ms=20)
+        self.addAsyncCleanup(hasty.close)
+        for steps in range(6):
+            call = asyncio.ensure_future(
+                hasty.call(self.address, "POST", "/", b"ok", new_connection=True)
+            )
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            time.sleep(0.04)
+            status, body, _ = await call
+            self.assertEqual((status, body), (200, b"ok"))
+
     async def test_reuses_a_connection_and_streams(self):
         for _ in range(3):
             status, body, _ = await self.client.call(
