Take a connection that is reset as it opens for one that did not open

What callers could see: engines that failed once were never used again, no rollouts, or records that were not followed, at an instance whose connections had been reset as they opened. Cause: setting the time-outs of such a connection raised EBADF, which no caller of the client expects, so that the task of the probes, rollouts or a watch ended for good. Registration failed in the same way after each success, when nothing was left to do. Change: the client reports RequestNotSent, and counts the connection as closed. A test of the client failed before. The soak's withdrawn engines write no entry any more (the check named a fault of the stand-in), and every second instance can run another checkout until its first restart (--beside), as in an upgrade.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -11,6 +11,8 @@
 import time
 import typing
 
+from returns import result
+
 from cornelreach.gateway import (
     balancer,
     calls,
@@ -474,8 +476,10 @@
             outcome = await self.objects.put(
                 f"{platform_client.INSTANCES}{site.name}", value, if_absent=True
             )
-            known = getattr(outcome, "failure", lambda: None)()
-            if not isinstance(known, results.Unavailable | results.OutcomeUnknown):
+            if isinstance(outcome, result.Success):
+                return
+            unknown = results.Unavailable | results.OutcomeUnknown
+            if not isinstance(outcome.failure(), unknown):
                 return
             await asyncio.sleep(budget.THROTTLED_PAUSE_MS / 1_000)
 
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -91,6 +91,7 @@
         self.transport: asyncio.Transport | None = None
         self.idle = False
         self.unusable = False
+        self.is_lost = False
         self.has_responded = False
         self.idle_until_ms = 0.0
         self.on_connection_lost: typing.Callable[[], None] | None = None
@@ -130,7 +131,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._end_idle()
-        self.unusable = True
+        self.unusable = self.is_lost = True
         self._error = error or ConnectionResetError("the connection was closed")
         self._wake()
         if self.on_connection_lost is not None:
@@ -460,11 +461,18 @@
         except BaseException:
             self._count_closed(address)
             raise
+        if connection.is_lost:
+            self._count_closed(address)
+            raise RequestNotSent(f"cannot connect to {address}: closed at once")
         connection.on_connection_lost = lambda: self._count_closed(address)
         connection.on_idle_closed = lambda: self.on_idle_closed(address)
         self.opened += 1
-        if self.ack_timeout_ms:
-            _set_tcp_timeouts(connection.transport, self.ack_timeout_ms)
+        try:
+            if self.ack_timeout_ms:
+                _set_tcp_timeouts(connection.transport, self.ack_timeout_ms)
+        except OSError as error:  # it is being closed
+            connection.abort()
+            raise RequestNotSent(f"cannot connect to {address}: {error}") from error
         return connection
 
     async def _open(self, address: Address) -> _Connection:
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 import unittest
 
@@ -71,6 +72,30 @@
             status, body, _ = await call
             self.assertEqual((status, body), (200, b"ok"))
 
+    # Guards against the end of the probes, rollouts or watches: a connection that was
+    # reset as it opened raised an error that nobody expects.
+    async def test_connections_that_are_reset_as_they_open_are_not_sent(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        listener.setblocking(False)
+        address = client.Address("127.0.0.1", listener.getsockname()[1])
+        probing = client.Client(ack_timeout_ms=1_000)
+        loop = asyncio.get_running_loop()
+        for steps in range(12):
+            call = asyncio.ensure_future(
+                probing.call(address, "GET", "/", new_connection=True, wait_ms=500)
+            )
+            accepted, _ = await loop.sock_accept(listener)
+            for _ in range(steps % 6):
+                await asyncio.sleep(0)
+            linger = struct.pack("ii", 1, 0)
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            accepted.close()
+            with self.assertRaises((client.RequestNotSent, client.ResponseLost)):
+                await call
+            await asyncio.sleep(0.01)
+            self.assertEqual(probing.open_connections(address), 0)
+
     async def test_reuses_a_connection_and_streams(self):
         for _ in range(3):
             status, body, _ = await self.client.call(
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -10,6 +10,8 @@
   --seconds S    Duration of fault injection for each seed [default: 25].
   --processes N  Number of instances [default: 4].
   --planted NAME A bug planted in the instances, to show that the checks find it.
+  --beside DIR   Checkout of an earlier release, run by every second instance until its
+                 first restart, as in an upgrade.
   --shrink N     Maximum number of extra runs to find a shorter schedule [default: 6].
   --help         Print this text.
 
@@ -18,13 +20,25 @@
 """
 
 import asyncio
+import pathlib
 import sys
 
 import docopt
 
+from cornelreach.util import errors
 from tools.soak import run as run_module
 
 
+def _checkout(folder: str | None) -> str:
+    """Return the path of a checkout; raises UserError if it has no program."""
+    if folder and not pathlib.Path(folder, "cornelreach", "ui", "edge.py").is_file():
+        raise errors.UserError(
+            f"{folder!r} is no checkout of this project",
+            "make one with: git worktree add DIR COMMIT",
+        )
+    return folder or ""
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the soak with command-line arguments."""
     arguments = docopt.docopt(__doc__, argv)
@@ -36,6 +50,7 @@
             float(arguments["--seconds"]),
             int(arguments["--processes"]),
             arguments["--planted"] or "",
+            beside=_checkout(arguments["--beside"]),
         )
         outcome = asyncio.run(run_module.run_plan(plan, show=print))
         if not outcome.violations:
@@ -53,4 +68,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    try:
+        sys.exit(main())
+    except errors.UserError as error:
+        sys.exit(f"soak: {error}")
--- a/tools/soak/edges.py
+++ b/tools/soak/edges.py
@@ -45,7 +45,11 @@
 
 
 class Edge:
-    """An instance: its settings file, its current process and its log lines."""
+    """An instance: its settings file, its current process and its log lines.
+
+    With ``checkout``, its first process runs the program of another checkout, and each
+    later one the present program, as in an upgrade.
+    """
 
     def __init__(
         self,
@@ -56,11 +60,13 @@
         store: str,
         zones: typing.Sequence[str],
         program: tuple[str, ...] = PROGRAM,
+        checkout: str = "",
     ) -> None:
         self.name = name
         self.zone = zone
         self.host = host
         self.program = program
+        self.checkout = checkout
         self.log_lines: collections.deque[bytes] = collections.deque(
             maxlen=MAX_LOG_LINES
         )
@@ -82,6 +88,7 @@
             sys.executable,
             *self.program,
             stdout=asyncio.subprocess.PIPE,
+            cwd=self.checkout or None,
             env={**os.environ, "CORNELREACH_CONFIG": str(self.settings)},
         )
         self._log_reader = asyncio.ensure_future(self._read_log(self.process))
@@ -90,6 +97,7 @@
         """Start again after a process has ended, unless another fault did already."""
         async with self._restart_lock:
             if self.process is ended:
+                self.checkout = ""
                 await self.start()
 
     async def _read_log(self, process: asyncio.subprocess.Process) -> None:
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -52,7 +52,12 @@
     """All processes, stand-ins and records of one run."""
 
     def __init__(
-        self, seed: int, edges: int, program: tuple[str, ...], folder: pathlib.Path
+        self,
+        seed: int,
+        edges: int,
+        program: tuple[str, ...],
+        folder: pathlib.Path,
+        beside: str = "",
     ) -> None:
         self.random = random.Random(seed)
         # Addresses belong to a run, not to a seed: runs of one seed may overlap.
@@ -60,6 +65,7 @@
         # An address used by nothing else, so that no other process reuses its ports.
         self.shared_host = f"{self.host}.{addresses.SHARED_HOST_NUMBER}"
         self.program = program
+        self.beside = beside
         self.folder = folder
         self.store = platform_module.Platform()
         self.ledger = wireengine.RequestLog()
@@ -73,6 +79,7 @@
         self.links: dict[str, proxy.Proxy] = {}
         # Instances that reach no engine, with the number of faults that cut them off.
         self.cut_off: collections.Counter[str] = collections.Counter()
+        self.withdrawn: set[str] = set()  # engines that leave without a report
         self._edge_count = edges
         self._tasks: list[asyncio.Task[typing.Any]] = []
         self._ids: dict[str, str] = {}
@@ -163,6 +170,7 @@
             link.address,
             ZONES,
             self.program,
+            self.beside if number % 2 else "",
         )
         await self.edges[name].start()
 
@@ -191,7 +199,9 @@
         self._address_lock.close()
 
     def write_entry(self, name: str) -> None:
-        """Write the registration of an engine's current boot."""
+        """Write the registration of an engine's current boot, unless it has left."""
+        if name in self.withdrawn:
+            return
         link = self.links[name]
         self.operator.write(
             f"servers/{name}", self.engines[name].entry(self.zones[name], link.address)
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -303,6 +303,7 @@
         links = [self.environment.links[name] for name in self.environment.edges]
         for link in links:
             link.set_link(proxy.Link.RESET)
+        self.environment.withdrawn.add(fault.subject)
         self.operator.write(f"servers/{fault.subject}", None)
         self.environment.record_change("drain", fault.subject, engine.born)
         await asyncio.sleep(WATCHES_CUT_S)
@@ -310,6 +311,7 @@
             link.set_link(proxy.Link.GOOD)
         await asyncio.sleep(DRAIN_EXIT_S - WATCHES_CUT_S)
         engine.crash()
+        self.environment.withdrawn.discard(fault.subject)
         await asyncio.sleep(fault.for_s)
         await self.environment.restart_engine(fault.subject)
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -22,13 +22,17 @@
 
 
 class Plan(typing.NamedTuple):
-    """The parameters of a run; ``faults`` replaces the schedule drawn from the seed."""
+    """The parameters of a run; ``faults`` replaces the schedule drawn from the seed.
+
+    ``beside`` is a checkout whose program every second instance runs at first.
+    """
 
     seed: int
     seconds: float
     edges: int
     planted: str = ""
     faults: tuple[schedule.Fault, ...] | None = None
+    beside: str = ""
 
 
 class Outcome(typing.NamedTuple):
@@ -60,7 +64,7 @@
     with tempfile.TemporaryDirectory(prefix="cornelreach-soak-") as folder:
         program = planted.program(plan.planted) if plan.planted else edges.PROGRAM
         environment = environment_module.Environment(
-            plan.seed, plan.edges, program, pathlib.Path(folder)
+            plan.seed, plan.edges, program, pathlib.Path(folder), plan.beside
         )
         try:
             await environment.start()
