End all connections in a stop, also as the idle time of one is over

Found by reading the diff, then shown: ending the wait of a connection whose idle time ended in the same pass of the loop raised 'Cannot change state of expiring Timeout', and the connections after it were not closed. The test failed before. A request that is pipelined takes the limits in force too.

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -104,7 +104,8 @@
         """Close the connection, now or after its request, once nothing more arrives."""
         self.ending = self.closing = True
         if self._idle_timeout is not None:
-            self._idle_timeout.reschedule(asyncio.get_running_loop().time())
+            with contextlib.suppress(RuntimeError):  # the idle time is over just now
+                self._idle_timeout.reschedule(asyncio.get_running_loop().time())
 
     def _close(self) -> None:
         if self._ends_with_connection():
@@ -231,7 +232,9 @@
             raise Refused(refusal)
 
     async def _next_head(self) -> h11.Request | None:
-        if not self.h11.trailing_data[0] and not await self._wait_for_request():
+        if self.h11.trailing_data[0]:
+            self.limits = self.current_limits()
+        elif not await self._wait_for_request():
             return None
         event = self._next_event()
         if event is h11.NEED_DATA:
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -220,6 +220,23 @@
         self.assertIn(b"kept", await reader.read(1_000))
         self.assertEqual(await reader.read(), b"")
 
+    # Guards against a stop that leaves connections open, since the idle time of one
+    # ended in the same pass of the loop.
+    async def test_a_stop_as_an_idle_time_ends_closes_all_connections(self):
+        running = await server.start("127.0.0.1", 0, echo, limits.Limits(idle_ms=400))
+        for count in range(1, 4):
+            _, writer = await asyncio.open_connection("127.0.0.1", running.port)
+            self.addCleanup(writer.close)
+            while len(running.connections) < count:
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.001)
+            running.limits = limits.Limits(idle_ms=60_000)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.41, running._close_idle)
+        loop.call_later(0.0, time.sleep, 0.45)
+        running.listener.close()
+        await asyncio.wait_for(running.wait_closed(), 2)
+
     # Guards against kept connections that stay bound to the limits of an old config.
     async def test_limits_are_those_in_force_when_a_request_begins(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
