Name the test engine's connections apart from those of its subclasses

The harness's new list of writers had the name of a set in a subclass of its engine, so that each connection ended with an AttributeError. No product code.

--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -95,7 +95,7 @@
         self.requests = []
         self.gone = asyncio.Event()
         self.connections = 0
-        self.writers = []
+        self.accepted = []
         self.server = None
 
     async def start(self):
@@ -107,7 +107,7 @@
     async def serve(self, reader, writer):
         """Answer the requests of one connection."""
         self.connections += 1
-        self.writers.append(writer)
+        self.accepted.append(writer)
         try:
             while await self.serve_one(reader, writer):
                 pass
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -168,7 +168,7 @@
         state = self.harness.mirror.registry.state("e0")
         self.assertFalse(state.unconfirmed)
         await asyncio.sleep(0.01)
-        for writer in self.engines[0].writers:
+        for writer in self.engines[0].accepted:
             writer.close()
         await asyncio.sleep(0.01)
         self.assertTrue(state.unconfirmed)
