Let callers that name no attempt go on by the version in sight

Cause: asks the store before an origin is guessed, for them as well. Change: that holds for callers that name an attempt, whose origin nobody knows; they are refused at once where the store is known to be away. A test failed before.

--- a/cornelreach/gateway/continuations.py
+++ b/cornelreach/gateway/continuations.py
@@ -131,10 +131,12 @@
         """Return the origin if the route has one service, and this one version.
 
         This instance may have missed a version that began streams at others, and they
-        its question, so that version is looked for in the store too.
+        its question, so that version is looked for in the store too. A caller that
+        names no attempt asks nobody, and goes on by what is in sight.
         """
-        if self._origin_in_sight(request_state) is None:
-            return None
+        found = self._origin_in_sight(request_state)
+        if found is None or not request_state.call.resumes:
+            return found
         try:
             async with asyncio.timeout(READ_MS / 1_000):
                 is_read = await self.versions.read_now()
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -248,7 +248,7 @@
         """
         asked_ms = self.clock.now_ms()
         async with self._reading:
-            if self.revision is None:
+            if self.revision is None or self.lost_ms is not None:
                 return False
             if self._read_ms is not None and self._read_ms >= asked_ms:
                 return True
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -345,6 +345,17 @@
         self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
         self.assertEqual(self.resumed_at(), set())
 
+    # Guards against refusing callers that name no attempt while the store is away.
+    async def test_without_the_store_a_caller_that_names_no_attempt_goes_on(self):
+        await self.start(stream, stream)
+
+        async def read_now():
+            return False
+
+        self.harness.software_versions.read_now = read_now
+        got = await self.go_on(self.harness, 1, None)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
+
     # Guards against an instance that has just started knowing too few versions.
     async def test_an_instance_that_has_just_started_does_not_guess(self):
         await self.start(stream, stream)
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -157,6 +157,8 @@
         away = result.Failure(results.Unavailable("unavailable", 1))
         self.objects.script = [(20, away)]
         self.assertFalse(await self.watcher.read_now())
+        self.watcher.lost_ms = self.clock.now_ms()  # known to be away: no call
+        self.assertFalse(await self.watcher.read_now())
 
     async def test_an_older_configuration_is_ignored(self):
         listing = result.Success(results.Listing(9, (config(5, 9),)))
