Tell the instances that follow a hub when it has lost a prompt store

Cause: a hub that loses a store, as its connection is reset in the crash, forgot what it knew and told nobody until it had listed the store again. Until then, or for 1.5 s, its followers offered old parts, and saved there what they had not heard of (events may never come), beside each other. Evidence: the new test failed before. Change: the hub relays the loss; followers offer and save nothing there until it is heard again, and keep what they know for that case.

--- a/cornelreach/gateway/promptindex.py
+++ b/cornelreach/gateway/promptindex.py
@@ -42,6 +42,7 @@
 DELAY_DECAY_MS = 2_500.0
 SAVE_TIMEOUT_MS = 3_000.0  # a save that is not reported complete by then is retried
 RELAY_MS = 250.0
+UNKNOWN_EPOCH = -1  # of a store that the hub has lost
 HASH_RANGE = float(1 << 64)
 
 STORE_LOST = events.define(
@@ -132,8 +133,12 @@
 
         Parts in a lost datagram stay unknown and are prefilled again. That is the only
         harm, since a store drops parts only with its incarnation or a version of
-        weights.
+        weights. If the peer has lost the store, nothing is offered until it is heard
+        again, and its parts are kept for that case.
         """
+        if update.epoch == UNKNOWN_EPOCH:
+            self.answered_ms = None
+            return
         if update.epoch != self.epoch:
             self.clear()
             self._set_epoch(update.epoch, now_ms)
@@ -303,6 +308,12 @@
                         STORE_LOST, store=contents.store.name, reason=str(error)
                     )
                 contents.clear()
+                if self.uses_hubs() and self.gossip.is_hub():
+                    self.gossip.relay_update(
+                        datagrams.PromptStoreUpdate(
+                            contents.store.name, UNKNOWN_EPOCH, 0, 0.0, ()
+                        )
+                    )
                 pause_ms = RETRY_MS
             await asyncio.sleep(pause_ms * self.random.uniform(0.8, 1.2) / 1_000)
 
--- a/test/gateway/test_promptindex.py
+++ b/test/gateway/test_promptindex.py
@@ -1,6 +1,7 @@
 """The index of the prompt stores, and when a part may be fetched from one."""
 
 import asyncio
+import contextlib
 import random
 import unittest
 
@@ -159,6 +160,42 @@
             found, None, gossip.clock, gossip, random.Random(1)
         )
 
+    # Guards against instances that follow a hub offering parts of a store, or saving
+    # there what others hold for kept, after the hub has lost it.
+    def test_a_hub_relays_that_it_has_lost_a_store(self):
+        found = fleet.HubFleet(40)
+        found.run(2_000)
+        watchers = list(map(self.watcher, found.instances.values()))
+        hub = next(one for one in watchers if one.is_watching())
+        follower = next(
+            one
+            for one in watchers
+            if one.gossip.followed_hub() == hub.gossip.name and not one.is_watching()
+        )
+        part, other = Part("p", 500), Part("q", 500)
+        update = datagrams.PromptStoreUpdate("a", 7, 12, 0.0, (("v1.", "p", 500),))
+        follower.apply_relayed(update)
+
+        class Client:
+            async def listing(self, address):
+                raise promptstores.Busy("reset")
+
+        hub.client = Client()
+        hub.random.uniform = lambda low, high: 60.0  # until it is tried again
+
+        async def lose():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.01):
+                    await hub._watch(hub.prompt_index.stores["a:1"])
+
+        asyncio.run(lose())
+        found.run(300)
+        now_ms = found.clock.now_ms()
+        self.assertIsNone(follower.prompt_index.find_source(part, "v1.", now_ms))
+        self.assertIsNone(follower.prompt_index.choose_store(other, "v1.", now_ms))
+        follower.apply_relayed(update._replace(parts=()))  # the same incarnation
+        self.assertEqual(follower.prompt_index.find_source(part, "v1.", now_ms), "a:1")
+
     # Guards against instances that follow a hub offering parts of a store's old epoch
     # until its next event.
     def test_a_hub_relays_the_epoch_of_a_store_that_came_back(self):
