Move the lifetimes that left or leave out of the registry

What it remembers of lifetimes, listed or not, is a subject of its own. No behaviour changes; tests as before.

--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -11,7 +11,7 @@
 
 import typing
 
-from cornelreach.gateway import calls, quotas
+from cornelreach.gateway import calls, departures, quotas
 from cornelreach.util import events
 
 # Entries that lapsed while the platform's store was unavailable are back within about
@@ -23,7 +23,6 @@
 RESTORE_GRACE_MS = 12_000.0
 MAX_REST_MS = 300_000.0
 MAX_STREAM_MS = 600_000.0  # a version that left longer ago began no stream that lasts
-MAX_REMEMBERED = 4_096  # lifetimes of targets that left
 FIRST_EJECT_MS = 600
 MAX_EJECT_MS = 5_000
 MAX_LAST_EJECT_MS = 1_000  # while no target of its service answers
@@ -148,19 +147,6 @@
     return target._replace(versions=newest)
 
 
-Lifetimes = typing.TypeVar("Lifetimes")
-
-
-def _remember(
-    memory: dict[str, Lifetimes], target_id: str, lifetimes: Lifetimes
-) -> None:
-    """Remember lifetimes of a target, and forget the oldest of too many targets."""
-    memory.pop(target_id, None)
-    memory[target_id] = lifetimes
-    while len(memory) > MAX_REMEMBERED:
-        del memory[next(iter(memory))]
-
-
 class TargetRegistry:
     """All known targets, by identifier and by service."""
 
@@ -178,9 +164,7 @@
         self._open: dict[str, list[Target]] = {}  # by service, until the next change
         self._open_evacuated = self.evacuated
         self._lapsed: dict[str, float] = {}
-        # Start times of the lifetimes that said they leave, and of removed ones.
-        self._leaving: dict[str, frozenset[int]] = {}
-        self._gone: dict[str, int] = {}
+        self._departures = departures.Departures()
         # After a restore: until when old entries are doubted, and which stay closed.
         self._restored_until_ms = 0.0
         self._held_back: dict[str, float] = {}
@@ -243,19 +227,14 @@
         state = self.state(target.id)
         if cold_ms > 0:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
-        if before is None and self._may_be_leaving(target):
+        if before is None and self._departures.may_be_leaving(
+            target.id, target.born_ms
+        ):
             state.suspected = True
             self.on_eject()
         self._changed()
         self._log_change(before, target)
 
-    def _may_be_leaving(self, target: Target) -> bool:
-        """Return whether an earlier lifetime of a target said that it leaves.
-
-        That answer may have been of this lifetime, before its entry was read.
-        """
-        return target.id in self._leaving and not self.is_leaving(target)
-
     def _changed(self) -> None:
         self.changes += 1
         self._open.clear()
@@ -265,7 +244,7 @@
         """Return whether the same lifetime of a target was draining or gone."""
         before = self.targets.get(target.id)
         if before is None:
-            return self._gone.get(target.id) == target.born_ms
+            return self._departures.is_gone(target.id, target.born_ms)
         same = before.born_ms == target.born_ms
         return same and before.draining and not target.draining
 
@@ -348,9 +327,7 @@
         self._software_left_ms[target.service, target.software] = now_ms
         self._by_service[target.service].pop(target_id, None)
         self._forget(target_id)
-        _remember(self._gone, target_id, target.born_ms)
-        if not target.born_ms:
-            self._leaving.pop(target_id, None)  # lifetimes cannot be told apart
+        self._departures.record_gone(target_id, target.born_ms)
         self._changed()
         self._emit(target, "gone")
 
@@ -371,21 +348,20 @@
 
     def is_leaving(self, target: Target) -> bool:
         """Return whether this lifetime of a target said in an answer that it leaves."""
-        return target.born_ms in self._leaving.get(target.id, frozenset())
+        return self._departures.is_leaving(target.id, target.born_ms)
 
     def mark_leaving(self, target_id: str, born_ms: int) -> bool:
         """Close a lifetime of a target that leaves; return whether that is new.
 
         The entry of that lifetime may be missing, and come back.
         """
-        marked = self._leaving.get(target_id, frozenset())
-        if born_ms in marked:
+        if self._departures.is_leaving(target_id, born_ms):
             return False
         target = self.targets.get(target_id)
         is_listed = target is not None and target.born_ms == born_ms
         if not is_listed and not born_ms:
             return False  # lifetimes cannot be told apart
-        _remember(self._leaving, target_id, marked | {born_ms})
+        self._departures.mark_leaving(target_id, born_ms)
         if is_listed:
             self._changed()
             self._emit(target, "leaving, as its answer says")
