Move one connection of the HTTP client into a module of its own

The protocol of a connection, its time-outs and its callbacks now stand apart from the pool and the reading of responses. No behaviour changes; tests as before.

--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -9,14 +9,13 @@
 import collections
 import contextlib
 import functools
-import socket
 import ssl
 import time
 import typing
 
 import h11
 
-from cornelreach.http import messages
+from cornelreach.http import clientconnection, messages
 from cornelreach.util import decoding
 
 IDLE_TIMEOUT_MS = 20_000
@@ -27,11 +26,8 @@
 MAX_INTERIM_RESPONSES = 16
 MAX_BODY_BYTES = 8_388_608
 MAX_HELD_BYTES = 33_554_432  # of all bodies that a client is reading whole
-PAUSE_READING_BYTES = 262_144
 CACHED_ADDRESSES = 16_384
 LOOP_PASSES = 8  # of the event loop, to take over a connection that is open
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_PROBES = 2
 
 
 class RequestNotSent(Exception):
@@ -83,98 +79,14 @@
     return True
 
 
-class _Connection(asyncio.Protocol):
-    """One connection with its h11 state."""
-
-    def __init__(self) -> None:
-        self.h11 = h11.Connection(h11.CLIENT)
-        self.transport: asyncio.Transport | None = None
-        self.idle = False
-        self.unusable = False
-        self.is_lost = False
-        self.has_responded = False
-        self.idle_until_ms = 0.0
-        self.on_connection_lost: typing.Callable[[], None] | None = None
-        self.on_idle_closed: typing.Callable[[], None] | None = None
-        self._error: Exception | None = None
-        self._waiter: asyncio.Future[None] | None = None
-        self._unread_bytes = 0
-        self._paused = False
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        if self.idle:
-            self.abort()
-            return
-        self.h11.receive_data(data)
-        self._unread_bytes += len(data)
-        if self._unread_bytes > PAUSE_READING_BYTES and not self._paused:
-            self._paused = True
-            self.transport.pause_reading()
-        self._wake()
-
-    def eof_received(self) -> None:
-        self._end_idle()
-        self.unusable = True
-        if not self.idle:
-            with contextlib.suppress(h11.RemoteProtocolError):
-                self.h11.receive_data(b"")
-        self._wake()
-
-    def _end_idle(self) -> None:
-        """Tell that the server closed the connection before its idle time was over."""
-        early = time.monotonic() * 1_000 < self.idle_until_ms
-        if self.idle and not self.unusable and early and self.on_idle_closed:
-            self.on_idle_closed()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self._end_idle()
-        self.unusable = self.is_lost = True
-        self._error = error or ConnectionResetError("the connection was closed")
-        self._wake()
-        if self.on_connection_lost is not None:
-            self.on_connection_lost()
-
-    def abort(self) -> None:
-        """Close the connection immediately."""
-        self.unusable = True
-        self.transport.abort()
-
-    async def event(self) -> object:
-        """Return the next h11 event; raises OSError if the connection is lost."""
-        while (event := self.h11.next_event()) is h11.NEED_DATA:
-            self._unread_bytes = 0
-            if self._paused:
-                self._paused = False
-                self.transport.resume_reading()
-            if self._error is not None:
-                raise self._error
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
-        return event
-
-    def expect_another_response(self, method: str) -> None:
-        """Parse the bytes after a stray response as a response to the same request."""
-        remaining_data = self.h11.trailing_data[0]
-        self.h11 = h11.Connection(h11.CLIENT)
-        head = h11.Request(method=method, target="/", headers=[("host", "-")])
-        self.h11.send(head)
-        self.h11.send(h11.EndOfMessage())
-        if remaining_data:
-            self.h11.receive_data(remaining_data)
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-
 class ClientResponse:
     """A response; its body is read in parts with ``parts``, or whole with ``read``."""
 
     def __init__(
-        self, client: "Client", address: Address, connection: _Connection
+        self,
+        client: "Client",
+        address: Address,
+        connection: clientconnection.ClientConnection,
     ) -> None:
         self._client = client
         self._address = address
@@ -268,7 +180,9 @@
         self.on_idle_closed: typing.Callable[[Address], None] = lambda address: None
         self.opened = 0
         self.held_bytes = 0
-        self._idle: dict[Address, collections.deque[_Connection]] = {}
+        self._idle: dict[
+            Address, collections.deque[clientconnection.ClientConnection]
+        ] = {}
         self._open_counts: collections.Counter[Address] = collections.Counter()
 
     def open_connections(self, address: Address) -> int:
@@ -364,7 +278,7 @@
 
     def _encode(
         self,
-        connection: _Connection,
+        connection: clientconnection.ClientConnection,
         address: Address,
         method: str,
         target: str | bytes,
@@ -385,7 +299,7 @@
 
     async def _receive_head(
         self,
-        connection: _Connection,
+        connection: clientconnection.ClientConnection,
         method: str,
         matches: Matches,
         matches_again: Matches,
@@ -414,7 +328,7 @@
                 if interim_count > MAX_INTERIM_RESPONSES:
                     raise ConnectionResetError("received only interim responses")
 
-    async def _skip_body(self, connection: _Connection) -> None:
+    async def _skip_body(self, connection: clientconnection.ClientConnection) -> None:
         skipped_bytes = 0
         event = await connection.event()
         while not isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
@@ -429,7 +343,10 @@
         self._keep(address, await self._connect(address), self.idle_timeout_ms)
 
     def _keep(
-        self, address: Address, connection: _Connection, idle_limit_ms: float
+        self,
+        address: Address,
+        connection: clientconnection.ClientConnection,
+        idle_limit_ms: float,
     ) -> None:
         idle = self._idle.setdefault(address, collections.deque())
         if len(idle) >= MAX_IDLE_CONNECTIONS:
@@ -439,7 +356,7 @@
         connection.idle_until_ms = time.monotonic() * 1_000 + idle_limit_ms
         idle.append(connection)
 
-    async def _acquire(self, address: Address) -> _Connection:
+    async def _acquire(self, address: Address) -> clientconnection.ClientConnection:
         idle = self._idle.get(address)
         now_ms = time.monotonic() * 1_000
         while idle:
@@ -450,7 +367,7 @@
             connection.abort()
         return await self._connect(address)
 
-    async def _connect(self, address: Address) -> _Connection:
+    async def _connect(self, address: Address) -> clientconnection.ClientConnection:
         self._open_counts[address] += 1
         try:
             connection = await self._open(address)
@@ -469,13 +386,13 @@
         self.opened += 1
         try:
             if self.ack_timeout_ms:
-                _set_tcp_timeouts(connection.transport, self.ack_timeout_ms)
+                connection.set_ack_timeout(self.ack_timeout_ms)
         except OSError as error:  # it is being closed
             connection.abort()
             raise RequestNotSent(f"cannot connect to {address}: {error}") from error
         return connection
 
-    async def _open(self, address: Address) -> _Connection:
+    async def _open(self, address: Address) -> clientconnection.ClientConnection:
         """Open a connection; raises TimeoutError if it is not there in time.
 
         A process that did not run meanwhile finds the time over and the connection
@@ -483,7 +400,7 @@
         """
         opening = asyncio.ensure_future(
             asyncio.get_running_loop().create_connection(
-                _Connection,
+                clientconnection.ClientConnection,
                 address.host,
                 address.port,
                 ssl=self.tls if address.tls else None,
@@ -498,7 +415,7 @@
                 raise TimeoutError
             return opening.result()[1]
         except BaseException:
-            opening.add_done_callback(_abort_opened)
+            opening.add_done_callback(clientconnection.abort_opened)
             opening.cancel()
             raise
 
@@ -508,7 +425,10 @@
             del self._open_counts[address]
 
     def release(
-        self, address: Address, connection: _Connection, headers: messages.Headers = ()
+        self,
+        address: Address,
+        connection: clientconnection.ClientConnection,
+        headers: messages.Headers = (),
     ) -> None:
         """Keep the connection for reuse if its exchange is complete, or close it."""
         done = (
@@ -548,20 +468,5 @@
         await asyncio.sleep(0)
 
 
-def _abort_opened(opening: asyncio.Future[tuple[typing.Any, _Connection]]) -> None:
-    """Close a connection that nobody waits for any more."""
-    if not opening.cancelled() and opening.exception() is None:
-        opening.result()[1].abort()
-
-
 def _headers(head: h11.Response) -> messages.Headers:
     return tuple((bytes(key), bytes(value)) for key, value in head.headers)
-
-
-def _set_tcp_timeouts(transport: asyncio.Transport, ack_timeout_ms: int) -> None:
-    sock = transport.get_extra_info("socket")
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ack_timeout_ms)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
