--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -3,7 +3,7 @@
 Engines share one ``RequestLog`` that records every arrival, so that a trial can check
 afterwards which request ran where and how often::
 
-    request_log = RequestLog()
+    request_log = requestlog.RequestLog()
     engine = WireEngine("engine-1", "pool", request_log, model="m", version=1)
     await engine.start("127.0.0.1")
     engine.entry("lj", engine.address)  # its record in the platform's store
@@ -20,6 +20,7 @@
 from cornelreach.http import sockets
 from cornelreach.platform import engines, headers
 from cornelreach.util import hashing
+from standins import requestlog
 
 SERVICE_TIME_S = 0.012
 EVENT_GAP_S = 0.004
@@ -34,89 +35,6 @@
 LATE_ORDER_S = (2.0, 4.0)
 
 
-class Arrival(typing.NamedTuple):
-    """One request received by an engine; ``refused`` if it was not run.
-
-    ``poison`` names a request that crashes engines.
-    """
-
-    request_id: str
-    engine: str
-    at_s: float
-    refused: bool
-    account: str
-    version: int
-    cold: bool
-    resumed_from: int
-    line: str
-    born: int = 0
-    misdirected: bool = False
-    parts: tuple[str, ...] = ()
-    poison: str = ""
-
-
-class OrderRecord(typing.NamedTuple):
-    """One order received by an engine."""
-
-    engine: str
-    born: int
-    holder: str
-    fence: int
-    at_s: float
-
-
-class Notice(typing.NamedTuple):
-    """An answer that says that its engine leaves, rests until a time, or has a limit.
-
-    ``request_id`` is that of the request it answered, empty for a control call;
-    ``per_s`` is the limit.
-    """
-
-    kind: str
-    request_id: str
-    engine: str
-    born: int
-    at_s: float
-    until_s: float
-    per_s: float = 0.0
-
-
-class Crash(typing.NamedTuple):
-    """The crash of an engine by a poisoned part of a prompt, or a whole request."""
-
-    part: str
-    engine: str
-    at_s: float
-
-
-class RequestLog:
-    """The requests and orders that all engines have received, and their notices.
-
-    Prompts with a part in ``poisoned_parts``, unless it is their last, crash each
-    engine that begins to answer, and so do requests with a target and body in
-    ``poisoned_requests``, which has their names. Those in ``slow_requests`` take
-    longer.
-    """
-
-    def __init__(self) -> None:
-        self.poisoned_parts: set[str] = set()
-        self.poisoned_requests: dict[tuple[str, bytes], str] = {}
-        self.slow_requests: set[tuple[str, bytes]] = set()
-        self.crashes: list[Crash] = []
-        self.notices: list[Notice] = []
-        self.arrivals: list[Arrival] = []
-        self.orders: list[OrderRecord] = []
-        self.leaked_keys: list[str] = []
-
-    def runs(self) -> dict[str, list[Arrival]]:
-        """Return the arrivals that ran, by request id."""
-        found: dict[str, list[Arrival]] = {}
-        for one in self.arrivals:
-            if not one.refused:
-                found.setdefault(one.request_id, []).append(one)
-        return found
-
-
 class Faults:
     """Shares of requests that fail by kind of fault; ``dark`` stops all responses.
 
@@ -199,7 +117,7 @@
         self,
         name: str,
         service: str,
-        request_log: RequestLog,
+        request_log: requestlog.RequestLog,
         source: random.Random,
         model: str = "",
         version: int = 1,
@@ -253,7 +171,9 @@
                 writer.transport.abort()
 
     def _crash_on(self, part: str) -> None:
-        self.request_log.crashes.append(Crash(part, self.name, time.monotonic()))
+        self.request_log.crashes.append(
+            requestlog.Crash(part, self.name, time.monotonic())
+        )
         self.crash()
         self.on_crash()
 
@@ -350,14 +270,18 @@
         now_s = time.monotonic()
         lifetime = (request_id, self.name, self.born, now_s)
         if self.faults.leaving:
-            self.request_log.notices.append(Notice("leaving", *lifetime, float("inf")))
+            self.request_log.notices.append(
+                requestlog.Notice("leaving", *lifetime, float("inf"))
+            )
         per_s = self.faults.limit_per_s
         if per_s is not None:
-            notice = Notice("limit", *lifetime, float("inf"), per_s)
+            notice = requestlog.Notice("limit", *lifetime, float("inf"), per_s)
             self.request_log.notices.append(notice)
         if status == 503 and self.faults.rest_s:
             until_s = now_s + self.faults.rest_s
-            self.request_log.notices.append(Notice("rest", *lifetime, until_s))
+            self.request_log.notices.append(
+                requestlog.Notice("rest", *lifetime, until_s)
+            )
 
     async def _handle_request(
         self, head: RequestHead, writer: asyncio.StreamWriter
@@ -395,7 +319,7 @@
 
     def _record_arrival(self, head: RequestHead, status: int) -> None:
         now_s = time.monotonic()
-        arrival = Arrival(
+        arrival = requestlog.Arrival(
             head.get(headers.REQUEST_ID),
             self.name,
             now_s,
@@ -509,7 +433,7 @@
 
     def _order(self, order: dict[str, typing.Any]) -> int:
         """Handle an order; returns the status, or 0 for no reply."""
-        seen = OrderRecord(
+        seen = requestlog.OrderRecord(
             self.name, self.born, order["holder"], order["fence"], time.monotonic()
         )
         self.request_log.orders.append(seen)
--- a/tools/soak/checkcontext.py
+++ b/tools/soak/checkcontext.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from standins import wireengine
+from standins import requestlog
 from tools.soak import callers, environment as environment_module
 
 CONTACT_S = 3.0
@@ -73,8 +73,8 @@
         return newest.get("load", 0) >= newest.get("version", 0)
 
     def arrivals_after(
-        self, notice: wireengine.Notice
-    ) -> typing.Iterator[wireengine.Arrival]:
+        self, notice: requestlog.Notice
+    ) -> typing.Iterator[requestlog.Arrival]:
         """Yield later arrivals from the instance that got a notice, in its lifetime.
 
         Those of an instance that was stopped or paused since are left out.
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -9,7 +9,7 @@
 import typing
 
 from cornelreach.http import server
-from standins import platform as platform_module, wireengine
+from standins import platform as platform_module, requestlog, wireengine
 from tools.soak import (
     addresses,
     callers,
@@ -68,7 +68,7 @@
         self.beside = beside
         self.folder = folder
         self.store = platform_module.Platform()
-        self.ledger = wireengine.RequestLog()
+        self.ledger = requestlog.RequestLog()
         self.requests: list[callers.SentRequest] = []
         self.disturbances: list[Disturbance] = []
         self.changes: list[AcknowledgedChange] = []
--- a/tools/soak/noticechecks.py
+++ b/tools/soak/noticechecks.py
@@ -1,6 +1,6 @@
 """Checks that instances follow what engines say in their answers."""
 
-from standins import wireengine
+from standins import requestlog
 from tools.soak import checkcontext
 
 REST_GRACE_S = 0.5
@@ -35,7 +35,7 @@
 
 def limited_engines(context: checkcontext.CheckContext) -> checkcontext.Violations:
     """All instances that passed on a limit stay within it together."""
-    notices: dict[tuple[str, int], list[wireengine.Notice]] = {}
+    notices: dict[tuple[str, int], list[requestlog.Notice]] = {}
     for notice in _first_notices(context, "limit"):
         notices.setdefault((notice.engine, notice.born), []).append(notice)
     for (engine, _), found in notices.items():
@@ -75,9 +75,9 @@
 
 def _first_notices(
     context: checkcontext.CheckContext, kind: str
-) -> list[wireengine.Notice]:
+) -> list[requestlog.Notice]:
     """Return the first notice of each lifetime of an engine to each instance."""
-    found: dict[tuple[str, str, int], wireengine.Notice] = {}
+    found: dict[tuple[str, str, int], requestlog.Notice] = {}
     for one in context.environment.ledger.notices:
         if one.kind == kind:
             edge = one.request_id.partition("-")[0]
