Move the relaying of streams into a module of its own

No change of behaviour: forwarding passes its choice of targets and its attempts to the relay. test_brokenstreams, test_detours and test_streamorigins pass.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -17,7 +17,6 @@
     continuations as continuations_module,
     crashes,
     detours as detours_module,
-    eventstream,
     mirror as mirror_module,
     quarantine as quarantine_module,
     refusals,
@@ -25,8 +24,9 @@
     requeststate,
     selection,
     silence as silence_module,
+    streamrelay,
 )
-from cornelreach.http import client as http_client, messages, server
+from cornelreach.http import client as http_client, messages
 from cornelreach.platform import headers
 from cornelreach.reports import metrics as metrics_module
 from cornelreach.util import timers
@@ -37,23 +37,11 @@
 # Statuses that imply that the request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
-STREAM_LOST = (http_client.ResponseLost, eventstream.EventTooLong, TimeoutError)
-
 
 class StaleChoice(Exception):
     """The chosen target stopped taking requests before the first byte was sent."""
 
 
-def _progress_of(splitter: eventstream.EventSplitter) -> requeststate.Progress:
-    progress = requeststate.Progress
-    return progress.EVENTS if splitter.has_event else progress.HEAD
-
-
-def _lost(error: Exception, progress: requeststate.Progress) -> requeststate.Lost:
-    closed = isinstance(error, http_client.ConnectionClosed)
-    return requeststate.Lost(str(error) or "the deadline passed", progress, closed)
-
-
 class Dependencies(typing.NamedTuple):
     """What forwarding uses; ``clock`` also runs while the machine is suspended."""
 
@@ -69,9 +57,6 @@
     silence: silence_module.Silence
 
 
-Way = selection.Choice | detours_module.Detour
-
-
 class Forwarder:
     """Handles the requests of callers."""
 
@@ -80,6 +65,10 @@
         self.log = requestlog.RequestLog(
             dependencies.mirror, dependencies.metrics, dependencies.clock
         )
+        self.relay = streamrelay.StreamRelay(
+            dependencies, self.log, self._choose, self._attempt, self._attempt_failed
+        )
+        self.relay.on_end = self._stream_ended
         self.active = 0
         self.stopping = False
 
@@ -149,6 +138,9 @@
         )
         return detours_module.with_report(response, report, request_state.departed_ms)
 
+    def _stream_ended(self) -> None:
+        self.active -= 1
+
     async def wait_idle(self) -> None:
         """Wait until no request is under way."""
         while self.active:
@@ -216,14 +208,16 @@
                     self.log.ended(request_state, "answered", response.status)
                     return response
                 case requeststate.Opened(answer):
-                    return self._stream(request_state, chosen, answer)
+                    return self.relay.response(request_state, chosen, answer)
         if request_state.failure is not None:
             self.log.ended(request_state, "failure", request_state.failure.status)
             return request_state.failure
         refusal = request_state.refusal(loop.time())
         return self._refuse(request_state.call.request_id, request_state, refusal)
 
-    async def _choose(self, request_state: requeststate.RequestState) -> Way | None:
+    async def _choose(
+        self, request_state: requeststate.RequestState
+    ) -> streamrelay.Way | None:
         loop = asyncio.get_running_loop()
         while request_state.may_attempt(loop.time()):
             if self._is_quarantined(request_state) or self._is_suspect(request_state):
@@ -249,7 +243,9 @@
 
     def _choose_unreached(
         self, request_state: requeststate.RequestState, spent_ms: float
-    ) -> Way | selection.Wait | selection.Resting | selection.Limited | None:
+    ) -> (
+        streamrelay.Way | selection.Wait | selection.Resting | selection.Limited | None
+    ):
         """Return a way through another instance, or a last try from here.
 
         A target whose ejection is over is tried once though it could not be reached
@@ -292,7 +288,7 @@
         )
 
     async def _attempt(
-        self, request_state: requeststate.RequestState, chosen: Way
+        self, request_state: requeststate.RequestState, chosen: streamrelay.Way
     ) -> requeststate.Outcome:
         if isinstance(chosen, detours_module.Detour):
             outcome = await self.dependencies.detours.exchange(request_state, chosen)
@@ -323,7 +319,7 @@
     def _attempt_failed(
         self,
         request_state: requeststate.RequestState,
-        chosen: Way,
+        chosen: streamrelay.Way,
         outcome: requeststate.Outcome,
     ) -> None:
         if isinstance(chosen, detours_module.Detour):
@@ -381,7 +377,7 @@
                 return requeststate.NotSent("no connection in time")
             return requeststate.Lost("no answer in time", progress)
         except http_client.ResponseLost as error:
-            return _lost(error, progress)
+            return requeststate.lost_by(error, progress)
 
     async def _send(
         self,
@@ -465,101 +461,6 @@
             return requeststate.Failure(response)
         return requeststate.Answered(response)
 
-    def _stream(
-        self,
-        request_state: requeststate.RequestState,
-        chosen: Way,
-        answer: http_client.ClientResponse,
-    ) -> messages.Response:
-        length = answer.header("content-length")
-        resumable = request_state.route.resumable
-        return messages.Response(
-            answer.status,
-            headers=headers.response_headers(answer.headers),
-            stream=self._relay(request_state, chosen, answer),
-            length=int(length) if length and not resumable else None,
-        )
-
-    async def _relay(
-        self,
-        request_state: requeststate.RequestState,
-        chosen: Way,
-        answer: http_client.ClientResponse,
-    ) -> typing.AsyncIterator[bytes]:
-        """Yield a stream's whole events; one that breaks off may be resumed.
-
-        A stream that ends inside an event was broken off, even if its framing says that
-        it is complete: the end of a connection may be the only framing.
-        """
-        splitter = eventstream.EventSplitter(request_state.last_event)
-        continuations = self.dependencies.continuations
-        outcome = "left"
-        try:
-            while True:
-                framing = answer.framing
-                try:
-                    async for part in self._read_until_due(request_state, answer):
-                        chosen.record_part()
-                        if data := splitter.feed(part):
-                            continuations.bind(request_state, chosen.target.software)
-                            yield data
-                    if data := splitter.finish():
-                        continuations.bind(request_state, chosen.target.software)
-                        yield data
-                    if splitter.remainder():
-                        text = "the stream ended in an event"
-                        raise http_client.ConnectionClosed(text)
-                    if splitter.last_id is None and not splitter.has_event:
-                        text = "the stream ended without an event"
-                        raise http_client.ConnectionClosed(text)
-                    outcome = "streamed"
-                    self.dependencies.quarantine.record_answer(request_state.suspects)
-                    return
-                except STREAM_LOST as error:
-                    outcome = "broken"
-                    lost = _lost(error, _progress_of(splitter))
-                finally:
-                    chosen.release()
-                    answer.close()
-                chosen, answer = await self._resume(
-                    request_state, chosen, splitter, lost
-                )
-        finally:
-            self.active -= 1
-            self.log.stream_ended(request_state, outcome, framing, splitter)
-
-    async def _read_until_due(
-        self,
-        request_state: requeststate.RequestState,
-        answer: http_client.ClientResponse,
-    ) -> typing.AsyncIterator[bytes]:
-        async with contextlib.aclosing(answer.parts()) as parts:
-            while True:
-                try:
-                    async with asyncio.timeout_at(request_state.due_s):
-                        part = await anext(parts)
-                except StopAsyncIteration:
-                    return
-                yield part
-
-    async def _resume(
-        self,
-        request_state: requeststate.RequestState,
-        chosen: Way,
-        splitter: eventstream.EventSplitter,
-        lost: requeststate.Lost,
-    ) -> tuple[Way, http_client.ClientResponse]:
-        """Continue a broken stream from another target, or raise ClientDisconnected."""
-        request_state.record_outcome(chosen.target.id, lost)
-        self._attempt_failed(request_state, chosen, lost)
-        request_state.last_event = splitter.last_id
-        while (next_choice := await self._choose(request_state)) is not None:
-            outcome = await self._attempt(request_state, next_choice)
-            if isinstance(outcome, requeststate.Opened):
-                splitter.reset()
-                return next_choice, outcome.answer
-        raise server.ClientDisconnected
-
     def _refuse(
         self,
         request_id: str,
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -60,6 +60,12 @@
     closed: bool = False
 
 
+def lost_by(error: Exception, progress: Progress) -> Lost:
+    """Return the outcome of an attempt whose answer an error ended."""
+    closed = isinstance(error, http_client.ConnectionClosed)
+    return Lost(str(error) or "the deadline passed", progress, closed)
+
+
 class Opened(typing.NamedTuple):
     """The target answered with a stream."""
 
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -13,7 +13,6 @@
     detours,
     edge as edge_module,
     eventstream,
-    forwarding,
     mirror,
     outages,
     quarantine,
@@ -24,6 +23,7 @@
     requeststate,
     rollouts,
     streamorigins,
+    streamrelay,
     targetlimits,
     watching,
 )
@@ -90,14 +90,14 @@
 
 def _joins_streams() -> None:
     """Resumes a broken stream from its start instead of its last event."""
-    original = forwarding.Forwarder._resume
+    original = streamrelay.StreamRelay._resume
 
     async def resume(self: typing.Any, request_state: typing.Any, *rest: typing.Any):
         splitter = rest[1]
         splitter.last_id = None
         return await original(self, request_state, *rest)
 
-    forwarding.Forwarder._resume = resume
+    streamrelay.StreamRelay._resume = resume
 
 
 def _trusts_framing() -> None:
