Take over a changed header limit on connections with pipelined requests too

Cause: h11 keeps its header limit for its lifetime, so a changed limit needs a new parser. Where pipelined bytes were waiting, the connection noted the new limits and kept the parser; from then on the limits compared equal, and the parser was never replaced. Both tests failed on: 413 for headers of 8,000 bytes with a limit of 9,000.

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -233,7 +233,7 @@
 
     async def _next_head(self) -> h11.Request | None:
         if self.h11.trailing_data[0]:
-            self.limits = self.current_limits()
+            self._apply_limits()
         elif not await self._wait_for_request():
             return None
         event = self._next_event()
@@ -281,7 +281,12 @@
         """Take over the limits in force; h11 keeps that of headers for its lifetime."""
         before, self.limits = self.limits, self.current_limits()
         if self.limits.header_bytes != before.header_bytes:
+            pipelined, is_closed = self.h11.trailing_data
             self.h11 = h11.Connection(h11.SERVER, self.limits.header_bytes)
+            if pipelined:
+                self.h11.receive_data(pipelined)
+            if is_closed:
+                self.h11.receive_data(b"")
 
     async def _wait_for_event(self) -> object:
         while (event := self._next_event()) is h11.NEED_DATA:
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -257,6 +257,45 @@
         self.server.limits = SMALL
         self.assertEqual(await send(1_100, 100), 413)
 
+    # Guards against a raised header limit that a kept connection never takes over,
+    # because a request had arrived before the answer to the one before was written.
+    async def test_a_raised_header_limit_holds_after_a_pipelined_request(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        self.addCleanup(writer.close)
+
+        def request(path, header_bytes):
+            head = f"POST {path} HTTP/1.1\r\nhost: x\r\nx-a: {'a' * header_bytes}\r\n"
+            return f"{head}content-length: 0\r\n\r\n".encode()
+
+        writer.write(request("/slow", 100) + request("/", 100))
+        await asyncio.sleep(0.02)
+        self.server.limits = SMALL._replace(header_bytes=9_000)
+        for _ in range(2):
+            answer = await reader.readuntil(b"\r\n\r\n")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        for long in (request("/slow", 8_000), request("/", 8_000) * 2):
+            # In two parts, since only incomplete headers meet the parser's own limit.
+            writer.write(long[:3_000])
+            await asyncio.sleep(0.02)
+            writer.write(long[3_000:])
+            answer = await reader.readuntil(b"\r\n\r\n")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+
+    # Guards against the same where the long request itself is the pipelined one.
+    async def test_a_raised_header_limit_holds_for_a_pipelined_request(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        self.addCleanup(writer.close)
+        long = f"POST / HTTP/1.1\r\nhost: x\r\nx-a: {'a' * 8_000}\r\n"
+        data = f"{long}content-length: 0\r\n\r\n".encode()
+        writer.write(b"POST /slow HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n")
+        await asyncio.sleep(0.02)
+        self.server.limits = SMALL._replace(header_bytes=9_000)
+        writer.write(data[:3_000])
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data[3_000:])
+        answer = await reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+
     # Guards against a kept connection closed by an idle time that has been raised.
     async def test_a_raised_idle_time_holds_for_idle_connections(self):
         self.server.limits = SMALL._replace(idle_ms=50)
