--- a/test/ui/test_edge.py
+++ b/test/ui/test_edge.py
@@ -20,7 +20,7 @@
 READY_WAIT_S = 10
 
 
-def config(version, keys=(harness_module.KEY,)):
+def config(version, keys=(harness_module.KEY,), **limits):
     """Return a configuration with one service that is not an engine."""
     route = {
         "name": "r",
@@ -35,7 +35,7 @@
         "version": version,
         "routes": [route],
         "services": [service],
-        "limits": test_records.CONFIG["limits"],
+        "limits": {**test_records.CONFIG["limits"], **limits},
         "tenants": [{"name": "tirnica", "api_keys": list(keys)}],
     }
 
@@ -110,7 +110,7 @@
             self.assertLess(time.monotonic(), end_s, "condition not met in time")
             await asyncio.sleep(0.05)
 
-    async def call(self, port, method, path, headers=()):
+    async def call(self, port, method, path, headers=(), body=b""):
         """Send a request to a port of the process and return status and body.
 
         The status is 0 if the request could not be sent.
@@ -118,7 +118,7 @@
         address = http_client.Address(self.host, port)
         try:
             status, body, _ = await self.http.call(
-                address, method, path, b"", headers, wait_ms=5_000
+                address, method, path, body, headers, wait_ms=5_000
             )
         except http_client.RequestNotSent:
             return 0, b""
@@ -128,7 +128,7 @@
         """Return whether the process reports that it is ready."""
         return (await self.call(7602, "GET", "/api/ready"))[0] == 200
 
-    async def ask(self, number):
+    async def ask(self, number, body=b""):
         """Send a caller's request and return its status."""
         headers = (
             (b"host", harness_module.HOST.encode()),
@@ -136,7 +136,7 @@
             (b"x-api-key", harness_module.KEY.encode()),
             (b"x-cornelreach-deadline-ms", b"3000"),
         )
-        return (await self.call(7601, "POST", "/once/x", headers))[0]
+        return (await self.call(7601, "POST", "/once/x", headers, body))[0]
 
     def register_engine(self, **changes):
         """Register the engine on the platform."""
@@ -182,6 +182,19 @@
         event_numbers = {line["event"] for line in self.lines}
         self.assertTrue({1210, 2001, 2003, 2004, 2101, 2201, 2401} <= event_numbers)
 
+    # Guards against the loss of all service because of one entry of another writer
+    # whose address cannot be read (review/1).
+    async def test_an_unreadable_address_ends_no_service(self):
+        self.seed("config/main", config(3))
+        self.register_engine(cold_remaining_ms=0)
+        for number, address in enumerate(("\u0000\ufffd\u0007", "10.0.0.1:65536", "")):
+            entry = {**test_records.SERVER, "service": "s", "models": []}
+            entry |= {"address": address, "cold_remaining_ms": 0}
+            self.seed(f"servers/x{number}", entry)
+        await self.start()
+        statuses = [await self.ask(number) for number in range(8)]
+        self.assertEqual(statuses, [200] * 8)
+
     async def refused_key(self):
         """Return whether the caller's key is rejected."""
         return await self.ask("revoked") == 401
