--- a/test/ui/test_edge.py
+++ b/test/ui/test_edge.py
@@ -195,6 +195,26 @@
         statuses = [await self.ask(number) for number in range(8)]
         self.assertEqual(statuses, [200] * 8)
 
+    # Guards against requests at a target that has left, as its entry went just after a
+    # watch had been cut off and was taken for lapsed with the store (review/4).
+    async def test_a_target_that_leaves_as_watches_are_cut_is_left_in_time(self):
+        self.seed("config/main", config(3))
+        self.register_engine(cold_remaining_ms=0)
+        await self.start()
+        self.assertEqual(await self.ask("before"), 200)
+        for connection in list(self.store_server.connections):
+            connection.abort()
+        self.store.model.seed("servers/e1", None)
+        removed_s = time.monotonic()
+        late = []
+        while (at_s := time.monotonic()) < removed_s + 2.8:
+            count = len(self.engine.requests)
+            await self.ask(f"at {at_s}")
+            if len(self.engine.requests) > count and at_s > removed_s + 2.0:
+                late.append(round(at_s - removed_s, 3))
+            await asyncio.sleep(0.02)
+        self.assertEqual(late, [])
+
     async def refused_key(self):
         """Return whether the caller's key is rejected."""
         return await self.ask("revoked") == 401
