--- a/test/ui/test_edge.py
+++ b/test/ui/test_edge.py
@@ -215,6 +215,20 @@
             await asyncio.sleep(0.02)
         self.assertEqual(late, [])
 
+    # Guards against kept connections that stay bound to the limits of the config under
+    # which they were accepted (review/5).
+    async def test_a_raised_body_limit_holds_on_kept_connections(self):
+        self.seed("config/main", config(3, max_body_bytes=1_000))
+        self.register_engine(cold_remaining_ms=0)
+        await self.start()
+        self.assertEqual(await self.ask("short", b"x" * 900), 200)
+        opened = self.http.opened
+        self.seed("config/main", config(4, max_body_bytes=1_048_576))
+        await asyncio.sleep(1.0)
+        self.assertEqual(await self.ask("kept", b"x" * 900), 200)
+        self.assertEqual(await self.ask("long", b"x" * 100_000), 200)
+        self.assertEqual(self.http.opened, opened)
+
     async def refused_key(self):
         """Return whether the caller's key is rejected."""
         return await self.ask("revoked") == 401
