Bound the numbers of callers' headers, engines' reports and prompt stores

What callers could see: one caller that names token counts of eighteen digits in some requests at a time ends the load reports of that instance; the report is also made before each request is sent, so that all requests of the instance fail with 502 while those are under way (the last by reading). Cause: sums of such numbers don't fit into the integers of a datagram, and encoding raises where no one expects it. Reports of engines and entries of prompt stores, whose numbers are told to other instances, were as unbounded. Evidence: test_reports_go_on_whatever_token_counts_callers_send failed with OverflowError. Fix: numbers are bounded where they are decoded, in platform/. test.platform 25, test_gossip, test_promptindex, test_hubs and test_rollouts passed.

--- a/cornelreach/platform/engines.py
+++ b/cornelreach/platform/engines.py
@@ -39,7 +39,7 @@
 
 class _Model(typing.TypedDict):
     name: str
-    version: int
+    version: decoding.Whole
 
 
 class _Report(typing.TypedDict):
@@ -47,10 +47,10 @@
 
     models: list[_Model]
     busy: bool
-    sequence: int
-    queued: int
-    running: int
-    born: typing.NotRequired[int]
+    sequence: decoding.Whole
+    queued: decoding.Whole
+    running: decoding.Whole
+    born: typing.NotRequired[decoding.Whole]
 
 
 class Order(typing.NamedTuple):
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -73,6 +73,7 @@
 INTERNAL = frozenset(
     (SERVER_LOAD, SERVER_LEAVING, SERVER_LIMIT, SERVER_BRITTLE, DETOUR)
 )
+MAX_TOKENS = 2**31 - 1  # of a request or part; sums of many fit into a datagram
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
@@ -87,8 +88,8 @@
         deadline_ms=_number(deadline),
         api_key=found[API_KEY].decode("latin-1") if API_KEY in found else None,
         model=_text(found, MODEL),
-        prompt_tokens=int(_number(prompt) or 0),
-        output_tokens=int(_number(output) or 0),
+        prompt_tokens=_tokens(prompt),
+        output_tokens=_tokens(output),
         parts=_parts(_text(found, PROMPT_PREFIX)),
         last_event=_text(found, LAST_EVENT) or None,
         resumes=_text(found, RESUMES),
@@ -103,11 +104,15 @@
     return float(text) if decoding.is_number(text.strip()) else None
 
 
+def _tokens(text: str) -> int:
+    return min(MAX_TOKENS, int(_number(text) or 0))
+
+
 def _parts(text: str) -> tuple[calls.Part, ...]:
     parts = []
     for field in text.split(",") if text else ():
         key, _, tokens = field.strip().partition(":")
-        parts.append(calls.Part(key, int(_number(tokens) or 0)))
+        parts.append(calls.Part(key, _tokens(tokens)))
     return tuple(parts)
 
 
--- a/cornelreach/platform/promptstores.py
+++ b/cornelreach/platform/promptstores.py
@@ -51,21 +51,21 @@
 
 
 # [sequence number, "+" or "-", salt, identifier, tokens now stored, model]
-_Event = tuple[int, str, str, str, int, str]
+_Event = tuple[int, str, str, str, decoding.Whole, str]
 # [salt, identifier, tokens, model]
-_Held = tuple[str, str, int, str]
+_Held = tuple[str, str, decoding.Whole, str]
 
 
 class _Events(typing.TypedDict):
-    epoch: int
-    next: int
+    epoch: decoding.Whole
+    next: decoding.Whole
     lost: bool
     events: list[_Event]
 
 
 class _Listing(typing.TypedDict):
-    epoch: int
-    next: int
+    epoch: decoding.Whole
+    next: decoding.Whole
     held: list[_Held]
 
 
--- a/cornelreach/util/decoding.py
+++ b/cornelreach/util/decoding.py
@@ -13,6 +13,7 @@
 import functools
 import ipaddress
 import re
+import typing
 
 import msgspec
 
@@ -20,6 +21,8 @@
 MAX_DIGITS = 18
 MAX_PORT = 65_535
 CACHED_ADDRESSES = 16_384
+# A whole number that fits into a datagram.
+Whole = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?")
 
 
--- a/test/gateway/test_gossip.py
+++ b/test/gateway/test_gossip.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies
 
 from cornelreach.gateway import datagrams, gossip, hubs, registry, relays
-from cornelreach.util import timers
+from cornelreach.platform import headers as headers_module
+from cornelreach.util import decoding, timers
 from test.gateway import test_registry
 
 TargetLoad = datagrams.TargetLoad
@@ -52,6 +53,25 @@
         self.receive("b", 2)
         self.assertEqual(self.gossip.peer_load("t1"), (4, 600, 1_800))
 
+    # Guards against requests that all fail, and reports that end, because of token
+    # counts in a caller's headers that no datagram can hold.
+    def test_reports_go_on_whatever_token_counts_callers_send(self):
+        add_members(self.gossip, ["b"])
+        sink = self.gossip._transport = Sink()
+        count = b"9" * decoding.MAX_DIGITS
+        fields = (
+            (headers_module.TOKEN_COUNTS, count + b"," + count),
+            (headers_module.PROMPT_PREFIX, b"5c:" + count),
+        )
+        call = headers_module.read_call(fields)
+        state = self.registry.state("t1")
+        for _ in range(40):
+            state.in_flight += 1
+            state.in_flight_tokens += call.context_tokens
+            state.prefill_tokens += sum(part.tokens for part in call.parts)
+        self.gossip.broadcast()
+        self.assertEqual(len(sink.sent), 1)
+
     def test_an_older_datagram_does_not_undo_a_newer_one(self):
         self.receive("b", 2, loads={})
         self.receive("b", 1)
