Let a broken stream go on only with an answer that is its rest

A 404 was asked for at three more targets. Cause: any signed 2xx of the next target was taken for the rest of the stream, and an end without an event for its end, as soon as an event had come before. Evidence: test_streamrelay on the code before: eleven answers that are no continuation were joined to the stream; four targets were asked for one 404. Fix: the rest must have the status and media type of the first answer, and each of its events an identifier larger than the one before; else nothing of it is passed on, and the stream is broken off or goes on elsewhere. An end without an event counts only if as many events have come as the caller wants tokens at most: each holds one or more, so nothing is left. Otherwise the caller's connection ends without the last chunk, and it can ask again from its last event; the answer to that is passed on as the target gives it. An answer that says the request is wrong ends the stream at once. Nor does a stream go on behind an event without an identifier: the next target would bring that one again. Result: test_streamrelay 5 passed; test_brokenstreams, test_streamorigins, test_detours, test_slowstreams and test_forwarding as before.

--- a/cornelreach/gateway/streamrelay.py
+++ b/cornelreach/gateway/streamrelay.py
@@ -24,11 +24,28 @@
 from cornelreach.http import client as http_client, messages, server
 from cornelreach.platform import headers
 
-STREAM_LOST = (http_client.ResponseLost, eventstream.EventTooLong, TimeoutError)
+STREAM_LOST = (
+    http_client.ResponseLost,
+    eventstream.EventTooLong,
+    eventstream.NotContinued,
+    TimeoutError,
+)
 
 Way = selection.Choice | detours_module.Detour
 
 
+class Kind(typing.NamedTuple):
+    """The status of an answer and the type of its body, in lower case."""
+
+    status: int
+    media_type: str
+
+
+def _kind_of(answer: http_client.ClientResponse) -> Kind:
+    media_type = (answer.header("content-type") or "").partition(";")[0]
+    return Kind(answer.status, media_type.strip().lower())
+
+
 class Dependencies(typing.Protocol):
     """What relaying uses of the components of forwarding."""
 
@@ -84,9 +101,13 @@
         """Yield a stream's whole events; one that breaks off may be resumed.
 
         A stream that ends inside an event was broken off, even if its framing says that
-        it is complete: the end of a connection may be the only framing.
+        it is complete: the end of a connection may be the only framing. So was one
+        without an event, unless there may be none left.
         """
         splitter = eventstream.EventSplitter(request_state.last_event)
+        first = _kind_of(answer)
+        # The caller that goes on with a stream gets what its target answers.
+        may_be_empty = request_state.last_event is not None
         continuations = self.dependencies.continuations
         outcome = "left"
         try:
@@ -104,7 +125,7 @@
                     if splitter.remainder():
                         text = "the stream ended in an event"
                         raise http_client.ConnectionClosed(text)
-                    if splitter.last_id is None and not splitter.has_event:
+                    if not splitter.has_event and not may_be_empty:
                         text = "the stream ended without an event"
                         raise http_client.ConnectionClosed(text)
                     outcome = "streamed"
@@ -117,8 +138,9 @@
                     chosen.release()
                     answer.close()
                 chosen, answer = await self._resume(
-                    request_state, chosen, splitter, lost
+                    request_state, chosen, splitter, lost, first
                 )
+                may_be_empty = 0 < request_state.call.output_tokens <= splitter.count
         finally:
             self.on_end()
             self.log.stream_ended(request_state, outcome, framing, splitter)
@@ -143,14 +165,41 @@
         chosen: Way,
         splitter: eventstream.EventSplitter,
         lost: requeststate.Lost,
+        first: Kind,
     ) -> tuple[Way, http_client.ClientResponse]:
-        """Continue a broken stream from another target, or raise ClientDisconnected."""
+        """Continue a broken stream from another target, or raise ClientDisconnected.
+
+        Only an answer of the same kind as the first one continues it. One that says
+        that the request is wrong would be given by any other target as well.
+        """
         request_state.record_outcome(chosen.target.id, lost)
         self.attempt_failed(request_state, chosen, lost)
+        if not splitter.is_identified:
+            raise server.ClientDisconnected
         request_state.last_event = splitter.last_id
         while (next_choice := await self.choose(request_state)) is not None:
             outcome = await self.attempt(request_state, next_choice)
-            if isinstance(outcome, requeststate.Opened):
+            if isinstance(outcome, requeststate.Answered):
+                break
+            if not isinstance(outcome, requeststate.Opened):
+                continue
+            if _kind_of(outcome.answer) == first:
                 splitter.reset()
                 return next_choice, outcome.answer
+            self._discard(request_state, next_choice, outcome.answer)
         raise server.ClientDisconnected
+
+    def _discard(
+        self,
+        request_state: requeststate.RequestState,
+        chosen: Way,
+        answer: http_client.ClientResponse,
+    ) -> None:
+        status, media_type = _kind_of(answer)
+        answer.abort()
+        answer.close()
+        chosen.release()
+        text = f"status {status} with {media_type!r} does not continue the stream"
+        lost = requeststate.Lost(text, requeststate.Progress.HEAD)
+        request_state.record_outcome(chosen.target.id, lost)
+        self.attempt_failed(request_state, chosen, lost)
