Take an answer that ends right behind its head for broken off

Cause: the end of the connection ends such an answer, so nothing was missing by its framing. Streams already had to bring an event; other answers could be empty.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -34,6 +34,7 @@
 IDLE_POLL_S = 0.02
 DEADLINE_MARGIN_S = 0.015  # reserved for returning the response to the caller
 FIRST_ATTEMPT_SHARE = 0.5  # of the time left, while the request may run once more
+NO_CONTENT = 204
 # Statuses that imply that the request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -454,6 +455,8 @@
         body = await answer.read()
         if reply.status in NOT_RUN_STATUSES:
             return requeststate.Lost(f"status {reply.status} without 'not run'")
+        if success and not body and self._may_lack_body(request_state, answer):
+            raise http_client.ConnectionClosed("the answer ended behind its head")
         response = messages.Response(
             reply.status, body, headers.response_headers(answer.headers)
         )
@@ -461,6 +464,18 @@
             return requeststate.Failure(response)
         return requeststate.Answered(response)
 
+    def _may_lack_body(
+        self,
+        request_state: requeststate.RequestState,
+        answer: http_client.ClientResponse,
+    ) -> bool:
+        """Return whether an answer without a body may have been broken off.
+
+        Its head says nothing of a length, and the connection ended right behind it.
+        """
+        has_none = request_state.request.method == "HEAD" or answer.status == NO_CONTENT
+        return answer.framing == "close" and not has_none
+
     def _refuse(
         self,
         request_id: str,
