End a stop within a grace period shorter than the time of leaving

What callers would see: with a grace_s of 3 s or less, a stopping process slept for 2.8 s and then aborted what was under way, or was killed before (LOST). Cause: the time in which an instance reports that it leaves, and the margin at the end, did not follow the grace period. Evidence: test_a_stop_ends_within_a_short_grace_period: with 2 s the process ended after 2.83 s on. Fix: the margin is a quarter of the grace at most, and leaving ends a second before the rest of it.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -81,7 +81,8 @@
 # after the newer version was confirmed, and all of it from the bound on.
 VERSION_PROOF_SHARE = 0.5
 LEAVE_MS = 2_800  # two readiness checks a second apart, plus the balancer's delay
-STOP_MARGIN_MS = 900
+FINISH_MS = 1_000  # at least, for what was taken until then
+STOP_MARGIN_MS, STOP_MARGIN_SHARE = 900, 0.25  # of the grace period, at most
 ANSWER_MS = 200  # until answers to all that is under way have been written
 METRICS_PORT, METRICS_PATH = 9_464, "/metrics"  # as in deploy/system.toml
 SETTINGS_POLL_MS = 1_000
@@ -531,14 +532,15 @@
         """Stop gracefully within the grace period."""
         self.stopping = self.rollouts.stopping = True
         grace_ms = self.site.bounds.grace_ms
-        usable_ms = grace_ms - STOP_MARGIN_MS
+        usable_ms = grace_ms - min(STOP_MARGIN_MS, grace_ms * STOP_MARGIN_SHARE)
+        leave_ms = max(0.0, min(LEAVE_MS, usable_ms - FINISH_MS))
         now_s = asyncio.get_running_loop().time()
         end_s = now_s + usable_ms / 1_000
-        late_s = now_s + LEAVE_MS / 1_000 + server.LINGER_S
+        late_s = now_s + leave_ms / 1_000 + server.LINGER_S
         self.forwarder.stops.begin(late_s, end_s - ANSWER_MS / 1_000)
         events.emit(STOPPING, name=self.site.name, active=self.forwarder.active)
         self.front.disable_keep_alive()
-        await asyncio.sleep(LEAVE_MS / 1_000)
+        await asyncio.sleep(leave_ms / 1_000)
         self.front.stop_listening()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(end_s):
--- a/test/ui/test_edge.py
+++ b/test/ui/test_edge.py
@@ -267,6 +267,25 @@
         )
         self.assertEqual(await asyncio.wait_for(self.process.wait(), 3), 0)
 
+    # Guards against a process that sleeps past a short grace period, and is killed with
+    # requests under way.
+    async def test_a_stop_ends_within_a_short_grace_period(self):
+        self.seed("config/main", config(3))
+        self.register_engine(cold_remaining_ms=0)
+        await self.start()
+        text = self.settings.read_text().replace("grace_s = 5", "grace_s = 2")
+        self.settings.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+        await self.until(self.reloaded)
+        self.delay_s = 0.6
+        calls = [asyncio.ensure_future(self.ask(number)) for number in range(3)]
+        await asyncio.sleep(0.1)
+        begin_s = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(await asyncio.gather(*calls), [200] * 3)
+        await self.process.wait()
+        self.assertLess(time.monotonic() - begin_s, 2.0)
+
     async def refused_key(self):
         """Return whether the caller's key is rejected."""
         return await self.ask("revoked") == 401
