Hand changed bounds of the settings file to all parts that keep some

What callers could see: after SIGHUP, budgets of repeats, the time for older weights, the age of proofs and the strictness of revoked keys went on by the settings of the process's start. Fix: one place hands the bounds on. The lease keeps the term with which it was taken, since others reckon with that.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -124,6 +124,20 @@
     )
 
 
+def _timings(bounds: site_module.Bounds) -> dict[str, watching.Timing]:
+    """Return the timing of the records that follow the bounds, by prefix."""
+    targets_batch_ms = bounds.drain_ms * TARGETS_BATCH_SHARE
+    return {
+        records.CONFIG: _timing_for(bounds.revoke_ms)._replace(
+            direct_ms=int(bounds.revoke_ms * PROOF_SHARE),
+            hub_ms=int(bounds.revoke_ms * HUB_PROOF_SHARE),
+        ),
+        records.TARGETS: _timing_for(bounds.drain_ms, targets_batch_ms),
+        records.EVACUATIONS: _timing_for(bounds.evacuate_ms),
+        records.VERSIONS: _timing_for(bounds.version_ms * VERSION_PROOF_SHARE),
+    }
+
+
 class SuspendTimers(timers.LoopTimers):
     """Timers on a clock that also runs while the machine is suspended."""
 
@@ -257,30 +271,24 @@
             self.gossip,
         )
         mirror, clock = self.mirror, self.clock
+        timings = _timings(bounds)
         first = self._make_watcher(
             recordhandlers.CatalogueHandler(mirror, clock, self._apply_catalogue),
-            _timing_for(bounds.revoke_ms)._replace(
-                direct_ms=int(bounds.revoke_ms * PROOF_SHARE),
-                hub_ms=int(bounds.revoke_ms * HUB_PROOF_SHARE),
-            ),
+            timings[records.CONFIG],
+        )
+        self.weights = recordhandlers.VersionHandler(
+            mirror, clock, bounds.version_ms, bounds.contact_ms
         )
-        targets_batch_ms = bounds.drain_ms * TARGETS_BATCH_SHARE
-        version_ms = bounds.version_ms
         rest = [
             (
                 recordhandlers.TargetHandler(mirror, clock),
-                _timing_for(bounds.drain_ms, targets_batch_ms),
+                timings[records.TARGETS],
             ),
             (
                 recordhandlers.EvacuationHandler(mirror, clock),
-                _timing_for(bounds.evacuate_ms),
-            ),
-            (
-                recordhandlers.VersionHandler(
-                    mirror, clock, version_ms, bounds.contact_ms
-                ),
-                _timing_for(version_ms * VERSION_PROOF_SHARE),
+                timings[records.EVACUATIONS],
             ),
+            (self.weights, timings[records.VERSIONS]),
             (
                 recordhandlers.SoftwareHandler(mirror, clock, self.software_versions),
                 _timing_for(LONG_WATCH_MS),
@@ -523,11 +531,22 @@
             events.emit(RELOAD_FAILED, error=error)
             return
         if found.bounds != self.site.bounds:
-            self.selector.bounds = found.bounds
-            self.mirror.revoke_ms = found.bounds.revoke_ms
+            self._apply_bounds(found.bounds)
             events.emit(RELOADED, change="bounds")
+        self.outages.lapse_ms = found.report_ms * outages.LAPSE_INTERVALS
         self.site = found
 
+    def _apply_bounds(self, bounds: site_module.Bounds) -> None:
+        """Hand changed bounds to all that keep some; the lease keeps its own."""
+        self.selector.bounds = bounds
+        self.mirror.revoke_ms = bounds.revoke_ms
+        self.mirror.revoke_strict = bounds.revoke_strict
+        self.weights.version_ms = bounds.version_ms
+        self.weights.contact_ms = bounds.contact_ms
+        timings = _timings(bounds)
+        for watcher in self.watchers:
+            watcher.timing = timings.get(watcher.handler.prefix, watcher.timing)
+
     async def stop(self) -> None:
         """Stop gracefully within the grace period."""
         self.stopping = self.rollouts.stopping = True
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -196,12 +196,13 @@
         self._budget(service).count_retry(self.clock.now_ms())
 
     def _budget(self, service: str) -> quotas.RetryBudget:
-        if service not in self._retries:
-            bounds = self.bounds
-            self._retries[service] = quotas.RetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
-            )
-        return self._retries[service]
+        bounds = self.bounds
+        terms = bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+        budget = self._retries.get(service)
+        if budget is None:
+            budget = self._retries[service] = quotas.RetryBudget(*terms)
+        budget.ratio, budget.slack, budget.window_ms = terms
+        return budget
 
     def choose(
         self,
