Release a target if the report of its load fails

What callers could see: a request whose load could not be reported failed with 502, and its target counted as busy with it until the instance was started again; the same number then failed each later report, so that all requests failed. Cause: the report stood between the choice of a target and the block that releases it. Found with the unbounded token counts, which made such reports fail. Evidence: test_a_failed_report_of_loads_ends_one_request_only: one request still counted at the target on the code before.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -332,9 +332,9 @@
         self, request_state: requeststate.RequestState, chosen: selection.Choice
     ) -> requeststate.Outcome:
         chosen.acquire()
-        self.dependencies.selector.announce(chosen)
         outcome: requeststate.Outcome | None = None
         try:
+            self.dependencies.selector.announce(chosen)
             outcome = await self._exchange(request_state, chosen)
         finally:
             if not isinstance(outcome, requeststate.Opened):
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from cornelreach.gateway import catalogue
 from cornelreach.http import limits
@@ -110,6 +111,20 @@
         self.assertIn(b" 400 ", answer.split(b"\r\n")[0])
         self.assertEqual(self.request_count(), 0)
 
+    # Guards against a target that counts as busy for ever, and requests that all fail,
+    # because an error came between its choice and the call.
+    async def test_a_failed_report_of_loads_ends_one_request_only(self):
+        await self.start(harness_module.answer_ok)
+        announce = self.harness.selector.announce
+        with mock.patch.object(
+            self.harness.selector, "announce", side_effect=OverflowError
+        ):
+            status, _ = await self.harness.send("/once/x")
+            self.assertEqual(status, 502)
+        self.assertEqual(self.harness.selector.announce, announce)
+        state = self.harness.mirror.registry.state("e0")
+        self.assertEqual((state.in_flight, state.in_flight_tokens), (0, 0))
+
     async def test_unknown_routes_wrong_keys_and_a_stale_proof_are_refused(self):
         await self.start(harness_module.answer_ok)
         self.assertEqual((await self.harness.send("/nowhere/"))[0], 404)
