--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -32,6 +32,7 @@
 EARLIER_REFUSAL = (
     b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n%s: 1\r\n\r\n" % headers.NOT_EXECUTED
 )
+ODD_BODIES = (b'{"error": "no room"}\n\n', b"HTTP/1.1 503 X\r\n\r\n", b"")
 LATE_ORDER_S = (2.0, 4.0)
 
 
@@ -42,7 +43,10 @@
     set, requests are refused and their senders asked to wait for that long. With
     ``held_orders`` orders are neither answered nor carried out. ``refuse_again`` is the
     share of requests on kept connections before whose answers an earlier refusal is
-    written once more, without an identifier.
+    written once more, without an identifier. ``cut_heads`` is the share of plain
+    answers that stop in their head or right behind it, ``odd_rest`` that of
+    continuations within one request that are answered with an error in a signed
+    success. ``work_s`` is added to the time that each request takes.
     """
 
     def __init__(self) -> None:
@@ -55,6 +59,9 @@
         self.late_orders = 0.0
         self.held_orders = False
         self.refuse_again = 0.0
+        self.cut_heads = 0.0
+        self.odd_rest = 0.0
+        self.work_s = 0.0
         self.dark = False
 
 
@@ -347,6 +354,7 @@
         await asyncio.sleep(
             SERVICE_TIME_S * load_factor * self.random.uniform(0.5, 1.5)
         )
+        await asyncio.sleep(self.faults.work_s)
         if (head.target, head.body) in self.request_log.slow_requests:
             await asyncio.sleep(SLOW_S)
         request_id = head.get(headers.REQUEST_ID)
@@ -361,8 +369,16 @@
             self._reply(writer, 500, body, extra)
             return
         if head.get(headers.MODEL):
+            if self._goes_on(head) and self.random.random() < self.faults.odd_rest:
+                extra += f"{headers.SIGNATURE.decode()}: error.{request_id}\r\n"
+                extra += "content-type: application/json\r\n"
+                self._reply(writer, 200, self.random.choice(ODD_BODIES), extra)
+                return
             await self._stream(head, writer, extra)
             return
+        if self.random.random() < self.faults.cut_heads:
+            self._cut_head(writer, extra)
+            return
         if poison := self._poison(head):
             await writer.drain()  # fails if the engine has crashed meanwhile
             self._crash_on(poison)
@@ -377,6 +393,18 @@
             return
         self._reply(writer, 200, body, extra, self._draw_framed())
 
+    def _goes_on(self, head: RequestHead) -> bool:
+        """Return whether a request that has run before goes on behind an event."""
+        request_id = head.get(headers.REQUEST_ID)
+        found = (one.request_id == request_id for one in self.request_log.arrivals)
+        return bool(head.get(headers.LAST_EVENT)) and sum(found) > 1
+
+    def _cut_head(self, writer: asyncio.StreamWriter, extra: str) -> None:
+        fields = f"HTTP/1.1 200 X\r\n{extra}{headers.SIGNATURE.decode()}: x\r\n\r\n"
+        end = self.random.choice((len(fields), self.random.randrange(len(fields))))
+        writer.write(fields[:end].encode())
+        _end_with_connection(writer)
+
     def _draw_framed(self) -> bool:
         return self.random.random() >= UNFRAMED_SHARE
 
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -47,6 +47,20 @@
         [Fault(0.5, "refuse-again", f"e{number}", 6.0) for number in range(3)],
     ),
     "guesses-origins": ("one software", [Fault(0.5, "out-of-step", "edge1", 1.0)]),
+    "keeps-limits": ("limits in force", [Fault(0.5, "limits", "", 1.0)]),
+    "takes-late-requests": ("stops", [Fault(0.5, "late-body", "edge0", 1.0)]),
+    "joins-errors": (
+        "whole answers",
+        [
+            Fault(0.5, kind, f"e{number}", 6.0)
+            for kind in ("garbled", "odd-rest")
+            for number in range(3, 7)
+        ],
+    ),
+    "trusts-heads": (
+        "whole answers",
+        [Fault(0.5, "cut-heads", f"e{number}", 6.0) for number in range(3)],
+    ),
     "passes-nothing-on": ("reached", [Fault(0.5, "engines-cut", "edge0", 1.0)]),
     "forgets-registration": ("registered", [Fault(0.5, "restore", "", 1.0)]),
     "counts-from-reading": (
@@ -143,6 +157,14 @@
 ]
 
 
+# Of issue 46: limits that change on kept connections, requests that come late in a
+# stop, errors in place of the rest of a stream, answers that stop in their head.
+REVIEW_PLANS = [
+    run.Plan(1, 10, 2, faults=tuple(BUG_SCHEDULES[name][1]))
+    for name in ("keeps-limits", "takes-late-requests", "joins-errors", "trusts-heads")
+]
+
+
 PLANS_AT_ONCE = 3
 
 
@@ -184,6 +206,10 @@
     async def test_leaving_engines_and_damaged_answers(self):
         await self.assert_no_violations(LEAVING_PLANS)
 
+    # Guards against the faults of issue 46, each by itself.
+    async def test_changed_limits_late_requests_and_answers_that_stop(self):
+        await self.assert_no_violations(REVIEW_PLANS)
+
     # Guards against refusing sound requests for what a repeated one beside them does.
     async def test_sound_requests_beside_a_repeated_one_at_the_last_engine(self):
         await self.assert_no_violations(REPEATING_PLANS)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -101,11 +101,13 @@
         source: random.Random,
         requests: list[SentRequest],
         others: typing.Mapping[str, str],
+        padding: typing.Callable[[], bytes] = lambda: b"",
     ) -> None:
         self.name = name
         self.edge = edge
         self.address = http_client.parse_address(address)
         self.others = others
+        self.padding = padding
         self.keys = keys
         self.random = source
         self.requests = requests
@@ -155,6 +157,44 @@
         request_id = f"{self.name}-{self.sent_count}"
         return await self._send(kind, key, request_id, self.edge, self.address)
 
+    async def send_in_parts(self, kind: RequestKind, rest_s: float) -> None:
+        """Send a request on a new connection, its last byte after ``rest_s``."""
+        self.sent_count += 1
+        request_id = f"{self.edge}-{self.name}-{self.sent_count}"
+        fields = self._headers(kind, self.keys(), request_id, (), None)
+        lines = [b"%s: %s\r\n" % field for field in fields]
+        head = f"{kind.method} {kind.path} HTTP/1.1\r\n".encode() + b"".join(lines)
+        sent_s, answer = time.monotonic(), b""
+        try:
+            async with asyncio.timeout(rest_s + DEADLINE_MS / 1_000 + 0.5):
+                reader, writer = await asyncio.open_connection(
+                    self.address.host, self.address.port
+                )
+                try:
+                    writer.write(head + b"content-length: 4\r\n\r\nlat")
+                    await asyncio.sleep(rest_s)
+                    writer.write(b"e")
+                    answer = await reader.read()
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError):
+            pass  # recorded as a request without a complete response
+        status = int(answer.split(b" ")[1]) if answer else 0
+        self.requests.append(
+            SentRequest(
+                request_id,
+                kind,
+                self.edge,
+                "",
+                sent_s,
+                time.monotonic(),
+                status,
+                bool(answer),
+                "",
+                False,
+            )
+        )
+
     async def _take_up(self, broken: SentRequest) -> None:
         if not self.others:
             return
@@ -184,7 +224,9 @@
         sent_s = time.monotonic()
         status, complete, body_error = 0, False, ""
         content = self.content or Content(
-            kind.path, b"", self._draw_parts(request_id) if kind.model else ()
+            kind.path,
+            self.padding() if kind.name == "once" else b"",
+            self._draw_parts(request_id) if kind.model else (),
         )
         body = bytearray()
         try:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -33,7 +33,7 @@
 SERVING_KINDS = frozenset(("garbled", "late-orders"))
 MIN_TAKEN_UP = 12  # streams
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-STOP_KINDS = frozenset(("term",))
+STOP_KINDS = frozenset(("term", "late-body"))
 
 
 def runs_at_most_once(context: checkcontext.CheckContext) -> checkcontext.Violations:
@@ -148,6 +148,16 @@
             yield checkcontext.Violation("known config", request.request_id, text)
 
 
+def limits_in_force(context: checkcontext.CheckContext) -> checkcontext.Violations:
+    """No body is refused as too long: each is shorter than what is in force allows."""
+    for request in context.environment.requests:
+        if request.status in (413, 431) and context.has_contact(
+            request.edge, request.sent_s
+        ):
+            text = f"status {request.status}"
+            yield checkcontext.Violation("limits in force", request.request_id, text)
+
+
 def draining_engines(context: checkcontext.CheckContext) -> checkcontext.Violations:
     """No request is sent to a draining engine once the bound has passed.
 
@@ -364,6 +374,7 @@
     only_sent_requests,
     revoked_keys,
     current_configuration,
+    limits_in_force,
     draining_engines,
     noticechecks.leaving_engines,
     noticechecks.resting_engines,
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -124,6 +124,7 @@
                 for one in self.edges.values()
                 if one is not edge
             },
+            lambda: self.operator.padding,
         )
 
     async def _start_engines(self) -> None:
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -39,6 +39,10 @@
 OLD_SOFTWARE, NEW_SOFTWARE = "1.0", "2.0"
 ONE_VERSION_S = 7.0  # until streams of other versions have ended, and are forgotten
 OUT_OF_STEP_S = 4.0  # less than the bound on revoked keys
+SMALL_LIMIT_S = 1.5
+LIMIT_APPLY_S = 2.5  # past the bound on configurations
+LATE_HEAD_S, LATE_REST_S = 2.6, (0.7, 0.9, 1.1)  # after SIGTERM, before the end
+LATE_WORK_S = 0.6  # past the end of the grace period
 DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
 
 
@@ -334,6 +338,49 @@
     async def _do_refuse_again(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "refuse_again", 0.5, 0.0)
 
+    async def _do_odd_rest(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "odd_rest", 0.7, 0.0)
+
+    async def _do_cut_heads(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "cut_heads", 0.3, 0.0)
+
+    async def _do_limits(self, fault: schedule.Fault) -> None:
+        # Longer bodies are allowed, and sent on connections that are kept from before.
+        if self.operator.is_changing_limits:
+            return
+        self.operator.is_changing_limits = True
+        self.operator.write_body_limit(operator.SMALL_BODY_BYTES)
+        await asyncio.sleep(SMALL_LIMIT_S)
+        self.operator.write_body_limit(operator.LARGE_BODY_BYTES)
+        await asyncio.sleep(LIMIT_APPLY_S)
+        self.operator.padding = b"x" * operator.LONG_BODY_BYTES
+        await asyncio.sleep(2.0 + fault.for_s)
+        self.operator.padding = b""
+        await asyncio.sleep(0.5)
+        self.operator.is_changing_limits = False
+
+    async def _do_late_body(self, fault: schedule.Fault) -> None:
+        # Requests reach a stopping instance whole only shortly before it ends.
+        environment = self.environment
+        edge = environment.edges[fault.subject]
+        plain = [one for one in environment.engines.values() if not one.model]
+        stop = asyncio.ensure_future(self._stop_and_restart(edge, signal.SIGTERM))
+        await asyncio.sleep(LATE_HEAD_S)
+        for engine in plain:
+            engine.faults.work_s = LATE_WORK_S
+        caller = environment.make_caller("late", edge, environment.any_key)
+        kinds = [one for one in callers.REQUEST_KINDS if not one.model]
+        await asyncio.gather(
+            *(
+                caller.send_in_parts(kind, rest_s)
+                for kind in kinds
+                for rest_s in LATE_REST_S
+            )
+        )
+        for engine in plain:
+            engine.faults.work_s = 0.0
+        await stop
+
     async def _do_out_of_step(self, fault: schedule.Fault) -> None:
         # New software joins while an instance reaches neither store nor instances.
         environment = self.environment
--- a/tools/soak/operator.py
+++ b/tools/soak/operator.py
@@ -11,9 +11,11 @@
 MODEL = "m"
 COLD_PER_S = 10.0
 KEYS = ("key-0", "key-1", "key-2", "key-3", "key-4", "key-5")
+SMALL_BODY_BYTES, LARGE_BODY_BYTES = 2_000, 1_048_576
+LONG_BODY_BYTES = 20_000
 LIMITS = {
     "max_header_bytes": 16_384,
-    "max_body_bytes": 1_048_576,
+    "max_body_bytes": SMALL_BODY_BYTES,
     "header_timeout_ms": 3_000,
     "idle_timeout_ms": 15_000,
 }
@@ -34,6 +36,9 @@
         self.config_version = 1
         self.model_version = 1
         self.extra_routes: list[str] = []
+        self.limits = dict(LIMITS)
+        self.padding = b""  # of the bodies of calls that may run once
+        self.is_changing_limits = False
         self._written: dict[str, typing.Any] = {}
 
     def write(self, key: str, value: typing.Any) -> None:
@@ -75,11 +80,17 @@
                 "version": self.config_version,
                 "routes": routes,
                 "services": services,
-                "limits": LIMITS,
+                "limits": self.limits,
                 "tenants": [account],
             },
         )
 
+    def write_body_limit(self, max_body_bytes: int) -> None:
+        """Write a configuration with another limit of bodies."""
+        self.limits["max_body_bytes"] = max_body_bytes
+        self.config_version += 1
+        self.write_config()
+
     def _route_parts(self) -> list[tuple[str, str, str]]:
         routes = [(prefix, *rest) for prefix, rest in ROUTES.items()]
         return routes + [
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -13,6 +13,7 @@
     detours,
     edge as edge_module,
     eventstream,
+    forwarding,
     mirror,
     outages,
     quarantine,
@@ -22,11 +23,13 @@
     registry,
     requeststate,
     rollouts,
+    stops,
     streamorigins,
     streamrelay,
     targetlimits,
     watching,
 )
+from cornelreach.http import server
 from cornelreach.platform import headers
 from cornelreach.ui import edge
 from cornelreach.util import decoding
@@ -198,6 +201,28 @@
     return True
 
 
+def _keeps_limits() -> None:
+    """Holds a connection to the limits under which it was accepted."""
+    server.Connection._apply_limits = lambda self: None
+
+
+def _takes_late_requests() -> None:
+    """Passes requests on in a stop however late they come."""
+    stops.Stops.begin = lambda self, late_s, due_s: None
+
+
+def _joins_errors() -> None:
+    """Takes any signed success for the rest of a stream."""
+    kind = streamrelay.Kind(200, "")
+    streamrelay._kind_of = lambda answer: kind
+    eventstream.EventSplitter._check_continued = lambda self, complete: None
+
+
+def _trusts_heads() -> None:
+    """Takes an answer that ends right behind its head for whole."""
+    forwarding.Forwarder._may_lack_body = lambda self, request_state, answer: False
+
+
 def _guesses_origins() -> None:
     """Guesses the software that began a stream from what it read before."""
     edge_module.Edge._read_software = _read_nothing
@@ -213,6 +238,10 @@
     "trusts-addresses": _trusts_addresses,
     "trusts-refusals": _trusts_refusals,
     "guesses-origins": _guesses_origins,
+    "keeps-limits": _keeps_limits,
+    "takes-late-requests": _takes_late_requests,
+    "joins-errors": _joins_errors,
+    "trusts-heads": _trusts_heads,
     "ignores-leaving": _ignores_leaving,
     "ignores-rest": _ignores_rest,
     "ignores-limits": _ignores_limits,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -34,6 +34,7 @@
     ("poison", "limit"),
     ("late-version", "repeat"),
     ("withdraw", "damage", "refuse-again"),
+    ("limits", "late-body", "odd-rest", "cut-heads"),
 )
 LATER_PERIOD_S = 8.0
 REPEATED_KINDS = ("once", "read", "stream", "resume")  # of requests
@@ -70,6 +71,8 @@
     later_subjects = {"limit": engines, "late-version": edges}
     later_subjects["repeat"] = REPEATED_KINDS
     later_subjects["withdraw"] = later_subjects["refuse-again"] = engines
+    later_subjects["odd-rest"] = later_subjects["cut-heads"] = engines
+    later_subjects["late-body"] = edges
     for group in LATER_GROUPS:
         for _ in range(round(seconds / LATER_PERIOD_S)):
             kind = source.choice(group)
