--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -4,98 +4,11 @@
 import random
 import unittest
 
-from tools.soak import environment, planted, run, schedule
+from tools.soak import bugschedules, environment, planted, run, schedule
 
 Fault = schedule.Fault
 
-# For each planted bug, the guarantee it violates and the faults that expose it.
-BUG_SCHEDULES = {
-    "repeats": ("once", [Fault(0.5, "lost", f"e{one}", 6.0) for one in range(3)]),
-    "refuses-after-run": (
-        "true refusals",
-        [Fault(0.5, "lost", f"e{number}", 6.0) for number in range(3)],
-    ),
-    "trusts-keys": ("revoked keys", [Fault(1.0, "cut", "edge0", 1.0)]),
-    "ignores-draining": (
-        "draining",
-        [Fault(1.0, "drain", f"e{number}", 1.0) for number in range(3)],
-    ),
-    "ignores-cold": (
-        "cold engines",
-        [
-            Fault(1.0, "crash", "e1", 6.0),
-            Fault(1.0, "crash", "e2", 6.0),
-            Fault(1.0, "cold", "e0", 1.0),
-        ],
-    ),
-    "ignores-leaving": ("leaving", [Fault(0.5, "leave", "e0", 1.0)]),
-    "ignores-rest": (
-        "rest",
-        [Fault(0.5, "rest", f"e{number}", 6.0) for number in range(3)],
-    ),
-    "ignores-limits": (
-        "limits",
-        [Fault(0.5, "limit", f"e{number}", 1.0) for number in range(7)],
-    ),
-    "keeps-what-left": (
-        "draining",
-        [Fault(0.5 + 3.5 * one, "withdraw", f"e{one}", 1.0) for one in range(3)],
-    ),
-    "trusts-addresses": ("damaged records", [Fault(3.5, "damage", "", 6.0)]),
-    "trusts-refusals": (
-        "once",
-        [Fault(0.5, "refuse-again", f"e{number}", 6.0) for number in range(3)],
-    ),
-    "guesses-origins": ("one software", [Fault(0.5, "out-of-step", "edge1", 1.0)]),
-    "keeps-limits": ("limits in force", [Fault(0.5, "limits", "", 1.0)]),
-    "takes-late-requests": ("stops", [Fault(0.5, "late-body", "edge0", 1.0)]),
-    "joins-errors": (
-        "whole answers",
-        [
-            Fault(0.5, kind, f"e{number}", 6.0)
-            for kind in ("garbled", "odd-rest")
-            for number in range(3, 7)
-        ],
-    ),
-    "trusts-heads": (
-        "whole answers",
-        [Fault(0.5, "cut-heads", f"e{number}", 6.0) for number in range(3)],
-    ),
-    "passes-nothing-on": ("reached", [Fault(0.5, "engines-cut", "edge0", 1.0)]),
-    "forgets-registration": ("registered", [Fault(0.5, "restore", "", 1.0)]),
-    "counts-from-reading": (
-        "versions",
-        [Fault(0.5, "late-version", "edge1", 1.0)],
-    ),
-    "stays-on-old": ("versions", [Fault(0.5, "version", "", 10.0)]),
-    "joins-streams": (
-        "whole answers",
-        [Fault(1.0, "garbled", f"e{number}", 2.5) for number in range(3, 7)],
-    ),
-    "ignores-software": (
-        "one software",
-        [Fault(0.5, "garbled", f"e{number}", 6.0) for number in range(3, 7)],
-    ),
-    "forgets-origins": (
-        "taken up",
-        [
-            Fault(at_s, "garbled", f"e{number}", 6.0)
-            for at_s in range(0, 49, 7)  # a fault that ends would end the next one
-            for number in range(3, 7)
-        ],
-    ),
-    "forgets-crashes": ("poisoned prompts", [Fault(0.5, "poison", "", 1.0)]),
-    "blames-all-parts": ("sound prompts", [Fault(3.5, "poison", "", 1.0)]),
-    "forgets-requests": ("repeated requests", [Fault(0.5, "repeat", "read", 1.0)]),
-    "blames-all-requests": (
-        "sound requests",
-        [Fault(3.5, "repeat", "stream", 1.0)],
-    ),
-    "trusts-framing": (
-        "whole answers",
-        [Fault(0.5, "garbled", f"e{number}", 6.0) for number in range(3, 7)],
-    ),
-}
+BUG_SCHEDULES = bugschedules.BUG_SCHEDULES
 
 
 def plan_without(kind, seed, seconds, edges):
@@ -248,8 +161,7 @@
 
     def test_all_fault_kinds_occur(self):
         kinds = {one.kind for seed in range(30) for one in self.draw(seed)}
-        groups = [group for group, _ in schedule.WEIGHTS] + [*schedule.LATER_GROUPS]
-        self.assertEqual(kinds, {kind for group in groups for kind in group})
+        self.assertEqual(kinds, schedule.KINDS)
 
     def test_shorter_schedules_have_fewer_faults(self):
         faults = self.draw(1)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -24,7 +24,8 @@
 class Plan(typing.NamedTuple):
     """The parameters of a run; ``faults`` replaces the schedule drawn from the seed.
 
-    ``beside`` is a checkout whose program every second instance runs at first.
+    ``beside`` is a checkout whose program every second instance runs at first, and
+    ``without`` names kinds of faults that are left out.
     """
 
     seed: int
@@ -33,6 +34,7 @@
     planted: str = ""
     faults: tuple[schedule.Fault, ...] | None = None
     beside: str = ""
+    without: tuple[str, ...] = ()
 
 
 class Outcome(typing.NamedTuple):
@@ -56,7 +58,10 @@
     names = [f"edge{number}" for number in range(plan.edges)]
     engines = [f"e{number}" for number in range(environment_module.ENGINES)]
     source = random.Random(plan.seed)
-    return schedule.draw(source, plan.seconds, names, engines, environment_module.ZONES)
+    found = schedule.draw(
+        source, plan.seconds, names, engines, environment_module.ZONES
+    )
+    return [one for one in found if one.kind not in plan.without]
 
 
 async def run_plan(plan: Plan, show: PrintLine = lambda text: None) -> Outcome:
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -36,6 +36,11 @@
     ("withdraw", "damage", "refuse-again"),
     ("limits", "late-body", "odd-rest", "cut-heads"),
 )
+KINDS = frozenset(
+    kind
+    for group in (*(group for group, _ in WEIGHTS), *LATER_GROUPS)
+    for kind in group
+)
 LATER_PERIOD_S = 8.0
 REPEATED_KINDS = ("once", "read", "stream", "resume")  # of requests
 # Faults that consist of others.
