Don't take an answer from before a target's failure for a sign of life

What callers saw: none seen in the field; a target that restarts cold could get the full rate (FAILBACK), which its crash would follow. Cause: any answer ended the suspicion that its target has failed, also one that had been on its way when the target failed and was read after. Fix: the answer to a request that was sent before the last failure counts only if it is read more than 200 ms after it: the bytes of a crashed target have come by then.

--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -27,6 +27,7 @@
 MAX_EJECT_MS = 5_000
 MAX_LAST_EJECT_MS = 1_000  # while no target of its service answers
 MAX_BACK_OFF_MS = 1_000
+EARLIER_ANSWER_MS = 200  # in which bytes from before a failure may still arrive
 NEWEST_WEIGHT = 0.1  # weight of the newest answer in a target's moving averages
 
 TARGET_CHANGED = events.define(
@@ -114,6 +115,7 @@
         self.failures = 0
         self.sheds = 0
         self.suspected = False
+        self.failed_ms = float("-inf")
         self.unreached = False  # whether no connection could be opened
         self.unconfirmed = False  # whether this is still the lifetime of its entry
         self.confirmed_ms = float("-inf")  # when it last said so itself
@@ -484,6 +486,7 @@
             return
         state = self.state(target_id)
         state.unreached = state.unreached or unreached
+        state.failed_ms = now_ms
         if state.suspected and self.is_ejected(target_id, now_ms):
             state.unconfirmed = True
             self.on_failure(target_id, reason)
@@ -563,8 +566,14 @@
             events.emit(LIMITED, target=target_id, limit_per_s=per_s)
         return True
 
-    def record_reply(self, target_id: str, reply: calls.Reply, now_ms: float) -> None:
-        """Update a target's state from the head of its reply."""
+    def record_reply(
+        self, target_id: str, reply: calls.Reply, now_ms: float, sent_ms: float
+    ) -> None:
+        """Update a target's state from the head of its reply to a request.
+
+        A reply that may have been on its way when the target failed, since its request
+        was sent before, doesn't show that the target is there.
+        """
         if target_id not in self.targets:
             return
         state = self.state(target_id)
@@ -573,7 +582,8 @@
             state.load, state.load_ms = reply.load, now_ms
         if reply.cold_ms:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + reply.cold_ms)
-        if not reply.not_run:
+        is_earlier = sent_ms <= state.failed_ms > now_ms - EARLIER_ANSWER_MS
+        if not reply.not_run and not is_earlier:
             state.failures = state.sheds = 0
             self._clear_suspicion(target_id, state)
             state.ejected_until_ms = 0.0
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -523,7 +523,9 @@
         if not reply.not_run:
             self._record_times(chosen, reply, now_ms)
         chosen.finish_prefill()
-        self.mirror.registry.record_reply(chosen.target.id, reply, now_ms)
+        self.mirror.registry.record_reply(
+            chosen.target.id, reply, now_ms, chosen.sent_ms
+        )
         self.record_notices(chosen.target, reply, is_request=True)
 
     def record_notices(
--- a/test/gateway/test_registry.py
+++ b/test/gateway/test_registry.py
@@ -175,7 +175,7 @@
     def test_an_answer_does_not_shorten_a_rest_and_an_absurd_one_is_bounded(self):
         self.registry.rest("t1", float("inf"), 0)
         reply = calls.Reply(200, "id", True, False, False, None, None)
-        self.registry.record_reply("t1", reply, 1)
+        self.registry.record_reply("t1", reply, 1, 1)
         self.registry.rest("t1", 10.0, 1)
         self.assertEqual(self.registry.usable("s", registry.MAX_REST_MS - 1), [])
         self.assertEqual(len(self.registry.usable("s", registry.MAX_REST_MS)), 1)
@@ -231,7 +231,7 @@
     def test_an_answer_ends_the_ejection(self):
         self.registry.eject("a", "reset", 0)
         reply = calls.Reply(200, "id", True, False, False, calls.Load(1, 2, 8), 900)
-        self.registry.record_reply("a", reply, 1)
+        self.registry.record_reply("a", reply, 1, 1)
         self.assertEqual(len(self.registry.usable("s", 1)), 2)
         state = self.registry.state("a")
         self.assertEqual((state.load.waiting, state.is_cold(900)), (2, True))
--- a/test/gateway/test_selection.py
+++ b/test/gateway/test_selection.py
@@ -3,7 +3,14 @@
 import asyncio
 import unittest
 
-from cornelreach.gateway import calls, catalogue, mirror, requeststate, selection
+from cornelreach.gateway import (
+    calls,
+    catalogue,
+    mirror,
+    registry,
+    requeststate,
+    selection,
+)
 from cornelreach.http import messages
 from test.gateway import harness as harness_module
 
@@ -225,6 +232,20 @@
         self.harness.selector.record_reply(chosen, reply)
         self.assertTrue(self.registry.state("old").suspected)
 
+    # Guards against a sound target that is left out for long after one failure, though
+    # it answers requests that were under way then.
+    def test_a_later_answer_to_an_earlier_request_ends_a_suspicion(self):
+        self.harness.gossip.closed.add("new")
+        chosen = self.choose()
+        chosen.acquire()
+        chosen.record_send()
+        now_ms = self.harness.clock.now_ms()
+        self.registry.eject("old", "reset", now_ms)
+        reply = calls.Reply(200, "id", True, False, False, None, None)
+        later_ms = now_ms + registry.EARLIER_ANSWER_MS
+        self.registry.record_reply("old", reply, later_ms, chosen.sent_ms)
+        self.assertFalse(self.registry.state("old").suspected)
+
     def test_counts_return_to_zero_however_often_released(self):
         chosen = self.choose()
         chosen.acquire()
