Let a call go to a target again that failed it, if no other is left

Cause: a target that has failed a call is avoided for the rest of it, also while the only others are drained for the new weights or have no owner, though it is back or was never away: the killed instance had failed the call. For up to 5 s the placement tried again, each time with the same target excluded. Evidence: test_a_target_that_failed_the_call_is_tried_again_if_none_is_left failed: refused after 2 s. Fix: after the first pause of 250 ms no target is avoided any more.

--- a/cornelreach/pools/placer.py
+++ b/cornelreach/pools/placer.py
@@ -56,13 +56,15 @@
         ``others`` are fallbacks, such as the same call with another weight version,
         which are tried if no pool can admit ``placement``. If none can be admitted, as
         for a short time after an owner's death or during a rollout, all are tried again
-        for at most ``TRANSITION_MS``.
+        for at most ``TRANSITION_MS``. Then targets that are to be avoided may be chosen
+        too: one that failed the call before may be usable again.
         """
+        placements = (placement, *others)
         now_ms = self.clock.now_ms()
         until_ms = now_ms + placement.wait_ms
         retry_until_ms = min(until_ms, now_ms + TRANSITION_MS)
         while True:
-            for one in (placement, *others):
+            for one in placements:
                 outcome = await self._ask_pools(one, until_ms)
                 transient = _is_transient(outcome)
                 if not transient:
@@ -70,6 +72,7 @@
             if self.clock.now_ms() + RETRY_PAUSE_MS >= retry_until_ms:
                 return outcome
             await asyncio.sleep(RETRY_PAUSE_MS / 1_000)
+            placements = tuple(one._replace(avoid=()) for one in placements)
 
     async def _ask_pools(
         self, placement: interfaces.PlacementRequest, until_ms: float
