Count a whole answer without an event as no crash of its target

What callers could see: a request whose targets answered it without an event, in chunks that ended in order, was counted as one on which targets crash, and refused for five minutes after the third. Cause: each stream that ended without an event was taken for one that its target had closed, which is evidence of a crash. Evidence: test_an_answer_that_is_whole_counts_as_no_crash failed before. Fix: only an answer whose end is that of its connection counts so. test_streamrelay 6, test_brokenstreams 8 passed.

--- a/cornelreach/gateway/streamrelay.py
+++ b/cornelreach/gateway/streamrelay.py
@@ -58,6 +58,17 @@
     return progress.EVENTS if splitter.has_event else progress.HEAD
 
 
+def _empty(framing: str) -> http_client.ResponseLost:
+    """Return what is wrong with a stream that ended without an event.
+
+    A target that crashed closes its connection, and writes no other end.
+    """
+    text = "the stream ended without an event"
+    if framing == "close":
+        return http_client.ConnectionClosed(text)
+    return http_client.ResponseLost(text)
+
+
 class StreamRelay:
     """Relays streams; ``choose`` and ``attempt`` find where a broken one goes on."""
 
@@ -126,8 +137,7 @@
                         text = "the stream ended in an event"
                         raise http_client.ConnectionClosed(text)
                     if not splitter.has_event and not may_be_empty:
-                        text = "the stream ended without an event"
-                        raise http_client.ConnectionClosed(text)
+                        raise _empty(framing)
                     outcome = "streamed"
                     self.dependencies.quarantine.record_answer(request_state.suspects)
                     return
--- a/test/gateway/test_streamrelay.py
+++ b/test/gateway/test_streamrelay.py
@@ -1,5 +1,7 @@
 """Streams that break off, and what the next target answers in place of the rest."""
 
+from unittest import mock
+
 from test.gateway import harness as harness_module, test_forwarding
 
 END_OF_CHUNKS = b"0\r\n\r\n"
@@ -104,6 +106,16 @@
             self.assert_broken_off(got)
             self.assertEqual(self.request_count(), 2)
 
+    # Guards against requests refused as if targets crashed on them, because targets
+    # answered them without an event, or with an error.
+    async def test_an_answer_that_is_whole_counts_as_no_crash(self):
+        for script in (answer(), answer(framing="length"), answer(body=TEXT, kind="")):
+            await self.start(broken_after(1), script)
+            quarantine = self.harness.forwarder.dependencies.quarantine
+            quarantine.record_loss = mock.Mock()
+            await self.harness.stream("/resume/x")
+            quarantine.record_loss.assert_not_called()
+
     async def test_a_stream_goes_on_at_the_next_target(self):
         rest = harness_module.event(2) + harness_module.event(3)
         got = await self.play(broken_after(1), answer(body=rest))
