Read what has arrived before a stop cuts its connections

What callers could see: a request whose last byte had come while a stopping process did not run, as on a busy machine, was cut without an answer as the process woke past the end of the stop. Evidence: test_what_arrived_while_a_stopping_process_stood_still_is_answered, with SIGSTOP over the end: connection reset before, 503 now. Fix: the loop passes a few times before connections are cut, so that what the system holds is read and refused.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -84,6 +84,8 @@
 FINISH_MS = 1_000  # at least, for what was taken until then
 STOP_MARGIN_MS, STOP_MARGIN_SHARE = 900, 0.25  # of the grace period, at most
 ANSWER_MS = 200  # until answers to all that is under way have been written
+LAST_READ_S = 0.05  # for what arrived while the process did not run
+LOOP_PASSES = 16  # of the event loop, from bytes that have arrived to their answer
 METRICS_PORT, METRICS_PATH = 9_464, "/metrics"  # as in deploy/system.toml
 SETTINGS_POLL_MS = 1_000
 BODY_WAIT_MS = 30_000
@@ -565,6 +567,10 @@
             async with asyncio.timeout_at(end_s):
                 await self.front.wait_closed()
                 await self.forwarder.wait_idle()
+        if self.front.connections:
+            await asyncio.sleep(LAST_READ_S)
+            for _ in range(LOOP_PASSES):
+                await asyncio.sleep(0)
         events.emit(STOPPED, name=self.site.name, active=self.forwarder.active)
         self.front.abort()
         self.peer_server.abort()
