--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -40,6 +40,13 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
+def _ground(reply: calls.Reply, answer: http_client.ClientResponse) -> str:
+    """Return why an answer is taken for that to the request."""
+    if reply.request_id is not None:
+        return "named"
+    return "first of its connection" if answer.is_first else "unnamed"
+
+
 class StaleChoice(Exception):
     """The chosen target stopped taking requests before the first byte was sent."""
 
@@ -72,6 +79,14 @@
         )
         self.stops = stops.Stops()
         self.relay.on_end = self.stops.remove
+        dependencies.http.on_skipped = self._answer_skipped
+
+    def _answer_skipped(
+        self, address: http_client.Address, status: int, fields: messages.Headers
+    ) -> None:
+        reply = headers.read_reply(status, fields)
+        sender = f"{address.host}:{address.port}"
+        self.log.answer_skipped(sender, status, reply.request_id, reply.not_run)
 
     @property
     def active(self) -> int:
@@ -467,7 +482,9 @@
             # Its head says all; the body is read to keep the connection.
             with contextlib.suppress(http_client.ResponseLost):
                 await answer.read()
-            return requeststate.NotRun(f"status {reply.status}", reply.moved)
+            ground = _ground(reply, answer)
+            self.dependencies.metrics.add("refusals_believed_total", 1, ground)
+            return requeststate.NotRun(f"status {reply.status}, {ground}", reply.moved)
         success = 200 <= reply.status < 300
         if success and not (
             reply.signed and reply.request_id == request_state.call.request_id
--- a/cornelreach/gateway/requestlog.py
+++ b/cornelreach/gateway/requestlog.py
@@ -23,6 +23,13 @@
     "Request {id} at {target}: {outcome} ({reason}).",
     "If there are many for one target: check it.",
 )
+ANSWER_SKIPPED = events.define(
+    2403,
+    "INFO",
+    "Skipped an answer of {address} to another request: status {status}, names {names},"
+    " says 'not run': {not_run}.",
+    "If there are many for one target: check it.",
+)
 
 
 class RequestLog:
@@ -65,6 +72,20 @@
             **fields,
         )
 
+    def answer_skipped(
+        self, address: str, status: int, names: str | None, not_run: bool
+    ) -> None:
+        """Log an answer that was taken for one to another request."""
+        claim = "not run" if not_run else "other"
+        self.metrics.add("answers_skipped_total", 1, claim)
+        events.emit(
+            ANSWER_SKIPPED,
+            address=address,
+            status=status,
+            names=names or "none",
+            not_run="yes" if not_run else "no",
+        )
+
     def stream_ended(
         self,
         request_state: requeststate.RequestState,
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -72,6 +72,7 @@
 
 
 Matches = typing.Callable[[messages.Headers], bool]
+OnSkipped = typing.Callable[[Address, int, messages.Headers], None]
 
 
 def any_response(_: messages.Headers) -> bool:
@@ -89,8 +90,9 @@
         connection: clientconnection.ClientConnection,
     ) -> None:
         self._client = client
-        self._address = address
+        self.address = address
         self._connection = connection
+        self.is_first = False  # of the answers that the connection has brought
         self.status = 0
         self.headers: messages.Headers = ()
 
@@ -155,7 +157,7 @@
         """Release the connection to the pool, or close it after a partial response."""
         if self._connection is not None:
             connection, self._connection = self._connection, None
-            self._client.release(self._address, connection, self.headers)
+            self._client.release(self.address, connection, self.headers)
 
 
 class Client:
@@ -178,6 +180,8 @@
         self.ack_timeout_ms = ack_timeout_ms
         # Called with an address whose server closed an idle connection unannounced.
         self.on_idle_closed: typing.Callable[[Address], None] = lambda address: None
+        # Called with the status and headers of a response to another request.
+        self.on_skipped: OnSkipped = lambda address, status, headers: None
         self.opened = 0
         self.held_bytes = 0
         self._idle: dict[
@@ -231,10 +235,11 @@
             connection.abort()
             raise
         response = ClientResponse(self, address, connection)
+        response.is_first = not connection.has_responded
         try:
             connection.transport.write(data)
             head = await self._receive_head(
-                connection, method, matches, matches_again or matches
+                response, connection, method, matches, matches_again or matches
             )
         except (h11.RemoteProtocolError, OSError) as error:
             connection.abort()
@@ -299,6 +304,7 @@
 
     async def _receive_head(
         self,
+        response: ClientResponse,
         connection: clientconnection.ClientConnection,
         method: str,
         matches: Matches,
@@ -312,6 +318,8 @@
                 connection.has_responded = True
                 if check(_headers(event)):
                     return event
+                response.is_first = False
+                self.on_skipped(response.address, event.status_code, _headers(event))
                 stray_count += 1
                 if stray_count > MAX_STRAY_RESPONSES:
                     raise ConnectionResetError(
