Believe an answer only if it names the request, on new connections too

Cause: "not run" was believed without a name. The first answer of a connection was still believed without one, whatever it claims: a 503, 429 or 421 that is written as the connection opens, or while its first request runs. Change: an answer counts only if it names the request; others are read and dropped, as on kept connections before. If the true answer never comes, the outcome is unknown (502 or 504), which promises nothing.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -40,13 +40,6 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
-def _ground(reply: calls.Reply, answer: http_client.ClientResponse) -> str:
-    """Return why an answer is taken for that to the request."""
-    if reply.request_id is not None:
-        return "named"
-    return "first of its connection" if answer.is_first else "unnamed"
-
-
 class StaleChoice(Exception):
     """The chosen target stopped taking requests before the first byte was sent."""
 
@@ -436,8 +429,7 @@
                 request.headers, chosen.metadata(request_state, left_ms)
             ),
             before_write=before_write,
-            matches=headers.response_matcher(request_state.call.request_id),
-            matches_again=headers.named_matcher(request_state.call.request_id),
+            matches=headers.named_matcher(request_state.call.request_id),
         )
 
     def _before_write(
@@ -482,9 +474,7 @@
             # Its head says all; the body is read to keep the connection.
             with contextlib.suppress(http_client.ResponseLost):
                 await answer.read()
-            ground = _ground(reply, answer)
-            self.dependencies.metrics.add("refusals_believed_total", 1, ground)
-            return requeststate.NotRun(f"status {reply.status}, {ground}", reply.moved)
+            return requeststate.NotRun(f"status {reply.status}", reply.moved)
         success = 200 <= reply.status < 300
         if success and not (
             reply.signed and reply.request_id == request_state.call.request_id
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -90,9 +90,8 @@
         connection: clientconnection.ClientConnection,
     ) -> None:
         self._client = client
-        self.address = address
+        self._address = address
         self._connection = connection
-        self.is_first = False  # of the answers that the connection has brought
         self.status = 0
         self.headers: messages.Headers = ()
 
@@ -157,7 +156,7 @@
         """Release the connection to the pool, or close it after a partial response."""
         if self._connection is not None:
             connection, self._connection = self._connection, None
-            self._client.release(self.address, connection, self.headers)
+            self._client.release(self._address, connection, self.headers)
 
 
 class Client:
@@ -212,7 +211,6 @@
         before_write: typing.Callable[[], None] | None = None,
         new_connection: bool = False,
         matches: Matches = any_response,
-        matches_again: Matches | None = None,
     ) -> ClientResponse:
         """Send a request and return the response once its headers have arrived.
 
@@ -220,9 +218,7 @@
         written; if it raises, the request is not sent. ``new_connection`` opens a new
         connection, for calls that must not be repeated: the server may have closed an
         idle connection without this client having noticed. A response that ``matches``
-        rejects is read and discarded; once the connection has brought a response,
-        ``matches_again`` decides in its place, as a server may write that one again.
-        Raises RequestNotSent or ResponseLost.
+        rejects is read and discarded. Raises RequestNotSent or ResponseLost.
         """
         connection = await (
             self._connect(address) if new_connection else self._acquire(address)
@@ -235,12 +231,9 @@
             connection.abort()
             raise
         response = ClientResponse(self, address, connection)
-        response.is_first = not connection.has_responded
         try:
             connection.transport.write(data)
-            head = await self._receive_head(
-                response, connection, method, matches, matches_again or matches
-            )
+            head = await self._receive_head(address, connection, method, matches)
         except (h11.RemoteProtocolError, OSError) as error:
             connection.abort()
             raise _lost(f"no response from {address}: {error}", error) from error
@@ -304,22 +297,18 @@
 
     async def _receive_head(
         self,
-        response: ClientResponse,
+        address: Address,
         connection: clientconnection.ClientConnection,
         method: str,
         matches: Matches,
-        matches_again: Matches,
     ) -> h11.Response:
         stray_count = interim_count = 0
         while True:
             event = await connection.event()
             if isinstance(event, h11.Response):
-                check = matches_again if connection.has_responded else matches
-                connection.has_responded = True
-                if check(_headers(event)):
+                if matches(_headers(event)):
                     return event
-                response.is_first = False
-                self.on_skipped(response.address, event.status_code, _headers(event))
+                self.on_skipped(address, event.status_code, _headers(event))
                 stray_count += 1
                 if stray_count > MAX_STRAY_RESPONSES:
                     raise ConnectionResetError(
--- a/cornelreach/http/clientconnection.py
+++ b/cornelreach/http/clientconnection.py
@@ -32,7 +32,6 @@
         self.idle = False
         self.unusable = False
         self.is_lost = False
-        self.has_responded = False
         self.idle_until_ms = 0.0
         self.on_connection_lost: typing.Callable[[], None] | None = None
         self.on_idle_closed: typing.Callable[[], None] | None = None
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -54,12 +54,6 @@
     Spec(
         "tries_total", "counter", ("outcome",), "Edge: attempts at targets by outcome."
     ),
-    Spec(
-        "refusals_believed_total",
-        "counter",
-        ("ground",),
-        "Edge: answers that a request was not run, by why they were taken for its own.",
-    ),
     Spec(
         "answers_skipped_total",
         "counter",
--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -43,7 +43,9 @@
     set, requests are refused and their senders asked to wait for that long. With
     ``held_orders`` orders are neither answered nor carried out. ``refuse_again`` is the
     share of requests on kept connections before whose answers an earlier refusal is
-    written once more, without an identifier. ``cut_heads`` is the share of plain
+    written once more, without an identifier; ``refuse_first`` is that of new
+    connections on which it is written as they open or as their first request begins.
+    ``cut_heads`` is the share of plain
     answers that stop in their head or right behind it, ``odd_rest`` that of
     continuations within one request that are answered with an error in a signed
     success. ``work_s`` is added to the time that each request takes.
@@ -59,6 +61,7 @@
         self.late_orders = 0.0
         self.held_orders = False
         self.refuse_again = 0.0
+        self.refuse_first = 0.0
         self.cut_heads = 0.0
         self.odd_rest = 0.0
         self.work_s = 0.0
@@ -205,6 +208,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        share = self.faults.refuse_first / 2
+        if share and self.random.random() < share:
+            writer.write(EARLIER_REFUSAL)
         try:
             while True:
                 head = await read_head(reader)
@@ -307,7 +313,9 @@
                 extra += f"{headers.RETRY_AFTER.decode()}: {self.faults.rest_s}\r\n"
             self._reply(writer, status, b"", extra)
             return
-        if writer in self._answered and self.random.random() < self.faults.refuse_again:
+        is_kept = writer in self._answered
+        share = self.faults.refuse_again if is_kept else self.faults.refuse_first
+        if share and self.random.random() < share:
             writer.write(EARLIER_REFUSAL)
         self.running += 1
         try:
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -96,6 +96,7 @@
         self.gone = asyncio.Event()
         self.connections = 0
         self.accepted = []
+        self.greeting = b""  # written as a connection opens
         self.server = None
 
     async def start(self):
@@ -108,6 +109,7 @@
         """Answer the requests of one connection."""
         self.connections += 1
         self.accepted.append(writer)
+        writer.write(self.greeting)
         try:
             while await self.serve_one(reader, writer):
                 pass
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -58,13 +58,15 @@
 
 
 # Of issue 42: an engine that leaves as watches are cut, records of another writer, an
-# earlier refusal that is written again, an instance that misses a software version.
+# earlier refusal that is written again, an instance that misses a software version. Of
+# issue 49: a refusal that names no request on a new connection.
 LEAVING_PLANS = [
     run.Plan(1, 10, 2, faults=tuple(BUG_SCHEDULES[name][1]))
     for name in (
         "keeps-what-left",
         "trusts-addresses",
         "trusts-refusals",
+        "trusts-first-answers",
         "guesses-origins",
     )
 ]
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -338,6 +338,9 @@
     async def _do_refuse_again(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "refuse_again", 0.5, 0.0)
 
+    async def _do_refuse_first(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "refuse_first", 0.5, 0.0)
+
     async def _do_odd_rest(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "odd_rest", 0.7, 0.0)
 
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -237,6 +237,7 @@
     "keeps-what-left": _keeps_what_left,
     "trusts-addresses": _trusts_addresses,
     "trusts-refusals": _trusts_refusals,
+    "trusts-first-answers": _trusts_refusals,
     "guesses-origins": _guesses_origins,
     "keeps-limits": _keeps_limits,
     "takes-late-requests": _takes_late_requests,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -35,6 +35,7 @@
     ("late-version", "repeat"),
     ("withdraw", "damage", "refuse-again"),
     ("limits", "late-body", "odd-rest", "cut-heads"),
+    ("refuse-first",),
 )
 KINDS = frozenset(
     kind
@@ -78,6 +79,7 @@
     later_subjects["withdraw"] = later_subjects["refuse-again"] = engines
     later_subjects["odd-rest"] = later_subjects["cut-heads"] = engines
     later_subjects["late-body"] = edges
+    later_subjects["refuse-first"] = engines
     for group in LATER_GROUPS:
         for _ in range(round(seconds / LATER_PERIOD_S)):
             kind = source.choice(group)
