Let readers of messages in many small pieces take turns

Cause: the reader of a connection took h11's events from 256 KB of such bytes without a turn of the event loop, which took 0.1 to 1 s each time; bounds were on bytes alone. A caller's body in such chunks did the same. Change: each reader has 8 pieces when data arrives; beyond that one reader at a time goes on, with 32 pieces, in each pass of the loop (`http/turns`). Parts of bodies are passed on 16 KB at a time. A body that is read whole, or skipped, is given up after 16,384 pieces of less than 64 bytes.

--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -26,6 +26,9 @@
 MAX_INTERIM_RESPONSES = 16
 MAX_BODY_BYTES = 8_388_608
 MAX_HELD_BYTES = 33_554_432  # of all bodies that a client is reading whole
+MAX_SMALL_PARTS = 16_384  # of a body that is read whole
+SMALL_PART_BYTES = 64
+MAX_PART_BYTES = 16_384
 CACHED_ADDRESSES = 16_384
 LOOP_PASSES = 8  # of the event loop, to take over a connection that is open
 
@@ -112,7 +115,11 @@
             while True:
                 event = await self._connection.event()
                 if isinstance(event, h11.Data):
-                    yield bytes(event.data)
+                    data = bytes(event.data)
+                    for start in range(0, len(data), MAX_PART_BYTES):
+                        if start:
+                            await self._connection.take_turn()
+                        yield data[start : start + MAX_PART_BYTES]
                 elif isinstance(event, h11.EndOfMessage):
                     break
                 else:
@@ -126,10 +133,12 @@
     async def read(self) -> bytes:
         """Return the whole body; raises ResponseLost if it is incomplete or too long.
 
-        A body is too long beyond ``MAX_BODY_BYTES``, or if all bodies that the client
-        is reading exceed ``MAX_HELD_BYTES``.
+        A body is too long beyond ``MAX_BODY_BYTES``, if all bodies that the client is
+        reading exceed ``MAX_HELD_BYTES``, or if more than ``MAX_SMALL_PARTS`` of its
+        parts are small.
         """
         client, body = self._client, bytearray()
+        small_parts = 0
         length = self.header("content-length") or "0"
         try:
             if decoding.is_number(length) and int(length) > MAX_BODY_BYTES:
@@ -138,6 +147,9 @@
                 async for part in parts:
                     body += part
                     client.held_bytes += len(part)
+                    small_parts += len(part) < SMALL_PART_BYTES
+                    if small_parts > MAX_SMALL_PARTS:
+                        raise ResponseLost("too many small parts")
                     if len(body) > MAX_BODY_BYTES:
                         raise ResponseLost(f"the body exceeds {MAX_BODY_BYTES} bytes")
                     if client.held_bytes > MAX_HELD_BYTES:
@@ -326,12 +338,13 @@
                     raise ConnectionResetError("received only interim responses")
 
     async def _skip_body(self, connection: clientconnection.ClientConnection) -> None:
-        skipped_bytes = 0
+        skipped_bytes = small_parts = 0
         event = await connection.event()
         while not isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
             if isinstance(event, h11.Data):
                 skipped_bytes += len(event.data)
-            if skipped_bytes > MAX_STRAY_BYTES:
+                small_parts += len(event.data) < SMALL_PART_BYTES
+            if skipped_bytes > MAX_STRAY_BYTES or small_parts > MAX_SMALL_PARTS:
                 raise ConnectionResetError("a response to another request has no end")
             event = await connection.event()
 
--- a/cornelreach/http/clientconnection.py
+++ b/cornelreach/http/clientconnection.py
@@ -15,6 +15,8 @@
 
 import h11
 
+from cornelreach.http import turns
+
 PAUSE_READING_BYTES = 262_144
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
@@ -39,6 +41,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._unread_bytes = 0
         self._paused = False
+        self._pieces = turns.Pieces()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -95,7 +98,9 @@
 
     async def event(self) -> object:
         """Return the next h11 event; raises OSError if the connection is lost."""
+        await self._pieces.next()
         while (event := self.h11.next_event()) is h11.NEED_DATA:
+            self._pieces.wait_for_data()
             self._unread_bytes = 0
             if self._paused:
                 self._paused = False
@@ -106,6 +111,10 @@
             await self._waiter
         return event
 
+    async def take_turn(self) -> None:
+        """Count a piece of what was read; waits for a turn if there were many."""
+        await self._pieces.next()
+
     def expect_another_response(self, method: str) -> None:
         """Parse the bytes after a stray response as a response to the same request."""
         remaining_data = self.h11.trailing_data[0]
--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -15,7 +15,7 @@
 
 import h11
 
-from cornelreach.http import limits as limits_module, messages, sockets
+from cornelreach.http import limits as limits_module, messages, sockets, turns
 from cornelreach.util import errors, events
 
 READ_BYTES = 65_536
@@ -82,6 +82,7 @@
         self.ending = False  # whether it is closed as soon as no request arrives
         self.h11 = h11.Connection(h11.SERVER, self.limits.header_bytes)
         self._idle_timeout: asyncio.Timeout | None = None
+        self._pieces = turns.Pieces()
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -289,7 +290,9 @@
                 self.h11.receive_data(b"")
 
     async def _wait_for_event(self) -> object:
+        await self._pieces.next()
         while (event := self._next_event()) is h11.NEED_DATA:
+            self._pieces.wait_for_data()
             await self._receive()
         return event
 
