Take only an answer that names the request from another instance

The answer to a passed-on request was believed without a name, so a refusal of nobody's on that connection took its place: the caller got 502 while the other instance went on. Evidence: test_an_answer_of_another_instance_names_the_request failed before (502). No second run was shown on this path: an answer without a report was lost, never "not run"; a call at an instance that stands still goes nowhere else (test_a_call_at_an_instance_that_stands_still_goes_nowhere_else passed before, too). Change: instances name the request in refusals as well, and an answer counts if it does.

--- a/cornelreach/gateway/detours.py
+++ b/cornelreach/gateway/detours.py
@@ -118,14 +118,19 @@
 
 
 def with_report(
-    response: messages.Response, report: Report, departed_ms: int | None = None
+    response: messages.Response,
+    report: Report,
+    request_id: str,
+    departed_ms: int | None = None,
 ) -> messages.Response:
-    """Return a response that tells the first instance what was done.
+    """Return a response that names the request and tells what was done with it.
 
     ``departed_ms`` is when the lifetime of the target began, if it says that it leaves.
     It is no field of the report, which instances of an earlier release could not read.
     """
     fields = [(headers.DETOUR, msgspec.json.encode(report))]
+    if all(name != headers.REQUEST_ID for name, _ in response.headers):
+        fields.append((headers.REQUEST_ID, request_id.encode("latin-1")))
     if departed_ms is not None:
         fields.append((headers.SERVER_LEAVING, str(departed_ms).encode()))
     return response._replace(headers=(*response.headers, *fields))
@@ -291,7 +296,7 @@
                     request.body,
                     self._fields(request_state),
                     before_write=before_write,
-                    matches=headers.response_matcher(request_state.call.request_id),
+                    matches=headers.passed_on_matcher(request_state.call.request_id),
                 )
                 return await self._read_answer(request_state, detour, answer)
         except http_client.RequestNotSent as error:
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -119,7 +119,8 @@
     def _decline(self, request: messages.Request, reason: str) -> messages.Response:
         request_id = headers.read_call(request.headers).request_id
         response = self._refuse(request_id, None, refusals.declined(reason))
-        return detours_module.with_report(response, detours_module.Report(True))
+        report = detours_module.Report(True)
+        return detours_module.with_report(response, report, request_id)
 
     async def _run(
         self,
@@ -167,7 +168,9 @@
             target,
             request_state.answered_by,
         )
-        return detours_module.with_report(response, report, request_state.departed_ms)
+        return detours_module.with_report(
+            response, report, request_state.call.request_id, request_state.departed_ms
+        )
 
     async def wait_idle(self) -> None:
         """Wait until no request is under way."""
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -206,10 +206,9 @@
 
 
 def response_matcher(request_id: str) -> typing.Callable[[messages.Headers], bool]:
-    """Return a predicate that tells whether response headers belong to a request.
+    """Return a predicate that tells whether response headers name no other request.
 
-    A response without a request identifier matches, since those of other instances and
-    to control calls carry none.
+    A response without an identifier matches, since those to control calls carry none.
     """
     wanted = request_id.encode("latin-1")
 
@@ -229,6 +228,22 @@
     return matches
 
 
+def passed_on_matcher(request_id: str) -> typing.Callable[[messages.Headers], bool]:
+    """Return a predicate that tells whether another instance's response is a request's.
+
+    Instances of earlier releases don't name it in refusals, but always report.
+    """
+    wanted = request_id.encode("latin-1")
+
+    def matches(headers: messages.Headers) -> bool:
+        named = [value for name, value in headers if name == REQUEST_ID]
+        if named:
+            return named == [wanted]
+        return any(name == DETOUR for name, _ in headers)
+
+    return matches
+
+
 # For calls without an identifier, whose answers bear none either.
 control_matcher = response_matcher("")
 
--- a/test/gateway/test_detours.py
+++ b/test/gateway/test_detours.py
@@ -4,7 +4,8 @@
 import time
 
 from cornelreach.gateway import detours, hubs
-from test.gateway import harness as harness_module, links
+from cornelreach.http import messages
+from test.gateway import harness as harness_module, links, test_forwarding
 
 LATE_S = 0.3
 
@@ -146,6 +147,82 @@
         # The first attempt may have reached an engine, so the second is a repeat.
         self.assertEqual(counted, {"requests": 2, "retries": 1})
 
+    async def stand_in(self, script):
+        """Let an engine of a script stand in for the sound instance."""
+        peer = harness_module.Engine("peer", script)
+        await peer.start()
+        self.addCleanup(peer.server.close)
+        host, _, port = peer.address.partition(":")
+        members = self.cut.gossip.members
+        members["edge-1"] = members["edge-1"]._replace(host=host, port=int(port))
+        return peer
+
+    # Guards against a refusal of nobody's on a connection to another instance being
+    # taken for its answer.
+    async def test_an_answer_of_another_instance_names_the_request(self):
+        report = 'cornelreach-detour: [false,"e0",""]\r\n'
+
+        async def refuse_first(engine, head, body, writer):
+            other = {**head, "x-cornelreach-request-id": "other"}
+            writer.write(test_forwarding.unnamed_refusal(503))
+            writer.write(engine.answer(other, 503, b"", False, report))
+            await asyncio.sleep(0.01)
+            writer.write(engine.answer(head, extra=report))
+
+        await self.start(linked=2, direct=0)
+        for one in self.instances:
+            self.lose(one)
+        peer = await self.stand_in(refuse_first)
+        status, _ = await self.cut.send("/once/x")
+        self.assertEqual((status, len(peer.requests)), (200, 1))
+
+    async def test_a_refusal_for_another_instance_names_the_request(self):
+        for headers in ((), ((b"x-cornelreach-request-id", b"id-1"),)):
+            response = messages.Response(503, b"", headers)
+            found = detours.with_report(response, detours.Report(True), "id-1")
+            names = [v for k, v in found.headers if k == b"x-cornelreach-request-id"]
+            self.assertEqual(names, [b"id-1"])
+
+    # Guards against refusals of an earlier release being left out of account, which do
+    # not name the request.
+    async def test_an_instance_of_an_earlier_release_may_decline(self):
+        async def decline(engine, head, body, writer):
+            writer.write(
+                b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n"
+                b'cornelreach-detour: [true,"",""]\r\n\r\n'
+            )
+
+        await self.start(linked=2, direct=0)
+        for one in self.instances:
+            self.lose(one)
+        await self.stand_in(decline)
+        begin_s = time.monotonic()
+        status, _ = await self.cut.send("/once/x")
+        self.assertEqual(status, 503)
+        self.assertLess(time.monotonic() - begin_s, 0.5)
+
+    # Guards against a second run of a call at an instance that stands still, or of one
+    # that another instance gets instead.
+    async def test_a_call_at_an_instance_that_stands_still_goes_nowhere_else(self):
+        async def stand_still(engine, head, body, writer):
+            await engine.gone.wait()
+            return False
+
+        await self.start(linked=2, direct=1)
+        for one in self.instances[:2]:
+            self.lose(one)
+        members = self.cut.gossip.members
+        self.cut.gossip.members.pop("edge-2")
+        peer = await self.stand_in(stand_still)
+        call = asyncio.ensure_future(
+            self.cut.send("/once/x", x_cornelreach_deadline_ms="500")
+        )
+        while not peer.requests:
+            await asyncio.sleep(0.01)
+        members["edge-2"] = self.sound.gossip.members["edge-2"]
+        status, _ = await call
+        self.assertEqual((status, self.requests()), (504, []))
+
     # Guards against an answer that broke off on the way looking complete.
     async def test_a_stream_that_breaks_off_on_the_way_does_not_look_complete(self):
         async def stream_slowly(engine, head, body, writer):
