Believe a plain service's refusal only with its boot, in the daemon

An at-most-once call goes over a new connection, and 412 or 429 there was believed whoever wrote it. Every answer of a target carries X-Boot-Id (docs/ARCHITECTURE.md). Evidence: test_a_refusal_without_a_boot_leaves_the_outcome_unknown failed before (not run, send again later). Change: without it the answer is lost and the outcome unknown.

--- a/cornelreach/calls/serviceexecutor.py
+++ b/cornelreach/calls/serviceexecutor.py
@@ -168,6 +168,8 @@
                 boot = answer.header("x-boot-id") or ""
                 body = await answer.read()
             if answer.status in NOT_RUN_STATUS:
+                if not boot:
+                    raise client.ResponseLost(f"status {answer.status} without a boot")
                 outcome = permits.Outcome.REJECTED
                 raise CallDeclined(f"the target answered {answer.status}")
             outcome = permits.Outcome.DONE
