Ask the configuration in force before a request runs once more

A request kept the type of its route from its admission, so one that broke off ran again though a newer configuration said that it may run once. Evidence: test_a_request_whose_route_may_no_longer_be_repeated_runs_once failed before (2 runs). Change: before a repeat the route is looked up in the configuration in force; a dropped route changes nothing.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -184,8 +184,7 @@
         config = mirror.catalogue
         if config is None or not mirror.is_synced():
             return refusals.no_catalogue()
-        path = request.target.decode("latin-1").partition("?")[0]
-        route = config.match(headers.request_host(request.headers), path)
+        route = self._match(request)
         if route is None:
             return refusals.no_route()
         account = None
@@ -256,6 +255,8 @@
     ) -> streamrelay.Way | None:
         loop = asyncio.get_running_loop()
         while request_state.may_attempt(loop.time()):
+            if not self._is_still_repeatable(request_state):
+                return None
             if self._is_quarantined(request_state) or self._is_suspect(request_state):
                 return None
             spent_ms = (loop.time() - request_state.request.received_s) * 1_000
@@ -302,6 +303,21 @@
         request_state.is_unreached = True
         return None
 
+    def _is_still_repeatable(self, request_state: requeststate.RequestState) -> bool:
+        """Return whether the configuration in force lets a request run once more.
+
+        It may be newer than the one that admitted the request.
+        """
+        if not request_state.possible_runs:
+            return True
+        route = self._match(request_state.request)
+        return route is None or route.repeatable
+
+    def _match(self, request: messages.Request) -> catalogue.Route | None:
+        path = request.target.decode("latin-1").partition("?")[0]
+        host = headers.request_host(request.headers)
+        return self.dependencies.mirror.catalogue.match(host, path)
+
     def _is_quarantined(self, request_state: requeststate.RequestState) -> bool:
         """Return whether targets crash on the request; a trial is sent once."""
         if request_state.is_trial and not request_state.times_sent:
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -85,6 +85,21 @@
         left_ms = int(head["x-cornelreach-deadline-ms"])
         self.assertTrue(1_000 < left_ms <= 2_000, left_ms)
 
+    # Guards against a second run of a request that, by the configuration in force by
+    # then, may run once.
+    async def test_a_request_whose_route_may_no_longer_be_repeated_runs_once(self):
+        async def change_and_close(engine, head, body, writer):
+            route = harness_module.route("/safe/", "s", Kind.AT_MOST_ONCE)
+            services = [harness_module.plain_service("s")]
+            self.harness.mirror.apply_catalogue(
+                harness_module.make_catalogue([route], services, 2)
+            )
+            return False
+
+        await self.start(change_and_close, change_and_close)
+        status, _ = await self.harness.send("/safe/x")
+        self.assertEqual((status, self.request_count()), (502, 1))
+
     # Guards against refusing a request after two targets that are down, by an instance
     # without others, though a third one is up.
     async def test_a_target_is_found_among_others_that_are_down(self):
