Hold most of the retry budget back for a window after a start

What callers saw: nothing; engines that refuse got more repeats than the operator allows (BUDGET), when most instances restarted within one budget_window_s. Cause: each process begins with its whole share of the slack, which the one before it under its name may just have spent, and its requests earn retries although those of before the restart count for the rule as well. Change: for a window after its start a process may spend 0.15 of the ratio and no slack; shares are those of the largest fleet of the last window; retries are counted in buckets of 250 ms instead of 1 s. The first process of a name, on the first start of the system, has its whole budget. Settings: a window of 0, or a negative, infinite or absent value of the three, gets an error that names the field; a ratio or slack of 0 admits none. retry_held and retries_held_total tell what kept a retry back.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -457,7 +457,7 @@
         self._keep_running("gossip", self.gossip.run)
         self._keep_running("hub", self.gossip.run_hub)
         self._keep_running("proofs", self.proofs.run)
-        self._keep_running("registration", self._register)
+        self._keep_running("registration", self._register_first)
         self._keep_running("settings", self._watch_settings)
         self.clock.every(softwareversions.CHECK_MS, self.software_versions.check)
         events.emit(
@@ -474,11 +474,18 @@
         host, _, port = address.rpartition(":")
         return await server.start(host, int(port), handler)
 
+    async def _register_first(self) -> None:
+        if await self._register() and self.site.is_first_start:
+            self.selector.confirm_first_start()
+
     def _register_again(self) -> None:
         self._keep_running("registration", self._register)
 
-    async def _register(self) -> None:
-        """Register this instance; fleet-wide limits are divided by these entries."""
+    async def _register(self) -> bool:
+        """Register this instance; fleet-wide limits are divided by these entries.
+
+        Returns whether its entry was missing.
+        """
         site = self.site
         value = {
             "data_centre": site.zone,
@@ -491,10 +498,10 @@
                 f"{platform_client.INSTANCES}{site.name}", value, if_absent=True
             )
             if isinstance(outcome, result.Success):
-                return
+                return True
             unknown = results.Unavailable | results.OutcomeUnknown
             if not isinstance(outcome.failure(), unknown):
-                return
+                return False
             await asyncio.sleep(budget.THROTTLED_PAUSE_MS / 1_000)
 
     async def _answer_readiness(self, request: messages.Request) -> messages.Response:
--- a/cornelreach/gateway/quotas.py
+++ b/cornelreach/gateway/quotas.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import enum
 import functools
 import math
 import typing
@@ -22,7 +23,8 @@
 MAX_LIMIT_WINDOW_MS = 20_000.0
 UNHEARD_MS = 10_000.0  # then more instances may ask whether a limit still holds
 SAFE_SHARE = 0.8  # margin: instances disagree on the fleet size while one starts
-BUCKET_MS = 1_000
+START_SHARE = 0.15  # of the ratio; what SAFE_SHARE leaves unspent covers it
+BUCKET_MS = 250
 CACHED_SHARES = 2_048
 CACHED_RANKS = 16_384
 MAX_LIMIT_PER_S = 1_000_000.0
@@ -176,32 +178,74 @@
     return max(1, math.floor(bound * SAFE_SHARE / fleet.size))
 
 
+class Admission(enum.StrEnum):
+    """Whether a retry is admitted, or what keeps it back."""
+
+    ADMITTED = "admitted"
+    SPENT = "spent"
+    AFTER_START = "after start"  # it would be admitted later
+
+
 class RetryBudget:
     """The retry budget of one service, over a sliding window.
 
-    A retry is any further attempt of a request that reaches a target.
+    A retry is any further attempt of a request that reaches a target. For a window
+    after the start of the process, most of the budget is held back: the process before
+    it under this name may have spent its own. The share is that of the largest fleet of
+    the last window, since instances that have left may have spent theirs::
+
+        budget = quotas.RetryBudget(0.2, 56, 10_000, start_ms)
+        budget.count_request(fleet, now_ms)
+        if budget.admits_retry(fleet, now_ms) is quotas.Admission.ADMITTED:
+            budget.count_retry(now_ms)
     """
 
-    def __init__(self, ratio: float, slack: float, window_ms: float) -> None:
+    def __init__(
+        self, ratio: float, slack: float, window_ms: float, start_ms: float
+    ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window_ms = window_ms
+        self.start_ms = start_ms
         self._requests: collections.deque[list[float]] = collections.deque()
         self._retries: collections.deque[list[float]] = collections.deque()
+        self._fleet: Fleet | None = None
+        self._larger: collections.deque[_FormerSize] = collections.deque()
 
-    def count_request(self, now_ms: float) -> None:
+    def count_request(self, fleet: Fleet, now_ms: float) -> None:
         """Count a request."""
+        self._follow(fleet, now_ms)
         self._count(self._requests, now_ms)
 
     def count_retry(self, now_ms: float) -> None:
         """Count a retry."""
         self._count(self._retries, now_ms)
 
-    def admits_retry(self, fleet: Fleet, now_ms: float) -> bool:
+    def admits_retry(self, fleet: Fleet, now_ms: float) -> Admission:
         """Return whether one more retry stays within this instance's share."""
-        slack = self.slack * SAFE_SHARE / fleet.size
-        allowed = self.ratio * SAFE_SHARE * self._sum(self._requests, now_ms)
-        return self._sum(self._retries, now_ms) + 1 <= allowed + slack
+        self._follow(fleet, now_ms)
+        slack = self.slack * SAFE_SHARE / self._size(now_ms)
+        earned = self.ratio * self._sum(self._requests, now_ms)
+        needed = self._sum(self._retries, now_ms) + 1
+        if needed > earned * SAFE_SHARE + slack:
+            return Admission.SPENT
+        is_new = now_ms < self.start_ms + self.window_ms
+        if is_new and needed > earned * START_SHARE:
+            return Admission.AFTER_START
+        return Admission.ADMITTED
+
+    def _follow(self, fleet: Fleet, now_ms: float) -> None:
+        if fleet is self._fleet:
+            return
+        if self._fleet is not None and fleet.size < self._fleet.size:
+            self._larger.append(_FormerSize(now_ms, self._fleet.size))
+        self._fleet = fleet
+
+    def _size(self, now_ms: float) -> int:
+        """Return the size of the largest fleet of the last window."""
+        while self._larger and self._larger[0].end_ms <= now_ms - self.window_ms:
+            self._larger.popleft()
+        return max(self._fleet.size, *(one.size for one in self._larger), 1)
 
     def _count(self, counts: collections.deque[list[float]], now_ms: float) -> None:
         if counts and now_ms - counts[-1][0] < BUCKET_MS:
@@ -213,3 +257,10 @@
         while counts and counts[0][0] <= now_ms - self.window_ms - BUCKET_MS:
             counts.popleft()
         return sum(count for _, count in counts)
+
+
+class _FormerSize(typing.NamedTuple):
+    """The size that a fleet had until a moment."""
+
+    end_ms: float
+    size: int
--- a/cornelreach/gateway/requestlog.py
+++ b/cornelreach/gateway/requestlog.py
@@ -150,6 +150,9 @@
             "first_ms": first_ms,
             "total_ms": request_state.spent_ms(asyncio.get_running_loop().time()),
         }
+        if held := request_state.retry_held:
+            fields["retry_held"] = held
+            self.metrics.add("retries_held_total", 1, request_state.service, held)
         if request_state.call.last_event is not None:
             fields["resumes"] = request_state.call.resumes
             fields["after_event"] = request_state.call.last_event
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -93,7 +93,8 @@
     ``is_unreached`` is set if no way to any is left. ``detours`` counts the attempts
     through other instances; one that another instance passed on (``is_passed_on``)
     makes none. ``answered_by`` is the software that answered, ``departed_ms`` when the
-    lifetime of its target began if the answer says that it leaves.
+    lifetime of its target began if the answer says that it leaves. ``retry_held`` says
+    what kept a further attempt back, or is empty.
     """
 
     def __init__(
@@ -137,6 +138,7 @@
         self.is_passed_on = False
         self.answered_by = ""
         self.departed_ms: int | None = None
+        self.retry_held = ""
         self.parts = crashes.shared_parts(call)
 
     @functools.cached_property
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -30,6 +30,7 @@
 NOT_HOSTED = -1  # below every version of a model
 WAIT_MS = 40.0
 MAX_UNREACHED = 2  # targets that one request finds out of reach
+NEVER_MS = float("-inf")
 WAIT_SHARE = 0.2  # of the objective; the longest wait before a request is refused
 
 
@@ -186,10 +187,18 @@
         self.regions = regions
         self.clock = clock
         self._retries: dict[str, quotas.RetryBudget] = {}
+        self.start_ms = clock.now_ms()
 
     def count_request(self, service: str) -> None:
         """Count a request in the retry budget of a service."""
-        self._budget(service).count_request(self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        self._budget(service).count_request(self.mirror.fleet, now_ms)
+
+    def confirm_first_start(self) -> None:
+        """Hold back no retries: no process had this name before."""
+        self.start_ms = NEVER_MS
+        for budget in self._retries.values():
+            budget.start_ms = NEVER_MS
 
     def count_retry(self, service: str) -> None:
         """Count a retry in the retry budget of a service."""
@@ -200,10 +209,21 @@
         terms = bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         budget = self._retries.get(service)
         if budget is None:
-            budget = self._retries[service] = quotas.RetryBudget(*terms)
+            budget = quotas.RetryBudget(*terms, self.start_ms)
+            self._retries[service] = budget
         budget.ratio, budget.slack, budget.window_ms = terms
         return budget
 
+    def _admits_retry(
+        self, request_state: requeststate.RequestState, now_ms: float
+    ) -> bool:
+        budget = self._budget(request_state.service)
+        found = budget.admits_retry(self.mirror.fleet, now_ms)
+        request_state.retry_held = (
+            "" if found is quotas.Admission.ADMITTED else f"budget {found}"
+        )
+        return not request_state.retry_held
+
     def choose(
         self,
         request_state: requeststate.RequestState,
@@ -221,9 +241,7 @@
         service = self.mirror.catalogue.services.get(request_state.service)
         if service is None:
             return None
-        if request_state.times_sent and not self._budget(
-            request_state.service
-        ).admits_retry(self.mirror.fleet, now_ms):
+        if request_state.times_sent and not self._admits_retry(request_state, now_ms):
             return None
         registry = self.mirror.registry
         registry.expire(now_ms)
@@ -360,6 +378,8 @@
         state = self.mirror.registry.state(target.id)
         if not service.cold_per_s or not state.is_cold(now_ms):
             return True
+        if now_ms < self.start_ms + quotas.WINDOW_MS:
+            return False  # the process before this one may have used the share
         bounds = self.bounds
         per_s = service.cold_per_s * bounds.cold_overage + bounds.cold_slack
         share = quotas.cold_share(self.mirror.fleet, target.id, per_s)
--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -40,7 +40,8 @@
     """Where a process runs, the addresses it listens on, and the platform's address.
 
     ``power`` is the share of processors that the process may use, ``report_ms`` the
-    interval at which targets write their entries.
+    interval at which targets write their entries. ``is_first_start`` is set while the
+    whole system starts for the first time.
     """
 
     name: str
@@ -56,6 +57,7 @@
     writes_per_s: float
     power: float = 1.0
     report_ms: float = 1_200
+    is_first_start: bool = False
 
 
 class _Listen(typing.TypedDict):
@@ -105,6 +107,7 @@
     platform: _Platform
     limits: typing.NotRequired[_Limits]
     heartbeat_ms: typing.NotRequired[float]
+    bootstrap: typing.NotRequired[bool]
 
 
 def read(path: str) -> bytes | None:
@@ -125,6 +128,7 @@
             f"cannot load settings file {path!r}: {error}",
             f"correct the file named by {PATH_VARIABLE}",
         ) from None
+    _check_budget(found["bounds"], path)
     return Site(
         name=found["node_name"],
         zone=found["zone"],
@@ -139,9 +143,24 @@
         writes_per_s=found["platform"]["writes_per_s"],
         power=_power(found.get("limits", {})),
         report_ms=found.get("heartbeat_ms", 1_200),
+        is_first_start=found.get("bootstrap", False),
     )
 
 
+def _check_budget(found: _Bounds, path: str) -> None:
+    """Raise UserError for bounds on retries that have no meaning; 0 admits none."""
+    for name, is_valid, expected in (
+        ("retry_budget", 0 <= found["retry_budget"] < float("inf"), "0 or more"),
+        ("retry_slack", 0 <= found["retry_slack"] < float("inf"), "0 or more"),
+        ("budget_window_s", 0 < found["budget_window_s"] < float("inf"), "above 0"),
+    ):
+        if not is_valid:
+            raise errors.UserError(
+                f"settings file {path!r}: bounds.{name} is {found[name]}",
+                f"give a number that is {expected}",
+            )
+
+
 def _power(found: _Limits) -> float:
     return found.get("cpu_share", 1.0) * found.get("cores", 1.0)
 
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -54,6 +54,12 @@
     Spec(
         "tries_total", "counter", ("outcome",), "Edge: attempts at targets by outcome."
     ),
+    Spec(
+        "retries_held_total",
+        "counter",
+        ("service", "ground"),
+        "Edge: requests that got no further attempt, by what kept it back.",
+    ),
     Spec(
         "answers_skipped_total",
         "counter",
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -218,6 +218,7 @@
             self.clock,
             targetlimits.TargetLimits(self.gossip, self.mirror, self.clock),
         )
+        self.selector.confirm_first_start()
         self.metrics = metrics.Metrics()
         self.software_versions = softwareversions.SoftwareVersions(
             self.mirror, store, self.clock
--- a/test/gateway/test_edge.py
+++ b/test/gateway/test_edge.py
@@ -1,26 +1,81 @@
 """An instance whose settings file changes."""
 
+import asyncio
 import pathlib
 import re
 import tempfile
 import unittest
+from unittest import mock
 
-from cornelreach.gateway import edge as edge_module
+from returns import result
+
+from cornelreach.gateway import edge as edge_module, quotas
 from cornelreach.platform import site as site_module
+from cornelreach.util import errors
 from tools.soak import edges
 
 
 class Settings(unittest.TestCase):
     """What keeps copies of settings follows the file."""
 
-    # Guards against a part that stays bound to the settings of its start.
-    def test_a_reloaded_instance_has_the_bounds_of_one_that_starts(self):
+    def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        path = pathlib.Path(folder.name, "settings.toml")
-        text = edges.SETTINGS.format(
+        self.path = pathlib.Path(folder.name, "settings.toml")
+        self.text = edges.SETTINGS.format(
             name="edge-1", zone="lj", host="127.0.0.1", zones='lj = "c"', store="h:1"
         )
+
+    def load(self, **changes):
+        """Load the settings file with other values of some fields."""
+        text = self.text
+        for name, value in changes.items():
+            line = f"{name} = {value}" if value is not None else ""
+            text = re.sub(rf"(?m)^{name} = .*$", line, text)
+        self.path.write_text(text)
+        return site_module.load(str(self.path))
+
+    # Guards against a bound on retries that has no meaning being divided by, or
+    # admitting any number.
+    def test_bounds_on_retries_without_a_meaning_are_refused_by_name(self):
+        for name, values in (
+            ("budget_window_s", (0, -1, "inf", None)),
+            ("retry_budget", (-0.1, "nan", None)),
+            ("retry_slack", (-1, "inf", None)),
+        ):
+            for value in values:
+                with (
+                    self.subTest(name, value=value),
+                    self.assertRaisesRegex(errors.UserError, name),
+                ):
+                    self.load(**{name: value})
+        bounds = self.load(retry_budget=0, retry_slack=0).bounds
+        self.assertEqual((bounds.retry_ratio, bounds.retry_slack), (0, 0))
+
+    # Guards against a process that begins with a budget which the one before it, under
+    # the same name, has spent; and against holding it back from the first one.
+    def test_only_the_first_process_of_a_name_begins_with_its_budget(self):
+        registered = result.Success(mock.sentinel.stored)
+        known = result.Failure(mock.sentinel.conflict)
+        for bootstrap, outcome, expected in (
+            ("true", registered, quotas.Admission.ADMITTED),
+            ("true", known, quotas.Admission.AFTER_START),
+            ("false", registered, quotas.Admission.AFTER_START),
+        ):
+            with self.subTest(bootstrap=bootstrap, outcome=outcome):
+                site = self.load(bootstrap=bootstrap)
+                edge = edge_module.Edge(site, str(self.path))
+                edge.selector.count_request("s")
+                edge.objects.put = mock.AsyncMock(return_value=outcome)
+                asyncio.run(edge._register_first())
+                found = edge.selector._budget("s").admits_retry(
+                    edge.mirror.fleet, edge.clock.now_ms()
+                )
+                self.assertIs(found, expected)
+
+    # Guards against a part that stays bound to the settings of its start.
+    def test_a_reloaded_instance_has_the_bounds_of_one_that_starts(self):
+        path, text = self.path, self.text
         path.write_text("heartbeat_ms = 1200\n" + text)
         reloaded = edge_module.Edge(site_module.load(str(path)), str(path))
         reloaded.selector.count_request("s")
--- a/test/gateway/test_quotas.py
+++ b/test/gateway/test_quotas.py
@@ -7,6 +7,8 @@
 
 from cornelreach.gateway import quotas
 
+ADMITTED = quotas.Admission.ADMITTED
+
 
 def fleet(name, size):
     """Return a fleet of a size, from the view of one instance."""
@@ -97,10 +99,10 @@
         total = 0
         for number in range(8):
             view = fleet(f"i{number}", 8)
-            budget = quotas.RetryBudget(0.2, 56, 10_000)
+            budget = quotas.RetryBudget(0.2, 56, 10_000, -10_000)
             for step in range(100):
-                budget.count_request(step * 90.0)
-            while budget.admits_retry(view, 9_000):
+                budget.count_request(view, step * 90.0)
+            while budget.admits_retry(view, 9_000) is ADMITTED:
                 budget.count_retry(9_000)
                 total += 1
         self.assertLessEqual(total, 0.2 * 800 + 56)
@@ -108,8 +110,8 @@
 
     def test_the_budget_recovers_after_the_window(self):
         view = fleet("i0", 8)
-        budget = quotas.RetryBudget(0.2, 16, 10_000)
-        while budget.admits_retry(view, 0):
+        budget = quotas.RetryBudget(0.2, 16, 10_000, -10_000)
+        while budget.admits_retry(view, 0) is ADMITTED:
             budget.count_retry(0)
-        self.assertFalse(budget.admits_retry(view, 9_999))
-        self.assertTrue(budget.admits_retry(view, 11_001))
+        self.assertIsNot(budget.admits_retry(view, 9_999), ADMITTED)
+        self.assertIs(budget.admits_retry(view, 11_001), ADMITTED)
--- a/test/gateway/test_selection.py
+++ b/test/gateway/test_selection.py
@@ -156,6 +156,21 @@
         self.assertLessEqual(tries, harness_module.BOUNDS.retry_slack)
         self.assertGreater(tries, 20)
 
+    # Guards against the share of a cold target being used twice in a second, by a
+    # process and by the one that is started in its place.
+    def test_a_new_process_sends_nothing_to_a_cold_target_in_its_first_second(self):
+        services = [harness_module.plain_service("s", cold_per_s=100.0)]
+        routes = [*self.harness.mirror.catalogue._routes[harness_module.HOST].values()]
+        self.harness.mirror.apply_catalogue(
+            harness_module.make_catalogue(routes, services, 2)
+        )
+        now_ms = self.harness.clock.now_ms()
+        for engine in self.harness.engines:
+            self.registry.restore(engine.name, 60_000.0, now_ms)
+        self.assertIsInstance(self.choose(), selection.Choice)
+        self.harness.selector.start_ms = now_ms
+        self.assertIsInstance(self.choose(), selection.Wait)
+
     def test_an_account_bound_to_a_region_stays_in_it(self):
         self.harness.selector.regions = {"lj": "central"}
         elsewhere = catalogue.Account("t1", False, None, frozenset({"north"}))
--- a/tools/soak/edges.py
+++ b/tools/soak/edges.py
@@ -15,6 +15,7 @@
 zone = "{zone}"
 ip = "{host}"
 internal_ports = [7580, 7595]
+bootstrap = true
 [zones]
 {zones}
 [listen]
