Give a second attempt time only if two runs fit

Cause: a first attempt that may be repeated got half of what was left, however long runs take; so both were cut. Change: targets' longest runs of late are kept (they decay with each answer; time-outs count as at least that long), and their median over the service's targets, with a quarter more, must fit twice into what is left; else, or if nothing is known yet, one run gets all of it. 2402 says which of both a try had that got no answer in time.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -35,6 +35,7 @@
 IDLE_POLL_S = 0.02
 DEADLINE_MARGIN_S = 0.015  # reserved for returning the response to the caller
 FIRST_ATTEMPT_SHARE = 0.5  # of the time left, while the request may run once more
+RUN_MARGIN = 1.25  # runs take longer than those before by chance
 NO_CONTENT = 204
 # Statuses that imply that the request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -427,7 +428,9 @@
         except TimeoutError:
             if not written:
                 return requeststate.NotSent("no connection in time")
-            return requeststate.Lost("no answer in time", progress)
+            part = "all" if due_s >= request_state.due_s else "part"
+            text = f"no answer in {part} of the time left"
+            return requeststate.Lost(text, progress)
         except http_client.ResponseLost as error:
             return requeststate.lost_by(error, progress)
 
@@ -470,14 +473,23 @@
             self.dependencies.selector.count_retry(request_state.service)
 
     def _attempt_due_s(self, request_state: requeststate.RequestState) -> float:
-        """Return when to give an attempt up, in time for another if one is allowed."""
+        """Return when to give an attempt up, in time for another if both fit.
+
+        Where only one run fits into what is left, or nobody knows how long runs take,
+        it gets all of it.
+        """
         route = request_state.route
         if route.kind is not catalogue.Kind.IDEMPOTENT:
             return request_state.due_s
         if request_state.possible_runs + 1 >= route.attempts:
             return request_state.due_s
         now_s = asyncio.get_running_loop().time()
-        return now_s + (request_state.due_s - now_s) * FIRST_ATTEMPT_SHARE
+        share_s = (request_state.due_s - now_s) * FIRST_ATTEMPT_SHARE
+        registry = self.dependencies.mirror.registry
+        needed_ms = registry.needed_ms(request_state.service)
+        if needed_ms is None or share_s * 1_000 < needed_ms * RUN_MARGIN:
+            return request_state.due_s
+        return now_s + share_s
 
     async def _read_answer(
         self,
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -9,6 +9,7 @@
     usable = registry.usable("llm-pool", now_ms)
 """
 
+import statistics
 import typing
 
 from cornelreach.gateway import calls, departures, quotas
@@ -29,6 +30,7 @@
 MAX_BACK_OFF_MS = 1_000
 EARLIER_ANSWER_MS = 200  # in which bytes from before a failure may still arrive
 NEWEST_WEIGHT = 0.1  # weight of the newest answer in a target's moving averages
+LONGEST_DECAY = 0.99  # for each answer
 
 TARGET_CHANGED = events.define(
     2201,
@@ -121,6 +123,7 @@
         self.confirmed_ms = float("-inf")  # when it last said so itself
         self.error_share = 0.0
         self.answer_ms: float | None = None
+        self.longest_ms: float | None = None  # of the last answers; it decays
 
     def is_cold(self, now_ms: float) -> bool:
         """Return whether the target accepts only the rate of one that warms up.
@@ -526,6 +529,21 @@
         average_ms = answer_ms if state.answer_ms is None else state.answer_ms
         state.answer_ms = average_ms + NEWEST_WEIGHT * (answer_ms - average_ms)
 
+    def record_duration(self, target_id: str, run_ms: float) -> None:
+        """Record how long a target worked on a request, or has at least."""
+        if target_id in self.targets:
+            state = self.state(target_id)
+            state.longest_ms = max(run_ms, LONGEST_DECAY * (state.longest_ms or 0.0))
+
+    def needed_ms(self, service: str) -> float | None:
+        """Return how long targets of a service need for long requests, if known.
+
+        It is the median over targets, so that one which hangs doesn't stand for all.
+        """
+        states = map(self.states.get, self._by_service.get(service, ()))
+        known = [one.longest_ms for one in states if one and one.longest_ms is not None]
+        return statistics.median_low(known) if known else None
+
     def back_off(self, target_id: str, pause_ms: float, now_ms: float) -> None:
         """Avoid a target that refused, for a pause that doubles with each in a row."""
         if target_id in self.targets:
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -574,6 +574,8 @@
         target = chosen.target.id
         elapsed_ms = now_ms - chosen.sent_ms
         self.mirror.registry.record_outcome(target, reply.status < 500, elapsed_ms)
+        if reply.status < 500:
+            self.mirror.registry.record_duration(target, elapsed_ms)
         if chosen.salt is None or reply.status >= 500:
             return
         stores = {one for one in chosen.fetch_from if one}
@@ -593,7 +595,10 @@
             pause_ms = MOVED_PAUSE_MS if outcome.moved else SHED_PAUSE_MS
             registry.back_off(target, pause_ms, now_ms)
         elif isinstance(outcome, requeststate.Lost):
-            registry.record_outcome(target, False, now_ms - chosen.sent_ms)
+            elapsed_ms = now_ms - chosen.sent_ms
+            registry.record_outcome(target, False, elapsed_ms)
+            if not outcome.closed:
+                registry.record_duration(target, elapsed_ms)
             registry.eject(target, outcome.reason, now_ms)
         elif isinstance(outcome, requeststate.NotSent) and outcome.at_fault:
             registry.eject(target, outcome.reason, now_ms, unreached=True)
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -85,6 +85,36 @@
         left_ms = int(head["x-cornelreach-deadline-ms"])
         self.assertTrue(1_000 < left_ms <= 2_000, left_ms)
 
+    # Guards against a short deadline being divided into two attempts, both too short.
+    async def test_a_second_attempt_gets_time_only_if_both_fit(self):
+        for work_s, deadline_ms, hangs, expected in (
+            (0.2, 300, False, 200),  # only one fits
+            (0.05, 400, True, 200),  # both fit, and the first one hangs
+            (0.3, 500, True, 504),  # only one fits, and that one hangs
+        ):
+
+            async def work(engine, head, body, writer, work_s=work_s):
+                if "hang" in head["x-cornelreach-request-id"] and engine.name == "e0":
+                    await engine.gone.wait()
+                await asyncio.sleep(work_s)
+                writer.write(engine.answer(head))
+
+            with self.subTest(work_s=work_s, hangs=hangs):
+                await self.start(work, work)
+                for number in range(4):
+                    await self.harness.send(
+                        "/safe/x", x_cornelreach_request_id=f"id-{number}"
+                    )
+                self.harness.mirror.registry.eject(
+                    "e1", "busy", self.harness.clock.now_ms() - 560
+                )
+                status, _ = await self.harness.send(
+                    "/safe/x",
+                    x_cornelreach_request_id="hang" if hangs else "id",
+                    x_cornelreach_deadline_ms=str(deadline_ms),
+                )
+                self.assertEqual(status, expected)
+
     # Guards against a second run of a request that, by the configuration in force by
     # then, may run once.
     async def test_a_request_whose_route_may_no_longer_be_repeated_runs_once(self):
--- a/test/gateway/test_stops.py
+++ b/test/gateway/test_stops.py
@@ -70,6 +70,31 @@
         self.assertEqual(self.request_count(), len(PATHS))
         self.assertEqual(self.harness.forwarder.active, 0)
 
+    # Guards against two attempts that are both too short, where one would be answered.
+    async def test_reads_in_a_stop_are_answered_as_calls_are(self):
+        for known in (False, True):
+            for work_s, is_answered in ((0.02, True), (0.2, True), (0.5, False)):
+
+                async def work(engine, head, body, writer, work_s=work_s):
+                    await asyncio.sleep(work_s)
+                    writer.write(engine.answer(head))
+
+                await self.start(work, work)
+                if known:
+                    for number in range(4):
+                        await self.harness.send(
+                            "/safe/x", x_cornelreach_request_id=f"before-{number}"
+                        )
+                self.begin_stop(late=False)
+                calls = [
+                    self.harness.send(path, x_cornelreach_request_id=f"id-{path}")
+                    for path in PATHS[:2]
+                ]
+                answers = await asyncio.gather(*calls)
+                expected = 200 if is_answered else 504
+                with self.subTest(work_s=work_s, known=known):
+                    self.assertEqual([one[0] for one in answers], [expected] * 2)
+
     async def test_what_waits_for_a_target_at_the_end_has_not_run(self):
         await self.start(harness_module.answer_ok)
         wait = asyncio.Event().wait
--- a/test/ui/edgeprocess.py
+++ b/test/ui/edgeprocess.py
@@ -128,15 +128,15 @@
         """Return whether the process reports that it is ready."""
         return (await self.call(7602, "GET", "/api/ready"))[0] == 200
 
-    async def ask(self, number, body=b""):
+    async def ask(self, number, body=b"", path="/once/x", deadline_ms=3_000):
         """Send a caller's request and return its status."""
         headers = (
             (b"host", harness_module.HOST.encode()),
             (b"x-cornelreach-request-id", f"id-{number}".encode()),
             (b"x-api-key", harness_module.KEY.encode()),
-            (b"x-cornelreach-deadline-ms", b"3000"),
+            (b"x-cornelreach-deadline-ms", str(deadline_ms).encode()),
         )
-        return (await self.call(7601, "POST", "/once/x", headers, body))[0]
+        return (await self.call(7601, "POST", path, headers, body))[0]
 
     def register_engine(self, **changes):
         """Register the engine on the platform."""
--- a/test/ui/test_edge.py
+++ b/test/ui/test_edge.py
@@ -190,6 +190,29 @@
         await self.process.wait()
         self.assertLess(time.monotonic() - begin_s, 2.0)
 
+    # Guards against reads that get two attempts in a stop where one would be answered.
+    async def test_reads_in_a_stop_are_answered_as_bookings_are(self):
+        found = config(3)
+        read = {**found["routes"][0], "name": "q", "path_prefix": "/safe/"}
+        read |= {"route_type": "idempotent", "max_attempts": 2}
+        found["routes"].append(read)
+        for route in found["routes"]:
+            route["timeout_ms"] = 15_000
+        self.seed("config/main", found)
+        self.register_engine(cold_remaining_ms=0)
+        await self.start(grace_s=5)
+        self.delay_s = 1.8
+        self.process.send_signal(signal.SIGTERM)
+        calls = []
+        for number in range(5):
+            for path in ("/once/x", "/safe/x"):
+                call = self.ask(f"{number}{path}", path=path, deadline_ms=8_000)
+                calls.append(asyncio.ensure_future(call))
+            await asyncio.sleep(0.5)
+        statuses = await asyncio.gather(*calls)
+        self.assertEqual(statuses[1::2], statuses[::2])
+        self.assertEqual(statuses[:8], [200] * 8)
+
     async def refused_key(self):
         """Return whether the caller's key is rejected."""
         return await self.ask("revoked") == 401
