Let the soak play answers without end in pieces of one byte

An engine answers plain requests so, while each instance is asked for its readiness; a wait of over 0.15 s without other disturbance breaks `turns`. Played by itself, not drawn at random.

--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -29,6 +29,7 @@
 LOAD_S = 0.3
 SLOW_S = 0.15
 MAX_QUEUED = 12
+SMALL_CHUNKS, SMALL_CHUNKS_S = b"1\r\nx\r\n" * 20_000, 0.02
 EARLIER_REFUSAL = (
     b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n%s: 1\r\n\r\n" % headers.NOT_EXECUTED
 )
@@ -48,7 +49,9 @@
     ``cut_heads`` is the share of plain
     answers that stop in their head or right behind it, ``odd_rest`` that of
     continuations within one request that are answered with an error in a signed
-    success. ``work_s`` is added to the time that each request takes.
+    success. ``endless`` is the share of plain answers in chunks of one byte that do not
+    end until the connection is closed. ``work_s`` is added to the time that each
+    request takes.
     """
 
     def __init__(self) -> None:
@@ -64,6 +67,7 @@
         self.refuse_first = 0.0
         self.cut_heads = 0.0
         self.odd_rest = 0.0
+        self.endless = 0.0
         self.work_s = 0.0
         self.dark = False
 
@@ -387,6 +391,9 @@
         if self.random.random() < self.faults.cut_heads:
             self._cut_head(writer, extra)
             return
+        if self.faults.endless and self.random.random() < self.faults.endless:
+            await self._write_endlessly(writer, extra)
+            return
         if poison := self._poison(head):
             await writer.drain()  # fails if the engine has crashed meanwhile
             self._crash_on(poison)
@@ -413,6 +420,16 @@
         writer.write(fields[:end].encode())
         _end_with_connection(writer)
 
+    async def _write_endlessly(self, writer: asyncio.StreamWriter, extra: str) -> None:
+        fields = "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n"
+        fields += f"{extra}{headers.SIGNATURE.decode()}: x\r\n\r\n"
+        writer.write(fields.encode())
+        while not writer.is_closing() and self.faults.endless:
+            writer.write(SMALL_CHUNKS)
+            await writer.drain()
+            await asyncio.sleep(SMALL_CHUNKS_S)
+        writer.transport.abort()
+
     def _draw_framed(self) -> bool:
         return self.random.random() >= UNFRAMED_SHARE
 
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -135,6 +135,12 @@
         faults = (Fault(0.5, "engines-cut", "edge0", 1.0),)
         await self.assert_no_violations([run.Plan(1, 8, 2, faults=faults)])
 
+    # Guards against an answer in pieces of one byte keeping an instance from others.
+    # By itself: the engine writes it in the loop that all share.
+    async def test_an_endless_answer_keeps_nobody_waiting(self):
+        faults = tuple(Fault(0.5, "endless", f"e{one}", 4.0) for one in range(2))
+        await self.assert_no_violations([run.Plan(1, 6, 2, faults=faults)])
+
     async def test_planted_bugs_are_found(self):
         self.assertEqual(set(BUG_SCHEDULES), set(planted.PLANTED_BUGS))
         plans = [
--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -52,6 +52,10 @@
         "once",
         [Fault(0.5, "refuse-first", f"e{number}", 6.0) for number in range(3)],
     ),
+    "takes-no-turns": (
+        "turns",
+        [Fault(0.5, "endless", f"e{number}", 6.0) for number in range(2)],
+    ),
     "guesses-origins": ("one software", [Fault(0.5, "out-of-step", "edge1", 1.0)]),
     "keeps-limits": ("limits in force", [Fault(0.5, "limits", "", 1.0)]),
     "takes-late-requests": ("stops", [Fault(0.5, "late-body", "edge0", 1.0)]),
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -18,6 +18,7 @@
     promptchecks,
     reachchecks,
     repeatchecks,
+    turnchecks,
 )
 
 CONFIG_S = 2.0
@@ -387,6 +388,7 @@
     retry_budget,
     graceful_stops,
     reachchecks.cut_off_instances,
+    turnchecks.short_turns,
     recovery,
     registered_instances,
     no_unexpected_exit,
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -71,6 +71,8 @@
         self.ledger = requestlog.RequestLog()
         self.requests: list[callers.SentRequest] = []
         self.disturbances: list[Disturbance] = []
+        # Instance, time, and how long it took to say whether it is ready.
+        self.readiness_waits: list[tuple[str, float, float]] = []
         self.changes: list[AcknowledgedChange] = []
         self.operator = operator_module.Operator(self.store)
         self.edges: dict[str, edges_module.Edge] = {}
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -43,6 +43,7 @@
 LIMIT_APPLY_S = 2.5  # past the bound on configurations
 LATE_HEAD_S, LATE_REST_S = 2.6, (0.7, 0.9, 1.1)  # after SIGTERM, before the end
 LATE_WORK_S = 0.6  # past the end of the grace period
+READY_GAP_S = 0.05
 DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
 
 
@@ -384,6 +385,24 @@
             engine.faults.work_s = 0.0
         await stop
 
+    async def _do_endless(self, fault: schedule.Fault) -> None:
+        # Meanwhile each instance is asked whether it is ready, which takes a turn each.
+        environment = self.environment
+        engine = environment.engines[fault.subject]
+        engine.faults.endless = 0.5
+        end_s = time.monotonic() + fault.for_s
+
+        async def ask(edge: edges_module.Edge) -> None:
+            while time.monotonic() < end_s:
+                begin_s = time.monotonic()
+                await edge.is_ready()
+                wait_s = time.monotonic() - begin_s
+                environment.readiness_waits.append((edge.name, begin_s, wait_s))
+                await asyncio.sleep(READY_GAP_S)
+
+        await asyncio.gather(*map(ask, environment.edges.values()))
+        engine.faults.endless = 0.0
+
     async def _do_out_of_step(self, fault: schedule.Fault) -> None:
         # New software joins while an instance reaches neither store nor instances.
         environment = self.environment
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -29,7 +29,7 @@
     targetlimits,
     watching,
 )
-from cornelreach.http import server
+from cornelreach.http import server, turns
 from cornelreach.platform import headers
 from cornelreach.ui import edge
 from cornelreach.util import decoding
@@ -201,6 +201,15 @@
     return True
 
 
+async def _take_no_turn(self: typing.Any) -> None:
+    """Go on without a turn of the event loop."""
+
+
+def _takes_no_turns() -> None:
+    """Reads whatever has come before anything else goes on."""
+    turns.Pieces.next = _take_no_turn
+
+
 def _keeps_limits() -> None:
     """Holds a connection to the limits under which it was accepted."""
     server.Connection._apply_limits = lambda self: None
@@ -239,6 +248,7 @@
     "trusts-refusals": _trusts_refusals,
     "trusts-first-answers": _trusts_refusals,
     "guesses-origins": _guesses_origins,
+    "takes-no-turns": _takes_no_turns,
     "keeps-limits": _keeps_limits,
     "takes-late-requests": _takes_late_requests,
     "joins-errors": _joins_errors,
