Record the key of the soak's requests that come in parts

Its key was taken away between its head and its last byte (a fault cut at 11.5 s); the check excuses revoked keys, but such requests were recorded without one. So the check saw a key in force refused; it was none of the instance's. Now the key is recorded, and both checks of keys apply to these requests too.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -161,7 +161,8 @@
         """Send a request on a new connection, its last byte after ``rest_s``."""
         self.sent_count += 1
         request_id = f"{self.edge}-{self.name}-{self.sent_count}"
-        fields = self._headers(kind, self.keys(), request_id, (), None)
+        key = self.keys()
+        fields = self._headers(kind, key, request_id, (), None)
         lines = [b"%s: %s\r\n" % field for field in fields]
         head = f"{kind.method} {kind.path} HTTP/1.1\r\n".encode() + b"".join(lines)
         sent_s, answer = time.monotonic(), b""
@@ -185,7 +186,7 @@
                 request_id,
                 kind,
                 self.edge,
-                "",
+                key,
                 sent_s,
                 time.monotonic(),
                 status,
