Check a silent target by few connections, and believe the last of them

Cause: 1.6 s after the last sign of a target, the timer of a waiting request ran each millisecond and opened a new connection each time (187 for two runs of 2.6 s). The engine's queue of connections overflowed (ListenOverflows), so one of them took 1.0 s (measured in three failures: 1.010, 1.029, 1.017) and counted as a target out of reach; no later one that opened took that back. Evidence: test_long_runs_open_few_connections (187 opened, 10 allowed) and test_one_connection_that_opens_late_ends_no_long_run (502) failed before.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -428,9 +428,7 @@
         except TimeoutError:
             if not written:
                 return requeststate.NotSent("no connection in time")
-            part = "all" if due_s >= request_state.due_s else "part"
-            text = f"no answer in {part} of the time left"
-            return requeststate.Lost(text, progress)
+            return requeststate.Lost(self._timed_out(request_state, due_s), progress)
         except http_client.ResponseLost as error:
             return requeststate.lost_by(error, progress)
 
@@ -472,6 +470,13 @@
         if request_state.times_sent > 1:
             self.dependencies.selector.count_retry(request_state.service)
 
+    def _timed_out(self, request_state: requeststate.RequestState, due_s: float) -> str:
+        """Return why an attempt was given up: its time is over, or its target lost."""
+        if asyncio.get_running_loop().time() < due_s:
+            return "the target is silent and out of reach"
+        part = "all" if due_s >= request_state.due_s else "part"
+        return f"no answer in {part} of the time left"
+
     def _attempt_due_s(self, request_state: requeststate.RequestState) -> float:
         """Return when to give an attempt up, in time for another if both fit.
 
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -506,6 +506,11 @@
         self.on_eject()
         self.on_failure(target_id, reason)
 
+    def record_connected(self, target_id: str) -> None:
+        """Record that a connection to a target could be opened, though it is silent."""
+        if target_id in self.targets:
+            self.state(target_id).unreached = False
+
     def _clear_suspicion(self, target_id: str, state: State) -> None:
         was_suspected, state.suspected = state.suspected, False
         state.unreached = False
--- a/cornelreach/gateway/silence.py
+++ b/cornelreach/gateway/silence.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import typing
 
@@ -19,6 +20,7 @@
 
 CHECK_MS = 600.0  # without a sign of the target
 GIVE_UP_MS = 1_600.0  # longer than a sound target is silent
+GIVE_UP_CHECKS = 2  # in a row; the packet that opens a connection may be lost
 
 GiveUp = typing.Callable[[], None]
 
@@ -36,6 +38,7 @@
         self.http = http
         self.clock = clock
         self._checks: dict[str, asyncio.Task[None]] = {}
+        self._failures: collections.Counter[str] = collections.Counter()
 
     @contextlib.contextmanager
     def watch(
@@ -54,12 +57,23 @@
         if task is None or task.done():
             self._checks[target.id] = asyncio.ensure_future(self._check(target))
 
+    def is_lost(self, target_id: str) -> bool:
+        """Return whether connections to a target failed to open again and again."""
+        state = self.registry.states.get(target_id)
+        failures = self._failures[target_id]
+        return bool(state and state.unreached) and failures >= GIVE_UP_CHECKS
+
     async def _check(self, target: registry_module.Target) -> None:
         try:
             await self.http.open_idle(http_client.parse_address(target.address))
         except http_client.RequestNotSent as error:
+            if target.id in self.registry.targets:
+                self._failures[target.id] += 1
             reason = f"silent, and {error}"
             self.registry.eject(target.id, reason, self.clock.now_ms(), unreached=True)
+        else:
+            del self._failures[target.id]
+            self.registry.record_connected(target.id)
         finally:
             self._checks.pop(target.id, None)
 
@@ -85,12 +99,14 @@
         wait_ms = CHECK_MS
         if silent_ms < CHECK_MS:
             wait_ms = CHECK_MS - silent_ms
-        elif silent_ms >= GIVE_UP_MS and state.unreached and self.give_up is not None:
+        elif silent_ms < GIVE_UP_MS:
+            self.silence.check(self.target)
+            wait_ms = min(CHECK_MS, GIVE_UP_MS - silent_ms)
+        elif self.give_up is not None and self.silence.is_lost(self.target.id):
             self.give_up()
             return
         else:
             self.silence.check(self.target)
-            wait_ms = min(CHECK_MS, max(1.0, GIVE_UP_MS - silent_ms))
         self._timer = clock.after(wait_ms, self._on_timer)
 
     def close(self) -> None:
--- a/test/gateway/test_silence.py
+++ b/test/gateway/test_silence.py
@@ -7,8 +7,10 @@
 import time
 
 from cornelreach.gateway import silence
+from cornelreach.http import client as http_client
 from test.gateway import links
 
+LONG_RUN_S = silence.GIVE_UP_MS / 1_000 + 1.0
 SILENT_S = 1.2  # a sound engine may be silent for a second or so
 LONG_BODY = b"x" * 6_000_000
 STEP_MS = 50
@@ -115,6 +117,54 @@
         )
         self.assertEqual(len(self.requests()), 4 + 3)
 
+    # Guards against giving up a long run at a sound engine for one connection that did
+    # not open in time, though the next one did.
+    async def test_one_connection_that_opens_late_ends_no_long_run(self):
+        async def work(engine, head, body, writer):
+            await asyncio.sleep(LONG_RUN_S)
+            writer.write(engine.answer(head))
+
+        await self.start(work)
+        open_idle, failures = self.cut.http.open_idle, [1]
+
+        async def open_late(address):
+            if failures:
+                failures.pop()
+                raise http_client.RequestNotSent("no answer within 200 ms")
+            await open_idle(address)
+
+        self.cut.http.open_idle = open_late
+        for delay_s in (0.0, silence.GIVE_UP_MS / 1_000):
+            failures[:] = [1]
+            call = asyncio.ensure_future(
+                self.cut.send(
+                    "/safe/x",
+                    x_cornelreach_request_id=f"{delay_s}",
+                    x_cornelreach_deadline_ms="5000",
+                )
+            )
+            if delay_s:
+                failures.clear()
+                await asyncio.sleep(delay_s)
+                failures.append(1)
+            status, _ = await call
+            self.assertEqual((status, failures), (200, []))
+        self.assertEqual(len(self.requests()), 2)
+
+    # Guards against opening one connection after the other to an engine at work.
+    async def test_long_runs_open_few_connections(self):
+        async def work(engine, head, body, writer):
+            await asyncio.sleep(LONG_RUN_S)
+            writer.write(engine.answer(head))
+
+        await self.start(work)
+        for path in ("/once/x", "/safe/x"):
+            await self.cut.send(
+                path, x_cornelreach_request_id=path, x_cornelreach_deadline_ms="5000"
+            )
+        opened = sum(engine.connections for engine in self.engines)
+        self.assertLessEqual(opened, 2 * (1 + LONG_RUN_S * 1_000 / silence.CHECK_MS))
+
     # Guards against streams that wait on at a lost engine until their callers leave.
     async def test_a_stream_that_may_go_on_leaves_a_lost_engine(self):
         await self.start()
