--- a/tools/bench_edge.py
+++ b/tools/bench_edge.py
@@ -121,7 +121,7 @@
         {"key": key, "tokens": size}
         for key, size in zip(prompt.keys, prompt.tokens, strict=True)
     ]
-    return chat.engine_body(call, f"run-{number}", "1", described, tokens)
+    return chat.engine_body(call, f"run-{number}", "1", described, tokens, 0)
 
 
 async def run_stream(http: client.Client, address: str, body: bytes) -> Stream:
