Begin a row of failed checks of a silent target anew after a sign of it

Found by reading the change before: a failure from long ago would have counted with the next one. Without the two lines that begin anew, the test fails in its last line (two failures before the sign and one after it made a row).

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -35,7 +35,7 @@
 IDLE_POLL_S = 0.02
 DEADLINE_MARGIN_S = 0.015  # reserved for returning the response to the caller
 FIRST_ATTEMPT_SHARE = 0.5  # of the time left, while the request may run once more
-RUN_MARGIN = 1.25  # runs take longer than those before by chance
+RUN_MARGIN = 1.25  # a run may take longer than recent ones
 NO_CONTENT = 204
 # Statuses that imply that the request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
--- a/cornelreach/gateway/silence.py
+++ b/cornelreach/gateway/silence.py
@@ -67,16 +67,21 @@
         try:
             await self.http.open_idle(http_client.parse_address(target.address))
         except http_client.RequestNotSent as error:
-            if target.id in self.registry.targets:
-                self._failures[target.id] += 1
-            reason = f"silent, and {error}"
-            self.registry.eject(target.id, reason, self.clock.now_ms(), unreached=True)
+            self._record_failure(target, f"silent, and {error}")
         else:
             del self._failures[target.id]
             self.registry.record_connected(target.id)
         finally:
             self._checks.pop(target.id, None)
 
+    def _record_failure(self, target: registry_module.Target, reason: str) -> None:
+        if target.id not in self.registry.targets:
+            return
+        if not self.registry.state(target.id).unreached:
+            del self._failures[target.id]  # there was a sign of it since
+        self._failures[target.id] += 1
+        self.registry.eject(target.id, reason, self.clock.now_ms(), unreached=True)
+
 
 class _Watch:
     """The wait of one request; a timer checks the target each time it is silent."""
--- a/test/gateway/test_silence.py
+++ b/test/gateway/test_silence.py
@@ -151,6 +151,22 @@
             self.assertEqual((status, failures), (200, []))
         self.assertEqual(len(self.requests()), 2)
 
+    # Guards against failures from before a sign of the engine counting as a row.
+    async def test_a_sign_of_an_engine_ends_a_row_of_failed_checks(self):
+        await self.start()
+        registry, found = (
+            self.cut.mirror.registry,
+            silence.Silence(self.cut.mirror.registry, self.cut.http, self.cut.clock),
+        )
+        target = registry.targets["e0"]
+        for _ in range(2):
+            found._record_failure(target, "no answer")
+        self.assertTrue(found.is_lost("e0"))
+        registry.restore("e0", 0.0, self.cut.clock.now_ms())
+        self.assertFalse(found.is_lost("e0"))
+        found._record_failure(target, "no answer")
+        self.assertFalse(found.is_lost("e0"))
+
     # Guards against opening one connection after the other to an engine at work.
     async def test_long_runs_open_few_connections(self):
         async def work(engine, head, body, writer):
