Take turns by length for streams alone, and in smaller parts

Cause: since long parts count as several pieces, a body that is read whole was read slower than it came, though only events make its length costly. Change: bodies are read as they come; parts of streams have 8 KB, and each KB counts as a piece.

--- a/cornelreach/gateway/streamrelay.py
+++ b/cornelreach/gateway/streamrelay.py
@@ -160,7 +160,7 @@
         request_state: requeststate.RequestState,
         answer: http_client.ClientResponse,
     ) -> typing.AsyncIterator[bytes]:
-        async with contextlib.aclosing(answer.parts()) as parts:
+        async with contextlib.aclosing(answer.parts(as_events=True)) as parts:
             while True:
                 try:
                     async with asyncio.timeout_at(request_state.due_s):
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -28,7 +28,7 @@
 MAX_HELD_BYTES = 33_554_432  # of all bodies that a client is reading whole
 MAX_SMALL_PARTS = 16_384  # of a body that is read whole
 SMALL_PART_BYTES = 64
-MAX_PART_BYTES = 16_384
+MAX_PART_BYTES = 8_192  # of events
 CACHED_ADDRESSES = 16_384
 LOOP_PASSES = 8  # of the event loop, to take over a connection that is open
 
@@ -109,16 +109,21 @@
             return "chunked"
         return "close" if self.header("content-length") is None else "length"
 
-    async def parts(self) -> typing.AsyncIterator[bytes]:
-        """Yield the body as it arrives; raises ResponseLost if it is incomplete."""
+    async def parts(self, as_events: bool = False) -> typing.AsyncIterator[bytes]:
+        """Yield the body as it arrives; raises ResponseLost if it is incomplete.
+
+        With ``as_events``, what may hold many short events is yielded in turns.
+        """
         try:
             while True:
                 event = await self._connection.event()
                 if isinstance(event, h11.Data):
                     data = bytes(event.data)
-                    for start in range(0, len(data), MAX_PART_BYTES):
-                        part = data[start : start + MAX_PART_BYTES]
-                        await self._connection.take_turn(len(part))
+                    part_bytes = MAX_PART_BYTES if as_events else len(data) or 1
+                    for start in range(0, len(data), part_bytes):
+                        part = data[start : start + part_bytes]
+                        if as_events:
+                            await self._connection.take_turn(len(part))
                         yield part
                 elif isinstance(event, h11.EndOfMessage):
                     break
--- a/cornelreach/http/turns.py
+++ b/cornelreach/http/turns.py
@@ -19,7 +19,7 @@
 
 FREE_PIECES = 12  # each time that data arrives; most messages have fewer
 TURN_PIECES = 32
-PIECE_BYTES = 512
+PIECE_BYTES = 1_024
 
 
 class Turns:
