--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -38,6 +38,7 @@
 def _repeats() -> None:
     """Sends a request again after its connection was lost, though it may have run."""
     requeststate.RequestState.may_attempt = lambda self, now_s: len(self.tries) < 3
+    forwarding.Forwarder._is_still_repeatable = lambda self, request_state: True
 
 
 def _refuses_after_run() -> None:
