--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -202,7 +202,7 @@
     return True
 
 
-async def _take_no_turn(self: typing.Any) -> None:
+async def _take_no_turn(self: typing.Any, length: int = 0) -> None:
     """Go on without a turn of the event loop."""
 
 
