--- a/test/gateway/test_detours.py
+++ b/test/gateway/test_detours.py
@@ -5,7 +5,7 @@
 
 from cornelreach.gateway import detours, hubs
 from cornelreach.http import messages
-from test.gateway import harness as harness_module, links, test_forwarding
+from test.gateway import harness as harness_module, links, test_unnamedanswers
 
 LATE_S = 0.3
 
@@ -164,7 +164,7 @@
 
         async def refuse_first(engine, head, body, writer):
             other = {**head, "x-cornelreach-request-id": "other"}
-            writer.write(test_forwarding.unnamed_refusal(503))
+            writer.write(test_unnamedanswers.unnamed_refusal(503))
             writer.write(engine.answer(other, 503, b"", False, report))
             await asyncio.sleep(0.01)
             writer.write(engine.answer(head, extra=report))
