Keep origins of streams in the store while several software versions serve

Cause: the origin of a stream was kept in the memory of four instances, so it was gone with them, and to guess would break ORDER. Change: while a service may have streams of several versions, each instance writes the origins of its own streams to an entry of its own, all together at a quarter of the store's rate of writes. Who is told an origin by nobody lists the entries. Hashes of attempts do not recur, so what an entry says stays true; the next process of that name takes it over and deletes it once its streams have ended. A new kind of object, which the build before does not read; nothing else that is stored or sent has changed.

--- a/cornelreach/gateway/continuations.py
+++ b/cornelreach/gateway/continuations.py
@@ -19,6 +19,7 @@
     registry as registry_module,
     requeststate,
     softwareversions,
+    storedorigins,
     streamorigins,
 )
 from cornelreach.reports import metrics as metrics_module
@@ -47,6 +48,7 @@
         clock: timers.Timers,
         metrics: metrics_module.Metrics,
         versions: softwareversions.SoftwareVersions,
+        stored: storedorigins.StoredOrigins,
         is_current: Confirm = _trust_entry,
     ) -> None:
         self.is_current = is_current
@@ -55,6 +57,7 @@
         self.clock = clock
         self.metrics = metrics
         self.versions = versions
+        self.stored = stored
 
     def bind(self, request_state: requeststate.RequestState, software: str) -> None:
         """Bind a stream to the software of its first event; later calls do nothing."""
@@ -66,6 +69,8 @@
             origin = streamorigins.Origin(request_state.service, software)
             keep_ms = max(call.deadline_ms or 0.0, route.timeout_ms) + MARGIN_MS
             self.origins.record(call.request_id, origin, keep_ms)
+            if self.versions.are_several(request_state.service):
+                self.stored.record(call.request_id, origin, keep_ms)
 
     async def doubt(
         self, request_state: requeststate.RequestState, target: registry_module.Target
@@ -114,17 +119,33 @@
         call, route = request_state.call, request_state.route
         if route.kind is not catalogue.Kind.STREAM or call.last_event is None:
             return True
-        origin = await self.origins.find(call.resumes) if call.resumes else None
-        known = "kept"
-        if origin is None:
-            origin = await self._only_origin(request_state)
-            known = "unknown" if origin is None else "only-version"
+        origin, known = await self._find_origin(request_state)
         self.metrics.add("streams_taken_up_total", 1, known)
         if origin is None:
             return False
         request_state.service, request_state.software = origin
         return any(one.service == origin.service for one in route.shares)
 
+    async def _find_origin(
+        self, request_state: requeststate.RequestState
+    ) -> tuple[streamorigins.Origin | None, str]:
+        """Return the origin of a stream, and what told it."""
+        attempt = request_state.call.resumes
+        if attempt and (origin := await self.origins.find(attempt)):
+            return origin, "kept"
+        if origin := await self._only_origin(request_state):
+            return origin, "only-version"
+        if attempt and (origin := await self._stored_origin(attempt)):
+            return origin, "stored"
+        return None, "unknown"
+
+    async def _stored_origin(self, attempt: str) -> streamorigins.Origin | None:
+        try:
+            async with asyncio.timeout(READ_MS / 1_000):
+                return await self.stored.find(attempt)
+        except TimeoutError:
+            return None
+
     async def _only_origin(
         self, request_state: requeststate.RequestState
     ) -> streamorigins.Origin | None:
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -36,6 +36,7 @@
     selection,
     silence,
     softwareversions,
+    storedorigins,
     streamorigins,
     targetlimits,
     watching,
@@ -226,6 +227,9 @@
         self.software_versions = softwareversions.SoftwareVersions(
             self.mirror, self.objects, self.clock
         )
+        self.stored_origins = storedorigins.StoredOrigins(
+            self.objects, self.mirror, self.clock, self.site.writes_per_s
+        )
         self.forwarder = forwarding.Forwarder(
             forwarding.Dependencies(
                 self.mirror,
@@ -240,6 +244,7 @@
                     self.clock,
                     self.metrics,
                     self.software_versions,
+                    self.stored_origins,
                     self._is_current,
                 ),
                 self.quarantine,
@@ -336,6 +341,7 @@
     def _platform_restored(self, era: int) -> None:
         """Read everything again: the platform's store came back from a copy."""
         self.lease.on_restore(era, self.clock.now_ms())
+        self.stored_origins.forget_version()
         for one in self.watchers:
             one.restart()
 
@@ -460,6 +466,7 @@
         self._keep_running("registration", self._register_first)
         self._keep_running("settings", self._watch_settings)
         self.clock.every(softwareversions.CHECK_MS, self.software_versions.check)
+        self.clock.every(storedorigins.CHECK_MS, self.stored_origins.check)
         events.emit(
             STARTED, name=self.site.name, zone=self.site.zone, address=self.site.front
         )
@@ -585,5 +592,6 @@
         self.rollouts.close()
         self.quarantine_sync.close()
         self.software_versions.close()
+        self.stored_origins.close()
         for task in self._tasks:
             task.cancel()
--- a/cornelreach/gateway/softwareversions.py
+++ b/cornelreach/gateway/softwareversions.py
@@ -64,6 +64,7 @@
         self._checked_changes = -1
         self._next_check_ms = 0.0
         self._writing: dict[str, asyncio.Task[None]] = {}
+        self._several: dict[str, tuple[float, bool]] = {}
 
     def possible(self, service: str, now_ms: float) -> frozenset[str]:
         """Return the versions that may have begun a stream that goes on now."""
@@ -72,6 +73,18 @@
         held = self._held.get(service)
         return frozenset(seen) if held is None else held.versions | seen
 
+    def are_several(self, service: str) -> bool:
+        """Return whether streams of a service may be of several versions.
+
+        That is asked for each stream, so the answer may be ``CHECK_MS`` old.
+        """
+        now_ms = self.clock.now_ms()
+        until_ms, found = self._several.get(service, (0.0, False))
+        if until_ms < now_ms:
+            found = len(self.possible(service, now_ms)) > 1
+            self._several[service] = now_ms + CHECK_MS, found
+        return found
+
     def is_kept(self, service: str) -> bool:
         """Return whether the store's entry of a service is known."""
         return service in self._held
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -21,6 +21,7 @@
     selection,
     silence,
     softwareversions,
+    storedorigins,
     streamorigins,
     targetlimits,
 )
@@ -28,6 +29,7 @@
 from cornelreach.platform import site
 from cornelreach.reports import metrics
 from cornelreach.util import timers
+from test.platform import objects
 
 BOUNDS = site.Bounds(
     drain_ms=2_000,
@@ -223,6 +225,9 @@
         self.software_versions = softwareversions.SoftwareVersions(
             self.mirror, store, self.clock
         )
+        self.stored_origins = storedorigins.StoredOrigins(
+            store or objects.FakeObjectStore(), self.mirror, self.clock, 400
+        )
         self.tasks = []
         self.peer_server = None
         parts = forwarding.Dependencies(
@@ -238,6 +243,7 @@
                 self.clock,
                 self.metrics,
                 self.software_versions,
+                self.stored_origins,
             ),
             quarantine.Quarantine(self.clock),
             detours.Detours(
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -265,6 +265,24 @@
             self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
         self.assertEqual(self.resumed_at(), set())
 
+    # Guards against refusing all streams that are taken up after all instances were
+    # killed while two versions serve.
+    async def test_a_stream_goes_on_at_its_version_after_all_were_killed(self):
+        self.store = objects.FakeObjectStore()
+        await self.start_versions()
+        self.harness.software_versions.objects = self.store
+        self.harness.stored_origins.objects = self.store
+        self.harness.software_versions.check()
+        attempts = [await self.begin(self.harness, one) for one in range(UNTRIED)]
+        await asyncio.sleep(0.1)
+        other = await self.start_again()
+        for engine, version in zip(self.engines, ("v1", "v2"), strict=True):
+            other.register(engine, "s", software=version)
+        for number, attempt in enumerate(attempts):
+            got = await self.go_on(other, number, attempt)
+            self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
+        self.assertEqual(self.resumed_at(), {"e0"})
+
     # Guards against refusing callers where no other version can have begun a stream.
     async def test_a_stream_goes_on_where_there_was_one_version_all_the_while(self):
         self.store = objects.FakeObjectStore()
