--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -94,6 +94,7 @@
             for number in range(3, 7)
         ],
     ),
+    "stores-no-origins": ("taken up", [Fault(1.0, "kill-all", "", 1.0)]),
     "forgets-crashes": ("poisoned prompts", [Fault(0.5, "poison", "", 1.0)]),
     "blames-all-parts": ("sound prompts", [Fault(3.5, "poison", "", 1.0)]),
     "forgets-requests": ("repeated requests", [Fault(0.5, "repeat", "read", 1.0)]),
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -122,7 +122,7 @@
             kind = self.random.choice(REQUEST_KINDS)
             request = await self.send_request(kind, self.keys())
             if kind.name == "resume" and request.events and not request.complete:
-                await self._take_up(request)
+                await self.take_up(request)
             await asyncio.sleep(MEAN_PAUSE_S * self.random.uniform(0.5, 1.5))
 
     async def run_poisoned(self, part: str, period_s: float) -> None:
@@ -196,7 +196,8 @@
             )
         )
 
-    async def _take_up(self, broken: SentRequest) -> None:
+    async def take_up(self, broken: SentRequest) -> None:
+        """Go on with a broken stream at another instance."""
         if not self.others:
             return
         edge, address = self.random.choice(list(self.others.items()))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -34,6 +34,7 @@
 SERVING_KINDS = frozenset(("garbled", "late-orders"))
 MIN_TAKEN_UP = 12  # streams
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+RESTART_KINDS = frozenset(("kill",))
 STOP_KINDS = frozenset(("term", "late-body"))
 
 
@@ -102,6 +103,31 @@
         yield checkcontext.Violation("taken up", "", text)
 
 
+def streams_after_all_were_killed(
+    context: checkcontext.CheckContext,
+) -> checkcontext.Violations:
+    """Half of the streams that outlive all instances go on, or more.
+
+    Counted are those at instances that read the store, while all engines serve.
+    """
+    went_on = []
+    environment = context.environment
+    for request in environment.requests:
+        if not request.resumes or f"-{injector.LEFT}" not in request.request_id:
+            continue
+        start_s = request.sent_s - checkcontext.CONTACT_S
+        names = [*environment.engines, "store", request.edge]
+        if not any(
+            one.kind not in SERVING_KINDS | RESTART_KINDS
+            for name in names
+            for one in context.disturbances_of(name, start_s, request.ended_s)
+        ):
+            went_on.append(bool(request.events))
+    if len(went_on) >= MIN_TAKEN_UP and sum(went_on) < len(went_on) / 2:
+        text = f"{sum(went_on)} of {len(went_on)} streams went on"
+        yield checkcontext.Violation("taken up", "", text)
+
+
 def only_sent_requests(context: checkcontext.CheckContext) -> checkcontext.Violations:
     """Engines run only requests that callers sent, with the account and not the key."""
     for request_id in context.environment.ledger.leaked_keys:
@@ -368,6 +394,7 @@
     response_bodies,
     one_software_version,
     streams_taken_up,
+    streams_after_all_were_killed,
     promptchecks.poisoned_prompts,
     promptchecks.sound_prompts,
     repeatchecks.repeated_requests,
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -17,6 +17,7 @@
     schedule,
 )
 
+LEFT, LEFT_CALLERS = "left", 20  # of streams that outlive all instances
 COLD_S = 3.0
 COPY_AGE_S = 1.2  # how much the store loses when it comes back from a copy
 RESTORE_AWAY_S = 0.4
@@ -87,6 +88,35 @@
         edge = self.environment.edges[fault.subject]
         await self._stop_and_restart(edge, signal.SIGKILL)
 
+    async def _do_kill_all(self, fault: schedule.Fault) -> None:
+        # Streams break off, and all instances are killed before their callers return.
+        environment = self.environment
+        kind = next(one for one in callers.REQUEST_KINDS if one.name == "resume")
+        found = [
+            environment.make_caller(
+                f"{edge.name}-{LEFT}{number}", edge, environment.any_key
+            )
+            for edge in environment.edges.values()
+            for number in range(LEFT_CALLERS // len(environment.edges) + 1)
+        ]
+        pool = [one for one in environment.engines.values() if one.model]
+        for engine in pool:
+            engine.faults.garbled = 1.0
+        broken = await asyncio.gather(
+            *(one.send_request(kind, one.keys()) for one in found)
+        )
+        for engine in pool:
+            engine.faults.garbled = 0.0
+        kills = [schedule.Fault(0.0, "kill", name, 0.0) for name in environment.edges]
+        await asyncio.gather(*map(self._inject, kills))
+        await asyncio.gather(
+            *(
+                caller.take_up(request)
+                for caller, request in zip(found, broken, strict=True)
+                if request.events and not request.complete
+            )
+        )
+
     async def _do_term(self, fault: schedule.Fault) -> None:
         await self._stop_and_restart(
             self.environment.edges[fault.subject], signal.SIGTERM
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -24,6 +24,7 @@
     requeststate,
     rollouts,
     stops,
+    storedorigins,
     streamorigins,
     streamrelay,
     targetlimits,
@@ -124,6 +125,11 @@
     streamorigins.Holders.find = lambda self, key, more=0: []
 
 
+def _stores_no_origins() -> None:
+    """Keeps the origins of streams in the memory of instances alone."""
+    storedorigins.StoredOrigins.record = lambda self, *origin: None
+
+
 def _forgets_crashes() -> None:
     """Sends prompts however many engines have crashed on them."""
     quarantine.Quarantine.record_loss = lambda self, *loss, **more: None
@@ -270,6 +276,7 @@
     "trusts-framing": _trusts_framing,
     "ignores-software": _ignores_software,
     "forgets-origins": _forgets_origins,
+    "stores-no-origins": _stores_no_origins,
     "forgets-crashes": _forgets_crashes,
     "blames-all-parts": _blames_all_parts,
     "forgets-requests": _forgets_requests,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -36,6 +36,7 @@
     ("withdraw", "damage", "refuse-again"),
     ("limits", "late-body", "odd-rest", "cut-heads"),
     ("refuse-first",),
+    ("kill-all", "kill", "pause"),
 )
 KINDS = frozenset(
     kind
@@ -45,7 +46,7 @@
 LATER_PERIOD_S = 8.0
 REPEATED_KINDS = ("once", "read", "stream", "resume")  # of requests
 # Faults that consist of others.
-COMBINED_KINDS = ("late-version",)
+COMBINED_KINDS = ("late-version", "kill-all")
 
 
 def draw(
@@ -79,6 +80,7 @@
     later_subjects["withdraw"] = later_subjects["refuse-again"] = engines
     later_subjects["odd-rest"] = later_subjects["cut-heads"] = engines
     later_subjects["late-body"] = edges
+    later_subjects["kill"] = later_subjects["pause"] = edges
     later_subjects["refuse-first"] = engines
     for group in LATER_GROUPS:
         for _ in range(round(seconds / LATER_PERIOD_S)):
