Apply long lists of the store in many short turns

Cause: on_list applied all records in a row. Change: it gives the loop a turn after each 64 records. Nothing else changes the records meanwhile: pushed changes and extra reads wait for the revision that the end of the list sets. Test: test_a_list_of_12000_targets_takes_many_short_turns (first list, half of it, all again): below 20 ms each.

--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -1,6 +1,7 @@
 """Handlers that apply the platform's records to the mirror, one for each kind."""
 
 import abc
+import asyncio
 import typing
 
 from cornelreach.gateway import (
@@ -21,6 +22,7 @@
 )
 from cornelreach.util import decoding, events, guards, timers
 
+RECORDS_A_TURN = 64  # some 15 us each
 RESTORE_GRACE_MS = 10_000.0  # for the operator to write again what a copy lacks
 # Shares of the bound from the reading of a new version and from the last proof without
 # it; for the rest a request may be queued at an engine.
@@ -46,9 +48,14 @@
         self.mirror = mirror
         self.clock = clock
 
-    def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
-        for record in records:
+    async def on_list(
+        self, records: tuple[results.Record, ...], reconnected: bool
+    ) -> None:
+        """Apply a full list, in several turns of the event loop if it is long."""
+        for number, record in enumerate(records, 1):
             guards.call(self.on_change, record)
+            if number % RECORDS_A_TURN == 0:
+                await asyncio.sleep(0)
         self.mirror.synced.add(self.kind)
 
     @abc.abstractmethod
@@ -100,8 +107,10 @@
     prefix = records_module.TARGETS
     kind = mirror_module.TARGETS
 
-    def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
-        super().on_list(records, reconnected)
+    async def on_list(
+        self, records: tuple[results.Record, ...], reconnected: bool
+    ) -> None:
+        await super().on_list(records, reconnected)
         names = {record.key.removeprefix(self.prefix) for record in records}
         self.mirror.registry.replace(names, self.clock.now_ms())
 
@@ -141,7 +150,9 @@
         self._unconfirmed = set(self.mirror.registry.evacuated)
         self._unconfirmed_until_ms = self.clock.now_ms() + RESTORE_GRACE_MS
 
-    def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
+    async def on_list(
+        self, records: tuple[results.Record, ...], reconnected: bool
+    ) -> None:
         listed = set(map(records_module.evacuated_zone, records))
         self._unconfirmed -= listed
         self.mirror.set_evacuated(listed | self._unconfirmed)
@@ -252,9 +263,11 @@
     def on_restore(self) -> None:
         self._restored = True
 
-    def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
+    async def on_list(
+        self, records: tuple[results.Record, ...], reconnected: bool
+    ) -> None:
         # Entries that an older copy lacks are kept: their instances write them again.
-        super().on_list(records, reconnected)
+        await super().on_list(records, reconnected)
         listed = {record.key.removeprefix(self.prefix) for record in records}
         if self._restored and self.mirror.name not in listed:
             self.register_again()
@@ -321,8 +334,10 @@
         # Entries that the copy lacks are written again.
         self.quarantine.forget_entries()
 
-    def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
-        super().on_list(records, reconnected)
+    async def on_list(
+        self, records: tuple[results.Record, ...], reconnected: bool
+    ) -> None:
+        await super().on_list(records, reconnected)
         listed = {record.key.removeprefix(self.prefix) for record in records}
         for part, held in list(self.quarantine.held.items()):
             if part not in listed and held.version is not None:
--- a/cornelreach/gateway/watching.py
+++ b/cornelreach/gateway/watching.py
@@ -61,7 +61,9 @@
 
     prefix: str
 
-    def on_list(self, records: tuple[results.Record, ...], reconnected: bool) -> None:
+    async def on_list(
+        self, records: tuple[results.Record, ...], reconnected: bool
+    ) -> None:
         """Apply a full list; ``reconnected`` if the platform was unreachable before."""
 
     def on_change(self, record: results.Record) -> None:
@@ -256,7 +258,7 @@
             outcome = await self._watch(RETURN_WAIT_MS)
             if not isinstance(outcome, result.Success):
                 return False
-            self._succeeded(outcome.unwrap(), sent_ms, RETURN_WAIT_MS)
+            await self._succeeded(outcome.unwrap(), sent_ms, RETURN_WAIT_MS)
             self._read_ms = sent_ms
             return True
 
@@ -292,7 +294,7 @@
             if proved_ms is not None:
                 self._prove(proved_ms)
             found = outcome.unwrap()
-            self._succeeded(found, sent_ms, wait_ms)
+            await self._succeeded(found, sent_ms, wait_ms)
             if found.records and self.timing.batch_ms:
                 is_hub = self.source is not None and self.source.is_hub()
                 batch_ms = HUB_BATCH_MS if is_hub else self.timing.batch_ms
@@ -333,7 +335,7 @@
             self.handler.prefix, self.revision, wait_ms, MARGIN_MS
         )
 
-    def _succeeded(
+    async def _succeeded(
         self,
         found: results.Listing | results.Changes,
         sent_ms: float,
@@ -345,7 +347,7 @@
         self._failures = 0
         if isinstance(found, results.Listing):
             self._observe_era(results.era_of(found.revision))
-            self.handler.on_list(found.records, reconnected)
+            await self.handler.on_list(found.records, reconnected)
             self.revision = self.changed_revision = found.revision
             self._behind_ms = None
             self._prove(sent_ms)
--- a/test/gateway/test_proofs.py
+++ b/test/gateway/test_proofs.py
@@ -17,6 +17,15 @@
 ALL = 1_000_000
 
 
+def run_at_once(work):
+    """Return the result of a coroutine that waits for nothing."""
+    try:
+        work.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("it waits")
+
+
 class Store:
     """The platform: numbered changes, and a record of the callers."""
 
@@ -71,7 +80,7 @@
         self.keys = []
         self.proved_ms = None
 
-    def on_list(self, records, reconnected):
+    async def on_list(self, records, reconnected):
         self.keys = [one.key for one in records]
 
     def on_change(self, record):
@@ -127,12 +136,9 @@
 
     def _call(self, watcher):
         work = watcher._list() if watcher.revision is None else watcher._watch(0)
-        try:
-            work.send(None)
-        except StopIteration as stop:
-            outcome = stop.value
+        outcome = run_at_once(work)
         if isinstance(outcome, result.Success):
-            watcher._succeeded(outcome.unwrap(), self.clock.now_ms(), ALL)
+            run_at_once(watcher._succeeded(outcome.unwrap(), self.clock.now_ms(), ALL))
 
     def keys(self, name):
         """Return the keys that an instance has received."""
--- a/test/gateway/test_quarantinesync.py
+++ b/test/gateway/test_quarantinesync.py
@@ -182,7 +182,7 @@
         await self.wait_for(lambda: store.store.records)
         later, handler = self.start("i2", ["i1", "i2"], store)
         listing = (await store.list(quarantines.PREFIX)).unwrap()
-        handler.on_list(listing.records, False)
+        await handler.on_list(listing.records, False)
         self.assertTrue(later.holds(("bad",)))
         self.assertEqual(later.held["bad"].version, 1)
 
@@ -210,7 +210,7 @@
         found, handler = self.start("i1", ["i1"], objects.FakeObjectStore())
         handler.on_change(results.Record("quarantines/bad", 3, {"trials": 0}))
         self.assertTrue(found.holds(("bad",)))
-        handler.on_list((), False)
+        await handler.on_list((), False)
         self.assertFalse(found.holds(("bad",)))
 
     async def test_one_of_two_instances_gets_a_trial(self):
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -241,7 +241,7 @@
             other.mirror, other.clock, other.software_versions
         )
         records = self.store.store.listing(software.PREFIX).records
-        handler.on_list(records, reconnected=False)
+        await handler.on_list(records, reconnected=False)
         await other.start()
         self.addAsyncCleanup(other.stop)
         return other
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -16,6 +16,7 @@
 )
 from cornelreach.platform import records, results
 from cornelreach.util import timers
+from test.http import test_turns
 
 CONFIG = {
     "version": 3,
@@ -343,19 +344,19 @@
         self.assertLessEqual(self.versions.proved_ms, 60_000)
 
 
-class Kinds(unittest.TestCase):
+class Kinds(unittest.IsolatedAsyncioTestCase):
     """The handlers of the other kinds of records."""
 
     def setUp(self):
         self.clock = timers.VirtualTimers(start_ms=60_000)
         self.mirror = mirror_module.Mirror("e", 5_000, True)
 
-    def test_the_old_version_is_allowed_for_a_grace_period_after_a_start(self):
+    async def test_the_old_version_is_allowed_for_a_grace_period_after_a_start(self):
         # An instance that started 60 ms after a version was set refused prompts half
         # a second later, since no engine had loaded the version yet (inc-eef9).
         handler = recordhandlers.VersionHandler(self.mirror, self.clock, 8_000, 3_000)
         record = results.Record("versions/m", 4, {"model": "m", "version": 2})
-        handler.on_list((record,), False)
+        await handler.on_list((record,), False)
         old_until_ms = self.mirror.versions["m"].old_until_ms
         self.assertEqual(old_until_ms, 60_000 + 3_000 * recordhandlers.OLD_SHARE)
         newer = record._replace(value={"model": "m", "version": 3})
@@ -365,12 +366,14 @@
         self.assertEqual((named.version, named.learned_ms), (3, 60_000))
         self.assertTrue(64_000 < named.old_until_ms < 66_000)
 
-    def test_an_evacuation_that_a_copy_lacks_stays_until_it_is_written_again(self):
+    async def test_an_evacuation_that_a_copy_lacks_stays_until_it_is_written_again(
+        self,
+    ):
         handler = recordhandlers.EvacuationHandler(self.mirror, self.clock)
         records = [results.Record(f"evacuations/{zone}", 1, {}) for zone in "ab"]
-        handler.on_list(tuple(records), False)
+        await handler.on_list(tuple(records), False)
         handler.on_restore()
-        handler.on_list((), False)
+        await handler.on_list((), False)
         handler.on_proof(60_000)
         self.assertEqual(self.mirror.registry.evacuated, {"a", "b"})
         handler.on_change(records[0])
@@ -378,37 +381,64 @@
         handler.on_proof(70_000)
         self.assertEqual(self.mirror.registry.evacuated, {"a"})
 
-    def test_an_instance_that_a_copy_lacks_registers_again(self):
+    async def test_an_instance_that_a_copy_lacks_registers_again(self):
         registered = []
         handler = recordhandlers.FleetHandler(
             self.mirror, self.clock, {}, lambda: registered.append(True)
         )
         value = {"data_centre": "x", "peer_address": "10.0.0.1:1", "state": "live"}
         entries = [results.Record(f"instances/{name}", 1, value) for name in "de"]
-        handler.on_list(tuple(entries), False)
+        await handler.on_list(tuple(entries), False)
         handler.on_restore()
-        handler.on_list(tuple(entries), False)
+        await handler.on_list(tuple(entries), False)
         self.assertEqual(registered, [])
         handler.on_restore()
-        handler.on_list((), False)
-        handler.on_list((), False)
+        await handler.on_list((), False)
+        await handler.on_list((), False)
         self.assertEqual(registered, [True])
         self.assertEqual(self.mirror.fleet.size, 2)
 
-    def test_evacuations_are_added_and_removed(self):
+    # Guards against an instance that serves nobody while it reads a long list.
+    async def test_a_list_of_12000_targets_takes_many_short_turns(self):
+        asyncio.get_running_loop().set_debug(False)
+        handler = recordhandlers.TargetHandler(self.mirror, self.clock)
+        value = {
+            "service": "s",
+            "zone": "lj",
+            "state": "ready",
+            "slots": 48,
+            "sequence": 1,
+            "version": "2.4.1",
+            "models": [{"name": "m", "version": 2}],
+        }
+        found = [
+            results.Record(
+                f"servers/e{number}",
+                number,
+                {**value, "address": f"10.0.{number // 250}.{number % 250}:80"},
+            )
+            for number in range(12_000)
+        ]
+        for listed in (found, found[:6_000], found):
+            async with test_turns.longest_turn() as longest:
+                await handler.on_list(tuple(listed), False)
+            self.assertLess(longest[0], test_turns.TURN_MS)
+            self.assertEqual(len(self.mirror.registry.targets), len(listed))
+
+    async def test_evacuations_are_added_and_removed(self):
         handler = recordhandlers.EvacuationHandler(self.mirror, self.clock)
-        handler.on_list((results.Record("evacuations/lj", 1, {}),), False)
+        await handler.on_list((results.Record("evacuations/lj", 1, {}),), False)
         handler.on_change(results.Record("evacuations/kr", 2, {}))
         self.assertEqual(self.mirror.registry.evacuated, {"lj", "kr"})
         handler.on_change(results.Record("evacuations/lj", 3, None))
         self.assertEqual(self.mirror.registry.evacuated, {"kr"})
 
-    def test_the_fleet_counts_every_instance_once(self):
+    async def test_the_fleet_counts_every_instance_once(self):
         members = {}
         handler = recordhandlers.FleetHandler(self.mirror, self.clock, members)
         value = {"data_centre": "x", "peer_address": "10.0.0.9:1", "state": "live"}
         value["power"] = 0.5
-        handler.on_list((results.Record("instances/f", 1, value),), False)
+        await handler.on_list((results.Record("instances/f", 1, value),), False)
         handler.on_change(results.Record("instances/g", 2, {"forged": True}))
         self.assertEqual(self.mirror.fleet.names, ("e", "f", "g"))
         self.assertEqual(members, {"f": hubs.Member("10.0.0.9", 1, "x", 0.5)})
