--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -40,6 +40,7 @@
 class Faults:
     """Shares of requests that fail by kind of fault; ``dark`` stops all responses.
 
+    ``shed`` is the share that is turned away though there is room.
     ``leaving`` is told in every answer, and so is ``limit_per_s``; while ``rest_s`` is
     set, requests are refused and their senders asked to wait for that long. With
     ``held_orders`` orders are neither answered nor carried out. ``refuse_again`` is the
@@ -58,6 +59,7 @@
         self.leaving = False
         self.rest_s = 0.0
         self.limit_per_s: float | None = None
+        self.shed = 0.0
         self.errors = 0.0
         self.lost = 0.0
         self.garbled = 0.0
@@ -334,7 +336,8 @@
         if wanted and int(wanted) != self.version:
             return headers.MISDIRECTED
         full = self.running >= self.slots + MAX_QUEUED
-        return 503 if self.loading or full or self.faults.rest_s else 0
+        shed = self.faults.shed and self.random.random() < self.faults.shed
+        return 503 if self.loading or full or shed or self.faults.rest_s else 0
 
     def _record_arrival(self, head: RequestHead, status: int) -> None:
         now_s = time.monotonic()
--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -94,6 +94,15 @@
             for number in range(3, 7)
         ],
     ),
+    "forgets-retries": (
+        "repeats",
+        [Fault(0.5, "shed", f"e{number}", 9.0) for number in range(3)]
+        + [
+            Fault(at_s, "kill", f"edge{number}", 0.0)
+            for at_s in (2.5, 4.5, 6.5)
+            for number in range(EDGES)
+        ],
+    ),
     "stores-no-origins": ("taken up", [Fault(1.0, "kill-all", "", 1.0)]),
     "forgets-crashes": ("poisoned prompts", [Fault(0.5, "poison", "", 1.0)]),
     "blames-all-parts": ("sound prompts", [Fault(3.5, "poison", "", 1.0)]),
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -19,6 +19,7 @@
 )
 
 LEFT, LEFT_CALLERS = "left", 20  # of streams that outlive all instances
+SHED_SHARE = 0.8
 COLD_S = 3.0
 COPY_AGE_S = 1.2  # how much the store loses when it comes back from a copy
 RESTORE_AWAY_S = 0.4
@@ -306,6 +307,9 @@
     async def _do_errors(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "errors", 0.5, 0.0)
 
+    async def _do_shed(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "shed", SHED_SHARE, 0.0)
+
     async def _do_lost(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "lost", 0.3, 0.0)
 
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -130,6 +130,11 @@
     storedorigins.StoredOrigins.record = lambda self, *origin: None
 
 
+def _forgets_retries() -> None:
+    """Gives each process its whole share of the retry budget at once."""
+    quotas.START_SHARE = float("inf")
+
+
 def _forgets_crashes() -> None:
     """Sends prompts however many engines have crashed on them."""
     quarantine.Quarantine.record_loss = lambda self, *loss, **more: None
@@ -276,6 +281,7 @@
     "trusts-framing": _trusts_framing,
     "ignores-software": _ignores_software,
     "forgets-origins": _forgets_origins,
+    "forgets-retries": _forgets_retries,
     "stores-no-origins": _stores_no_origins,
     "forgets-crashes": _forgets_crashes,
     "blames-all-parts": _blames_all_parts,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -37,6 +37,7 @@
     ("limits", "late-body", "odd-rest", "cut-heads"),
     ("refuse-first",),
     ("kill-all", "kill", "pause"),
+    ("shed", "shed", "kill"),
 )
 KINDS = frozenset(
     kind
@@ -81,7 +82,7 @@
     later_subjects["odd-rest"] = later_subjects["cut-heads"] = engines
     later_subjects["late-body"] = edges
     later_subjects["kill"] = later_subjects["pause"] = edges
-    later_subjects["refuse-first"] = engines
+    later_subjects["refuse-first"] = later_subjects["shed"] = engines
     for group in LATER_GROUPS:
         for _ in range(round(seconds / LATER_PERIOD_S)):
             kind = source.choice(group)
