Let the soak restart its prompt store empty

Its stand-in checks nothing, as the users' store: a part that is still being written can be fetched, which the check whole parts counts. empty-store restarts it empty, twice.

--- a/standins/requestlog.py
+++ b/standins/requestlog.py
@@ -63,6 +63,15 @@
     at_s: float
 
 
+class PartialFetch(typing.NamedTuple):
+    """A part that was fetched from a prompt store while it was being written."""
+
+    request_id: str
+    part: str
+    epoch: int
+    at_s: float
+
+
 class RequestLog:
     """The requests and orders that all engines have received, and their notices.
 
@@ -77,6 +86,7 @@
         self.poisoned_requests: dict[tuple[str, bytes], str] = {}
         self.slow_requests: set[tuple[str, bytes]] = set()
         self.crashes: list[Crash] = []
+        self.partial_fetches: list[PartialFetch] = []
         self.notices: list[Notice] = []
         self.arrivals: list[Arrival] = []
         self.orders: list[OrderRecord] = []
--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -20,7 +20,7 @@
 from cornelreach.http import sockets
 from cornelreach.platform import engines, headers
 from cornelreach.util import hashing
-from standins import requestlog
+from standins import requestlog, wirestore
 
 SERVICE_TIME_S = 0.012
 EVENT_GAP_S = 0.004
@@ -156,6 +156,7 @@
         self.running = 0
         self.sequence = 0
         self.loading = False
+        self.stores: dict[str, wirestore.WireStore] = {}
         self.on_change: typing.Callable[[], None] = lambda: None
         self.on_crash: typing.Callable[[], None] = lambda: None
         self._server: asyncio.Server | None = None
@@ -384,6 +385,7 @@
             self._reply(writer, 500, body, extra)
             return
         if head.get(headers.MODEL):
+            self._use_stores(head)
             if self._goes_on(head) and self.random.random() < self.faults.odd_rest:
                 extra += f"{headers.SIGNATURE.decode()}: error.{request_id}\r\n"
                 extra += "content-type: application/json\r\n"
@@ -411,6 +413,20 @@
             return
         self._reply(writer, 200, body, extra, self._draw_framed())
 
+    def _use_stores(self, head: RequestHead) -> None:
+        """Fetch and save the parts of a prompt as its headers say."""
+        salt, prefix = head.get(headers.CACHE_SALT), head.get(headers.PROMPT_PREFIX)
+        parts = [one.partition(":") for one in prefix.split(",") if one]
+        sources, targets = (
+            head.get(name).split(",") for name in (headers.KV_SOURCE, headers.KV_TARGET)
+        )
+        for (key, _, _), address in zip(parts, sources, strict=False):
+            if store := self.stores.get(address):
+                store.fetch(head.get(headers.REQUEST_ID), (salt, key))
+        for (key, _, tokens), address in zip(parts, targets, strict=False):
+            if store := self.stores.get(address):
+                store.save((salt, key), int(tokens))
+
     def _goes_on(self, head: RequestHead) -> bool:
         """Return whether a request that has run before goes on behind an event."""
         request_id = head.get(headers.REQUEST_ID)
--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -103,6 +103,7 @@
             for number in range(EDGES)
         ],
     ),
+    "keeps-old-parts": ("whole parts", [Fault(2.5, "empty-store", "", 1.0)]),
     "stores-no-origins": ("taken up", [Fault(1.0, "kill-all", "", 1.0)]),
     "forgets-crashes": ("poisoned prompts", [Fault(0.5, "poison", "", 1.0)]),
     "blames-all-parts": ("sound prompts", [Fault(3.5, "poison", "", 1.0)]),
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -18,6 +18,7 @@
     promptchecks,
     reachchecks,
     repeatchecks,
+    storechecks,
     turnchecks,
 )
 
@@ -416,6 +417,7 @@
     graceful_stops,
     reachchecks.cut_off_instances,
     turnchecks.short_turns,
+    storechecks.whole_parts,
     recovery,
     registered_instances,
     no_unexpected_exit,
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -9,7 +9,12 @@
 import typing
 
 from cornelreach.http import server
-from standins import platform as platform_module, requestlog, wireengine
+from standins import (
+    platform as platform_module,
+    requestlog,
+    wireengine,
+    wirestore,
+)
 from tools.soak import (
     addresses,
     callers,
@@ -75,6 +80,7 @@
         self.readiness_waits: list[tuple[str, float, float]] = []
         self.changes: list[AcknowledgedChange] = []
         self.operator = operator_module.Operator(self.store)
+        self.prompt_store = wirestore.WireStore(self.ledger, operator_module.MODEL)
         self.edges: dict[str, edges_module.Edge] = {}
         self.engines: dict[str, wireengine.WireEngine] = {}
         self.zones: dict[str, str] = {}
@@ -89,6 +95,8 @@
     async def start(self) -> None:
         """Start everything and wait until all instances are ready."""
         self.store_server = await server.start(self.shared_host, 0, self.store.handle)
+        await self.prompt_store.start(self.shared_host)
+        self.operator.prompt_store = self.prompt_store.address
         await self._start_engines()
         self.operator.write_config()
         self.operator.write_version()
@@ -143,6 +151,7 @@
                 "" if plain else operator_module.MODEL,
                 software=SOFTWARE[number % len(SOFTWARE)],
             )
+            engine.stores[self.prompt_store.address] = self.prompt_store
             self.engines[name] = engine
             self.zones[name] = ZONES[number % len(ZONES)]
             await engine.start(self.shared_host)
@@ -197,6 +206,7 @@
             link.close()
         for engine in self.engines.values():
             engine.crash()
+        self.prompt_store.crash()
         self.store_server.stop_listening()
         self.store_server.abort()
         self._address_lock.close()
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -20,6 +20,7 @@
 
 LEFT, LEFT_CALLERS = "left", 20  # of streams that outlive all instances
 SHED_SHARE = 0.8
+STORE_RESTARTS, STORE_AWAY_S, STORE_SERVES_S = 2, 0.2, 4.0
 COLD_S = 3.0
 COPY_AGE_S = 1.2  # how much the store loses when it comes back from a copy
 RESTORE_AWAY_S = 0.4
@@ -251,6 +252,15 @@
         await asyncio.sleep(fault.for_s)
         await self.environment.restart_engine(fault.subject)
 
+    async def _do_empty_store(self, fault: schedule.Fault) -> None:
+        # The prompt store restarts empty, several times in a row.
+        environment = self.environment
+        for _ in range(STORE_RESTARTS):
+            environment.prompt_store.crash()
+            await asyncio.sleep(STORE_AWAY_S)
+            await environment.prompt_store.start(environment.shared_host)
+            await asyncio.sleep(STORE_SERVES_S)
+
     async def _do_poison(self, fault: schedule.Fault) -> None:
         part = f"bad{len(self.environment.ledger.poisoned_parts)}"
         self.environment.ledger.poisoned_parts.add(part)
--- a/tools/soak/operator.py
+++ b/tools/soak/operator.py
@@ -37,6 +37,7 @@
         self.model_version = 1
         self.extra_routes: list[str] = []
         self.limits = dict(LIMITS)
+        self.prompt_store = ""  # its address
         self.padding = b""  # of the bodies of calls that may run once
         self.is_changing_limits = False
         self._written: dict[str, typing.Any] = {}
@@ -73,6 +74,15 @@
         ]
         for service in services:
             service["cold_per_s"] = COLD_PER_S
+        if self.prompt_store:
+            services.append(
+                {
+                    "name": "prompt-store",
+                    "kv_store_addr": self.prompt_store,
+                    "kv_capacity_tokens": 1_000_000,
+                    "link_mbps": 100_000.0,
+                }
+            )
         account = {"name": "tirnica", "api_keys": list(self.keys)}
         self.write(
             "config/main",
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -4,6 +4,7 @@
   planted NAME
 """
 
+import os
 import sys
 import typing
 
@@ -16,6 +17,7 @@
     forwarding,
     mirror,
     outages,
+    promptindex,
     quarantine,
     quotas,
     recordhandlers,
@@ -31,7 +33,7 @@
     watching,
 )
 from cornelreach.http import server, turns
-from cornelreach.platform import headers
+from cornelreach.platform import headers, promptstores, site
 from cornelreach.ui import edge
 from cornelreach.util import decoding
 
@@ -135,6 +137,23 @@
     quotas.START_SHARE = float("inf")
 
 
+def _keeps_old_parts() -> None:
+    """Lets one instance offer the parts that a store held before it restarted."""
+    promptindex.SETTLE_MS = 0.0
+    if not os.environ[site.PATH_VARIABLE].endswith("edge1.toml"):
+        return
+    apply_events = promptindex.PromptStoreContents.apply_events
+
+    def apply_to_all(
+        self: typing.Any, batch: promptstores.Batch, now_ms: float
+    ) -> bool:
+        self.epoch = batch.epoch
+        return apply_events(self, batch._replace(gap=False), now_ms)
+
+    promptindex.PromptStoreContents.apply_events = apply_to_all
+    promptindex.PromptStoreContents.clear = lambda self: None
+
+
 def _forgets_crashes() -> None:
     """Sends prompts however many engines have crashed on them."""
     quarantine.Quarantine.record_loss = lambda self, *loss, **more: None
@@ -282,6 +301,7 @@
     "ignores-software": _ignores_software,
     "forgets-origins": _forgets_origins,
     "forgets-retries": _forgets_retries,
+    "keeps-old-parts": _keeps_old_parts,
     "stores-no-origins": _stores_no_origins,
     "forgets-crashes": _forgets_crashes,
     "blames-all-parts": _blames_all_parts,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -38,6 +38,7 @@
     ("refuse-first",),
     ("kill-all", "kill", "pause"),
     ("shed", "shed", "kill"),
+    ("empty-store", "damage"),
 )
 KINDS = frozenset(
     kind
