Let the planted bug forgets-origins leave out the store too

Cause: since origins are kept in the store while several software versions serve, so a bug in the memory of others alone costs callers nothing. Change: the bug leaves out both; the check and its schedule are the same.

--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -124,6 +124,7 @@
 
 def _forgets_origins() -> None:
     """Keeps the origin of a stream only at the instance that began it."""
+    _stores_no_origins()
     streamorigins.Holders.find = lambda self, key, more=0: []
 
 
