--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -58,6 +58,7 @@
         self.environment = environment
         self.operator = environment.operator
         self._left_count = itertools.count()
+        self._prompt_store_lock = asyncio.Lock()
 
     async def run_schedule(self, faults: typing.Sequence[schedule.Fault]) -> None:
         """Inject the faults of a schedule; returns when the last one has ended."""
@@ -256,9 +257,10 @@
         # The prompt store restarts empty, several times in a row.
         environment = self.environment
         for _ in range(STORE_RESTARTS):
-            environment.prompt_store.crash()
-            await asyncio.sleep(STORE_AWAY_S)
-            await environment.prompt_store.start(environment.shared_host)
+            async with self._prompt_store_lock:
+                environment.prompt_store.crash()
+                await asyncio.sleep(STORE_AWAY_S)
+                await environment.prompt_store.start(environment.shared_host)
             await asyncio.sleep(STORE_SERVES_S)
 
     async def _do_poison(self, fault: schedule.Fault) -> None:
