--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -71,23 +71,27 @@
 
     async def _inject(self, fault: schedule.Fault) -> None:
         handler = getattr(self, "_do_" + fault.kind.replace("-", "_"))
-        start_s = time.monotonic()
         subject = fault.subject
         if fault.kind in schedule.STORE_KINDS:
             subject = "store"
         elif fault.kind in schedule.COMBINED_KINDS:
             subject = ""  # its parts are recorded by themselves
-        disturbance = environment_module.Disturbance(
-            subject, fault.kind, start_s, float("inf")
+        with self._disturb(subject, fault.kind):
+            await handler(fault)
+
+    @contextlib.contextmanager
+    def _disturb(self, subject: str, kind: str) -> typing.Iterator[None]:
+        """Record how long a subject is disturbed."""
+        disturbances = self.environment.disturbances
+        one = environment_module.Disturbance(
+            subject, kind, time.monotonic(), float("inf")
         )
-        self.environment.disturbances.append(disturbance)
+        disturbances.append(one)
         try:
-            await handler(fault)
+            yield
         finally:
-            self.environment.disturbances.remove(disturbance)
-            self.environment.disturbances.append(
-                disturbance._replace(end_s=time.monotonic())
-            )
+            disturbances.remove(one)
+            disturbances.append(one._replace(end_s=time.monotonic()))
 
     async def _do_kill(self, fault: schedule.Fault) -> None:
         edge = self.environment.edges[fault.subject]
@@ -105,11 +109,13 @@
             for _ in range(LEFT_CALLERS // len(environment.edges) + 1)
         ]
         pool = [one for one in environment.engines.values() if one.model]
-        for engine in pool:
-            engine.faults.garbled = 1.0
-        broken = await asyncio.gather(
-            *(one.send_request(kind, one.keys()) for one in found)
-        )
+        with contextlib.ExitStack() as stack:
+            for engine in pool:
+                engine.faults.garbled = 1.0
+                stack.enter_context(self._disturb(engine.name, "garbled"))
+            broken = await asyncio.gather(
+                *(one.send_request(kind, one.keys()) for one in found)
+            )
         for engine in pool:
             engine.faults.garbled = 0.0
         kills = [schedule.Fault(0.0, "kill", name, 0.0) for name in environment.edges]
