Count requests at a resting engine for the instance that sent them, in the soak

The users' bound is for requests from the machine that got the answer. Notices and arrivals count for the sender now, as they do for leaving engines. test.soak: 11 passed, planted ignores-rest among them.

--- a/tools/soak/checkcontext.py
+++ b/tools/soak/checkcontext.py
@@ -26,6 +26,9 @@
 Violations = typing.Iterator[Violation]
 
 
+EdgeOf = typing.Callable[[requestlog.Arrival | requestlog.Notice], str]
+
+
 class CheckContext:
     """The environment, with lookups that several checks share."""
 
@@ -73,18 +76,19 @@
                 newest[one.kind] = max(one.value, newest.get(one.kind, 0))
         return newest.get("load", 0) >= newest.get("version", 0)
 
-    def caller_edge(self, arrival: requestlog.Arrival) -> str:
+    def caller_edge(self, one: requestlog.Arrival | requestlog.Notice) -> str:
         """Return the instance that got a request from its caller."""
-        return arrival.request_id.partition("-")[0]
+        return one.request_id.partition("-")[0]
 
-    def sender(self, arrival: requestlog.Arrival) -> str:
+    def sender(self, one: requestlog.Arrival | requestlog.Notice) -> str:
         """Return the instance that sent a request to an engine, by the log.
 
         A request may have passed through another instance than its caller's.
         """
-        edge = self.caller_edge(arrival)
-        passed_on = re.compile(rf"(\w+)>{arrival.engine}:")
-        for line in self.environment.edges[edge].log_lines_for(arrival.request_id):
+        edge = self.caller_edge(one)
+        passed_on = re.compile(rf"(\w+)>{one.engine}:")
+        process = self.environment.edges.get(edge)
+        for line in process.log_lines_for(one.request_id) if process else ():
             if found := passed_on.search(line):
                 return found[1]
         return edge
@@ -93,17 +97,18 @@
         self,
         notice: requestlog.Notice,
         after_s: float = 0.0,
-        edge_of: typing.Callable[[requestlog.Arrival], str] | None = None,
+        until_s: float = float("inf"),
+        edge_of: EdgeOf | None = None,
     ) -> typing.Iterator[requestlog.Arrival]:
         """Yield later arrivals from the instance that got a notice, in its lifetime.
 
         Those of an instance that was stopped or paused since are left out.
         """
         edge_of = edge_of or self.caller_edge
-        edge = notice.request_id.partition("-")[0]
+        edge = edge_of(notice)
         for one in self.environment.ledger.arrivals:
             if (
-                one.at_s > notice.at_s + after_s
+                notice.at_s + after_s < one.at_s < until_s
                 and (one.engine, one.born) == (notice.engine, notice.born)
                 and not one.misdirected
                 and edge_of(one) == edge
--- a/tools/soak/noticechecks.py
+++ b/tools/soak/noticechecks.py
@@ -14,7 +14,7 @@
     """An instance that passed on a leaving engine's answer sends it nothing more."""
     bound_s = checkcontext.DRAIN_S + checkcontext.SLACK_S
     for notice in _first_notices(context, "leaving"):
-        for one in context.arrivals_after(notice, bound_s, context.sender):
+        for one in context.arrivals_after(notice, bound_s, edge_of=context.sender):
             late_s = one.at_s - notice.at_s
             text = f"reached {one.engine} {late_s:.2f} s after it said it leaves"
             yield checkcontext.Violation("leaving", one.request_id, text)
@@ -23,11 +23,9 @@
 def resting_engines(context: checkcontext.CheckContext) -> checkcontext.Violations:
     """An instance that was asked for a rest sends at most two requests during it."""
     for notice in _first_notices(context, "rest"):
-        late = [
-            one
-            for one in context.arrivals_after(notice)
-            if notice.at_s + REST_GRACE_S < one.at_s < notice.until_s
-        ]
+        late = list(
+            context.arrivals_after(notice, REST_GRACE_S, notice.until_s, context.sender)
+        )
         if len(late) > MAX_DURING_REST:
             text = f"{len(late)} requests reached {notice.engine} during its rest"
             yield checkcontext.Violation("rest", late[-1].request_id, text)
