Let more callers take streams up while an instance is out of step, in the soak

Change: six callers of the other instance begin streams that may be resumed meanwhile. The check is the same.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -116,10 +116,10 @@
         self.poisoned_part = ""
         self.content: Content | None = None
 
-    async def run(self) -> None:
+    async def run(self, kinds: typing.Sequence[RequestKind] = REQUEST_KINDS) -> None:
         """Send until cancelled."""
         while True:
-            kind = self.random.choice(REQUEST_KINDS)
+            kind = self.random.choice(kinds)
             request = await self.send_request(kind, self.keys())
             if kind.name == "resume" and request.events and not request.complete:
                 await self.take_up(request)
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -21,6 +21,7 @@
 LEFT, LEFT_CALLERS = "left", 20  # of streams that outlive all instances
 SHED_SHARE = 0.8
 STORE_RESTARTS, STORE_AWAY_S, STORE_SERVES_S = 2, 0.2, 4.0
+STREAM_CALLERS = 6
 COLD_S = 3.0
 COPY_AGE_S = 1.2  # how much the store loses when it comes back from a copy
 RESTORE_AWAY_S = 0.4
@@ -473,12 +474,26 @@
         for name in renewed:
             await self._renew(name, NEW_SOFTWARE)
             environment.engines[name].faults.garbled = 0.9
-        await asyncio.sleep(OUT_OF_STEP_S)
+        await self._take_up_streams(fault.subject, OUT_OF_STEP_S)
         for name in renewed:
             environment.engines[name].faults.garbled = 0.0
         environment.links[fault.subject].set_link(proxy.Link.GOOD)
         self.operator.write(key, entry)
 
+    async def _take_up_streams(self, subject: str, for_s: float) -> None:
+        """Let callers of the other instances begin streams and take them up."""
+        environment = self.environment
+        kinds = [one for one in callers.REQUEST_KINDS if one.name == "resume"]
+        found = [
+            environment.make_caller(f"{name}-s{number}", edge, environment.any_key)
+            for name, edge in environment.edges.items()
+            if name != subject
+            for number in range(STREAM_CALLERS)
+        ]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(for_s):
+                await asyncio.gather(*(one.run(kinds) for one in found))
+
     async def _renew(self, name: str, software: str) -> None:
         """Start an engine again with other software."""
         engine = self.environment.engines[name]
