Release a request once another one explains the crashes it was refused for

Cause: it had been lost in five crashes, all of a repeated request that was refused 1.2 s later by three crashes of its own; what was refused already was never judged again. Change: when something is refused, what was refused before it is judged without the crashes that it explains, and released if too few are left. Only crashes that this instance knows count, so an entry read from the store is not released by ignorance. Evidence: test_a_request_held_for_the_crashes_of_another_is_released fails on (both are held) and passes; one with crashes of its own stays refused.

--- a/cornelreach/gateway/crashes.py
+++ b/cornelreach/gateway/crashes.py
@@ -353,6 +353,16 @@
             if one not in quarantined
         )
 
+    def is_explained(self, part: str, quarantined: typing.Container[str]) -> bool:
+        """Return whether crashes speak against a part only until others are left out.
+
+        Those are the crashes that something in ``quarantined`` explains.
+        """
+        limits = REQUEST_LIMITS if is_request(part) else PART_LIMITS
+        if self.evidence(part).weight < limits.usual:
+            return False
+        return not self.is_guilty(part, quarantined)
+
     def _was_sound(self, part: str, found: Evidence) -> bool:
         return self._sound_ms.get(part, float("-inf")) > found.first_ms - SOUND_MS
 
--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -203,6 +203,18 @@
                 found = self.crash_log.evidence(part, held)
                 self._hold(part, found.crashes, found.weight)
                 self.on_hold(part)
+        self._judge_again(held)
+
+    def _judge_again(self, earlier: frozenset[str]) -> None:
+        """Release what was held for crashes that something held since explains."""
+        since = self.held.keys() - earlier
+        if not since:
+            return
+        for part in sorted(earlier & self.held.keys()):
+            if self.crash_log.is_explained(part, since):
+                self._remember_release(part, self.clock.now_ms())
+                self.on_release(part, self.held[part].version)
+                self._release(part, "another one explains its crashes")
 
     def _hold(self, part: str, crash_count: int, weight: int) -> None:
         self.held[part] = Held(self.clock.now_ms())
--- a/test/gateway/test_quarantine.py
+++ b/test/gateway/test_quarantine.py
@@ -118,6 +118,34 @@
         self.clock.advance(500)
         self.assertEqual(set(self.quarantine.held), set(names))
 
+    def lose(self, name, targets):
+        """Crash targets on a plain request, one after the other."""
+        for target in targets:
+            self.clock.advance(500)
+            lifetime = crashes.Lifetime(target, 1)
+            self.quarantine.record_loss(lifetime, hash(name), (name,), begun=False)
+        self.clock.advance(500)
+
+    # Guards against refusing a sound request for crashes of one that is found later.
+    def test_a_request_held_for_the_crashes_of_another_is_released(self):
+        shared = [f"t{number}" for number in range(crashes.REQUEST_LIMITS.usual)]
+        self.lose("request-sound", shared)
+        self.quarantine.apply_entry("request-sound", 7, 0)
+        self.assertEqual(self.held, ["request-sound"])
+        self.lose("request-bad", shared)
+        self.assertEqual(set(self.quarantine.held), {"request-sound"})
+        self.lose("request-bad", ("t7", "t8", "t9"))
+        self.assertEqual(set(self.quarantine.held), {"request-bad"})
+        self.assertEqual(self.released, [("request-sound", 7)])
+
+    # Guards against releasing a guilty request because another one is guilty as well.
+    def test_a_request_with_crashes_of_its_own_stays_held(self):
+        self.lose("request-first", ("t0", "t1", "t2"))
+        self.quarantine.apply_entry("request-known", 7, 0)
+        self.lose("request-second", ("t3", "t4", "t5"))
+        self.assertEqual(self.released, [])
+        self.assertEqual(self.quarantine.count(requests=True), 3)
+
     def test_the_oldest_of_very_many_requests_are_released(self):
         for number in range(quarantine.MAX_REQUESTS + 1):
             self.quarantine.apply_entry(f"request-{number}", 7, 0)
