Keep the entry of what is refused again soon after a release

Callers saw (by test, not in a play): a request that crashes targets, refused again within 30 s of a whole answer, was released at once. Cause: an entry that shows within 30 s of a release is given back, as one that was being written; the entry of a second refusal was taken for it and deleted, which released the request everywhere. Found while reading what a release leaves behind. Change: a refusal ends the memory of the release before it. Evidence: test_a_request_that_is_held_again_keeps_its_entry fails before (the entry is given back) and passes.

--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -201,6 +201,7 @@
             self._suspected.discard(part)
             if part not in held and self.crash_log.is_guilty(part, held):
                 found = self.crash_log.evidence(part, held)
+                self._released_ms.pop(part, None)
                 self._hold(part, found.crashes, found.weight)
                 self.on_hold(part)
         self._judge_again(held)
--- a/test/gateway/test_quarantine.py
+++ b/test/gateway/test_quarantine.py
@@ -146,6 +146,15 @@
         self.assertEqual(self.released, [])
         self.assertEqual(self.quarantine.count(requests=True), 3)
 
+    # Guards against giving back the entry of what is guilty again after a release.
+    def test_a_request_that_is_held_again_keeps_its_entry(self):
+        self.lose("request-bad", ("t0", "t1", "t2"))
+        self.quarantine.record_answer(("request-bad",))
+        self.lose("request-bad", ("t3", "t4", "t5", "t6", "t7"))
+        self.quarantine.apply_entry("request-bad", 9, 0)
+        self.assertEqual(self.released, [("request-bad", None)])
+        self.assertEqual(self.quarantine.held["request-bad"].version, 9)
+
     def test_the_oldest_of_very_many_requests_are_released(self):
         for number in range(quarantine.MAX_REQUESTS + 1):
             self.quarantine.apply_entry(f"request-{number}", 7, 0)
