Ask a target whose lifetime a new connection leads to before a stream begins

Cause: a target had started again with new software, and its new entry had not been read yet. An instance asks such a target for its lifetime if it failed, closed idle connections or the records are old. One that has no connection to the target sees none of these, and streams that end with their connection leave none behind. The new connection led to the new process. Change: a connection leads to one lifetime. A target is asked also if the request would use a connection that was opened after it last confirmed its entry; the report travels on that same connection. If it does not report, the stream begins there as before, so that slow reports refuse nobody. Evidence: test_a_stream_begins_on_a_new_connection_at_a_target_that_was_asked fails before (the stream begins at the target of the old entry), and test_a_kept_connection_is_asked_about_once bounds the cost: one report for each connection.

--- a/cornelreach/gateway/continuations.py
+++ b/cornelreach/gateway/continuations.py
@@ -22,6 +22,7 @@
     storedorigins,
     streamorigins,
 )
+from cornelreach.http import client as http_client
 from cornelreach.reports import metrics as metrics_module
 from cornelreach.util import timers
 
@@ -49,6 +50,7 @@
         metrics: metrics_module.Metrics,
         versions: softwareversions.SoftwareVersions,
         stored: storedorigins.StoredOrigins,
+        http: http_client.Client,
         is_current: Confirm = _trust_entry,
     ) -> None:
         self.is_current = is_current
@@ -58,6 +60,7 @@
         self.metrics = metrics
         self.versions = versions
         self.stored = stored
+        self.http = http
 
     def bind(self, request_state: requeststate.RequestState, software: str) -> None:
         """Bind a stream to the software of its first event; later calls do nothing."""
@@ -86,18 +89,29 @@
         if not target.born_ms or not (goes_on or request_state.route.resumable):
             return None
         state = self.registry.state(target.id)
-        if not (goes_on or self._may_be_another(target, state)):
+        is_doubted = goes_on or self._may_be_another(target, state)
+        if not is_doubted and self._is_on_confirmed_connection(target, state):
             return None
         is_current = await self.is_current(target)
         if is_current is None:
+            if not is_doubted:
+                return None
             return requeststate.NotSent("its report could not be read")
         if not is_current:
             text = "the entry is of an earlier lifetime"
             return requeststate.NotSent(text, at_fault=False)
         state.unconfirmed = False
         state.confirmed_ms = self.clock.now_ms()
+        state.confirmed_connections = self.http.opened
         return None
 
+    def _is_on_confirmed_connection(
+        self, target: registry_module.Target, state: registry_module.State
+    ) -> bool:
+        """Return whether a request would use a connection from before the last answer."""
+        number = self.http.next_connection(http_client.parse_address(target.address))
+        return number is not None and number <= state.confirmed_connections
+
     def _may_be_another(
         self, target: registry_module.Target, state: registry_module.State
     ) -> bool:
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -245,6 +245,7 @@
                     self.metrics,
                     self.software_versions,
                     self.stored_origins,
+                    self.http,
                     self._is_current,
                 ),
                 self.quarantine,
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -121,6 +121,7 @@
         self.unreached = False  # whether no connection could be opened
         self.unconfirmed = False  # whether this is still the lifetime of its entry
         self.confirmed_ms = float("-inf")  # when it last said so itself
+        self.confirmed_connections = 0  # the client had opened when it last said so
         self.error_share = 0.0
         self.answer_ms: float | None = None
         self.longest_ms: float | None = None  # of the last answers; it decays
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -211,12 +211,18 @@
 
     def has_idle_connection(self, address: Address) -> bool:
         """Return whether the next request can use an idle connection."""
-        idle = self._idle.get(address)
+        return self.next_connection(address) is not None
+
+    def next_connection(self, address: Address) -> int | None:
+        """Return the number of the idle connection that the next request uses, if any.
+
+        The client counts the connections that it opens, to all addresses, in ``opened``.
+        """
         now_ms = time.monotonic() * 1_000
-        return any(
-            not connection.unusable and connection.idle_until_ms >= now_ms
-            for connection in idle or ()
-        )
+        for connection in reversed(self._idle.get(address, ())):
+            if not connection.unusable and connection.idle_until_ms >= now_ms:
+                return connection.number
+        return None
 
     async def send(
         self,
@@ -399,6 +405,7 @@
         connection.on_connection_lost = lambda: self._count_closed(address)
         connection.on_idle_closed = lambda: self.on_idle_closed(address)
         self.opened += 1
+        connection.number = self.opened
         try:
             if self.ack_timeout_ms:
                 connection.set_ack_timeout(self.ack_timeout_ms)
--- a/cornelreach/http/clientconnection.py
+++ b/cornelreach/http/clientconnection.py
@@ -25,6 +25,7 @@
 class ClientConnection(asyncio.Protocol):
     """One connection; ``idle`` while it is kept for reuse.
 
+    ``number`` is its place among those that the client has opened, from 1.
     ``on_idle_closed`` is called if the server closes it before its idle time is over.
     """
 
@@ -35,6 +36,7 @@
         self.unusable = False
         self.is_lost = False
         self.idle_until_ms = 0.0
+        self.number = 0
         self.on_connection_lost: typing.Callable[[], None] | None = None
         self.on_idle_closed: typing.Callable[[], None] | None = None
         self._error: Exception | None = None
--- a/test/gateway/harness.py
+++ b/test/gateway/harness.py
@@ -244,6 +244,7 @@
                 self.metrics,
                 self.software_versions,
                 self.stored_origins,
+                self.http,
             ),
             quarantine.Quarantine(self.clock),
             detours.Detours(
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import types
 
 from cornelreach.gateway import hubs, recordhandlers
 from cornelreach.http import client as http_client
@@ -155,6 +156,60 @@
         self.assertIn("e0", asked)
         self.assertLess(asked.count("e1"), UNTRIED)
 
+    # Guards against the same where no connection was left to tell of the new start.
+    async def test_a_stream_begins_on_a_new_connection_at_a_target_that_was_asked(self):
+        await self.start_versions()
+        continuations = self.harness.forwarder.dependencies.continuations
+        asked = []
+
+        async def is_current(target):
+            asked.append(target.id)
+            return target.id != "e0"
+
+        continuations.is_current = is_current
+        self.harness.mirror.record_proof(self.harness.clock.now_ms())
+        for number in range(UNTRIED):
+            await self.harness.stream(
+                "/resume/x", x_cornelreach_request_id=f"id-{number}"
+            )
+        self.assertEqual(self.engines[0].requests, [])
+        self.assertIn("e0", asked)
+
+    # Guards against refusing all streams where targets are slow to report.
+    async def test_a_stream_begins_at_a_target_that_does_not_report(self):
+        await self.start_versions()
+        continuations = self.harness.forwarder.dependencies.continuations
+
+        async def is_current(target):
+            return None
+
+        continuations.is_current = is_current
+        self.harness.mirror.record_proof(self.harness.clock.now_ms())
+        await self.harness.stream("/resume/x", x_cornelreach_request_id="id-1")
+        self.assertEqual(sum(len(one.requests) for one in self.engines), 1)
+
+    # Guards against asking a target again on a connection that leads to it already.
+    async def test_a_kept_connection_is_asked_about_once(self):
+        await self.start_versions()
+        continuations = self.harness.forwarder.dependencies.continuations
+        asked = []
+
+        async def is_current(target):
+            asked.append(target.id)
+            return True
+
+        continuations.is_current = is_current
+        target = self.harness.mirror.registry.targets["e0"]
+        address = http_client.parse_address(target.address)
+        route = types.SimpleNamespace(resumable=True)
+        begun = types.SimpleNamespace(software=None, route=route)
+        self.harness.mirror.record_proof(self.harness.clock.now_ms())
+        for count in (1, 2):
+            await self.harness.http.open_idle(address)
+            for _ in range(3):
+                self.assertIsNone(await continuations.doubt(begun, target))
+            self.assertEqual(asked, ["e0"] * count)
+
     # Guards against the same where only its idle connections told of the new start.
     async def test_a_target_that_closed_idle_connections_is_asked(self):
         await self.start_versions()
