Ask a target's lifetime while the stream's connection is open

Cause: the target was asked before the connection was opened, so it could start again between its report and the connection, or other requests could take the kept connection. Change: the client tells when a connection is open (on_connected); the target is asked then, on another connection, while the request's own stays open. If that is still open after the report, both lead to the same lifetime. A connection that closes meanwhile sends nothing. The question before a stream goes on moves there too.

--- a/cornelreach/gateway/continuations.py
+++ b/cornelreach/gateway/continuations.py
@@ -6,7 +6,7 @@
 
     if not await continuations.admit(request_state):
         refuse()  # it cannot be told which version began the stream
-    if doubt := await continuations.doubt(request_state, target):
+    if doubt := await continuations.doubt(request_state, target, connection.number):
         return  # another target; this one may have started anew since its entry
     continuations.bind(request_state, target.software)  # before each part
 """
@@ -76,7 +76,10 @@
                 self.stored.record(call.request_id, origin, keep_ms)
 
     async def doubt(
-        self, request_state: requeststate.RequestState, target: registry_module.Target
+        self,
+        request_state: requeststate.RequestState,
+        target: registry_module.Target,
+        connection: int,
     ) -> requeststate.NotSent | None:
         """Return why a target may not have the software that its entry says, if so.
 
@@ -84,14 +87,20 @@
         new entry is read. It is asked before a stream goes on there, and before one
         that may go on later begins at a target that failed or closed connections since
         it was last asked, or whose entry may be outdated.
+
+        An open connection leads to one lifetime of a target, so a target is asked as
+        well if the request's was opened after it was last asked. If it does not answer,
+        it is believed then to be the one of its entry. ``connection`` is the number of
+        the request's connection, which stays open meanwhile.
         """
         goes_on = request_state.software is not None
         if not target.born_ms or not (goes_on or request_state.route.resumable):
             return None
         state = self.registry.state(target.id)
         is_doubted = goes_on or self._may_be_another(target, state)
-        if not is_doubted and self._is_on_confirmed_connection(target, state):
+        if not is_doubted and connection <= state.confirmed_connections:
             return None
+        opened = self.http.opened
         is_current = await self.is_current(target)
         if is_current is None:
             if not is_doubted:
@@ -102,16 +111,9 @@
             return requeststate.NotSent(text, at_fault=False)
         state.unconfirmed = False
         state.confirmed_ms = self.clock.now_ms()
-        state.confirmed_connections = self.http.opened
+        state.confirmed_connections = opened
         return None
 
-    def _is_on_confirmed_connection(
-        self, target: registry_module.Target, state: registry_module.State
-    ) -> bool:
-        """Return whether a request would use a connection from before the last answer."""
-        number = self.http.next_connection(http_client.parse_address(target.address))
-        return number is not None and number <= state.confirmed_connections
-
     def _may_be_another(
         self, target: registry_module.Target, state: registry_module.State
     ) -> bool:
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -20,6 +20,7 @@
     mirror as mirror_module,
     quarantine as quarantine_module,
     refusals,
+    registry as registry_module,
     requestlog,
     requeststate,
     selection,
@@ -45,6 +46,14 @@
     """The chosen target stopped taking requests before the first byte was sent."""
 
 
+class DoubtfulTarget(Exception):
+    """The target may not be in the lifetime that was chosen; ``outcome`` says why."""
+
+    def __init__(self, outcome: requeststate.NotSent) -> None:
+        super().__init__(outcome.reason)
+        self.outcome = outcome
+
+
 class Dependencies(typing.NamedTuple):
     """What forwarding uses; ``clock`` also runs while the machine is suspended."""
 
@@ -409,11 +418,6 @@
         try:
             due_s = self._attempt_due_s(request_state)
             async with asyncio.timeout_at(due_s) as timeout:
-                doubt = await self.dependencies.continuations.doubt(
-                    request_state, chosen.target
-                )
-                if doubt is not None:
-                    return doubt
                 give_up = functools.partial(timeout.reschedule, 0.0)
                 with self.dependencies.silence.watch(
                     chosen.target, give_up if request_state.may_repeat() else None
@@ -425,6 +429,8 @@
             return requeststate.NotSent(str(error))
         except StaleChoice as error:
             return requeststate.NotSent(str(error), at_fault=False)
+        except DoubtfulTarget as error:
+            return error.outcome
         except TimeoutError:
             if not written:
                 return requeststate.NotSent("no connection in time")
@@ -450,7 +456,23 @@
             ),
             before_write=before_write,
             matches=headers.named_matcher(request_state.call.request_id),
+            on_connected=functools.partial(
+                self._confirm_target, request_state, chosen.target
+            ),
+        )
+
+    async def _confirm_target(
+        self,
+        request_state: requeststate.RequestState,
+        target: registry_module.Target,
+        connection: int,
+    ) -> None:
+        """Raise DoubtfulTarget if a stream must not be sent on a connection."""
+        doubt = await self.dependencies.continuations.doubt(
+            request_state, target, connection
         )
+        if doubt is not None:
+            raise DoubtfulTarget(doubt)
 
     def _before_write(
         self,
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -76,6 +76,7 @@
 
 Matches = typing.Callable[[messages.Headers], bool]
 OnSkipped = typing.Callable[[Address, int, messages.Headers], None]
+OnConnected = typing.Callable[[int], typing.Awaitable[None]]
 
 
 def any_response(_: messages.Headers) -> bool:
@@ -211,18 +212,12 @@
 
     def has_idle_connection(self, address: Address) -> bool:
         """Return whether the next request can use an idle connection."""
-        return self.next_connection(address) is not None
-
-    def next_connection(self, address: Address) -> int | None:
-        """Return the number of the idle connection that the next request uses, if any.
-
-        The client counts the connections that it opens, to all addresses, in ``opened``.
-        """
+        idle = self._idle.get(address)
         now_ms = time.monotonic() * 1_000
-        for connection in reversed(self._idle.get(address, ())):
-            if not connection.unusable and connection.idle_until_ms >= now_ms:
-                return connection.number
-        return None
+        return any(
+            not connection.unusable and connection.idle_until_ms >= now_ms
+            for connection in idle or ()
+        )
 
     async def send(
         self,
@@ -234,6 +229,7 @@
         before_write: typing.Callable[[], None] | None = None,
         new_connection: bool = False,
         matches: Matches = any_response,
+        on_connected: OnConnected | None = None,
     ) -> ClientResponse:
         """Send a request and return the response once its headers have arrived.
 
@@ -241,12 +237,19 @@
         written; if it raises, the request is not sent. ``new_connection`` opens a new
         connection, for calls that must not be repeated: the server may have closed an
         idle connection without this client having noticed. A response that ``matches``
-        rejects is read and discarded. Raises RequestNotSent or ResponseLost.
+        rejects is read and discarded. ``on_connected`` is awaited with the number of
+        the connection before that; it may raise as well. Raises RequestNotSent or
+        ResponseLost.
         """
         connection = await (
             self._connect(address) if new_connection else self._acquire(address)
         )
         try:
+            if on_connected is not None:
+                await on_connected(connection.number)
+                if connection.unusable:
+                    text = f"{address} closed the connection before the request"
+                    raise RequestNotSent(text)
             if before_write is not None:
                 before_write()
             data = self._encode(connection, address, method, target, body, headers)
--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -200,15 +200,46 @@
 
         continuations.is_current = is_current
         target = self.harness.mirror.registry.targets["e0"]
-        address = http_client.parse_address(target.address)
         route = types.SimpleNamespace(resumable=True)
         begun = types.SimpleNamespace(software=None, route=route)
         self.harness.mirror.record_proof(self.harness.clock.now_ms())
-        for count in (1, 2):
-            await self.harness.http.open_idle(address)
-            for _ in range(3):
-                self.assertIsNone(await continuations.doubt(begun, target))
-            self.assertEqual(asked, ["e0"] * count)
+        self.harness.http.opened = 2
+        for connection in (1, 1, 2, 2, 3, 2):
+            self.assertIsNone(await continuations.doubt(begun, target, connection))
+            self.harness.http.opened = max(2, connection)
+        self.assertEqual(asked, ["e0", "e0"])
+
+    # Guards against a new start between a target's report and the stream's connection.
+    async def test_a_target_is_asked_while_the_connection_is_open(self):
+        await self.start_versions()
+        continuations = self.harness.forwarder.dependencies.continuations
+        opened = []
+
+        async def is_current(target):
+            address = http_client.parse_address(target.address)
+            opened.append(self.harness.http.open_connections(address))
+            self.harness.mirror.registry.state(target.id).unconfirmed = True
+            return True
+
+        continuations.is_current = is_current
+        await self.harness.stream("/resume/x", x_cornelreach_request_id="id-1")
+        self.assertNotIn(0, opened)
+
+    # Guards against sending a stream on a connection that closed meanwhile.
+    async def test_nothing_is_sent_if_it_closes_while_the_target_is_asked(self):
+        await self.start_versions()
+        continuations = self.harness.forwarder.dependencies.continuations
+
+        async def is_current(target):
+            engine = next(one for one in self.engines if one.name == target.id)
+            for writer in engine.accepted:
+                writer.close()
+            await asyncio.sleep(0.01)
+            return True
+
+        continuations.is_current = is_current
+        await self.harness.stream("/resume/x", x_cornelreach_request_id="id-1")
+        self.assertEqual([one.requests for one in self.engines], [[], []])
 
     # Guards against the same where only its idle connections told of the new start.
     async def test_a_target_that_closed_idle_connections_is_asked(self):
