Start targets again unseen in the soak, and find connections that are trusted

The soak had no fault in which an engine starts again while an instance reads no records and has no connection to it. Change: unseen-start, where engines close each connection after its answer before they start with new software; the planted bug trusts-connections.

--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -52,7 +52,7 @@
     continuations within one request that are answered with an error in a signed
     success. ``endless`` is the share of plain answers in chunks of one byte that do not
     end until the connection is closed. ``work_s`` is added to the time that each
-    request takes.
+    request takes. With ``closing`` every answer is the last of its connection.
     """
 
     def __init__(self) -> None:
@@ -71,6 +71,7 @@
         self.odd_rest = 0.0
         self.endless = 0.0
         self.work_s = 0.0
+        self.closing = False
         self.dark = False
 
 
@@ -284,6 +285,8 @@
         found = f"{headers.SERVER_LEAVING.decode()}: 1\r\n" if leaving else ""
         if per_s is not None:
             found += f"{headers.SERVER_LIMIT.decode()}: {per_s}\r\n"
+        if self.faults.closing:
+            found += "connection: close\r\n"
         return found
 
     def _record_notices(self, request_id: str, status: int) -> None:
@@ -324,11 +327,13 @@
         share = self.faults.refuse_again if is_kept else self.faults.refuse_first
         if share and self.random.random() < share:
             writer.write(EARLIER_REFUSAL)
+        born = self.born
         self.running += 1
         try:
             await self._run(head, writer)
         finally:
-            self.running -= 1
+            if self.born == born:
+                self.running -= 1
 
     def _refusal(self, head: RequestHead) -> int:
         if head.get(headers.TARGET) not in ("", self.name):
--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -57,6 +57,7 @@
         [Fault(0.5, "endless", f"e{number}", 6.0) for number in range(2)],
     ),
     "guesses-origins": ("one software", [Fault(0.5, "out-of-step", "edge1", 1.0)]),
+    "trusts-connections": ("one software", [Fault(0.5, "unseen-start", "edge1", 1.0)]),
     "keeps-limits": ("limits in force", [Fault(0.5, "limits", "", 1.0)]),
     "takes-late-requests": ("stops", [Fault(0.5, "late-body", "edge0", 1.0)]),
     "joins-errors": (
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -44,6 +44,7 @@
 OLD_SOFTWARE, NEW_SOFTWARE = "1.0", "2.0"
 ONE_VERSION_S = 7.0  # until streams of other versions have ended, and are forgotten
 OUT_OF_STEP_S = 4.0  # less than the bound on revoked keys
+UNSEEN_START_S = 2.0  # records count as outdated later
 SMALL_LIMIT_S = 1.5
 LIMIT_APPLY_S = 2.5  # past the bound on configurations
 LATE_HEAD_S, LATE_REST_S = 2.6, (0.7, 0.9, 1.1)  # after SIGTERM, before the end
@@ -459,35 +460,53 @@
         engine.faults.endless = 0.0
 
     async def _do_out_of_step(self, fault: schedule.Fault) -> None:
-        # New software joins while an instance reaches neither store nor instances.
+        others = [one for one in self.environment.edges if one != fault.subject]
+        await self._renew_unread(fault.subject, others, OUT_OF_STEP_S)
+
+    async def _do_unseen_start(self, fault: schedule.Fault) -> None:
+        # No connection to the engines is left that would tell of their new start.
+        engines = self.environment.engines.values()
+        for one in engines:
+            one.faults.closing = True
+        await self._renew_unread(fault.subject, [fault.subject], UNSEEN_START_S)
+        for one in engines:
+            one.faults.closing = False
+
+    async def _renew_unread(
+        self, subject: str, callers_at: typing.Iterable[str], for_s: float
+    ) -> None:
+        """Let new software join while an instance reaches neither store nor others."""
         environment = self.environment
         pool = [name for name, one in environment.engines.items() if one.model]
         for name in pool:
             await self._renew(name, OLD_SOFTWARE)
         await asyncio.sleep(ONE_VERSION_S)
-        key = f"instances/{fault.subject}"
+        key = f"instances/{subject}"
         entry = msgspec.json.decode(environment.store.model.copy().objects[key].value)
         nowhere = f"{environment.shared_host}:1"
         self.operator.write(key, {**entry, "peer_address": nowhere})
-        environment.links[fault.subject].set_link(proxy.Link.SILENT)
+        environment.links[subject].set_link(proxy.Link.SILENT)
         renewed = pool[: len(pool) // 2]
         for name in renewed:
             await self._renew(name, NEW_SOFTWARE)
             environment.engines[name].faults.garbled = 0.9
-        await self._take_up_streams(fault.subject, OUT_OF_STEP_S)
+        await self._take_up_streams(callers_at, for_s)
         for name in renewed:
             environment.engines[name].faults.garbled = 0.0
-        environment.links[fault.subject].set_link(proxy.Link.GOOD)
+        environment.links[subject].set_link(proxy.Link.GOOD)
         self.operator.write(key, entry)
 
-    async def _take_up_streams(self, subject: str, for_s: float) -> None:
-        """Let callers of the other instances begin streams and take them up."""
+    async def _take_up_streams(
+        self, callers_at: typing.Iterable[str], for_s: float
+    ) -> None:
+        """Let callers of some instances begin streams and take them up."""
         environment = self.environment
         kinds = [one for one in callers.REQUEST_KINDS if one.name == "resume"]
         found = [
-            environment.make_caller(f"{name}-s{number}", edge, environment.any_key)
-            for name, edge in environment.edges.items()
-            if name != subject
+            environment.make_caller(
+                f"{name}-s{number}", environment.edges[name], environment.any_key
+            )
+            for name in callers_at
             for number in range(STREAM_CALLERS)
         ]
         with contextlib.suppress(TimeoutError):
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -269,6 +269,11 @@
     edge_module.Edge._read_software = _read_nothing
 
 
+def _trusts_connections() -> None:
+    """Takes each new connection to lead to the target of the entry that was read."""
+    continuations.Continuations._is_on_confirmed_connection = lambda *_: True
+
+
 def _forgets_registration() -> None:
     """Does not register again when the store comes back from a copy."""
     recordhandlers.FleetHandler.on_restore = lambda self: None
@@ -280,6 +285,7 @@
     "trusts-refusals": _trusts_refusals,
     "trusts-first-answers": _trusts_refusals,
     "guesses-origins": _guesses_origins,
+    "trusts-connections": _trusts_connections,
     "takes-no-turns": _takes_no_turns,
     "keeps-limits": _keeps_limits,
     "takes-late-requests": _takes_late_requests,
