--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -271,7 +271,9 @@
 
 def _trusts_connections() -> None:
     """Takes each new connection to lead to the target of the entry that was read."""
-    continuations.Continuations._is_on_confirmed_connection = lambda *_: True
+    registry.State.confirmed_connections = property(
+        lambda state: float("inf"), lambda state, number: None
+    )
 
 
 def _forgets_registration() -> None:
