Release a refused request only if another one explains all its crashes

Cause: released what had too few crashes left without those of the one found later. Two guilty requests that are often lost together so released each other, and crashed targets again. Change: a request with one crash of its own stays refused. Evidence: test_a_request_with_a_single_crash_of_its_own_stays_held fails before (released) and passes. The sound requests that is for were in no crash without the guilty one.

--- a/cornelreach/gateway/crashes.py
+++ b/cornelreach/gateway/crashes.py
@@ -354,14 +354,12 @@
         )
 
     def is_explained(self, part: str, quarantined: typing.Container[str]) -> bool:
-        """Return whether crashes speak against a part only until others are left out.
+        """Return whether something quarantined explains all crashes of a part.
 
-        Those are the crashes that something in ``quarantined`` explains.
+        A part with even one crash of its own may be guilty as well.
         """
-        limits = REQUEST_LIMITS if is_request(part) else PART_LIMITS
-        if self.evidence(part).weight < limits.usual:
-            return False
-        return not self.is_guilty(part, quarantined)
+        is_known = self.evidence(part).crashes > 0
+        return is_known and not self.evidence(part, quarantined).crashes
 
     def _was_sound(self, part: str, found: Evidence) -> bool:
         return self._sound_ms.get(part, float("-inf")) > found.first_ms - SOUND_MS
--- a/test/gateway/test_quarantine.py
+++ b/test/gateway/test_quarantine.py
@@ -146,6 +146,15 @@
         self.assertEqual(self.released, [])
         self.assertEqual(self.quarantine.count(requests=True), 3)
 
+    # Guards against releasing a guilty request that was often lost with another one.
+    def test_a_request_with_a_single_crash_of_its_own_stays_held(self):
+        self.lose("request-first", ("t0", "t1", "t2"))
+        self.lose("request-second", ("t1", "t2"))
+        self.assertEqual(set(self.quarantine.held), {"request-first"})
+        self.lose("request-second", ("t3", "t4", "t5"))
+        self.assertEqual(self.released, [])
+        self.assertEqual(self.quarantine.count(requests=True), 2)
+
     # Guards against giving back the entry of what is guilty again after a release.
     def test_a_request_that_is_held_again_keeps_its_entry(self):
         self.lose("request-bad", ("t0", "t1", "t2"))
