--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -60,6 +60,7 @@
         self.environment = environment
         self.operator = environment.operator
         self._left_count = itertools.count()
+        self._late_count = itertools.count()
         self._prompt_store_lock = asyncio.Lock()
 
     async def run_schedule(self, faults: typing.Sequence[schedule.Fault]) -> None:
@@ -428,7 +429,8 @@
         await asyncio.sleep(LATE_HEAD_S)
         for engine in plain:
             engine.faults.work_s = LATE_WORK_S
-        caller = environment.make_caller("late", edge, environment.any_key)
+        name = f"late{next(self._late_count)}"
+        caller = environment.make_caller(name, edge, environment.any_key)
         kinds = [one for one in callers.REQUEST_KINDS if not one.model]
         await asyncio.gather(
             *(
