--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -160,8 +160,14 @@
     quarantine.Quarantine.record_loss = lambda self, *loss, **more: None
 
 
+def _keep_all_refusals() -> None:
+    """Release nothing because something else explains its crashes."""
+    quarantine.Quarantine._judge_again = lambda self, earlier: None
+
+
 def _blames_all_parts() -> None:
-    """Refuses all parts of a prompt on which an engine crashed."""
+    """Refuses all parts of a prompt on which an engine crashed, and keeps to that."""
+    _keep_all_refusals()
     crashes.CrashLog.is_guilty = lambda self, part, quarantined=(): True
     quarantine.Quarantine.record_answer = lambda self, parts: None
 
@@ -180,6 +186,7 @@
 
 def _blames_all_requests() -> None:
     """Refuses all requests that were lost with an engine, also those served since."""
+    _keep_all_refusals()
     is_guilty = crashes.CrashLog.is_guilty
     record_answer = quarantine.Quarantine.record_answer
     crashes.CrashLog.is_guilty = lambda self, name, quarantined=(): (
