--- a/cornelreach/gateway/detours.py
+++ b/cornelreach/gateway/detours.py
@@ -287,6 +287,9 @@
             written.append(True)
             request_state.is_sent = True
 
+        async def on_connected(connection: int) -> None:
+            request_state.record_connection(detour.address, connection)
+
         try:
             async with asyncio.timeout_at(request_state.due_s):
                 answer = await self.http.send(
@@ -297,6 +300,7 @@
                     self._fields(request_state),
                     before_write=before_write,
                     matches=headers.passed_on_matcher(request_state.call.request_id),
+                    on_connected=on_connected,
                 )
                 return await self._read_answer(request_state, detour, answer)
         except http_client.RequestNotSent as error:
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -468,6 +468,7 @@
         connection: int,
     ) -> None:
         """Raise DoubtfulTarget if a stream must not be sent on a connection."""
+        request_state.record_connection(target.address, connection)
         doubt = await self.dependencies.continuations.doubt(
             request_state, target, connection
         )
--- a/cornelreach/gateway/requestlog.py
+++ b/cornelreach/gateway/requestlog.py
@@ -56,6 +56,8 @@
         if isinstance(outcome, requeststate.Failure):
             reason = f"status {outcome.response.status}"
         fields: dict[str, str] = {}
+        if request_state.connections:
+            fields["connection"] = str(request_state.connections[-1])
         if isinstance(outcome, requeststate.Lost):
             fields["progress"] = outcome.progress.value
             fields["request"] = request_state.name
@@ -146,10 +148,16 @@
             "tries": " ".join(request_state.tries),
             "service": request_state.service,
             "chosen": request_state.choice_summary,
+            "connections": " ".join(map(str, request_state.connections)),
             "prompt_tokens": request_state.call.prompt_tokens,
             "first_ms": first_ms,
             "total_ms": request_state.spent_ms(asyncio.get_running_loop().time()),
         }
+        used = request_state.connections
+        if repeated := len(used) - len(set(used)):
+            self.metrics.add(
+                "tries_on_one_connection_total", repeated, request_state.service
+            )
         if held := request_state.retry_held:
             fields["retry_held"] = held
             self.metrics.add("retries_held_total", 1, request_state.service, held)
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -75,6 +75,16 @@
 Outcome = Answered | NotSent | NotRun | Failure | Lost | Opened
 
 
+class Connection(typing.NamedTuple):
+    """The address that a connection leads to, and its number among those opened."""
+
+    address: str
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.address}#{self.number}"
+
+
 class RequestState:
     """An admitted request and the state of its attempts.
 
@@ -139,6 +149,7 @@
         self.answered_by = ""
         self.departed_ms: int | None = None
         self.retry_held = ""
+        self.connections: list[Connection] = []
         self.parts = crashes.shared_parts(call)
 
     @functools.cached_property
@@ -186,6 +197,10 @@
             return None
         return round((at_s - self.request.received_s) * 1_000)
 
+    def record_connection(self, address: object, number: int) -> None:
+        """Record the connection on which the request is about to be written."""
+        self.connections.append(Connection(str(address), number))
+
     def record_outcome(self, target: str, outcome: Outcome) -> None:
         """Record the outcome of an attempt at a target."""
         name = type(outcome).__name__.lower()
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -66,6 +66,12 @@
         ("claim",),
         "Edge: answers to other requests on a target's connection, by what they say.",
     ),
+    Spec(
+        "tries_on_one_connection_total",
+        "counter",
+        ("service",),
+        "Edge: tries of requests on a connection that an earlier try was written to.",
+    ),
     Spec(
         "answers_lost_total",
         "counter",
