Write a request to a connection only once

What callers saw: a call that may run once ran at a second engine (TWICE), or was answered 503 though it ran (REFUSED), after an engine had started again at its address under a new identifier.

Cause: an answer counted if it named the request. A request that is sent again keeps its name, and connections are pooled by address, while 'tried' holds the identifiers of targets. With two entries at one address the second try went out on the connection of the first, and an extra copy of the first refusal, which bears the right name, answered it. An identifier names the request, not the try.

Fix: what ties an answer to its try is the connection together with the name. A connection remembers the requests that were written to it until they are settled (answered for good), and no request is written to it twice; one that remembers more than 64 is not kept.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -459,6 +459,7 @@
             on_connected=functools.partial(
                 self._confirm_target, request_state, chosen.target
             ),
+            request_id=request_state.call.request_id,
         )
 
     async def _confirm_target(
@@ -553,6 +554,7 @@
         )
         if reply.status >= 500:
             return requeststate.Failure(response)
+        answer.settle()
         return requeststate.Answered(response)
 
     def _may_lack_body(
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -263,7 +263,9 @@
         was_sent = bool(request_state.reached)
         free = [
             one
-            for one in self._targets_with_room(allowed, service, now_ms)
+            for one in self._targets_with_room(
+                allowed, service, now_ms, request_state.call.request_id
+            )
             if self.brittleness.admits(one, service, tokens, now_ms, was_sent)
         ]
         if not free:
@@ -348,6 +350,7 @@
         targets: typing.Iterable[registry_module.Target],
         service: catalogue.Service,
         now_ms: float,
+        request_id: str,
     ) -> list[registry_module.Target]:
         """Return the targets that take one more request within all limits."""
         closed = self.balancer.gossip.closed_targets()
@@ -358,14 +361,16 @@
             if one.id not in closed
             and self.limits.admits(one.id, now_ms)
             and self._within_cold_share(one, service, now_ms)
-            and self._has_connection(one, share)
+            and self._has_connection(one, share, request_id)
         ]
 
-    def _has_connection(self, target: registry_module.Target, share: int) -> bool:
+    def _has_connection(
+        self, target: registry_module.Target, share: int, request_id: str
+    ) -> bool:
         address = http_client.parse_address(target.address)
         return self.http.open_connections(
             address
-        ) < share or self.http.has_idle_connection(address)
+        ) < share or self.http.has_idle_connection(address, request_id)
 
     def _within_cold_share(
         self,
--- a/cornelreach/gateway/streamrelay.py
+++ b/cornelreach/gateway/streamrelay.py
@@ -139,6 +139,7 @@
                     if not splitter.has_event and not may_be_empty:
                         raise _empty(framing)
                     outcome = "streamed"
+                    answer.settle()
                     self.dependencies.quarantine.record_answer(request_state.suspects)
                     return
                 except STREAM_LOST as error:
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -3,6 +3,14 @@
 A response belongs to the request sent on the same connection. A connection whose
 response was not read to the end is closed and never reused, and so is an idle one that
 receives data. A late or misdirected response can thus not reach another call.
+
+A request that is sent again bears the same identifier, so a response that names it may
+be a late copy of that to an earlier try. A request with an identifier is therefore
+written to a connection only once, until its sender settles it::
+
+    response = await client.send(address, "POST", "/", request_id="9c41d07be2a35f68")
+    await response.read()
+    response.settle()  # it is not sent again, so the connection may forget it
 """
 
 import asyncio
@@ -29,6 +37,7 @@
 MAX_SMALL_PARTS = 16_384  # of a body that is read whole
 SMALL_PART_BYTES = 64
 MAX_PART_BYTES = 8_192  # of events
+MAX_UNSETTLED = 64  # requests that a connection which is kept remembers
 CACHED_ADDRESSES = 16_384
 LOOP_PASSES = 8  # of the event loop, to take over a connection that is open
 
@@ -92,10 +101,13 @@
         client: "Client",
         address: Address,
         connection: clientconnection.ClientConnection,
+        request_id: str = "",
     ) -> None:
         self._client = client
         self._address = address
         self._connection = connection
+        self._request_id = request_id
+        self._unsettled = connection.unsettled
         self.status = 0
         self.headers: messages.Headers = ()
 
@@ -165,6 +177,10 @@
             client.held_bytes -= len(body)
             self.close()
 
+    def settle(self) -> None:
+        """Let the connection forget the request, which is not sent again."""
+        self._unsettled.discard(self._request_id)
+
     def abort(self) -> None:
         """Close the connection; reading the body then raises ResponseLost."""
         if self._connection is not None:
@@ -210,12 +226,14 @@
         """Return the number of connections to an address, open or being opened."""
         return self._open_counts[address]
 
-    def has_idle_connection(self, address: Address) -> bool:
-        """Return whether the next request can use an idle connection."""
+    def has_idle_connection(self, address: Address, request_id: str = "") -> bool:
+        """Return whether a request can use an idle connection."""
         idle = self._idle.get(address)
         now_ms = time.monotonic() * 1_000
         return any(
-            not connection.unusable and connection.idle_until_ms >= now_ms
+            not connection.unusable
+            and connection.idle_until_ms >= now_ms
+            and request_id not in connection.unsettled
             for connection in idle or ()
         )
 
@@ -230,6 +248,7 @@
         new_connection: bool = False,
         matches: Matches = any_response,
         on_connected: OnConnected | None = None,
+        request_id: str = "",
     ) -> ClientResponse:
         """Send a request and return the response once its headers have arrived.
 
@@ -238,11 +257,14 @@
         connection, for calls that must not be repeated: the server may have closed an
         idle connection without this client having noticed. A response that ``matches``
         rejects is read and discarded. ``on_connected`` is awaited with the number of
-        the connection before that; it may raise as well. Raises RequestNotSent or
-        ResponseLost.
+        the connection before that; it may raise as well. A request with a
+        ``request_id`` is not written to a connection that has carried it before.
+        Raises RequestNotSent or ResponseLost.
         """
         connection = await (
-            self._connect(address) if new_connection else self._acquire(address)
+            self._connect(address)
+            if new_connection
+            else self._acquire(address, request_id)
         )
         try:
             if on_connected is not None:
@@ -256,7 +278,9 @@
         except BaseException:
             connection.abort()
             raise
-        response = ClientResponse(self, address, connection)
+        if request_id:
+            connection.unsettled.add(request_id)
+        response = ClientResponse(self, address, connection, request_id)
         try:
             connection.transport.write(data)
             head = await self._receive_head(address, connection, method, matches)
@@ -380,16 +404,27 @@
         connection.idle_until_ms = time.monotonic() * 1_000 + idle_limit_ms
         idle.append(connection)
 
-    async def _acquire(self, address: Address) -> clientconnection.ClientConnection:
+    async def _acquire(
+        self, address: Address, request_id: str
+    ) -> clientconnection.ClientConnection:
         idle = self._idle.get(address)
         now_ms = time.monotonic() * 1_000
-        while idle:
+        passed_over = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
-            if not connection.unusable and connection.idle_until_ms >= now_ms:
-                connection.idle = False
-                return connection
-            connection.abort()
-        return await self._connect(address)
+            if connection.unusable or connection.idle_until_ms < now_ms:
+                connection.abort()
+            elif request_id in connection.unsettled:
+                passed_over.append(connection)
+            else:
+                found = connection
+        if idle is not None:
+            idle.extend(reversed(passed_over))
+        if found is None:
+            return await self._connect(address)
+        found.idle = False
+        return found
 
     async def _connect(self, address: Address) -> clientconnection.ClientConnection:
         self._open_counts[address] += 1
@@ -465,6 +500,7 @@
             not done
             or connection.unusable
             or connection.h11.trailing_data[0]
+            or len(connection.unsettled) > MAX_UNSETTLED
             or idle_limit_ms <= 0
         ):
             connection.abort()
--- a/cornelreach/http/clientconnection.py
+++ b/cornelreach/http/clientconnection.py
@@ -26,6 +26,8 @@
     """One connection; ``idle`` while it is kept for reuse.
 
     ``number`` is its place among those that the client has opened, from 1.
+    ``unsettled`` are the identifiers of requests that were written to it and may be
+    sent again.
     ``on_idle_closed`` is called if the server closes it before its idle time is over.
     """
 
@@ -37,6 +39,7 @@
         self.is_lost = False
         self.idle_until_ms = 0.0
         self.number = 0
+        self.unsettled: set[str] = set()
         self.on_connection_lost: typing.Callable[[], None] | None = None
         self.on_idle_closed: typing.Callable[[], None] | None = None
         self._error: Exception | None = None
--- a/test/gateway/test_brittleness.py
+++ b/test/gateway/test_brittleness.py
@@ -38,7 +38,7 @@
     def open_connections(self, address):
         return 0
 
-    def has_idle_connection(self, address):
+    def has_idle_connection(self, address, request_id=""):
         return True
 
 
