Tie another instance's refusal to the try that it answers

What callers would see: a call that another instance has passed on is sent to a third one, or refused, though it runs.

And a refusal without a name, as releases up to write it, counted on any connection if it bore a report.

Fix: a request goes over such a connection once, too. A refusal without a name counts on a new connection alone, where there is nothing else to answer.

--- a/cornelreach/gateway/detours.py
+++ b/cornelreach/gateway/detours.py
@@ -282,14 +282,25 @@
     ) -> requeststate.Outcome:
         written: list[bool] = []
         request = request_state.request
+        request_id = request_state.call.request_id
+        opened_before, is_new = self.http.opened, False
 
         def before_write() -> None:
             written.append(True)
             request_state.is_sent = True
 
         async def on_connected(connection: int) -> None:
+            nonlocal is_new
+            is_new = connection > opened_before
             request_state.record_connection(detour.address, connection)
 
+        def matches(fields: messages.Headers) -> bool:
+            if headers.named_matcher(request_id)(fields):
+                return True
+            # Earlier releases do not name what they decline, but on a new connection
+            # there is nothing else to answer.
+            return is_new and headers.is_unnamed_report(fields)
+
         try:
             async with asyncio.timeout_at(request_state.due_s):
                 answer = await self.http.send(
@@ -299,8 +310,9 @@
                     request.body,
                     self._fields(request_state),
                     before_write=before_write,
-                    matches=headers.passed_on_matcher(request_state.call.request_id),
+                    matches=matches,
                     on_connected=on_connected,
+                    request_id=request_id,
                 )
                 return await self._read_answer(request_state, detour, answer)
         except http_client.RequestNotSent as error:
@@ -370,6 +382,7 @@
         if success and request_state.is_stream:
             return requeststate.Opened(answer)
         body = await answer.read()
+        answer.settle()
         return requeststate.Answered(
             messages.Response(
                 reply.status, body, headers.response_headers(answer.headers)
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -228,20 +228,10 @@
     return matches
 
 
-def passed_on_matcher(request_id: str) -> typing.Callable[[messages.Headers], bool]:
-    """Return a predicate that tells whether another instance's response is a request's.
-
-    Instances of earlier releases don't name it in refusals, but always report.
-    """
-    wanted = request_id.encode("latin-1")
-
-    def matches(headers: messages.Headers) -> bool:
-        named = [value for name, value in headers if name == REQUEST_ID]
-        if named:
-            return named == [wanted]
-        return any(name == DETOUR for name, _ in headers)
-
-    return matches
+def is_unnamed_report(headers: messages.Headers) -> bool:
+    """Return whether another instance's response reports, and names no request."""
+    names = {name for name, _ in headers}
+    return DETOUR in names and REQUEST_ID not in names
 
 
 # For calls without an identifier, whose answers bear none either.
--- a/test/gateway/test_detours.py
+++ b/test/gateway/test_detours.py
@@ -201,6 +201,57 @@
         self.assertEqual(status, 503)
         self.assertLess(time.monotonic() - begin_s, 0.5)
 
+    # Guards against an earlier release's refusal, which names no request, being taken
+    # for that of a later request on the same connection.
+    async def test_an_unnamed_refusal_on_a_kept_connection_is_skipped(self):
+        report = 'cornelreach-detour: [false,"e0",""]\r\n'
+
+        async def decline_again(engine, head, body, writer):
+            if len(engine.requests) > 1:
+                writer.write(
+                    b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n"
+                    b'cornelreach-detour: [true,"",""]\r\n\r\n'
+                )
+                await asyncio.sleep(0.01)
+            writer.write(engine.answer(head, extra=report))
+
+        await self.start(linked=2, direct=0)
+        for one in self.instances:
+            self.lose(one)
+        peer = await self.stand_in(decline_again)
+        for number in range(2):
+            status, _ = await self.cut.send(
+                "/once/x", x_cornelreach_request_id=f"id-{number}"
+            )
+            self.assertEqual(status, 200)
+        self.assertEqual((len(peer.requests), peer.connections), (2, 1))
+
+    # Guards against a late copy of an instance's refusal being taken for that of
+    # another one which has its address.
+    async def test_a_late_copy_of_a_refusal_tells_nothing_of_a_later_detour(self):
+        declined = 'cornelreach-detour: [true,"",""]\r\n'
+        report = 'cornelreach-detour: [false,"e0",""]\r\n'
+        writers = []
+
+        async def decline_first(engine, head, body, writer):
+            refusal = engine.answer(head, 503, b"", False, declined)
+            if writer in writers or not writers:
+                writer.write(refusal)
+            writers.append(writer)
+            if len(engine.requests) > 1:
+                await asyncio.sleep(0.01)
+                writer.write(engine.answer(head, extra=report))
+
+        await self.start(linked=2, direct=0)
+        for one in self.instances:
+            self.lose(one)
+        peer = await self.stand_in(decline_first)
+        members = self.cut.gossip.members
+        members["edge-9"] = members["edge-1"]
+        self.cut.gossip.peers["edge-9"] = self.cut.gossip.peers["edge-1"]
+        status, _ = await self.cut.send("/once/x")
+        self.assertEqual((status, len(peer.requests)), (200, 2))
+
     # Guards against a second run of a call at an instance that stands still, or of one
     # that another instance gets instead.
     async def test_a_call_at_an_instance_that_stands_still_goes_nowhere_else(self):
