Let engines of the soak start again under new identifiers, and copy refusals late

Cause: engines of the soak kept their identifier, so no two entries of its list ever shared an address, and no refusal that names its request came twice.

Change: 'rename' starts an engine again and again at its address under a new identifier, with the old entry listed for up to a second more and half of its refusals written once more after the next request; 'late-copies' does the latter alone. Both are drawn after all others. The planted bug 'reuses-connections' writes a request to a connection that carried it.

--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -47,7 +47,8 @@
     share of requests on kept connections before whose answers an earlier refusal is
     written once more, without an identifier; ``refuse_first`` is that of new
     connections on which it is written as they open or as their first request begins.
-    ``cut_heads`` is the share of plain
+    ``late_copies`` is the share of refusals that are written once more, after the next
+    request on their connection. ``cut_heads`` is the share of plain
     answers that stop in their head or right behind it, ``odd_rest`` that of
     continuations within one request that are answered with an error in a signed
     success. ``endless`` is the share of plain answers in chunks of one byte that do not
@@ -67,6 +68,7 @@
         self.held_orders = False
         self.refuse_again = 0.0
         self.refuse_first = 0.0
+        self.late_copies = 0.0
         self.cut_heads = 0.0
         self.odd_rest = 0.0
         self.endless = 0.0
@@ -128,7 +130,11 @@
 
 
 class WireEngine:
-    """One engine that listens on loopback."""
+    """One engine that listens on loopback.
+
+    ``id`` is the identifier that it registers under, which may change as it restarts;
+    ``name`` stays the same.
+    """
 
     def __init__(
         self,
@@ -141,7 +147,7 @@
         slots: int = 8,
         software: str = "1.0",
     ) -> None:
-        self.name = name
+        self.name = self.id = name
         self.service = service
         self.request_log = request_log
         self.random = source
@@ -164,6 +170,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._unframed: set[asyncio.StreamWriter] = set()
         self._answered: set[asyncio.StreamWriter] = set()
+        self._copies: dict[asyncio.StreamWriter, bytes] = {}
         self._orders: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, cold_s: float = 0.0) -> None:
@@ -234,6 +241,7 @@
             self._writers.discard(writer)
             self._unframed.discard(writer)
             self._answered.discard(writer)
+            self._copies.pop(writer, None)
             writer.close()
 
     async def _answer(self, head: RequestHead, writer: asyncio.StreamWriter) -> None:
@@ -309,6 +317,7 @@
     async def _handle_request(
         self, head: RequestHead, writer: asyncio.StreamWriter
     ) -> None:
+        writer.write(self._copies.pop(writer, b""))
         status = self._refusal(head)
         self._record_arrival(head, status)
         request_id = head.get(headers.REQUEST_ID)
@@ -321,6 +330,9 @@
                 extra += f"{headers.NOT_EXECUTED.decode()}: 1\r\n"
             if status == 503 and self.faults.rest_s:
                 extra += f"{headers.RETRY_AFTER.decode()}: {self.faults.rest_s}\r\n"
+            if self.random.random() < self.faults.late_copies:
+                fields = f"HTTP/1.1 {status} X\r\ncontent-length: 0\r\n{extra}\r\n"
+                self._copies[writer] = fields.encode()
             self._reply(writer, status, b"", extra)
             return
         is_kept = writer in self._answered
@@ -336,7 +348,7 @@
                 self.running -= 1
 
     def _refusal(self, head: RequestHead) -> int:
-        if head.get(headers.TARGET) not in ("", self.name):
+        if head.get(headers.TARGET) not in ("", self.id):
             return headers.MISDIRECTED
         wanted = head.get(headers.EXPECTED_VERSION)
         if wanted and int(wanted) != self.version:
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -60,7 +60,8 @@
 # Of issue 42: an engine that leaves as watches are cut, records of another writer, an
 # earlier refusal that is written again, an instance that misses a software version. Of
 # issue 49: a refusal that names no request on a new connection. Of issue 43: targets of
-# new software to which no connection was left.
+# new software to which no connection was left. Of issue 53: engines that start again at
+# their address under another identifier, and late copies of their refusals.
 LEAVING_PLANS = [
     run.Plan(1, 10, 2, faults=tuple(BUG_SCHEDULES[name][1]))
     for name in (
@@ -70,6 +71,7 @@
         "trusts-first-answers",
         "guesses-origins",
         "trusts-connections",
+        "reuses-connections",
     )
 ]
 
--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -52,6 +52,10 @@
         "once",
         [Fault(0.5, "refuse-first", f"e{number}", 6.0) for number in range(3)],
     ),
+    "reuses-connections": (
+        "once",
+        [Fault(0.5, "rename", f"e{number}", 6.0) for number in range(3)],
+    ),
     "takes-no-turns": (
         "turns",
         [Fault(0.5, "endless", f"e{number}", 6.0) for number in range(2)],
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -215,9 +215,9 @@
         """Write the registration of an engine's current boot, unless it has left."""
         if name in self.withdrawn:
             return
-        link = self.links[name]
+        engine, link = self.engines[name], self.links[name]
         self.operator.write(
-            f"servers/{name}", self.engines[name].entry(self.zones[name], link.address)
+            f"servers/{engine.id}", engine.entry(self.zones[name], link.address)
         )
 
     def _record_load(self, name: str) -> None:
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from standins import wireengine
 from tools.soak import (
     callers,
     edges as edges_module,
@@ -50,6 +51,7 @@
 LATE_HEAD_S, LATE_REST_S = 2.6, (0.7, 0.9, 1.1)  # after SIGTERM, before the end
 LATE_WORK_S = 0.6  # past the end of the grace period
 READY_GAP_S = 0.05
+RENAME_PERIOD_S, RENAME_LAG_S = 0.3, 1.0  # until an old entry goes
 DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
 
 
@@ -61,6 +63,8 @@
         self.operator = environment.operator
         self._left_count = itertools.count()
         self._late_count = itertools.count()
+        self._rename_count = itertools.count(1)
+        self._renamed: set[str] = set()
         self._prompt_store_lock = asyncio.Lock()
 
     async def run_schedule(self, faults: typing.Sequence[schedule.Fault]) -> None:
@@ -399,6 +403,32 @@
     async def _do_refuse_first(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "refuse_first", 0.5, 0.0)
 
+    async def _do_late_copies(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "late_copies", 0.5, 0.0)
+
+    async def _do_rename(self, fault: schedule.Fault) -> None:
+        # An engine starts again and again at its address under a new identifier, while
+        # its old entry is still listed, and writes refusals of the old one again.
+        if fault.subject in self._renamed:
+            return
+        self._renamed.add(fault.subject)
+        engine = self.environment.engines[fault.subject]
+        engine.faults.late_copies = 0.5
+        end_s = time.monotonic() + fault.for_s
+        while time.monotonic() < end_s:
+            await self._rename(engine, f"{engine.name}.{next(self._rename_count)}")
+        engine.faults.late_copies = 0.0
+        await self._rename(engine, engine.name)
+        self._renamed.discard(fault.subject)
+
+    async def _rename(self, engine: wireengine.WireEngine, name: str) -> None:
+        old, engine.id = engine.id, name
+        engine.crash()
+        await self.environment.restart_engine(engine.name)
+        await asyncio.sleep(self.environment.random.uniform(0.0, RENAME_LAG_S))
+        self.operator.write(f"servers/{old}", None)
+        await asyncio.sleep(RENAME_PERIOD_S)
+
     async def _do_odd_rest(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "odd_rest", 0.7, 0.0)
 
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -32,7 +32,7 @@
     targetlimits,
     watching,
 )
-from cornelreach.http import server, turns
+from cornelreach.http import client, server, turns
 from cornelreach.platform import headers, promptstores, site
 from cornelreach.ui import edge
 from cornelreach.util import decoding
@@ -236,6 +236,16 @@
     headers.named_matcher = headers.response_matcher
 
 
+def _reuses_connections() -> None:
+    """Writes a request to a connection that carried it before."""
+    acquire = client.Client._acquire
+
+    async def acquire_any(self: typing.Any, address: typing.Any, _: str) -> typing.Any:
+        return await acquire(self, address, "")
+
+    client.Client._acquire = acquire_any
+
+
 async def _read_nothing(self: typing.Any) -> bool:
     return True
 
@@ -293,6 +303,7 @@
     "trusts-addresses": _trusts_addresses,
     "trusts-refusals": _trusts_refusals,
     "trusts-first-answers": _trusts_refusals,
+    "reuses-connections": _reuses_connections,
     "guesses-origins": _guesses_origins,
     "trusts-connections": _trusts_connections,
     "takes-no-turns": _takes_no_turns,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -39,6 +39,7 @@
     ("kill-all", "kill", "pause"),
     ("shed", "shed", "kill"),
     ("empty-store", "damage"),
+    ("rename", "late-copies"),
 )
 KINDS = frozenset(
     kind
@@ -84,6 +85,7 @@
     later_subjects["late-body"] = edges
     later_subjects["kill"] = later_subjects["pause"] = edges
     later_subjects["refuse-first"] = later_subjects["shed"] = engines
+    later_subjects["rename"] = later_subjects["late-copies"] = engines
     for group in LATER_GROUPS:
         for _ in range(round(seconds / LATER_PERIOD_S)):
             kind = source.choice(group)
