Believe an answer of the store only if it holds the object that was asked for

What could happen: a late copy of an answer on a kept connection to the store is taken for that to the next call, so that a write (a lease, an origin) counts as done with another object's revision, or a record is read that is another's.

Cause: an answer was tied to its call by its connection alone.

Fix: single objects bear their name, which is compared: a read of another one is Unavailable, a write has an unknown outcome, and both are repeated as before.

--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -45,7 +45,7 @@
     "Nothing; records are read again. If it repeats: ask the platform's operators.",
 )
 
-OBJECT = msgspec.json.Decoder(pages.Object).decode
+_OBJECT = msgspec.json.Decoder(pages.Object)
 
 BeforeCall = typing.Callable[[str], typing.Awaitable[None]]
 
@@ -108,7 +108,11 @@
         """Return one object, or NotFound."""
         response = await self._read("read", _object_path(key), self.call_wait_ms)
         kind, _ = split_key(key)
-        decoded = response.bind(lambda found: _decode_read(found, OBJECT, key))
+        decoded = response.bind(
+            lambda found: _decode_read(
+                found, lambda body: _decode_named(body, key), key
+            )
+        )
         era = _era_of(response)
         return decoded.map(lambda found: _record(kind, found, era))
 
@@ -362,6 +366,15 @@
     return results.Unavailable(text, response.retry_after_ms)
 
 
+def _decode_named(body: bytes, key: str) -> pages.Object:
+    """Return the object of a key; raises ValueError if the body holds another one."""
+    found = _OBJECT.decode(body)
+    name = found["metadata"]["name"]
+    if name != split_key(key)[1]:
+        raise ValueError(f"it holds the object {name!r}")
+    return found
+
+
 def _decode_read(
     response: _Response, decode: typing.Callable[[bytes], typing.Any], key: str
 ) -> result.Result[typing.Any, results.ReadError]:
@@ -388,8 +401,8 @@
     if response.status not in (200, 201, 409):
         return result.Failure(_write_error(response, key))
     try:
-        found = OBJECT(response.body)
-    except decoding.DECODE_ERRORS as error:
+        found = _decode_named(response.body, key)
+    except (ValueError, *decoding.DECODE_ERRORS) as error:
         text = f"malformed response to a write: {error}"
         return result.Failure(results.OutcomeUnknown(key, text))
     version = results.make_version(response.era, found["metadata"]["revision"])
--- a/test/platform/test_client.py
+++ b/test/platform/test_client.py
@@ -117,6 +117,21 @@
         body = {"store_revision": value.revision, "events": events}
         return messages.json_response(200, body)
 
+    # Guards against a late copy of an answer being taken for that to a write or read of
+    # another object.
+    async def test_an_answer_that_holds_another_object_is_not_believed(self):
+        earlier = messages.json_response(200, as_object(results.Record("a/x", 7, 1)))
+        self.route = lambda request: earlier
+        read = (await self.client.get("a/y")).failure()
+        self.assertIsInstance(read, results.Unavailable)
+        for outcome in (
+            await self.client.put("a/y", 1, if_absent=True),
+            await self.client.put("a/y", 1, if_version=3),
+            await self.client.delete("a/y", 3),
+        ):
+            self.assertIsInstance(outcome.failure(), results.OutcomeUnknown)
+        self.assertEqual((await self.client.get("a/x")).unwrap().value, 1)
+
     async def test_versions_carry_the_era_of_the_store(self):
         restores = []
         self.client.on_restore = restores.append
