Keep no connection on which an engine of the daemon refused a run

What could happen: a run that goes on is taken for refused and is run at a second engine too, paid for twice.

Cause: the daemon's engines name a run in the chunks of its answer, not in a refusal, so a late copy of one answered the next run on the same connection.

Fix: a connection on which a run was refused is closed once that is read.

Evidence: test_attempt fails on the commit before.

--- a/cornelreach/calls/attempt.py
+++ b/cornelreach/calls/attempt.py
@@ -150,6 +150,7 @@
 
     async def _raise_for_status(self, answer: client.ClientResponse) -> typing.NoReturn:
         status = answer.status
+        answer.retire()  # a copy of this answer would name no run
         text = (await answer.read())[:200].decode(errors="replace")
         if status == PRECONDITION_FAILED:
             raise AttemptError(
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -181,6 +181,11 @@
         """Let the connection forget the request, which is not sent again."""
         self._unsettled.discard(self._request_id)
 
+    def retire(self) -> None:
+        """Let the connection be closed, not kept, once the body is read."""
+        if self._connection is not None:
+            self._connection.unusable = True
+
     def abort(self) -> None:
         """Close the connection; reading the body then raises ResponseLost."""
         if self._connection is not None:
