Send each order of the daemon on a new connection

What could happen: an order that an engine refused for its old fence is taken for accepted, until the next look at the engine's state.

Cause: orders went out on kept connections, and their answers name no order, so a late copy of an answer to an earlier one was believed.

Evidence: the test added to test_attempt fails on the commit before.

--- a/cornelreach/pools/httptargets.py
+++ b/cornelreach/pools/httptargets.py
@@ -78,6 +78,7 @@
                 "/v1/orders",
                 body,
                 wait_ms=orders.ORDER_MS,
+                new_connection=True,  # no answer to an earlier order comes there
             )
         except client.RequestNotSent:
             return orders.Answer.REFUSED
--- a/test/calls/test_attempt.py
+++ b/test/calls/test_attempt.py
@@ -6,11 +6,14 @@
 
 from cornelreach.calls import attempt, interfaces
 from cornelreach.http import client
+from cornelreach.pools import httptargets
 from cornelreach.settings import items
-from cornelreach.targets import permits
+from cornelreach.targets import orders, permits
 from cornelreach.util import timers
 
 REFUSAL = b"HTTP/1.1 429 X\r\ncontent-length: 0\r\n\r\n"
+ACCEPTED = b"HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\n{}"
+OLD_FENCE = b"HTTP/1.1 409 X\r\ncontent-length: 2\r\n\r\n{}"
 STREAM = (
     b"HTTP/1.1 200 X\r\nconnection: close\r\n\r\n"
     b'id: 0\ndata: {"id": "run-2"}\n\nid: 1\ndata: [DONE]\n\n'
@@ -64,3 +67,13 @@
             await self.run_attempt("run-1")
         self.assertFalse(caught.exception.ran)
         self.assertEqual(len(await self.run_attempt("run-2")), 1)
+
+    # Guards against an order that was refused being taken for accepted.
+    async def test_a_late_copy_of_an_answer_meets_no_later_order(self):
+        await self.start(ACCEPTED, OLD_FENCE)
+        targets = httptargets.HttpTargets(self.http, lambda: {"t": self.target})
+        answers = [
+            await targets.send(orders.Order("t", orders.Kind.LOAD, "m", "8", fence))
+            for fence in (4, 3)
+        ]
+        self.assertEqual(answers, [orders.Answer.ACCEPTED, orders.Answer.OLD_FENCE])
