Ask for a target's health on a connection that has carried no such question

What could happen: a suspected target is cleared, and counted as warm, by a late copy of the answer to an earlier health check, so that a cold one gets too many.

Cause: answers to control calls bear no identifier, and health checks shared kept connections with earlier ones.

Fix: a health check goes over a connection once, by the same means as requests.

Evidence: the test added to test_probing fails on the commit before.

--- a/cornelreach/gateway/probing.py
+++ b/cornelreach/gateway/probing.py
@@ -21,6 +21,9 @@
 TICK_MS = 100.0
 WAIT_MS = 250.0
 MAX_CONCURRENT = 4
+# Answers to health checks bear no identifier, so that each goes over a connection that
+# has carried none before.
+HEALTH_CHECK = "health check"
 
 FAILURES = (http_client.RequestNotSent, http_client.ResponseLost)
 
@@ -89,6 +92,7 @@
                 service.health_path,
                 wait_ms=WAIT_MS,
                 matches=headers.control_matcher,
+                request_id=HEALTH_CHECK,
             )
         except FAILURES as error:
             self.http.close_idle(address)
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -310,6 +310,7 @@
         before_write: typing.Callable[[], None] | None = None,
         new_connection: bool = False,
         matches: Matches = any_response,
+        request_id: str = "",
     ) -> tuple[int, bytes, messages.Headers]:
         """Send a request and return the status, the whole body and the headers."""
         try:
@@ -323,6 +324,7 @@
                     before_write,
                     new_connection,
                     matches,
+                    request_id=request_id,
                 )
                 return response.status, await response.read(), response.headers
         except TimeoutError:
--- a/test/gateway/test_probing.py
+++ b/test/gateway/test_probing.py
@@ -47,6 +47,33 @@
         self.assertTrue(registry.state("e0").is_cold(now_ms + 2_000))
         self.assertFalse(registry.state("e0").is_cold(now_ms + 2_600))
 
+    # Guards against more requests than a cold target bears, after a late copy of the
+    # answer that it gave to a health check before it turned cold.
+    async def test_a_late_copy_of_an_answer_meets_no_later_probe(self):
+        asked = []
+
+        async def health(engine, head, body, writer):
+            warm = b"HTTP/1.1 200 X\r\ncontent-length: 0\r\n\r\n"
+            if asked:
+                if writer in asked:
+                    writer.write(warm)
+                    await asyncio.sleep(0.01)
+                warm = warm.replace(
+                    b"\r\n\r\n", b"\r\nx-cornelreach-cold-remaining-ms: 2500\r\n\r\n"
+                )
+            asked.append(writer)
+            writer.write(warm)
+
+        await self.start(health)
+        registry = self.harness.mirror.registry
+        prober = probing.Prober(
+            self.harness.mirror, self.harness.http, self.harness.clock
+        )
+        for cold in (False, True):
+            registry.eject("e0", "reset", 0)
+            await prober.probe("e0")
+            self.assertIs(registry.state("e0").is_cold(prober.clock.now_ms()), cold)
+
     async def test_a_target_that_stays_down_is_probed_less_often(self):
         await self.start(harness_module.answer_ok, harness_module.answer_ok)
         registry = self.harness.mirror.registry
