Reserve a retry in the budget until it is written

What callers' operators would see: more repeats at a service than the budget allows (BUDGET), when many requests are refused at the same time and their second targets have no idle connection.

Cause: a retry was admitted when its target was chosen and counted when its first byte was written. All that waited for a connection in between, or for the report of a target, were admitted by the same count.

Fix: a retry holds a place in the budget from its choice to its write, as a request does in SendWindow.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -368,12 +368,15 @@
     async def _attempt_here(
         self, request_state: requeststate.RequestState, chosen: selection.Choice
     ) -> requeststate.Outcome:
+        selector = self.dependencies.selector
         chosen.acquire()
+        selector.reserve_retry(request_state)
         outcome: requeststate.Outcome | None = None
         try:
-            self.dependencies.selector.announce(chosen)
+            selector.announce(chosen)
             outcome = await self._exchange(request_state, chosen)
         finally:
+            selector.release_retry(request_state)
             if not isinstance(outcome, requeststate.Opened):
                 chosen.release()
         return outcome
@@ -491,6 +494,7 @@
         written.append(True)
         request_state.is_sent = True
         request_state.times_sent += 1
+        self.dependencies.selector.release_retry(request_state)
         if request_state.times_sent > 1:
             self.dependencies.selector.count_retry(request_state.service)
 
--- a/cornelreach/gateway/quotas.py
+++ b/cornelreach/gateway/quotas.py
@@ -192,7 +192,8 @@
     A retry is any further attempt of a request that reaches a target. For a window
     after the start of the process, most of the budget is held back: the process before
     it under this name may have spent its own. The share is that of the largest fleet of
-    the last window, since instances that have left may have spent theirs::
+    the last window, since instances that have left may have spent theirs. A retry
+    that waits for a connection is reserved, like a request in ``SendWindow``::
 
         budget = quotas.RetryBudget(0.2, 56, 10_000, start_ms)
         budget.count_request(fleet, now_ms)
@@ -209,6 +210,7 @@
         self.start_ms = start_ms
         self._requests: collections.deque[list[float]] = collections.deque()
         self._retries: collections.deque[list[float]] = collections.deque()
+        self._reserved = 0
         self._fleet: Fleet | None = None
         self._larger: collections.deque[_FormerSize] = collections.deque()
 
@@ -221,12 +223,20 @@
         """Count a retry."""
         self._count(self._retries, now_ms)
 
+    def reserve(self) -> None:
+        """Count a retry that is about to be sent."""
+        self._reserved += 1
+
+    def cancel(self) -> None:
+        """Return a reservation, as the retry is counted or not sent."""
+        self._reserved -= 1
+
     def admits_retry(self, fleet: Fleet, now_ms: float) -> Admission:
         """Return whether one more retry stays within this instance's share."""
         self._follow(fleet, now_ms)
         slack = self.slack * SAFE_SHARE / self._size(now_ms)
         earned = self.ratio * self._sum(self._requests, now_ms)
-        needed = self._sum(self._retries, now_ms) + 1
+        needed = self._sum(self._retries, now_ms) + self._reserved + 1
         if needed > earned * SAFE_SHARE + slack:
             return Admission.SPENT
         is_new = now_ms < self.start_ms + self.window_ms
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -104,7 +104,9 @@
     through other instances; one that another instance passed on (``is_passed_on``)
     makes none. ``answered_by`` is the software that answered, ``departed_ms`` when the
     lifetime of its target began if the answer says that it leaves. ``retry_held`` says
-    what kept a further attempt back, or is empty.
+    what kept a further attempt back, or is empty; ``retry_reserved`` is set while an
+    attempt that may become a retry holds a part of the budget. ``connections`` are
+    those that the request was about to be written to, in order.
     """
 
     def __init__(
@@ -149,6 +151,7 @@
         self.answered_by = ""
         self.departed_ms: int | None = None
         self.retry_held = ""
+        self.retry_reserved = False
         self.connections: list[Connection] = []
         self.parts = crashes.shared_parts(call)
 
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -200,6 +200,18 @@
         for budget in self._retries.values():
             budget.start_ms = NEVER_MS
 
+    def reserve_retry(self, request_state: requeststate.RequestState) -> None:
+        """Hold a part of the retry budget until a retry is written, if it is one."""
+        if request_state.times_sent and not request_state.retry_reserved:
+            request_state.retry_reserved = True
+            self._budget(request_state.service).reserve()
+
+    def release_retry(self, request_state: requeststate.RequestState) -> None:
+        """Return the part of the budget that an attempt holds; idempotent."""
+        if request_state.retry_reserved:
+            request_state.retry_reserved = False
+            self._budget(request_state.service).cancel()
+
     def count_retry(self, service: str) -> None:
         """Count a retry in the retry budget of a service."""
         self._budget(service).count_retry(self.clock.now_ms())
--- a/test/gateway/test_forwarding.py
+++ b/test/gateway/test_forwarding.py
@@ -135,6 +135,36 @@
             )
             self.assertEqual(status, 200)
 
+    # Guards against more repeats than the budget allows, as many requests wait at the
+    # same time for a connection to a second target.
+    async def test_repeats_that_wait_for_connections_stay_within_the_budget(self):
+        async def refuse(engine, head, body, writer):
+            await asyncio.sleep(0.3)
+            await harness_module.answer_not_run(engine, head, body, writer)
+
+        await self.start(refuse, harness_module.answer_ok)
+        self.harness.mirror.registry.state("e1").in_flight = 1_000
+        client, slow = self.harness.http, self.engines[1].address
+        connect = client._connect
+
+        async def connect_slowly(address):
+            if f"{address.host}:{address.port}" == slow:
+                await asyncio.sleep(0.2)
+            return await connect(address)
+
+        client._connect = connect_slowly
+        count = 80
+        await asyncio.gather(
+            *(
+                self.harness.send("/once/x", x_cornelreach_request_id=f"id-{number}")
+                for number in range(count)
+            )
+        )
+        bounds = harness_module.BOUNDS
+        repeats = len(self.engines[1].requests)
+        self.assertGreater(repeats, 0)
+        self.assertLessEqual(repeats, bounds.retry_ratio * count + bounds.retry_slack)
+
     async def test_outcomes_and_first_bytes_are_counted(self):
         await self.start(harness_module.answer_ok)
         await self.harness.send("/safe/x")
