Send requests that targets may crash on one at a time

What callers saw: sound requests that came again were refused together with one that crashed the last engine of their service, for up to five minutes.

Cause: each crash took all of them along, so that after five crashes as much spoke against each, and nothing told them apart.

Fix: a request that was lost in two crashes, and not answered since, is sent to a service only while no other such one is under way from the same instance, for a second at most. The next crash then has one suspect, and the sound ones get whole answers, which clear them. The guilty one reaches engines no more often.

--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -34,6 +34,8 @@
 from cornelreach.util import timers
 
 IDLE_POLL_S = 0.02
+TURN_MS = 20.0
+MAX_TURN_S = 1.0  # a target that crashes on a request does so early in its run
 DEADLINE_MARGIN_S = 0.015  # reserved for returning the response to the caller
 FIRST_ATTEMPT_SHARE = 0.5  # of the time left, while the request may run once more
 RUN_MARGIN = 1.25  # a run may take longer than recent ones
@@ -41,6 +43,10 @@
 # Statuses that imply that the request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
+Selected = (
+    streamrelay.Way | selection.Wait | selection.Resting | selection.Limited | None
+)
+
 
 class StaleChoice(Exception):
     """The chosen target stopped taking requests before the first byte was sent."""
@@ -81,6 +87,8 @@
             dependencies, self.log, self._choose, self._attempt, self._attempt_failed
         )
         self.stops = stops.Stops()
+        # By service, since when a request is under way that targets may crash on.
+        self._turns_s: dict[str, float] = {}
         self.relay.on_end = self.stops.remove
         dependencies.http.on_skipped = self._answer_skipped
 
@@ -270,9 +278,7 @@
             if self._is_quarantined(request_state) or self._is_suspect(request_state):
                 return None
             spent_ms = (loop.time() - request_state.request.received_s) * 1_000
-            found = self.dependencies.selector.choose(request_state, spent_ms)
-            if isinstance(found, selection.Unreached):
-                found = self._choose_unreached(request_state, spent_ms)
+            found = self._select(request_state, spent_ms)
             if isinstance(found, selection.Resting):
                 request_state.resting_ms = found.left_ms
                 return None
@@ -288,11 +294,20 @@
             await asyncio.sleep(wait_s)
         return None
 
+    def _select(
+        self, request_state: requeststate.RequestState, spent_ms: float
+    ) -> Selected:
+        """Return a way to a target, or why there is none yet."""
+        if not self._has_turn(request_state):
+            return selection.Wait(TURN_MS, request_state.route.objective_ms)
+        found = self.dependencies.selector.choose(request_state, spent_ms)
+        if isinstance(found, selection.Unreached):
+            return self._choose_unreached(request_state, spent_ms)
+        return found
+
     def _choose_unreached(
         self, request_state: requeststate.RequestState, spent_ms: float
-    ) -> (
-        streamrelay.Way | selection.Wait | selection.Resting | selection.Limited | None
-    ):
+    ) -> Selected:
         """Return a way through another instance, or a last try from here.
 
         A target whose ejection is over is tried once though it could not be reached
@@ -338,6 +353,18 @@
         request_state.refused_ms = quarantine.refuse_ms(request_state.suspects)
         return True
 
+    def _has_turn(self, request_state: requeststate.RequestState) -> bool:
+        """Return whether a request may be sent beside those under way.
+
+        Of those on which targets may crash, one at a time is sent to a service, so that
+        the next crash tells which one it is.
+        """
+        since_s = self._turns_s.get(request_state.service)
+        now_s = asyncio.get_running_loop().time()
+        if since_s is None or now_s - since_s > MAX_TURN_S:
+            return True
+        return not self.dependencies.quarantine.is_doubtful(request_state.name)
+
     def _is_suspect(self, request_state: requeststate.RequestState) -> bool:
         """Return whether one more target would probably crash on the request.
 
@@ -371,12 +398,17 @@
         selector = self.dependencies.selector
         chosen.acquire()
         selector.reserve_retry(request_state)
+        turn_s = asyncio.get_running_loop().time()
+        if self.dependencies.quarantine.is_doubtful(request_state.name):
+            self._turns_s[request_state.service] = turn_s
         outcome: requeststate.Outcome | None = None
         try:
             selector.announce(chosen)
             outcome = await self._exchange(request_state, chosen)
         finally:
             selector.release_retry(request_state)
+            if self._turns_s.get(request_state.service) == turn_s:
+                del self._turns_s[request_state.service]
             if not isinstance(outcome, requeststate.Opened):
                 chosen.release()
         return outcome
--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -23,6 +23,7 @@
 EVALUATE_MS = 50.0  # a crash brings many losses at once
 RELEASED_MS = 30_000.0  # by then an entry that was being written has been read
 CLAIM_MS = 30_000.0  # between two attempts of an instance to get a trial
+DOUBTFUL_CRASHES = 2
 MAX_REQUESTS = 1_000  # the oldest are released, as few ever come again
 
 QUARANTINED = events.define(
@@ -126,6 +127,11 @@
         """Return whether any of the parts is quarantined."""
         return bool(self.held) and any(part in self.held for part in parts)
 
+    def is_doubtful(self, name: str) -> bool:
+        """Return whether targets have crashed on a request, or on one beside it."""
+        found = self.crash_log.evidence(name, self.held.keys())
+        return found.crashes >= DOUBTFUL_CRASHES
+
     def is_suspected(self, part: str) -> bool:
         """Return whether a part would be quarantined if that were confirmed."""
         return self.crash_log.is_guilty(part, self.held.keys())
--- a/test/gateway/test_repeatedcrashes.py
+++ b/test/gateway/test_repeatedcrashes.py
@@ -11,6 +11,7 @@
 
 Kind = catalogue.Kind
 POISON = b"poison"
+SLOW = b"slow"  # the first bytes of sound requests that take longer
 RUN_S = 0.02
 PAUSE_S = 0.12
 
@@ -33,7 +34,7 @@
 
     async def run(self, engine, head, body, writer):
         """Answer; crash while the poisonous request runs."""
-        await asyncio.sleep(RUN_S)
+        await asyncio.sleep(RUN_S * (4 if body.startswith(SLOW) else 1))
         await self.may_end.wait()
         if body != POISON:
             writer.write(self.answer(head))
@@ -141,6 +142,24 @@
             self.assertEqual((await self.ask(harness))[0], 503)
             self.assertEqual((await self.ask(harness, body=b"sound"))[0], 200)
 
+    # Guards against refusing sound requests together with the one that crashes the last
+    # target, as each crash takes all of them along.
+    async def test_sound_requests_at_the_last_target_are_told_apart(self):
+        await self.start_fleet(instances=1, engines=1)
+        (harness,) = self.instances
+        sound = [SLOW + str(number).encode() for number in range(4)]
+        for _ in range(8):
+            await asyncio.gather(
+                *(self.ask(harness, "/once/x", one) for one in (*sound, POISON))
+            )
+            await asyncio.sleep(PAUSE_S)
+            self.restart_engines()
+        await asyncio.sleep(1)
+        self.assertEqual((await self.ask(harness, "/once/x"))[0], 503)
+        for one in sound:
+            status, _ = await self.ask(harness, "/once/x", one)
+            self.assertEqual(status, 200)
+
     # Guards against a second attempt that takes one more target down.
     async def test_a_request_of_three_crashes_gets_no_further_attempt(self):
         await self.start_fleet()
