Let draining engines of the soak serve well past the bound, and several leave

Cause: the planted bug ignores-draining was not found once beside load, and ignores-leaving once: a draining engine served for 0.35 s in which an arrival counted, and one engine alone said that it leaves.

--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -30,7 +30,10 @@
             Fault(1.0, "cold", "e0", 1.0),
         ],
     ),
-    "ignores-leaving": ("leaving", [Fault(0.5, "leave", "e0", 1.0)]),
+    "ignores-leaving": (
+        "leaving",
+        [Fault(0.5, "leave", f"e{number}", 1.0) for number in range(3)],
+    ),
     "ignores-rest": (
         "rest",
         [Fault(0.5, "rest", f"e{number}", 6.0) for number in range(3)],
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -52,7 +52,7 @@
 LATE_WORK_S = 0.6  # past the end of the grace period
 READY_GAP_S = 0.05
 RENAME_PERIOD_S, RENAME_LAG_S = 0.3, 1.0  # until an old entry goes
-DRAIN_EXIT_S = 2.6  # a draining engine serves for a little longer than the bound
+DRAIN_EXIT_S = 4.0  # a draining engine serves for longer than the bound
 
 
 class Injector:
