Register again if the first list of a process lacks it

What operators would see: an instance that serves without an entry, so that the others divide limits of the fleet by one too few, until it restarts.

Cause: a process that starts finds the entry of the one before it (409) and is done; if the store then comes back from a copy without that entry before the list of instances is read for the first time, the watcher sees one era only, and that the entry is missing told nothing.

Fix: once registered, a list without the own entry means that it is to be written again. The condition stays that there is none.

That it was this is by reading, as no log was kept; the test added to test_watching fails without the fix.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -166,6 +166,7 @@
         self._settings_text = site_module.read(path)
         self._last_unready_reason = ""
         self._tasks: list[asyncio.Task[typing.Any]] = []
+        self._is_registered = False
         self._build_platform()
         self._build_forwarding()
         self._build_watchers()
@@ -303,7 +304,11 @@
             ),
             (
                 recordhandlers.FleetHandler(
-                    mirror, clock, self.gossip.members, self._register_again
+                    mirror,
+                    clock,
+                    self.gossip.members,
+                    self._register_again,
+                    lambda: self._is_registered,
                 ),
                 _timing_for(LONG_WATCH_MS, FLEET_BATCH_MS),
             ),
@@ -505,11 +510,11 @@
             outcome = await self.objects.put(
                 f"{platform_client.INSTANCES}{site.name}", value, if_absent=True
             )
-            if isinstance(outcome, result.Success):
-                return True
             unknown = results.Unavailable | results.OutcomeUnknown
-            if not isinstance(outcome.failure(), unknown):
-                return False
+            is_new = isinstance(outcome, result.Success)
+            if is_new or not isinstance(outcome.failure(), unknown):
+                self._is_registered = True
+                return is_new
             await asyncio.sleep(budget.THROTTLED_PAUSE_MS / 1_000)
 
     async def _answer_readiness(self, request: messages.Request) -> messages.Response:
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -241,7 +241,9 @@
 class FleetHandler(BaseHandler):
     """Applies the entries of instances: the fleet and its members' addresses.
 
-    ``register_again`` is called if an older copy of the records lacks this instance.
+    ``register_again`` is called if an older copy of the records lacks this instance, or
+    any list does after ``is_registered``: a process may have found the entry of the one
+    before it just before the store came back from a copy.
     """
 
     prefix = platform_client.INSTANCES
@@ -253,10 +255,12 @@
         clock: timers.Timers,
         members: dict[str, hubs.Member],
         register_again: typing.Callable[[], None] = lambda: None,
+        is_registered: typing.Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__(mirror, clock)
         self.members = members
         self.register_again = register_again
+        self.is_registered = is_registered
         self._names: set[str] = {mirror.name}
         self._restored = False
 
@@ -269,7 +273,8 @@
         # Entries that an older copy lacks are kept: their instances write them again.
         await super().on_list(records, reconnected)
         listed = {record.key.removeprefix(self.prefix) for record in records}
-        if self._restored and self.mirror.name not in listed:
+        is_expected = self._restored or self.is_registered()
+        if is_expected and self.mirror.name not in listed:
             self.register_again()
         self._restored = False
 
--- a/test/gateway/test_watching.py
+++ b/test/gateway/test_watching.py
@@ -398,6 +398,21 @@
         self.assertEqual(registered, [True])
         self.assertEqual(self.mirror.fleet.size, 2)
 
+    # Guards against a process that stays unregistered: it found the entry of the one
+    # before it, and then the store came back from a copy without that.
+    async def test_a_process_whose_first_list_lacks_it_registers_again(self):
+        registered = []
+        for is_registered in (False, True):
+            handler = recordhandlers.FleetHandler(
+                self.mirror,
+                self.clock,
+                {},
+                lambda: registered.append(True),
+                lambda found=is_registered: found,
+            )
+            await handler.on_list((), False)
+            self.assertEqual(registered, [True] * is_registered)
+
     # Guards against an instance that serves nobody while it reads a long list.
     async def test_a_list_of_12000_targets_takes_many_short_turns(self):
         asyncio.get_running_loop().set_debug(False)
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -295,7 +295,7 @@
 
 def _forgets_registration() -> None:
     """Does not register again when the store comes back from a copy."""
-    recordhandlers.FleetHandler.on_restore = lambda self: None
+    edge_module.Edge._register_again = lambda self: None
 
 
 PLANTED_BUGS = {
