Count losses in quick succession once before requests wait for each other

What callers might see: an instance that loses its connections to several targets at once takes all of its repeated requests for doubtful, sends them one at a time, and refuses those that wait too long (RECOVER).

Fix: only losses at moments more than 500 ms apart make a request doubtful. Engines that crash on a request are back later than that.

--- a/cornelreach/gateway/crashes.py
+++ b/cornelreach/gateway/crashes.py
@@ -33,6 +33,7 @@
 SOUND_MS = 60_000.0
 KEPT_MS = 300_000.0
 SAME_MOMENT_MS = 100.0  # crashes this close may have another cause, as a power cut
+CUT_MS = 500.0  # in which an instance loses its connections to several targets
 MAX_CRASHES = 256
 MAX_PROMPTS = 12  # of one crash
 MAX_PLAIN_REQUESTS = 32  # of one crash, without parts
@@ -326,6 +327,21 @@
             first_ms = next_ms = crash.at_ms
         return Evidence(weight, crashes, first_ms, frozenset(alternatives - {part}))
 
+    def crash_moments(self, name: str) -> int:
+        """Return at how many times something was lost since its last whole answer.
+
+        Losses at several targets in quick succession count once: their connections may
+        have been cut.
+        """
+        before_ms = max(
+            self._sound_ms.get(name, float("-inf")), self.clock.now_ms() - KEPT_MS
+        )
+        count, last_ms = 0, float("-inf")
+        for crash in self._by_part.get(name, ()):
+            if crash.at_ms > before_ms and crash.at_ms > last_ms + CUT_MS:
+                count, last_ms = count + 1, crash.at_ms
+        return count
+
     def _is_repeated(self, name: str, crash: _Crash, next_ms: float) -> bool:
         """Return whether a crash counts with the next one, as of the same moment.
 
--- a/cornelreach/gateway/quarantine.py
+++ b/cornelreach/gateway/quarantine.py
@@ -129,8 +129,7 @@
 
     def is_doubtful(self, name: str) -> bool:
         """Return whether targets have crashed on a request, or on one beside it."""
-        found = self.crash_log.evidence(name, self.held.keys())
-        return found.crashes >= DOUBTFUL_CRASHES
+        return self.crash_log.crash_moments(name) >= DOUBTFUL_CRASHES
 
     def is_suspected(self, part: str) -> bool:
         """Return whether a part would be quarantined if that were confirmed."""
--- a/test/gateway/test_crashes.py
+++ b/test/gateway/test_crashes.py
@@ -246,6 +246,17 @@
         held = {"request-0", "request-1"}
         self.assertEqual(self.log.guilty_parts(held), ["m.bad"])
 
+    # Guards against requests that wait for each other since their instance was cut off
+    # from several targets at once.
+    def test_losses_in_quick_succession_are_one_moment(self):
+        for number, wait_ms in enumerate((0, 200, 200, 700)):
+            self.clock.advance(wait_ms)
+            lifetime = crashes.Lifetime(f"t{number}", 1)
+            self.log.record_loss(lifetime, 1, ("request-a",), begun=False)
+        self.assertEqual(self.log.crash_moments("request-a"), 2)
+        self.log.record_sound(("request-a",), self.clock.now_ms())
+        self.assertEqual(self.log.crash_moments("request-a"), 0)
+
     def test_requests_of_one_prompt_are_told_apart(self):
         lifetime = crashes.Lifetime("t1", 1)
         for name in (SOUND, BAD):
