Find the planted reuse of connections in each play of the soak

Cause: a late copy of a refusal makes a call run again while another engine is left, and makes it run though refused while none is.

--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -56,8 +56,8 @@
         [Fault(0.5, "refuse-first", f"e{number}", 6.0) for number in range(3)],
     ),
     "reuses-connections": (
-        "once",
-        [Fault(0.5, "rename", f"e{number}", 6.0) for number in range(3)],
+        "true refusals",
+        [Fault(0.5, "rename", f"e{number}", 9.0) for number in range(3)],
     ),
     "takes-no-turns": (
         "turns",
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -413,7 +413,7 @@
             return
         self._renamed.add(fault.subject)
         engine = self.environment.engines[fault.subject]
-        engine.faults.late_copies = 0.5
+        engine.faults.late_copies = 1.0
         end_s = time.monotonic() + fault.for_s
         while time.monotonic() < end_s:
             await self._rename(engine, f"{engine.name}.{next(self._rename_count)}")
