--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -3,25 +3,32 @@
 found = await find("repeats", first_seed=1)  # the seed that found it, or None
 """
 
-from tools.soak import run, schedule
+import typing
+
+from tools.soak import environment, run, schedule
 
 Fault = schedule.Fault
 
 SECONDS, EDGES = 10, 2
 MAX_SEEDS = 5
 
+ALL = tuple(f"e{number}" for number in range(environment.ENGINES))
+PLAIN, POOL = ALL[: environment.PLAIN_ENGINES], ALL[environment.PLAIN_ENGINES :]
+
+
+def _at_engines(
+    kind: str, engines: typing.Sequence[str], for_s: float, at_s: float = 0.5
+) -> list[schedule.Fault]:
+    """Return the same fault at several engines at once."""
+    return [Fault(at_s, kind, engine, for_s) for engine in engines]
+
+
 # For each planted bug, the guarantee it violates and the faults that expose it.
 BUG_SCHEDULES = {
-    "repeats": ("once", [Fault(0.5, "lost", f"e{one}", 6.0) for one in range(3)]),
-    "refuses-after-run": (
-        "true refusals",
-        [Fault(0.5, "lost", f"e{number}", 6.0) for number in range(3)],
-    ),
+    "repeats": ("once", _at_engines("lost", PLAIN, 6.0)),
+    "refuses-after-run": ("true refusals", _at_engines("lost", PLAIN, 6.0)),
     "trusts-keys": ("revoked keys", [Fault(1.0, "cut", "edge0", 1.0)]),
-    "ignores-draining": (
-        "draining",
-        [Fault(1.0, "drain", f"e{number}", 1.0) for number in range(3)],
-    ),
+    "ignores-draining": ("draining", _at_engines("drain", PLAIN, 1.0, at_s=1.0)),
     "ignores-cold": (
         "cold engines",
         [
@@ -30,39 +37,18 @@
             Fault(1.0, "cold", "e0", 1.0),
         ],
     ),
-    "ignores-leaving": (
-        "leaving",
-        [Fault(0.5, "leave", f"e{number}", 1.0) for number in range(3)],
-    ),
-    "ignores-rest": (
-        "rest",
-        [Fault(0.5, "rest", f"e{number}", 6.0) for number in range(3)],
-    ),
-    "ignores-limits": (
-        "limits",
-        [Fault(0.5, "limit", f"e{number}", 1.0) for number in range(7)],
-    ),
+    "ignores-leaving": ("leaving", _at_engines("leave", PLAIN, 1.0)),
+    "ignores-rest": ("rest", _at_engines("rest", PLAIN, 6.0)),
+    "ignores-limits": ("limits", _at_engines("limit", ALL, 1.0)),
     "keeps-what-left": (
         "draining",
         [Fault(0.5 + 3.5 * one, "withdraw", f"e{one}", 1.0) for one in range(3)],
     ),
     "trusts-addresses": ("damaged records", [Fault(3.5, "damage", "", 6.0)]),
-    "trusts-refusals": (
-        "once",
-        [Fault(0.5, "refuse-again", f"e{number}", 6.0) for number in range(3)],
-    ),
-    "trusts-first-answers": (
-        "once",
-        [Fault(0.5, "refuse-first", f"e{number}", 6.0) for number in range(3)],
-    ),
-    "reuses-connections": (
-        "true refusals",
-        [Fault(0.5, "rename", f"e{number}", 9.0) for number in range(3)],
-    ),
-    "takes-no-turns": (
-        "turns",
-        [Fault(0.5, "endless", f"e{number}", 6.0) for number in range(2)],
-    ),
+    "trusts-refusals": ("once", _at_engines("refuse-again", PLAIN, 6.0)),
+    "trusts-first-answers": ("once", _at_engines("refuse-first", PLAIN, 6.0)),
+    "reuses-connections": ("true refusals", _at_engines("rename", PLAIN, 9.0)),
+    "takes-no-turns": ("turns", _at_engines("endless", PLAIN[:2], 6.0)),
     "guesses-origins": ("one software", [Fault(0.5, "out-of-step", "edge1", 1.0)]),
     "trusts-connections": ("one software", [Fault(0.5, "unseen-start", "edge1", 1.0)]),
     "keeps-limits": ("limits in force", [Fault(0.5, "limits", "", 1.0)]),
@@ -75,25 +61,13 @@
             for number in range(3, 7)
         ],
     ),
-    "trusts-heads": (
-        "whole answers",
-        [Fault(0.5, "cut-heads", f"e{number}", 6.0) for number in range(3)],
-    ),
+    "trusts-heads": ("whole answers", _at_engines("cut-heads", PLAIN, 6.0)),
     "passes-nothing-on": ("reached", [Fault(0.5, "engines-cut", "edge0", 1.0)]),
     "forgets-registration": ("registered", [Fault(0.5, "restore", "", 1.0)]),
-    "counts-from-reading": (
-        "versions",
-        [Fault(0.5, "late-version", "edge1", 1.0)],
-    ),
+    "counts-from-reading": ("versions", [Fault(0.5, "late-version", "edge1", 1.0)]),
     "stays-on-old": ("versions", [Fault(0.5, "version", "", 10.0)]),
-    "joins-streams": (
-        "whole answers",
-        [Fault(1.0, "garbled", f"e{number}", 2.5) for number in range(3, 7)],
-    ),
-    "ignores-software": (
-        "one software",
-        [Fault(0.5, "garbled", f"e{number}", 6.0) for number in range(3, 7)],
-    ),
+    "joins-streams": ("whole answers", _at_engines("garbled", POOL, 2.5, at_s=1.0)),
+    "ignores-software": ("one software", _at_engines("garbled", POOL, 6.0)),
     "forgets-origins": (
         "taken up",
         [
@@ -104,7 +78,7 @@
     ),
     "forgets-retries": (
         "repeats",
-        [Fault(0.5, "shed", f"e{number}", 9.0) for number in range(3)]
+        _at_engines("shed", PLAIN, 9.0)
         + [
             Fault(at_s, "kill", f"edge{number}", 0.0)
             for at_s in (2.5, 4.5, 6.5)
@@ -121,10 +95,7 @@
         # Of one alone, three crashes may end no sound request beside it.
         [Fault(3.5, "repeat", "stream", 1.0)] * 2,
     ),
-    "trusts-framing": (
-        "whole answers",
-        [Fault(0.5, "garbled", f"e{number}", 6.0) for number in range(3, 7)],
-    ),
+    "trusts-framing": ("whole answers", _at_engines("garbled", POOL, 6.0)),
 }
 
 
