--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -155,8 +155,8 @@
         for plan, task in zip(plans, tasks, strict=True):
             with self.subTest(plan.planted):
                 outcome = await task
-                found = {one.guarantee for one in outcome.violations}
-                self.assertIn(BUG_SCHEDULES[plan.planted][0], found)
+                found = bugschedules.is_found(plan.planted, outcome)
+                self.assertTrue(found, outcome.violations)
 
 
 class Schedules(unittest.TestCase):
--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -47,7 +47,7 @@
     "trusts-addresses": ("damaged records", [Fault(3.5, "damage", "", 6.0)]),
     "trusts-refusals": ("once", _at_engines("refuse-again", PLAIN, 6.0)),
     "trusts-first-answers": ("once", _at_engines("refuse-first", PLAIN, 6.0)),
-    "reuses-connections": ("true refusals", _at_engines("rename", PLAIN, 9.0)),
+    "reuses-connections": ("once", _at_engines("rename", PLAIN, 14.0)),
     "takes-no-turns": ("turns", _at_engines("endless", PLAIN[:2], 6.0)),
     "guesses-origins": ("one software", [Fault(0.5, "out-of-step", "edge1", 1.0)]),
     "trusts-connections": ("one software", [Fault(0.5, "unseen-start", "edge1", 1.0)]),
@@ -99,12 +99,22 @@
 }
 
 
+# A run ends at its first violation, and these bugs break a second guarantee as often.
+SECOND_GUARANTEES = {"reuses-connections": "true refusals"}
+
+
+def is_found(name: str, outcome: run.Outcome) -> bool:
+    """Return whether a run has shown a guarantee that the planted bug violates."""
+    guarantees = {BUG_SCHEDULES[name][0], SECOND_GUARANTEES.get(name)}
+    return any(one.guarantee in guarantees for one in outcome.violations)
+
+
 async def find(name: str, first_seed: int) -> int | None:
     """Return the first of a few seeds whose play finds a planted bug, or None."""
-    guarantee, faults = BUG_SCHEDULES[name]
+    faults = BUG_SCHEDULES[name][1]
     for seed in range(first_seed, first_seed + MAX_SEEDS):
         plan = run.Plan(seed, SECONDS, EDGES, name, tuple(faults))
         outcome = await run.run_plan(plan)
-        if guarantee in {one.guarantee for one in outcome.violations}:
+        if is_found(name, outcome):
             return seed
     return None
