Ask the kernel for one connection when the soak cuts an instance off

The soak's fault engines-cut read the table of all connections of the machine, in the loop that its engines and callers share, for each connection to an engine.

The kernel's socket diagnosis (as ss uses it) answers for one connection in 0.2 ms; the table (0.11 s) is left for kernels without it.

--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -20,7 +20,7 @@
     callers,
     edges as edges_module,
     operator as operator_module,
-    processports,
+    processsockets,
     proxy,
 )
 
@@ -157,16 +157,24 @@
             await engine.start(self.shared_host)
             engine.on_change = lambda one=name: self._record_load(one)
             engine.on_crash = lambda one=name: self._revive_later(one)
-            self.links[name] = proxy.Proxy(engine.address, self._cut_ports)
+            self.links[name] = proxy.Proxy(engine.address, self._is_cut)
             await self.links[name].start(self.shared_host)
             self.write_entry(name)
 
-    def _cut_ports(self) -> set[int]:
-        """Return the local ports of the instances that are cut off from engines."""
-        ports: set[int] = set()
-        for name in +self.cut_off:
-            ports |= processports.of_process(self.edges[name].process.pid)
-        return ports
+    def _is_cut(
+        self,
+        source: processsockets.SocketName,
+        destination: processsockets.SocketName,
+    ) -> bool:
+        """Return whether a connection is that of an instance cut off from engines."""
+        cut_off = +self.cut_off
+        if not cut_off:
+            return False
+        inode = processsockets.inode_of(source, destination)
+        return any(
+            inode in processsockets.inodes_of(self.edges[name].process.pid)
+            for name in cut_off
+        )
 
     async def _start_edge(self, number: int) -> None:
         name = f"edge{number}"
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -7,6 +7,7 @@
 import typing
 
 from cornelreach.http import sockets
+from tools.soak import processsockets
 
 READ_BYTES = 65_536
 
@@ -30,16 +31,20 @@
 SILENT_LINKS = (Link.SILENT, Link.HUNG)
 
 
+# Whether a connection from a source to a destination is to be reset.
+IsCut = typing.Callable[[processsockets.SocketName, processsockets.SocketName], bool]
+
+
 class Proxy:
     """Forwards connections to a target address."""
 
     def __init__(
         self,
         target: str,
-        cut_ports: typing.Callable[[], typing.Container[int]] = tuple,
+        is_cut: IsCut = lambda source, destination: False,
     ) -> None:
         self.target = target
-        self.cut_ports = cut_ports
+        self.is_cut = is_cut
         self.link = Link.GOOD
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -69,13 +74,14 @@
 
     def reset_cut(self) -> None:
         """Reset the open connections of the callers that are cut off."""
-        ports = self.cut_ports()
         for writer in list(self._writers):
-            if self._peer_port(writer) in ports:
+            if self._is_from_cut(writer):
                 sockets.reset(writer.transport)
 
-    def _peer_port(self, writer: asyncio.StreamWriter) -> int:
-        return (writer.get_extra_info("peername") or ("", 0))[1]
+    def _is_from_cut(self, writer: asyncio.StreamWriter) -> bool:
+        source = writer.get_extra_info("peername")
+        destination = writer.get_extra_info("sockname")
+        return bool(source and destination) and self.is_cut(source, destination)
 
     def _host_and_port(self) -> tuple[str, int]:
         host, _, port = self.address.rpartition(":")
@@ -109,7 +115,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._peer_port(writer) in self.cut_ports():
+        if self._is_from_cut(writer):
             sockets.reset(writer.transport)
             return
         self._writers.add(writer)
