Pass requests on where the only engines in use have no room and the others are unreached

Cause: a request is passed on once every engine that it may use is found out of reach. An engine that has named a small Server-Limit is sent next to nothing, so it is not found out of reach; while the others are ejected it is the only one in use, and has no room. The same holds for one that is cold, closed or full, and for one that rests beside it.

Now an engine without room does not count as reached unless it was heard since the others failed; then the request goes through another instance, which keeps its own share of the limit. An instance that was asked and is cut off as well declines.

--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -281,13 +281,24 @@
             if self.brittleness.admits(one, service, tokens, now_ms, was_sent)
         ]
         if not free:
-            max_ms = request_state.route.objective_ms * WAIT_SHARE
-            left_ms = self.limits.left_ms(allowed, now_ms)
-            if left_ms is not None and spent_ms + left_ms > max_ms:
-                return Limited(left_ms)
-            return Wait(WAIT_MS, max_ms)
+            if self._are_others_unreached(allowed, request_state, service, now_ms):
+                return Unreached()
+            return self._wait_for_room(allowed, request_state, now_ms, spent_ms)
         return self._pick(free, request_state, service, now_ms, spent_ms)
 
+    def _wait_for_room(
+        self,
+        targets: typing.Iterable[registry_module.Target],
+        request_state: requeststate.RequestState,
+        now_ms: float,
+        spent_ms: float,
+    ) -> Wait | Limited:
+        max_ms = request_state.route.objective_ms * WAIT_SHARE
+        left_ms = self.limits.left_ms(targets, now_ms)
+        if left_ms is not None and spent_ms + left_ms > max_ms:
+            return Limited(left_ms)
+        return Wait(WAIT_MS, max_ms)
+
     def _is_out_of_reach(
         self,
         allowed: typing.Iterable[registry_module.Target],
@@ -297,6 +308,31 @@
             return True
         return all(self.mirror.registry.state(one.id).unreached for one in allowed)
 
+    def _are_others_unreached(
+        self,
+        full: typing.Collection[registry_module.Target],
+        request_state: requeststate.RequestState,
+        service: catalogue.Service,
+        now_ms: float,
+    ) -> bool:
+        """Return whether all targets but those without room are out of reach.
+
+        Nothing is sent to a target without room, as one at the limit that it named, so
+        it may be out of reach as well unless it was heard since the others failed. The
+        same holds for one that rests.
+        """
+        registry = self.mirror.registry
+        opened = registry.open_targets(service.name)
+        others = [
+            registry.state(one.id)
+            for one in self._suitable(opened, request_state, now_ms)
+            if one not in full and not registry.is_resting(one.id, now_ms)
+        ]
+        if not others or not all(one.unreached for one in others):
+            return False
+        failed_ms = min(one.failed_ms for one in others)
+        return all(registry.state(one.id).heard_ms < failed_ms for one in full)
+
     def _last_targets(
         self, allowed: list[registry_module.Target], retry: bool, now_ms: float
     ) -> list[registry_module.Target]:
@@ -316,14 +352,23 @@
             service.name, now_ms, request_state.software
         )
         tried = request_state.tried
+        suitable = self._suitable(usable, request_state, now_ms)
+        return [one for one in suitable if one.id not in tried]
+
+    def _suitable(
+        self,
+        targets: typing.Iterable[registry_module.Target],
+        request_state: requeststate.RequestState,
+        now_ms: float,
+    ) -> list[registry_module.Target]:
+        """Return those in data centres and with weights that a request may use."""
         zones = self.allowed_zones(request_state)
         model = request_state.model
         oldest = self._oldest_version(model, now_ms)
         return [
             one
-            for one in usable
-            if one.id not in tried
-            and (zones is None or one.zone in zones)
+            for one in targets
+            if (zones is None or one.zone in zones)
             and (
                 not model
                 or not one.versions
--- a/test/gateway/test_cutoff.py
+++ b/test/gateway/test_cutoff.py
@@ -35,6 +35,10 @@
         """Cut the links, and check that callers are served soon after."""
         await self.start()
         self.assertEqual(set(await self.ask("before", 2)), {200})
+        await self.check_cut(link)
+
+    async def check_cut(self, link):
+        """Cut the links, and check that callers are served a moment later."""
         self.set_links(link)
         learning = [
             asyncio.ensure_future(self.cut.send(path, x_cornelreach_request_id=path))
@@ -58,3 +62,13 @@
     # Guards against the same where only new connections are refused.
     async def test_callers_are_served_while_new_connections_are_refused(self):
         await self.check(Link.REFUSED)
+
+    # Guards against the same where one engine has named a limit: nothing is sent to it,
+    # so that it does not show that it is out of reach as well.
+    async def test_callers_are_served_beside_an_engine_at_its_limit(self):
+        await self.start()
+        self.assertEqual(set(await self.ask("before", 2)), {200})
+        registry = self.cut.mirror.registry
+        born_ms = registry.targets["e1"].born_ms
+        registry.set_limit("e1", born_ms, 0.01, self.cut.clock.now_ms())
+        await self.check_cut(Link.RESET)
