--- a/tools/soak/checkcontext.py
+++ b/tools/soak/checkcontext.py
@@ -62,13 +62,13 @@
         Prompts are refused while no engine has loaded the weights named long before.
         """
         start_s = request.sent_s - CONTACT_S
-        if request.kind.model and not self._has_loaded(start_s):
+        if request.kind.model and not self.has_loaded(start_s):
             return False
         return self.has_contact(request.edge, request.sent_s) and not any(
             self.disturbances_of(name, start_s, request.ended_s) for name in engines
         )
 
-    def _has_loaded(self, at_s: float) -> bool:
+    def has_loaded(self, at_s: float) -> bool:
         """Return whether an engine had loaded the newest weights named by a time."""
         newest: dict[str, int] = {}
         for one in self.environment.changes:
--- a/tools/soak/reachchecks.py
+++ b/tools/soak/reachchecks.py
@@ -50,6 +50,8 @@
     if repeated or request.status == -1 or not starts_s <= request.sent_s < cut.end_s:
         return None
     since_s = request.sent_s - checkcontext.CONTACT_S
+    if request.kind.model and not context.has_loaded(since_s):
+        return None  # prompts are refused everywhere
     found = [
         one
         for subject in (request.edge, "store")
