--- a/test/gateway/test_cutoff.py
+++ b/test/gateway/test_cutoff.py
@@ -72,3 +72,20 @@
         born_ms = registry.targets["e1"].born_ms
         registry.set_limit("e1", born_ms, 0.01, self.cut.clock.now_ms())
         await self.check_cut(Link.RESET)
+
+    # Guards against each engine that starts again being tried at once by an instance
+    # that reaches none: the connections of these tries are reset as well.
+    async def test_callers_are_served_while_engines_start_again(self):
+        await self.start()
+        self.assertEqual(set(await self.ask("before", 2)), {200})
+        self.set_links(Link.RESET)
+        await self.ask("learning", 2)
+        await asyncio.sleep(LEARN_S)
+        statuses = []
+        for born_ms in range(2, 8):
+            for engine, link in zip(self.engines, self.links, strict=True):
+                self.cut.register(engine, "s", address=link.address, born_ms=born_ms)
+                self.sound.register(engine, "s", born_ms=born_ms)
+            statuses += await self.ask(f"cut-{born_ms}", 1, 2)
+        served = statuses.count(200) / len(statuses)
+        self.assertGreaterEqual(served, SERVED_SHARE, statuses)
