--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -28,6 +28,11 @@
     return None
 
 
+async def read_nothing():
+    """Read no software versions, as while the store is away."""
+    return False
+
+
 class Case(test_forwarding.Case):
     """Two engines, the first of version v1 and the second of version v2."""
 
@@ -440,11 +445,7 @@
     # Guards against the same at an instance that cannot read the store either.
     async def test_an_instance_without_the_store_does_not_guess(self):
         await self.start(stream, stream)
-
-        async def read_now():
-            return False
-
-        self.harness.software_versions.read_now = read_now
+        self.harness.software_versions.read_now = read_nothing
         got = await self.go_on(self.harness, 1, "begun-elsewhere")
         self.assertTrue(got.startswith(b"HTTP/1.1 503"), got)
         self.assertEqual(self.resumed_at(), set())
@@ -452,11 +453,7 @@
     # Guards against refusing callers that name no attempt while the store is away.
     async def test_without_the_store_a_caller_that_names_no_attempt_goes_on(self):
         await self.start(stream, stream)
-
-        async def read_now():
-            return False
-
-        self.harness.software_versions.read_now = read_now
+        self.harness.software_versions.read_now = read_nothing
         got = await self.go_on(self.harness, 1, None)
         self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
 
