--- a/test/gateway/test_streamorigins.py
+++ b/test/gateway/test_streamorigins.py
@@ -137,18 +137,22 @@
             )
         self.assertEqual(self.engines[0].requests, [])
 
-    # Guards against a stream bound to software that its target had before it started
-    # again, at an instance that cannot read its new entry.
-    async def test_a_stream_begins_out_of_step_at_a_target_that_was_asked(self):
-        await self.start_versions()
-        continuations = self.harness.forwarder.dependencies.continuations
+    def record_asked(self):
+        """Return a list that gets each target asked; all but e0 are current."""
         asked = []
 
         async def is_current(target):
             asked.append(target.id)
             return target.id != "e0"
 
-        continuations.is_current = is_current
+        self.harness.forwarder.dependencies.continuations.is_current = is_current
+        return asked
+
+    # Guards against a stream bound to software that its target had before it started
+    # again, at an instance that cannot read its new entry.
+    async def test_a_stream_begins_out_of_step_at_a_target_that_was_asked(self):
+        await self.start_versions()
+        asked = self.record_asked()
         mirror = self.harness.mirror
         mirror.record_proof(self.harness.clock.now_ms())
         self.assertFalse(mirror.is_out_of_step(self.harness.clock.now_ms()))
@@ -164,14 +168,7 @@
     # Guards against the same where no connection was left to tell of the new start.
     async def test_a_stream_begins_on_a_new_connection_at_a_target_that_was_asked(self):
         await self.start_versions()
-        continuations = self.harness.forwarder.dependencies.continuations
-        asked = []
-
-        async def is_current(target):
-            asked.append(target.id)
-            return target.id != "e0"
-
-        continuations.is_current = is_current
+        asked = self.record_asked()
         self.harness.mirror.record_proof(self.harness.clock.now_ms())
         for number in range(UNTRIED):
             await self.harness.stream(
