--- a/cornelreach/gateway/releaseanalysis.py
+++ b/cornelreach/gateway/releaseanalysis.py
@@ -1,26 +1,44 @@
 """Whether the new software version of a service is good, from counted responses.
 
-Every instance records its responses; collectors sum the cumulative counts of all
-instances and judge them. No I/O and no clock: the age of the order is passed in::
+Collectors sum the cumulative counts of all instances (``releasecounts``), compare the
+versions (``releasecomparison``), and derive the phase of the order. No I/O and no
+clock: the age of the order is passed in::
 
-    recorder.add("/chat/", is_new=True, is_failure=False, ratio=1.2)
     analysis = Analysis(order)
     analysis.observe(age_ms, counts)
     analysis.judge(age_ms).phase
 """
 
 import enum
+import math
 import typing
 
-BUCKETS = 20
-# The unit in which the time of a plain call is passed as a ratio.
-PLAIN_UNIT_MS = 50.0
+from cornelreach.gateway import releasecomparison, releasecounts
+
+WINDOW_MS = 3_000.0  # a version that turns bad late is diluted in the whole time
+MAX_SLICES = 40  # of the whole time; bounds the cost of a judgement on long orders
+EARLY_SHARE = 0.55  # of the duration; leaves a third of it to a store that is down
+LATE_SHARE = 0.7
+LAST_SHARE = 0.9
+SUCCEED_SHARE = 0.93
+MIN_RESPONSES = 30  # nine failures are expected of a version that fails 0.3 of them
+MIN_ROUTE_RESPONSES = 5
+ROUTE_SHARE = 0.05
+QUIET_MS = 400.0  # two intervals of reports
+
+# The counts are part of this module's interface.
+PLAIN_UNIT_MS = releasecounts.PLAIN_UNIT_MS
+RouteCounts = releasecounts.RouteCounts
+Counts = releasecounts.Counts
+Recorder = releasecounts.Recorder
+add_counts = releasecounts.add_counts
+Finding = releasecomparison.Finding
 
 
 class Order(typing.NamedTuple):
     """An order to move a service's traffic to the targets of a software version.
 
-    ``created`` is the time of creation in the object's metadata, as it is written there.
+    ``created`` is the time of creation as written in the object's metadata.
     """
 
     service: str
@@ -39,65 +57,6 @@
     REVERTED = 4
 
 
-class RouteCounts(typing.NamedTuple):
-    """The responses of one version on one route; ``times`` are counts by bucket.
-
-    Not every response has a time, so ``times`` may add up to less than ``responses``.
-    """
-
-    responses: int = 0
-    failures: int = 0
-    times: tuple[int, ...] = (0,) * BUCKETS
-
-    def __add__(self, other: "RouteCounts") -> "RouteCounts":
-        """Return the sum of both."""
-        raise NotImplementedError
-
-
-# By route name and whether the responses are those of the new version.
-Counts = dict[tuple[str, bool], RouteCounts]
-
-
-class Recorder:
-    """Counts the responses of one instance for one order."""
-
-    def add(
-        self, route: str, is_new: bool, is_failure: bool, ratio: float | None
-    ) -> None:
-        """Count a response.
-
-        ``ratio`` is the response time divided by the expected time, or for plain calls
-        by ``PLAIN_UNIT_MS``; None if the time is not to be counted (cold targets,
-        failures). Responses that say "not run" are not passed here.
-        """
-        raise NotImplementedError
-
-    def counts(self) -> Counts:
-        """Return the counts since the order began."""
-        raise NotImplementedError
-
-
-def add_counts(parts: typing.Iterable[Counts]) -> Counts:
-    """Return the sum of the counts of several instances."""
-    raise NotImplementedError
-
-
-class Finding(typing.NamedTuple):
-    """How the new version compares with the old one in one respect.
-
-    ``kind`` is "failed" or "slow", ``route`` is empty for all routes together, and
-    ``window_ms`` is None for the whole time.
-    """
-
-    kind: str
-    route: str
-    window_ms: float | None
-    responses: int
-    events: int
-    expected: float
-    probability: float
-
-
 class Judgement(typing.NamedTuple):
     """The phase that the counts call for, with the reason and the figures behind it.
 
@@ -124,10 +83,19 @@
     def __init__(self, order: Order) -> None:
         self.order = order
         self.phase = Phase.OBSERVING
-
-    def adopt(self, phase: Phase) -> None:
+        self._reason = "too few responses yet"
+        self._last: Counts = {}
+        length_ms = max(releasecomparison.SLICE_MS, order.duration_ms / MAX_SLICES)
+        self._whole = releasecomparison.Slices(length_ms, MAX_SLICES + 1)
+        self._newest = releasecomparison.Slices(
+            releasecomparison.SLICE_MS,
+            math.ceil(WINDOW_MS / releasecomparison.SLICE_MS) + 1,
+        )
+
+    def adopt(self, phase: Phase, reason: str = "another instance found so") -> None:
         """Take over a higher phase from another instance or from the store."""
-        self.phase = max(self.phase, phase)
+        if phase > self.phase:
+            self.phase, self._reason = phase, reason
 
     def observe(self, age_ms: float, counts: Counts) -> None:
         """Take in the cumulative counts of all instances, summed.
@@ -135,14 +103,65 @@
         The sum should include the last report of instances that have ended: after a
         fall, what grows again counts as new responses.
         """
-        raise NotImplementedError
+        added = {}
+        for key, held in counts.items():
+            difference = held.since(self._last.get(key, releasecounts.NO_COUNTS))
+            if difference.responses:
+                added[key] = difference
+        self._last = dict(counts)
+        self._whole.add(age_ms, added)
+        self._newest.add(age_ms, added)
 
     def judge(self, age_ms: float, has_targets: bool = True) -> Judgement:
         """Return the judgement at an age of the order.
 
         ``has_targets`` tells whether a target of the new version has appeared.
         """
-        raise NotImplementedError
+        compare, window = releasecomparison.compare, releasecomparison.Window
+        whole = window(self._whole.newest(age_ms, math.inf), None)
+        newest = window(self._newest.newest(age_ms, WINDOW_MS), WINDOW_MS)
+        findings = compare(whole, whole) + compare(newest, whole)
+        findings.sort(key=lambda one: (not one.is_bad(), one.probability))
+        worst = findings[0] if findings else None
+        if worst is not None and worst.is_bad():
+            self.adopt(Phase.REVERTING, worst.describe())
+        elif self.phase == Phase.OBSERVING:
+            self._advance(age_ms, whole, has_targets)
+        return Judgement(
+            self.phase,
+            self._reason,
+            *whole.sums(is_new=False),
+            *whole.sums(is_new=True),
+            worst,
+            any(one.is_suspect() for one in findings),
+        )
+
+    def _advance(
+        self, age_ms: float, whole: releasecomparison.Window, has_targets: bool
+    ) -> None:
+        share = age_ms / self.order.duration_ms
+        old, _ = whole.sums(is_new=False)
+        new, failures = whole.sums(is_new=True)
+        if not has_targets:
+            if share >= 1.0:
+                self.adopt(Phase.REVERTING, "no target of the version has appeared")
+        elif share >= EARLY_SHARE and self._has_enough(whole, old + new):
+            self.adopt(Phase.SHIFTING, f"{new} responses, {failures} failed")
+        elif share >= LATE_SHARE and (new > failures or not old + new):
+            reason = f"{new} responses, {failures} failed; more did not come in time"
+            self.adopt(Phase.SHIFTING, reason)
+        elif share >= LAST_SHARE:
+            self.adopt(Phase.REVERTING, "no good response of the version in time")
+
+    def _has_enough(self, whole: releasecomparison.Window, requests: int) -> bool:
+        if whole.sums(is_new=True)[0] < MIN_RESPONSES:
+            return False
+        for route in whole.routes:
+            new = whole.counts(route, True).responses
+            carried = new + whole.counts(route, False).responses
+            if carried >= requests * ROUTE_SHARE and new < MIN_ROUTE_RESPONSES:
+                return False
+        return True
 
 
 class Handover:
@@ -150,6 +169,7 @@
 
     def __init__(self, order: Order) -> None:
         self.order = order
+        self._since_ms: float | None = None
 
     def is_complete(
         self,
@@ -162,7 +182,14 @@
         """Return whether ``succeeded`` is to be written.
 
         ``is_shifted`` tells whether every instance heard from in the last 2 s reports
-        ``SHIFTING``; ``old_in_flight`` counts the requests of all instances in flight at
-        old targets. It is called at least every 200 ms.
+        ``SHIFTING``; ``old_in_flight`` counts the requests of all instances that are in
+        flight at old targets. It is called at least every 200 ms.
         """
-        raise NotImplementedError
+        if age_ms >= self.order.duration_ms * SUCCEED_SHARE:
+            return True
+        if not is_shifted or old_in_flight:
+            self._since_ms = None
+            return False
+        if self._since_ms is None:
+            self._since_ms = now_ms
+        return not is_suspect and now_ms - self._since_ms >= QUIET_MS
