Read creation time and status of stored objects, and hook rollouts into selection

A rollout order needs what the store keeps beside the value, and a place where it decides between software versions. Records carry both, a status can be written on a revision, and the selector asks a rule of the service, one dictionary look-up where there is none.

--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -231,6 +231,62 @@
     software: str | None
 
 
+class ReleaseId(typing.NamedTuple):
+    """Tells an order of a software rollout from all others."""
+
+    service: str
+    target: str
+    created: str
+
+
+class RouteNumbers(typing.NamedTuple):
+    """What one route has counted of a version: numbers, and response times by bucket.
+
+    The buckets end with the last one that is not empty.
+    """
+
+    requests: int
+    responses: int
+    failures: int
+    buckets: tuple[int, ...] = ()
+
+
+class ReleaseReport(typing.NamedTuple):
+    """What an instance has counted for an order, for those that judge the version.
+
+    Counts are cumulative, by route and then by version, the old one first. ``phase`` is
+    a number that grows; ``age_ms`` is the time since the order, or None if that is not
+    known. ``old_in_flight`` counts the requests under way at targets of other versions.
+    """
+
+    name: str
+    boot: str
+    sequence: int
+    order: ReleaseId
+    phase: int
+    age_ms: float | None
+    old_in_flight: int
+    counts: dict[str, tuple[RouteNumbers, RouteNumbers]]
+
+
+class ReleaseDirective(typing.NamedTuple):
+    """What the sender has decided for an order, from the reports of all instances.
+
+    ``share`` of the requests may go to the new version for a short time; with None, the
+    sender cannot tell. ``is_complete`` is set once no instance needs the old version.
+    """
+
+    name: str
+    boot: str
+    sequence: int
+    order: ReleaseId
+    phase: int
+    age_ms: float | None
+    share: float | None
+    is_complete: bool = False
+    reason: str = ""
+
+
 class Bundle(typing.NamedTuple):
     """Updates of several stores."""
 
@@ -255,6 +311,8 @@
     | SoundQuery
     | SoundReport
     | LimitReport
+    | ReleaseReport
+    | ReleaseDirective
 )
 TAGS: dict[type, bytes] = {
     LoadReport: b"t",
@@ -273,6 +331,8 @@
     SoundQuery: b"k",
     SoundReport: b"y",
     LimitReport: b"m",
+    ReleaseReport: b"e",
+    ReleaseDirective: b"f",
 }
 DECODERS = {tag: msgspec.msgpack.Decoder(kind) for kind, tag in TAGS.items()}
 
@@ -379,6 +439,25 @@
     return [*found, batch]
 
 
+def release_reports(report: ReleaseReport) -> list[ReleaseReport]:
+    """Split a report by route into datagrams, each with a bounded size, at least one.
+
+    A route whose name alone is too long is left out.
+    """
+    found, batch = [], report._replace(counts={})
+    empty = batch
+    for route, numbers in report.counts.items():
+        longer = batch._replace(counts={**batch.counts, route: numbers})
+        if len(encode(longer)) > MAX_BYTES:
+            if batch.counts:
+                found.append(batch)
+            longer = empty._replace(counts={route: numbers})
+            if len(encode(longer)) > MAX_BYTES:
+                longer = empty
+        batch = longer
+    return [*found, batch] if batch.counts or not found else found
+
+
 def prompt_store_updates(
     store: str,
     epoch: int,
--- a/cornelreach/gateway/detours.py
+++ b/cornelreach/gateway/detours.py
@@ -89,6 +89,9 @@
     def record_part(self) -> None:
         """Ignore that a part of the answer has come."""
 
+    def record_event(self) -> None:
+        """Ignore that a whole event has come: the other instance counts it."""
+
     def release(self) -> None:
         """End the accounting of this attempt; idempotent."""
         release, self._release = self._release, None
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -388,6 +388,8 @@
         self.dependencies.metrics.add("tries_total", 1, type(outcome).__name__.lower())
         if isinstance(outcome, requeststate.Answered | requeststate.Opened):
             request_state.answered_by = chosen.target.software
+            if isinstance(outcome, requeststate.Answered):
+                chosen.record_event()
         else:
             self._attempt_failed(request_state, chosen, outcome)
         return outcome
@@ -423,6 +425,8 @@
             self.dependencies.detours.record_outcome(chosen, outcome)
         else:
             self.dependencies.selector.record_failure(chosen, outcome)
+            if chosen.counted_attempt is not None:
+                chosen.counted_attempt.record_failure(outcome)
             if isinstance(outcome, requeststate.Lost):
                 self._record_crash(request_state, chosen, outcome)
         self.log.attempt_failed(request_state, chosen.target.id, outcome)
@@ -522,7 +526,10 @@
             raise StaleChoice("the target no longer takes requests")
         if self._is_quarantined(request_state):
             raise StaleChoice("targets crash on the request")
+        if not self.dependencies.selector.may_send(request_state, chosen):
+            raise StaleChoice("a rollout keeps the request from the target")
         chosen.record_send()
+        self.dependencies.selector.record_sent(request_state, chosen)
         written.append(True)
         request_state.is_sent = True
         request_state.times_sent += 1
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -166,6 +166,10 @@
         self.on_eject: typing.Callable[[], None] = lambda: None
         self.on_failure: typing.Callable[[str, str], None] = lambda target, reason: None
         self.on_answer: typing.Callable[[str], None] = lambda target: None
+        # Called for a software version that appears beside another of its service.
+        self.on_software: typing.Callable[[str, str], None] = lambda service, software: (
+            None
+        )
         self._by_service: dict[str, dict[str, Target]] = {}
         self._open: dict[str, list[Target]] = {}  # by service, until the next change
         self._open_evacuated = self.evacuated
@@ -228,6 +232,8 @@
             target = _newest_versions(target, before.versions)
         if before is not None and before.service != target.service:
             self._by_service[before.service].pop(target.id, None)
+        if self._is_new_software(target):
+            self.on_software(target.service, target.software)
         self.targets[target.id] = target
         self._by_service.setdefault(target.service, {})[target.id] = target
         state = self.state(target.id)
@@ -241,6 +247,16 @@
         self._changed()
         self._log_change(before, target)
 
+    def _is_new_software(self, target: Target) -> bool:
+        """Return whether other versions of a service are listed, and this one is not.
+
+        That tells nothing before the list has been read for the first time.
+        """
+        listed = self._by_service.get(target.service)
+        if self._listed_ms is None or not listed:
+            return False
+        return all(one.software != target.software for one in listed.values())
+
     def _changed(self) -> None:
         self.changes += 1
         self._open.clear()
@@ -443,22 +459,40 @@
         return found
 
     def usable(
-        self, service: str, now_ms: float, software: str | None = None
+        self,
+        service: str,
+        now_ms: float,
+        software: str | None = None,
+        among: typing.Iterable[Target] | None = None,
     ) -> list[Target]:
         """Return the open targets that are not ejected; all open ones if all are.
 
         A target that asked for a rest is left out in any case, and so is any of another
-        software version, if one is given.
+        software version, if one is given. With ``among``, only these open targets
+        count.
         """
         opened = [
             one
-            for one in self.open_targets(service)
+            for one in (self.open_targets(service) if among is None else among)
             if (software is None or one.software == software)
             and not self.is_resting(one.id, now_ms)
         ]
         kept = [one for one in opened if self._is_in_use(one.id, now_ms)]
         return kept or opened
 
+    def is_in_use(self, target_id: str, now_ms: float) -> bool:
+        """Return whether a target is neither ejected nor resting."""
+        in_use = self._is_in_use(target_id, now_ms)
+        return in_use and not self.is_resting(target_id, now_ms)
+
+    def software_listed(self, service: str) -> set[str]:
+        """Return the software versions of a service's listed targets."""
+        return {one.software for one in self._by_service.get(service, {}).values()}
+
+    def listed_targets(self, service: str) -> list[Target]:
+        """Return the listed targets of a service, whether open or not."""
+        return list(self._by_service.get(service, {}).values())
+
     def is_ejected(self, target_id: str, now_ms: float) -> bool:
         """Return whether a target is not used for some time after a failed call."""
         return self.state(target_id).ejected_until_ms > now_ms
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -106,7 +106,9 @@
     lifetime of its target began if the answer says that it leaves. ``retry_held`` says
     what kept a further attempt back, or is empty; ``retry_reserved`` is set while an
     attempt that may become a retry holds a part of the budget. ``connections`` are
-    those that the request was about to be written to, in order.
+    those that the request was about to be written to, in order. ``lane`` says to which
+    software version a rollout has given the request, and ``is_canary`` is set while it
+    may go only to targets that try the new one.
     """
 
     def __init__(
@@ -153,6 +155,8 @@
         self.retry_held = ""
         self.retry_reserved = False
         self.connections: list[Connection] = []
+        self.lane: str | None = None
+        self.is_canary = False
         self.parts = crashes.shared_parts(call)
 
     @functools.cached_property
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -57,6 +57,44 @@
     """No target that may get the request can be reached from here."""
 
 
+class CountedAttempt(typing.Protocol):
+    """An attempt that is counted for the verdict on a software version."""
+
+    def record_response(self) -> None:
+        """Count the response, and the time that it took; only once."""
+
+    def record_failure(self, outcome: requeststate.Outcome) -> None:
+        """Count an attempt without a whole response."""
+
+
+class Rule(typing.Protocol):
+    """Which targets of a service requests may go to, by an order of a rollout."""
+
+    def permits(
+        self,
+        request_state: requeststate.RequestState,
+        targets: list[registry_module.Target],
+        now_ms: float,
+    ) -> list[registry_module.Target]:
+        """Return the targets that a request may go to, and note if it is a canary."""
+
+    def fall_back(self, request_state: requeststate.RequestState) -> None:
+        """Send a canary request to the version that serves."""
+
+    def may_send(
+        self,
+        request_state: requeststate.RequestState,
+        target: registry_module.Target,
+        now_ms: float,
+    ) -> bool:
+        """Return whether a request may still be sent to the target chosen for it."""
+
+    def record_sent(
+        self, request_state: requeststate.RequestState, chosen: "Choice"
+    ) -> CountedAttempt | None:
+        """Return what counts an attempt that is being sent, if it is to be counted."""
+
+
 class Choice:
     """The target chosen for one attempt, and the accounting of that attempt."""
 
@@ -89,6 +127,7 @@
         self._now_ms = now_ms
         self._counted = False
         self._reserved = False
+        self.counted_attempt: CountedAttempt | None = None
         self.summary = self._describe()
 
     def _describe(self) -> str:
@@ -139,6 +178,11 @@
         """Record that a part of the answer has come."""
         self.state.heard_ms = self._now_ms()
 
+    def record_event(self) -> None:
+        """Record that a whole event has come."""
+        if self.counted_attempt is not None:
+            self.counted_attempt.record_response()
+
     def own_reservations(self) -> int:
         """Return how many requests this one has reserved in its target's window."""
         return int(self._reserved)
@@ -186,6 +230,8 @@
         self.bounds = bounds
         self.regions = regions
         self.clock = clock
+        # By service, what an order of a software rollout allows.
+        self.rules: typing.Mapping[str, Rule] = {}
         self._retries: dict[str, quotas.RetryBudget] = {}
         self.start_ms = clock.now_ms()
 
@@ -248,7 +294,23 @@
         ``spent_ms`` is the time since the request was received. With ``here_only`` no
         other instance can send it, so that any target in reach is tried; with ``retry``
         also one to which no connection could be opened, once its ejection is over.
+
+        A canary request that no target of the new version can take goes to the others
+        at once.
         """
+        found = self._choose(request_state, spent_ms, here_only, retry)
+        if request_state.is_canary and not isinstance(found, Choice):
+            self.rules[request_state.service].fall_back(request_state)
+            return self._choose(request_state, spent_ms, here_only, retry)
+        return found
+
+    def _choose(
+        self,
+        request_state: requeststate.RequestState,
+        spent_ms: float,
+        here_only: bool,
+        retry: bool,
+    ) -> Choice | Wait | Resting | Limited | Unreached | None:
         now_ms = self.clock.now_ms()
         service = self.mirror.catalogue.services.get(request_state.service)
         if service is None:
@@ -348,9 +410,17 @@
         service: catalogue.Service,
         now_ms: float,
     ) -> list[registry_module.Target]:
-        usable = self.mirror.registry.usable(
-            service.name, now_ms, request_state.software
+        registry = self.mirror.registry
+        rule = self.rules.get(service.name)
+        permitted = None
+        if rule is not None:
+            opened = registry.open_targets(service.name)
+            permitted = rule.permits(request_state, opened, now_ms)
+        usable = registry.usable(
+            service.name, now_ms, request_state.software, permitted
         )
+        if request_state.is_canary:
+            usable = [one for one in usable if registry.is_in_use(one.id, now_ms)]
         tried = request_state.tried
         suitable = self._suitable(usable, request_state, now_ms)
         return [one for one in suitable if one.id not in tried]
@@ -599,6 +669,23 @@
             return False
         return held is None or held >= self._oldest_version(chosen.model, now_ms)
 
+    def may_send(
+        self, request_state: requeststate.RequestState, chosen: Choice
+    ) -> bool:
+        """Return whether orders of rollouts still allow a request at its target."""
+        rule = self.rules.get(request_state.service)
+        if rule is None:
+            return True
+        return rule.may_send(request_state, chosen.target, self.clock.now_ms())
+
+    def record_sent(
+        self, request_state: requeststate.RequestState, chosen: Choice
+    ) -> None:
+        """Count an attempt that is being sent, where a rollout is under way."""
+        rule = self.rules.get(request_state.service)
+        if rule is not None:
+            chosen.counted_attempt = rule.record_sent(request_state, chosen)
+
     def record_reply(self, chosen: Choice, reply: calls.Reply) -> None:
         """Update the target's state and the measurements from the head of a reply."""
         now_ms = self.clock.now_ms()
--- a/cornelreach/gateway/streamrelay.py
+++ b/cornelreach/gateway/streamrelay.py
@@ -128,9 +128,11 @@
                     async for part in self._read_until_due(request_state, answer):
                         chosen.record_part()
                         if data := splitter.feed(part):
+                            chosen.record_event()
                             continuations.bind(request_state, chosen.target.software)
                             yield data
                     if data := splitter.finish():
+                        chosen.record_event()
                         continuations.bind(request_state, chosen.target.software)
                         yield data
                     if splitter.remainder():
--- a/cornelreach/platform/client.py
+++ b/cornelreach/platform/client.py
@@ -136,6 +136,22 @@
         body = msgspec.json.encode({"metadata": fields, "spec": value})
         return await self._write("PUT", _object_path(key), key, body, era)
 
+    async def put_status(
+        self, key: str, status: typing.Any, if_version: int
+    ) -> result.Result[int, results.WriteError]:
+        """Write the status of an object if its version is ``if_version``.
+
+        A write that changes nothing succeeds with the same version.
+        """
+        fields = {
+            "name": split_key(key)[1],
+            "revision": results.revision_of(if_version),
+            "finalizers": [],
+        }
+        body = msgspec.json.encode({"metadata": fields, "status": status})
+        path = f"{_object_path(key)}/status"
+        return await self._write("PUT", path, key, body, results.era_of(if_version))
+
     async def delete(
         self, key: str, if_version: int
     ) -> result.Result[int, results.WriteError]:
@@ -335,7 +351,13 @@
     metadata = fields["metadata"]
     key = f"{kind}/{metadata['name']}"
     version = results.make_version(era, metadata["revision"])
-    return results.Record(key, version, fields["spec"])
+    return results.Record(
+        key,
+        version,
+        fields["spec"],
+        created=metadata.get("created"),
+        status=fields.get("status"),
+    )
 
 
 def _change(kind: str, event: pages.Event, era: int) -> results.Record:
--- a/cornelreach/platform/pages.py
+++ b/cornelreach/platform/pages.py
@@ -18,6 +18,7 @@
 class Metadata(typing.TypedDict):
     name: str
     revision: int
+    created: typing.NotRequired[typing.Any]
 
 
 class Object(typing.TypedDict):
@@ -25,6 +26,12 @@
 
     metadata: Metadata
     spec: typing.Any
+    status: typing.NotRequired[typing.Any]
+
+
+class _Identity(typing.TypedDict):
+    name: str
+    revision: int
 
 
 class Page(typing.TypedDict):
@@ -82,13 +89,27 @@
 
 
 def _object(fields: jsonspans.Part) -> Object:
-    metadata = _decode(fields, "metadata", Metadata)
-    spec: typing.Any
+    return Object(
+        metadata=_metadata(fields),
+        spec=_decode_any(fields, "spec"),
+        status=_decode_any(fields, "status"),
+    )
+
+
+def _metadata(fields: jsonspans.Part) -> Metadata:
+    """Return the metadata; without ``created`` if that cannot be decoded."""
+    try:
+        return _decode(fields, "metadata", Metadata)
+    except ValueError:
+        found = _decode(fields, "metadata", _Identity)
+        return Metadata(name=found["name"], revision=found["revision"])
+
+
+def _decode_any(fields: jsonspans.Part, name: str) -> typing.Any:
     try:
-        spec = msgspec.json.decode(fields.get("spec", b"null"))
+        return msgspec.json.decode(fields.get(name, b"null"))
     except decoding.DECODE_ERRORS as error:
-        spec = results.Unreadable(str(error))
-    return Object(metadata=metadata, spec=spec)
+        return results.Unreadable(str(error))
 
 
 Kind = typing.TypeVar("Kind")
--- a/cornelreach/platform/results.py
+++ b/cornelreach/platform/results.py
@@ -40,11 +40,17 @@
 
 
 class Record(typing.NamedTuple):
-    """One object; ``value`` is decoded JSON, or None if the object was deleted."""
+    """One object; ``value`` is decoded JSON, or None if the object was deleted.
+
+    ``created`` is the time of its creation as the store names it, and ``status`` what
+    was written about it beside its value; both are None if there is none.
+    """
 
     key: str
     version: int
     value: typing.Any
+    created: typing.Any = None
+    status: typing.Any = None
 
 
 class Unreadable(typing.NamedTuple):
@@ -166,6 +172,11 @@
     ) -> result.Result[int, WriteError]:
         """Write one object conditionally and return its new version."""
 
+    async def put_status(
+        self, key: str, status: typing.Any, if_version: int
+    ) -> result.Result[int, WriteError]:
+        """Write the status of one object at a version; return its new version."""
+
     async def delete(self, key: str, if_version: int) -> result.Result[int, WriteError]:
         """Delete one object at a version and return the revision of the deletion."""
 
--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -34,6 +34,10 @@
     version_ms: float
     evacuate_ms: float = 5_000
     contact_ms: float = 3_000
+    exposure_share: float = 0.1
+    exposure_slack: float = 50
+    rollback_ms: float = 5_000
+    max_skew_ms: float = 6_000
 
 
 class Site(typing.NamedTuple):
@@ -41,7 +45,8 @@
 
     ``power`` is the share of processors that the process may use, ``report_ms`` the
     interval at which targets write their entries. ``is_first_start`` is set while the
-    whole system starts for the first time.
+    whole system starts for the first time. ``contracts`` names the parts of the
+    platform's contract that apply to this deployment.
     """
 
     name: str
@@ -58,6 +63,7 @@
     power: float = 1.0
     report_ms: float = 1_200
     is_first_start: bool = False
+    contracts: frozenset[str] = frozenset()
 
 
 class _Listen(typing.TypedDict):
@@ -94,6 +100,10 @@
     version_ms: typing.NotRequired[float]
     evacuate_ms: typing.NotRequired[float]
     contact_ms: typing.NotRequired[float]
+    exposure_share: typing.NotRequired[float]
+    exposure_slack: typing.NotRequired[float]
+    rollback_ms: typing.NotRequired[float]
+    max_skew_ms: typing.NotRequired[float]
 
 
 class _File(typing.TypedDict):
@@ -108,6 +118,7 @@
     limits: typing.NotRequired[_Limits]
     heartbeat_ms: typing.NotRequired[float]
     bootstrap: typing.NotRequired[bool]
+    contracts: typing.NotRequired[list[str]]
 
 
 def read(path: str) -> bytes | None:
@@ -129,6 +140,7 @@
             f"correct the file named by {PATH_VARIABLE}",
         ) from None
     _check_budget(found["bounds"], path)
+    _check_exposure(found["bounds"], path)
     return Site(
         name=found["node_name"],
         zone=found["zone"],
@@ -144,6 +156,7 @@
         power=_power(found.get("limits", {})),
         report_ms=found.get("heartbeat_ms", 1_200),
         is_first_start=found.get("bootstrap", False),
+        contracts=frozenset(found.get("contracts", ())),
     )
 
 
@@ -161,6 +174,24 @@
             )
 
 
+def _check_exposure(found: _Bounds, path: str) -> None:
+    """Raise UserError for bounds on rollouts that have no meaning."""
+    finite = float("inf")
+    for name, limit in (
+        ("exposure_share", 1.0),
+        ("exposure_slack", finite),
+        ("rollback_ms", finite),
+        ("max_skew_ms", finite),
+    ):
+        value = found.get(name, 0)
+        if not 0 <= value <= limit or value == finite:
+            expected = "from 0 to 1" if limit == 1 else "0 or more"
+            raise errors.UserError(
+                f"settings file {path!r}: bounds.{name} is {value}",
+                f"give a number that is {expected}",
+            )
+
+
 def _power(found: _Limits) -> float:
     return found.get("cpu_share", 1.0) * found.get("cores", 1.0)
 
@@ -184,4 +215,8 @@
         version_ms=found.get("version_ms", 8_000),
         evacuate_ms=found.get("evacuate_ms", 5_000),
         contact_ms=found.get("contact_ms", 3_000),
+        exposure_share=found.get("exposure_share", 0.1),
+        exposure_slack=found.get("exposure_slack", 50),
+        rollback_ms=found.get("rollback_ms", 5_000),
+        max_skew_ms=found.get("max_skew_ms", 6_000),
     )
--- a/test/platform/objects.py
+++ b/test/platform/objects.py
@@ -28,6 +28,8 @@
             return result.Failure(results.Conflict(key, current_version))
         self.revision += 1
         record = results.Record(key, self.revision, value)
+        if current is not None:
+            record = record._replace(created=current.created, status=current.status)
         self.history.append(record)
         if value is None:
             self.records.pop(key, None)
@@ -35,6 +37,28 @@
             self.records[key] = record
         return result.Success(self.revision)
 
+    def create(self, key, value):
+        """Create an object with the revision as the time of its creation."""
+        self.write(key, value, 0)
+        created = self.records[key]._replace(created=self.revision)
+        self.records[key] = self.history[-1] = created
+        return created
+
+    def write_status(self, key, status, if_version):
+        """Carry out a conditional write of a status; the same one changes nothing."""
+        current = self.records.get(key)
+        if current is None:
+            return result.Failure(results.NotFound(key))
+        if current.version != if_version:
+            return result.Failure(results.Conflict(key, current.version))
+        if current.status == status:
+            return result.Success(current.version)
+        self.revision += 1
+        record = current._replace(version=self.revision, status=status)
+        self.history.append(record)
+        self.records[key] = record
+        return result.Success(self.revision)
+
     def read(self, key):
         """Return an object."""
         if key not in self.records:
@@ -109,11 +133,17 @@
         """Write an object conditionally."""
         return self._write("put", key, value, 0 if if_absent else if_version)
 
+    async def put_status(self, key, status, if_version):
+        """Write a status conditionally."""
+        write = self.store.write_status
+        return self._write("put_status", key, status, if_version, write)
+
     async def delete(self, key, if_version):
         """Delete an object conditionally."""
         return self._write("delete", key, None, if_version)
 
-    def _write(self, kind, key, value, if_version):
+    def _write(self, kind, key, value, if_version, write=None):
+        write = write or self.store.write
         fault = self._fault(kind)
         if fault == "unavailable":
             return result.Failure(results.Unavailable("unavailable"))
@@ -121,12 +151,10 @@
             self.before_write.pop(0)()
         if fault == "late":
             due_call = len(self.calls) + 2
-            self.late_writes.append(
-                (due_call, lambda: self.store.write(key, value, if_version))
-            )
+            self.late_writes.append((due_call, lambda: write(key, value, if_version)))
         if fault in ("dropped", "late"):
             return result.Failure(results.OutcomeUnknown(key, "lost"))
-        outcome = self.store.write(key, value, if_version)
+        outcome = write(key, value, if_version)
         if fault == "lost":
             return result.Failure(results.OutcomeUnknown(key, "lost"))
         return outcome
