--- a/cornelreach/gateway/catalogue.py
+++ b/cornelreach/gateway/catalogue.py
@@ -121,8 +121,12 @@
         self._routes: dict[str, dict[str, Route]] = {}
         # The longest that a stream which may be resumed lasts, by service.
         self.resumable_ms: dict[str, float] = {}
+        # The services with a route whose requests may run more than once.
+        self.repeatable_services: set[str] = set()
         for route in routes:
             self._routes.setdefault(route.host, {})[route.prefix] = route
+            if route.repeatable:
+                self.repeatable_services.update(one.service for one in route.shares)
             for share in route.shares if route.resumable else ():
                 longest_ms = self.resumable_ms.get(share.service, 0.0)
                 timeout_ms = max(longest_ms, route.timeout_ms)
--- a/cornelreach/gateway/datagrams.py
+++ b/cornelreach/gateway/datagrams.py
@@ -231,24 +231,24 @@
     software: str | None
 
 
-class ReleaseId(typing.NamedTuple):
-    """Tells an order of a software rollout from all others."""
+class ReleaseOrder(typing.NamedTuple):
+    """An order of a software rollout; all but the duration tells it from others."""
 
     service: str
     target: str
     created: str
+    duration_ms: float
 
 
-class RouteNumbers(typing.NamedTuple):
-    """What one route has counted of a version: numbers, and response times by bucket.
+class RouteCounts(typing.NamedTuple):
+    """The responses of one version on one route, and their times by bucket.
 
     The buckets end with the last one that is not empty.
     """
 
-    requests: int
     responses: int
     failures: int
-    buckets: tuple[int, ...] = ()
+    times: tuple[int, ...] = ()
 
 
 class ReleaseReport(typing.NamedTuple):
@@ -262,11 +262,11 @@
     name: str
     boot: str
     sequence: int
-    order: ReleaseId
+    order: ReleaseOrder
     phase: int
     age_ms: float | None
     old_in_flight: int
-    counts: dict[str, tuple[RouteNumbers, RouteNumbers]]
+    counts: dict[str, tuple[RouteCounts, RouteCounts]]
 
 
 class ReleaseDirective(typing.NamedTuple):
@@ -279,7 +279,7 @@
     name: str
     boot: str
     sequence: int
-    order: ReleaseId
+    order: ReleaseOrder
     phase: int
     age_ms: float | None
     share: float | None
--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -32,6 +32,8 @@
     reach,
     recordhandlers,
     registry as registry_module,
+    releaserules,
+    releases,
     rollouts,
     selection,
     silence,
@@ -49,6 +51,7 @@
     leases,
     promptstores,
     records,
+    releases as platform_releases,
     results,
     site as site_module,
     software,
@@ -76,6 +79,7 @@
 # bound.
 READY_SHARE = 0.6
 LONG_WATCH_MS = 15_000
+RELEASE_WATCH_MS = 5_000  # an order lasts some 12 s; a watch may die unnoticed
 HUB_PROOF_SHARE = 0.25  # of the bound on revoked keys, between two proofs of a hub
 PROOF_LIMIT_SHARE = 0.45  # of the bound; beyond it an instance reads the platform
 # Of the bound on old weights. A request on them loses a fifth of its benefit from 1.5 s
@@ -220,6 +224,7 @@
             self.clock,
             targetlimits.TargetLimits(self.gossip, self.mirror, self.clock),
         )
+        self.releases = self._make_releases()
         self.engine_client = engines.EngineClient(self.http, self._record_control_reply)
         self.quarantine = quarantine.Quarantine(self.clock)
         self.quarantine_sync = quarantinesync.QuarantineSync(
@@ -257,6 +262,23 @@
             )
         )
 
+    def _make_releases(self) -> releases.Releases | None:
+        """Return what follows orders of software rollouts, where there may be any."""
+        if platform_releases.CONTRACT not in self.site.contracts:
+            return None
+        environment = releaserules.Environment(
+            self.mirror,
+            self.balancer.prefill_rates,
+            self.metrics,
+            self.clock,
+            self.reach.is_cut_off,
+        )
+        found = releases.Releases(
+            self.gossip, self.objects, environment, self.site.bounds
+        )
+        self.selector.rules = found.rules
+        return found
+
     def _build_watchers(self) -> None:
         bounds = self.site.bounds
         takeover_delay_ms = int(bounds.lease_ms) + rollouts.QUIET_MARGIN_MS
@@ -327,6 +349,9 @@
         for watcher in self.watchers:
             self.proofs.add(watcher)
         self.proofs.anchor = first
+        if self.releases is not None:
+            others.append(self._watch_releases(self.releases))
+            self.watchers.append(others[-1])
         self.software_versions.read_now = self._read_software
         self.outages = outages.Outages(
             self.gossip, self.proofs, mirror.registry, clock, self.site.report_ms
@@ -338,6 +363,14 @@
             watcher.recovery_watcher = first
         first.on_reconnect = lambda: self._restart_watchers(others)
 
+    def _watch_releases(self, found: releases.Releases) -> watching.Watcher:
+        """Return the watcher of orders; hubs pass no status on, so it needs no hub."""
+        handler = recordhandlers.ReleaseHandler(self.mirror, self.clock, found)
+        timing = watching.Timing(RELEASE_WATCH_MS, RELEASE_WATCH_MS)
+        watcher = self._make_watcher(handler, timing)
+        found.read_now = watcher.read_now
+        return watcher
+
     async def _read_software(self) -> bool:
         """Read the entries that name software versions, as they are now."""
         kinds = (records.TARGETS, software.PREFIX)
@@ -473,6 +506,8 @@
         self._keep_running("settings", self._watch_settings)
         self.clock.every(softwareversions.CHECK_MS, self.software_versions.check)
         self.clock.every(storedorigins.CHECK_MS, self.stored_origins.check)
+        if self.releases is not None:
+            self.clock.every(releases.TICK_MS, self.releases.tick)
         events.emit(
             STARTED, name=self.site.name, zone=self.site.zone, address=self.site.front
         )
@@ -561,6 +596,8 @@
     def _apply_bounds(self, bounds: site_module.Bounds) -> None:
         """Hand changed bounds to all that keep some; the lease keeps its own."""
         self.selector.bounds = bounds
+        if self.releases is not None:
+            self.releases.apply_bounds(bounds)
         self.mirror.revoke_ms = bounds.revoke_ms
         self.mirror.revoke_strict = bounds.revoke_strict
         self.weights.version_ms = bounds.version_ms
@@ -599,5 +636,7 @@
         self.quarantine_sync.close()
         self.software_versions.close()
         self.stored_origins.close()
+        if self.releases is not None:
+            self.releases.close()
         for task in self._tasks:
             task.cancel()
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -9,6 +9,7 @@
     mirror as mirror_module,
     quarantine as quarantine_module,
     quotas,
+    releases as releases_module,
     softwareversions,
 )
 from cornelreach.http import client as http_client
@@ -17,6 +18,7 @@
     leases,
     quarantines,
     records as records_module,
+    releases as platform_releases,
     results,
     software,
 )
@@ -383,3 +385,53 @@
         else:
             versions = software.read_versions(record)
             self.versions.apply_entry(service, versions, record.version)
+
+
+class ReleaseHandler(BaseHandler):
+    """Applies the orders of software rollouts.
+
+    An order that is missing from an older copy of the records stays in force until its
+    operator has had time to write it again.
+    """
+
+    prefix = platform_releases.PREFIX
+    kind = "rollouts"
+
+    def __init__(
+        self,
+        mirror: mirror_module.Mirror,
+        clock: timers.Timers,
+        releases: releases_module.Releases,
+    ) -> None:
+        super().__init__(mirror, clock)
+        self.releases = releases
+        self._unconfirmed: set[str] = set()
+        self._unconfirmed_until_ms = 0.0
+
+    def on_restore(self) -> None:
+        self._unconfirmed = self.releases.orders()
+        self._unconfirmed_until_ms = self.clock.now_ms() + RESTORE_GRACE_MS
+
+    async def on_list(
+        self, records: tuple[results.Record, ...], reconnected: bool
+    ) -> None:
+        is_first = self.kind not in self.mirror.synced
+        listed = {record.key.removeprefix(self.prefix) for record in records}
+        for record in records:
+            guards.call(
+                lambda one: self.releases.apply_record(one, is_first=is_first), record
+            )
+        self._unconfirmed -= listed
+        for service in self.releases.orders() - listed - self._unconfirmed:
+            self.releases.withdraw(service, "it is not listed any more")
+        self.mirror.synced.add(self.kind)
+
+    def on_proof(self, at_ms: float) -> None:
+        if self._unconfirmed and at_ms >= self._unconfirmed_until_ms:
+            missing, self._unconfirmed = self._unconfirmed, set()
+            for service in missing:
+                self.releases.withdraw(service, "a copy of the records lacks it")
+
+    def on_change(self, record: results.Record) -> None:
+        self._unconfirmed.discard(record.key.removeprefix(self.prefix))
+        self.releases.apply_record(record)
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -167,9 +167,7 @@
         self.on_failure: typing.Callable[[str, str], None] = lambda target, reason: None
         self.on_answer: typing.Callable[[str], None] = lambda target: None
         # Called for a software version that appears beside another of its service.
-        self.on_software: typing.Callable[[str, str], None] = lambda service, software: (
-            None
-        )
+        self.on_software: typing.Callable[..., None] = lambda service, software: None
         self._by_service: dict[str, dict[str, Target]] = {}
         self._open: dict[str, list[Target]] = {}  # by service, until the next change
         self._open_evacuated = self.evacuated
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -98,6 +98,25 @@
     Spec(
         "proof_age_ms", "gauge", (), "Edge: time since the configuration was confirmed."
     ),
+    Spec(
+        "release_phase",
+        "gauge",
+        ("service",),
+        "Edge: phase of a software rollout: 0 observing, 1 shifting, 2 reverting, "
+        "3 succeeded, 4 reverted.",
+    ),
+    Spec(
+        "release_share",
+        "gauge",
+        ("service",),
+        "Edge: share of the requests that the new software version may get now.",
+    ),
+    Spec(
+        "release_responses_total",
+        "counter",
+        ("service", "version", "result"),
+        "Edge: responses counted for a rollout, by version (old or new) and result.",
+    ),
     Spec("targets_open", "gauge", (), "Edge: targets that take new requests."),
     Spec("targets_suspected", "gauge", (), "Edge: targets suspected of having failed."),
     Spec("cut_off", "gauge", (), "Edge: 1 while no target is reached."),
@@ -165,6 +184,14 @@
         """Add a value to a histogram."""
         self._histograms[name].observe(labels, value)
 
+    def set(self, name: str, value: float, *labels: str) -> None:
+        """Set the value of a gauge with labels, in the order of its spec."""
+        self._values[name][labels] = value
+
+    def clear(self, name: str, *labels: str) -> None:
+        """Remove the value of a gauge with labels, if it has one."""
+        self._values[name].pop(labels, None)
+
     def gauge(self, name: str, read: typing.Callable[[], float]) -> None:
         """Set the function that returns the value of a gauge at each scrape."""
         if name not in self._values:
