--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -369,6 +369,7 @@
         timing = watching.Timing(RELEASE_WATCH_MS, RELEASE_WATCH_MS)
         watcher = self._make_watcher(handler, timing)
         found.read_now = watcher.read_now
+        watcher.on_outage = found.record_outage
         return watcher
 
     async def _read_software(self) -> bool:
--- a/cornelreach/gateway/recordhandlers.py
+++ b/cornelreach/gateway/recordhandlers.py
@@ -431,6 +431,7 @@
             missing, self._unconfirmed = self._unconfirmed, set()
             for service in missing:
                 self.releases.withdraw(service, "a copy of the records lacks it")
+        self.releases.record_proof(at_ms)
 
     def on_change(self, record: results.Record) -> None:
         self._unconfirmed.discard(record.key.removeprefix(self.prefix))
--- a/cornelreach/gateway/releasestate.py
+++ b/cornelreach/gateway/releasestate.py
@@ -56,7 +56,6 @@
         version: int | None,
         exposure_share: float,
         now_ms: float,
-        is_age_known: bool = True,
     ) -> None:
         self.order = order
         self.version = version
@@ -67,7 +66,8 @@
         self.phase_ms = now_ms
         self.reason = ""
         self.seen_ms = self.started_ms = now_ms
-        self.is_age_known = is_age_known
+        self.is_age_known = True
+        self.max_missed_ms = 0.0  # before it was seen
         self.granted_until_ms = float("-inf")
         self.complete_until_ms = float("-inf")
         self.has_targets = False  # whether one of the new version has appeared
@@ -104,17 +104,23 @@
         self.started_ms = min(self.started_ms, now_ms - age_ms)
         self.is_age_known = True
 
+    def doubt_age(self, max_missed_ms: float) -> None:
+        """Note that the order may be older, by no more than a time."""
+        self.is_age_known = False
+        self.max_missed_ms = max_missed_ms
+
     def estimate_age(
         self, born_ms: typing.Iterable[int], wall_ms: float, now_ms: float
     ) -> None:
         """Estimate the age from when the targets of the new version were started.
 
-        Only for an order that every instance has read anew: clocks of other machines
-        may be wrong.
+        Only for an order that no other instance knows for longer: clocks of other
+        machines may be wrong.
         """
         since_ms = wall_ms - min((one for one in born_ms if one), default=wall_ms)
-        age_ms = min(since_ms, self.order.duration_ms)
-        self.adopt_age(max(age_ms, self.age_ms(now_ms)), now_ms)
+        since_ms = min(since_ms, self.order.duration_ms)
+        missed_ms = min(since_ms - self.age_ms(now_ms), self.max_missed_ms)
+        self.started_ms -= max(0.0, missed_ms)
         self.is_age_known = True
 
     def adopt(self, phase: Phase, reason: str, now_ms: float) -> bool:
--- a/cornelreach/gateway/releasewriter.py
+++ b/cornelreach/gateway/releasewriter.py
@@ -56,7 +56,10 @@
 class _Job:
     """The write of one state: when it is next due, and whether it is under way."""
 
-    def __init__(self, state: str, due_ms: float) -> None:
+    def __init__(
+        self, identity: tuple[str, str, str], state: str, due_ms: float
+    ) -> None:
+        self.identity = identity
         self.state = state
         self.due_ms = due_ms
         self.failures = 0
@@ -84,8 +87,13 @@
             if job is not None and not job.is_running:
                 del self._jobs[service]
             return
-        if job is None or (job.state != state and not job.is_running):
-            job = self._jobs[service] = _Job(state, now_ms + rank * STAGGER_MS)
+        is_same = job is not None and (job.identity, job.state) == (
+            release.identity,
+            state,
+        )
+        if job is None or not (is_same or job.is_running):
+            due_ms = now_ms + rank * STAGGER_MS
+            job = self._jobs[service] = _Job(release.identity, state, due_ms)
         if now_ms >= job.due_ms and not job.is_running:
             job.is_running = True
             self.orders.spawn(self._write(release, job))
@@ -99,6 +107,7 @@
                 release.version,
             )
             if isinstance(outcome, result.Success):
+                self._jobs.pop(order.service, None)
                 self._written(release, job.state, outcome.unwrap())
             else:
                 await self._failed(release, job, outcome.failure())
--- a/test/gateway/releasefleet.py
+++ b/test/gateway/releasefleet.py
@@ -183,6 +183,7 @@
             random.Random(name),
         )
         self.releases.read_now = self.watcher.read_now
+        self.watcher.on_outage = self.releases.record_outage
         self.tasks = []
 
     def start(self):
@@ -369,11 +370,16 @@
         """Start everything, order the rollout, and run until its deadline."""
         self.start()
         self.run(500)
+        self.play_on()
+        self.run(span_ms or self.duration_s * 1_000)
+
+    def play_on(self, is_ordered=True):
+        """Begin to send requests, and order the rollout."""
         self._background.append(self.loop.create_task(self._callers()))
         self.run(1_000)
         self.requests = 0
-        self.order()
-        self.run(span_ms or self.duration_s * 1_000)
+        if is_ordered:
+            self.order()
 
     def close(self):
         """End everything."""
