--- a/test/gateway/test_releases.py
+++ b/test/gateway/test_releases.py
@@ -208,7 +208,8 @@
         for name in [one for one in fleet.targets if one.startswith("new")]:
             for one in fleet.instances.values():
                 one.registry.drop(name, fleet.clock.now_ms())
-        fleet.start_targets(releasefleet.NEW)  # started again, without an order
+        # Started again, without an order.
+        fleet.loop.call_soon(fleet.start_targets, releasefleet.NEW)
         fleet.run(2_000)
         self.assertGreater(self.sent_since(fleet, 8_000), 100)
 
@@ -279,7 +280,7 @@
 
         one.releases.read_now = read_now
         fleet.sent.clear()
-        fleet.start_targets(releasefleet.NEW)
+        fleet.loop.call_soon(fleet.start_targets, releasefleet.NEW)
         fleet.run(250)
         self.assertEqual(fleet.sent, [])
         fleet.run(1_000)
@@ -292,7 +293,7 @@
         fleet.play_on(is_ordered=False)
         fleet.store.away = True
         fleet.run(100)
-        fleet.start_targets(releasefleet.NEW)
+        fleet.loop.call_soon(fleet.start_targets, releasefleet.NEW)
         fleet.run(1_450)
         self.assertEqual(fleet.sent, [])
         fleet.run(600)
