--- a/cornelreach/gateway/releasecollector.py
+++ b/cornelreach/gateway/releasecollector.py
@@ -21,6 +21,9 @@
 MAX_REPORTERS = 4_096
 MAX_COUNT = 2**40  # a greater one is unsound
 QUORUM_SHARE = 0.5  # of the registered instances, for an early end
+# With fewer responses, a version that fails a tenth of them may not have shown it, so
+# an order goes on until shortly before its deadline.
+ENOUGH_RESPONSES = 100
 LAST_SHARE = 0.97  # of the duration; what is not judged by then is reverted
 
 Phase = releaseanalysis.Phase
@@ -98,7 +101,10 @@
         ):
             phase, reason = Phase.REVERTING, "no verdict by the deadline"
         is_complete = phase is Phase.SHIFTING and self._is_handed_over(
-            now_ms, age_ms, found.is_suspect, instance_count
+            now_ms,
+            age_ms,
+            found.is_suspect or found.new_responses < ENOUGH_RESPONSES,
+            instance_count,
         )
         return Verdict(phase, f"{reason} ({_figures(found)})", is_complete)
 
