--- a/cornelreach/gateway/releaseanalysis.py
+++ b/cornelreach/gateway/releaseanalysis.py
@@ -57,6 +57,9 @@
     REVERTED = 4
 
 
+_FINAL = {Phase.SHIFTING: Phase.SUCCEEDED, Phase.REVERTING: Phase.REVERTED}
+
+
 class Judgement(typing.NamedTuple):
     """The phase that the counts call for, with the reason and the figures behind it.
 
@@ -93,9 +96,15 @@
         )
 
     def adopt(self, phase: Phase, reason: str = "another instance found so") -> None:
-        """Take over a higher phase from another instance or from the store."""
-        if phase > self.phase:
-            self.phase, self._reason = phase, reason
+        """Take over a higher phase from another instance or from the store.
+
+        A final phase that follows from the present one keeps its reason.
+        """
+        if phase <= self.phase:
+            return
+        if _FINAL.get(self.phase) != phase:
+            self._reason = reason
+        self.phase = phase
 
     def observe(self, age_ms: float, counts: Counts) -> None:
         """Take in the cumulative counts of all instances, summed.
@@ -118,38 +127,45 @@
         ``has_targets`` tells whether a target of the new version has appeared.
         """
         compare, window = releasecomparison.compare, releasecomparison.Window
-        whole = window(self._whole.newest(age_ms, math.inf), None)
+        whole = window(self._whole.all(), None)
         newest = window(self._newest.newest(age_ms, WINDOW_MS), WINDOW_MS)
         findings = compare(whole, whole) + compare(newest, whole)
         findings.sort(key=lambda one: (not one.is_bad(), one.probability))
         worst = findings[0] if findings else None
+        is_suspect = any(one.is_suspect() for one in findings)
         if worst is not None and worst.is_bad():
             self.adopt(Phase.REVERTING, worst.describe())
         elif self.phase == Phase.OBSERVING:
-            self._advance(age_ms, whole, has_targets)
+            self._advance(age_ms, whole, has_targets, is_suspect)
         return Judgement(
             self.phase,
             self._reason,
             *whole.sums(is_new=False),
             *whole.sums(is_new=True),
             worst,
-            any(one.is_suspect() for one in findings),
+            is_suspect,
         )
 
     def _advance(
-        self, age_ms: float, whole: releasecomparison.Window, has_targets: bool
+        self,
+        age_ms: float,
+        whole: releasecomparison.Window,
+        has_targets: bool,
+        is_suspect: bool,
     ) -> None:
         share = age_ms / self.order.duration_ms
-        old, _ = whole.sums(is_new=False)
-        new, failures = whole.sums(is_new=True)
-        if not has_targets:
+        if share < EARLY_SHARE or not has_targets:
             if share >= 1.0:
                 self.adopt(Phase.REVERTING, "no target of the version has appeared")
-        elif share >= EARLY_SHARE and self._has_enough(whole, old + new):
-            self.adopt(Phase.SHIFTING, f"{new} responses, {failures} failed")
-        elif share >= LATE_SHARE and (new > failures or not old + new):
-            reason = f"{new} responses, {failures} failed; more did not come in time"
-            self.adopt(Phase.SHIFTING, reason)
+            return
+        old, _ = whole.sums(is_new=False)
+        new, failures = whole.sums(is_new=True)
+        counted = f"{new} responses, {failures} failed"
+        is_late = share >= LATE_SHARE
+        if (is_late or not is_suspect) and self._has_enough(whole, old + new):
+            self.adopt(Phase.SHIFTING, counted)
+        elif is_late and (new > failures or not old + new):
+            self.adopt(Phase.SHIFTING, f"{counted}; more did not come in time")
         elif share >= LAST_SHARE:
             self.adopt(Phase.REVERTING, "no good response of the version in time")
 
--- a/cornelreach/gateway/releasecomparison.py
+++ b/cornelreach/gateway/releasecomparison.py
@@ -4,7 +4,7 @@
 rate on the same routes in the same half seconds, so that whatever impairs both versions
 for a while does not count against the new one::
 
-    whole = Window(slices.newest(age_ms, math.inf), None)
+    whole = Window(slices.all(), None)
     for finding in compare(whole, whole):
         finding.is_bad()
 """
@@ -111,6 +111,10 @@
         for key, added in counts.items():
             held[key] = held[key] + added if key in held else added
 
+    def all(self) -> list[releasecounts.Counts]:
+        """Return all slices."""
+        return [counts for _, counts in self._slices]
+
     def newest(self, age_ms: float, span_ms: float) -> list[releasecounts.Counts]:
         """Return the slices that ended within a span before an age."""
         first = (age_ms - span_ms) // self.length_ms
--- a/cornelreach/gateway/releaseexchange.py
+++ b/cornelreach/gateway/releaseexchange.py
@@ -96,9 +96,16 @@
     def rank(self, release: releasestate.Release) -> int | None:
         """Return this instance's rank among those that write, None if it does not.
 
-        Instances that have ended stay registered, so a collector writes as well.
+        Instances that have ended stay registered: those known to be silent have no
+        rank, and a collector writes as well.
         """
-        rank = self._ranked(release).index(self.gossip.name)
+        now_ms = self.clock.now_ms()
+        heard = [
+            name
+            for name in self._ranked(release)
+            if self._skipped_ms.get(name, 0.0) <= now_ms
+        ]
+        rank = heard.index(self.gossip.name)
         if rank < releasewriter.WRITERS:
             return rank
         is_collector = self.gossip.name in self.collectors(release)
--- a/cornelreach/platform/pages.py
+++ b/cornelreach/platform/pages.py
@@ -29,11 +29,6 @@
     status: typing.NotRequired[typing.Any]
 
 
-class _Identity(typing.TypedDict):
-    name: str
-    revision: int
-
-
 class Page(typing.TypedDict):
     items: list[Object]
     more_pages: bool
@@ -90,21 +85,12 @@
 
 def _object(fields: jsonspans.Part) -> Object:
     return Object(
-        metadata=_metadata(fields),
+        metadata=_decode(fields, "metadata", Metadata),
         spec=_decode_any(fields, "spec"),
         status=_decode_any(fields, "status"),
     )
 
 
-def _metadata(fields: jsonspans.Part) -> Metadata:
-    """Return the metadata; without ``created`` if that cannot be decoded."""
-    try:
-        return _decode(fields, "metadata", Metadata)
-    except ValueError:
-        found = _decode(fields, "metadata", _Identity)
-        return Metadata(name=found["name"], revision=found["revision"])
-
-
 def _decode_any(fields: jsonspans.Part, name: str) -> typing.Any:
     try:
         return msgspec.json.decode(fields.get(name, b"null"))
--- a/test/gateway/test_edge.py
+++ b/test/gateway/test_edge.py
@@ -73,6 +73,35 @@
                 )
                 self.assertIs(found, expected)
 
+    # Guards against rollouts that are watched or counted where none are ordered.
+    def test_orders_of_rollouts_are_watched_only_where_the_contract_says_so(self):
+        for line, expected in (("", False), ('contracts = ["rollout"]\n', True)):
+            self.path.write_text(line + self.text)
+            site = site_module.load(str(self.path))
+            edge = edge_module.Edge(site, str(self.path))
+            prefixes = [one.handler.prefix for one in edge.watchers]
+            self.assertEqual("rollouts/" in prefixes, expected)
+            self.assertNotIn("rollouts/", edge.proofs.watchers)
+            self.assertEqual(edge.releases is not None, expected)
+            if expected:
+                self.assertIs(edge.selector.rules, edge.releases.rules)
+        self.path.write_text(line + self.text.replace("thaw_ms", "rollback_ms"))
+        edge.reload()
+        self.assertEqual(edge.releases.bounds.rollback_ms, 300)
+
+    def test_bounds_on_rollouts_without_a_meaning_are_refused_by_name(self):
+        for name, value in (
+            ("exposure_share", 1.5),
+            ("exposure_share", -0.1),
+            ("exposure_slack", -1),
+            ("rollback_ms", "nan"),
+            ("max_skew_ms", "inf"),
+        ):
+            text = self.text.replace("thaw_ms = 300", f"{name} = {value}")
+            self.path.write_text(text)
+            with self.assertRaisesRegex(errors.UserError, name):
+                site_module.load(str(self.path))
+
     # Guards against a part that stays bound to the settings of its start.
     def test_a_reloaded_instance_has_the_bounds_of_one_that_starts(self):
         path, text = self.path, self.text
--- a/test/gateway/test_releases.py
+++ b/test/gateway/test_releases.py
@@ -4,7 +4,7 @@
 
 import loguru
 
-from cornelreach.gateway import releaseanalysis
+from cornelreach.gateway import datagrams, releaseanalysis
 from cornelreach.platform import results
 from test.gateway import harness, releasefleet
 
@@ -184,6 +184,51 @@
         self.assertEqual(late.release.phase.name, "REVERTING")
 
 
+class Datagrams(unittest.TestCase):
+    """Reports as they are sent."""
+
+    # Guards against a report that is too long being dropped, with all its counts.
+    def test_a_report_on_many_routes_is_split_into_datagrams(self):
+        counts = datagrams.RouteCounts(2**31, 2**31, (2**31,) * 20)
+        routes = {f"route-{number}" * 4: (counts, counts) for number in range(40)}
+        order = datagrams.ReleaseOrder("s" * 200, "v" * 200, "c" * 200, 12_000.0)
+        routes["x" * 2_000] = counts, counts
+        report = datagrams.ReleaseReport("i", "b", 1, order, 0, 1.0, 0, routes)
+        parts = datagrams.release_reports(report)
+        found = {}
+        for part in parts:
+            data = datagrams.encode(part)
+            self.assertLessEqual(len(data), datagrams.MAX_BYTES)
+            found |= datagrams.decode(data).counts
+        self.assertEqual(len(found), 40)
+        empty = datagrams.release_reports(report._replace(counts={}))
+        self.assertEqual(len(empty), 1)
+
+    # Guards against unsound numbers from the network ending a decision.
+    def test_unsound_reports_and_directives_change_nothing(self):
+        fleet = releasefleet.Fleet(size=2)
+        self.addCleanup(fleet.close)
+        fleet.play(2_000)
+        one = fleet.instances["i0"]
+        exchange, age_ms = one.releases.exchange, fleet.age_ms()
+        order = one.release.wire_order()
+        for number in (-1, 2**62, float("nan"), float("inf"), -float("inf")):
+            count = -1 if number != number or abs(number) > 2**63 else int(number)
+            row = datagrams.RouteCounts(count, count, (count,) * 30)
+            exchange.handle_report(
+                datagrams.ReleaseReport(
+                    "x", "b", 1, order, -9, number, count, {"r": (row, row)}
+                )
+            )
+            exchange.handle_directive(
+                datagrams.ReleaseDirective("x", "b", 1, order, -9, number, number)
+            )
+        fleet.run(400)
+        self.assertEqual(one.release.phase, releaseanalysis.Phase.OBSERVING)
+        now_ms = fleet.clock.now_ms()
+        self.assertLess(abs(one.release.age_ms(now_ms) - age_ms - 400), 50)
+
+
 class Orders(unittest.TestCase):
     """Orders that change, end early, or make no sense."""
 
