--- a/standins/platform.py
+++ b/standins/platform.py
@@ -32,6 +32,7 @@
 
 OBJECTS = "/api/objects/"
 INSTANCES = "instances/"
+STATUS = "/status"
 MAX_WATCH_MS = 30_000
 DEFAULT_PAGE_ITEMS = 500
 
@@ -44,12 +45,13 @@
     metadata = {
         "name": name,
         "revision": stored.version,
-        "created": 0,
+        "created": stored.created,
         "finalizers": [],
         "deleting": False,
     }
     spec = None if stored.value is None else msgspec.Raw(stored.value)
-    return {"metadata": metadata, "spec": spec, "status": None}
+    status = None if stored.status is None else msgspec.Raw(stored.status)
+    return {"metadata": metadata, "spec": spec, "status": status}
 
 
 def retry_response(status: int, code: str, retry_after_ms: int) -> messages.Response:
@@ -132,6 +134,13 @@
     spec: msgspec.Raw
 
 
+class StatusBody(msgspec.Struct):
+    """The body of the write of a status."""
+
+    metadata: Metadata
+    status: msgspec.Raw
+
+
 class Platform:
     """Serves the model, and wakes the watches that wait for changes."""
 
@@ -177,6 +186,8 @@
 
     def _object(self, request: messages.Request, key: str) -> messages.Response:
         now_ms = self.now_ms()
+        if request.method == "PUT" and key.endswith(STATUS):
+            return self._put_status(request, key.removesuffix(STATUS))
         if request.method == "GET":
             return respond(self.model.get(key, now_ms))
         if request.method == "PUT":
@@ -189,6 +200,18 @@
             return messages.json_response(405, {"error": "use GET, PUT or DELETE"})
         return self._write_response(key, answer, body.spec if request.body else None)
 
+    def _put_status(self, request: messages.Request, key: str) -> messages.Response:
+        found = msgspec.json.decode(request.body, type=StatusBody)
+        version = found.metadata.revision
+        answer = self.model.put_status(key, found.status, version, self.now_ms())
+        if isinstance(answer, platformmodel.Written | platformmodel.AnswerLost):
+            self.notify_watches()
+        if isinstance(answer, platformmodel.Written):
+            return messages.json_response(200, object_fields(self.model.stored(key)))
+        if isinstance(answer, platformmodel.Mismatch):
+            return self._mismatch(key, answer)
+        return respond(answer)
+
     def _create(self, request: messages.Request, kind: str) -> messages.Response:
         body = msgspec.json.decode(request.body, type=WriteBody)
         key = f"{kind}/{body.metadata.name}"
--- a/standins/platformmodel.py
+++ b/standins/platformmodel.py
@@ -20,11 +20,16 @@
 
 
 class Object(typing.NamedTuple):
-    """A stored value and the revision that wrote it."""
+    """A stored value and the revision of its last change, or of its status.
+
+    ``created`` is the revision that created it, in place of a time.
+    """
 
     key: str
     version: int
     value: bytes
+    created: int = 0
+    status: bytes | None = None
 
 
 class Change(typing.NamedTuple):
@@ -33,6 +38,8 @@
     key: str
     version: int
     value: bytes | None
+    created: int = 0
+    status: bytes | None = None
 
 
 class Instance(typing.NamedTuple):
@@ -210,6 +217,22 @@
             return Mismatch(current)
         return self._write(key, value)
 
+    def put_status(
+        self, key: str, status: bytes, if_version: int, now_ms: float
+    ) -> Written | Mismatch | Missing | AnswerLost | Refused:
+        """Write an object's status; the same status again changes nothing."""
+        refused = self._admit(self._write_bucket, now_ms)
+        if refused is not None:
+            return refused
+        held = self._objects.get(key)
+        if held is None:
+            return Missing(key)
+        if held.version != if_version:
+            return Mismatch(held.version)
+        if held.status == status:
+            return Written(held.version)
+        return self._write(key, held.value, status)
+
     def delete(
         self, key: str, if_version: int, now_ms: float
     ) -> Written | Mismatch | Missing | AnswerLost | Refused:
@@ -302,25 +325,34 @@
         wait_ms = bucket.take(now_ms)
         return None if wait_ms is None else Throttled(wait_ms)
 
-    def _write(self, key: str, value: bytes | None) -> Written | AnswerLost:
+    def _write(
+        self, key: str, value: bytes | None, status: bytes | None = None
+    ) -> Written | AnswerLost:
         self.writes += 1
-        self._apply(key, value)
+        self._apply(key, value, status)
         if self.faults.lose_answers > 0:
             left = self.faults.lose_answers - 1
             self.faults = self.faults._replace(lose_answers=left)
             return AnswerLost(self.revision)
         return Written(self.revision)
 
-    def _apply(self, key: str, value: bytes | None) -> None:
+    def _apply(
+        self, key: str, value: bytes | None, status: bytes | None = None
+    ) -> None:
+        """Change an object; its status stays unless there is another one."""
         self.revision += 1
+        before = self._objects.get(key)
+        created = self.revision if before is None else before.created
+        if status is None and before is not None:
+            status = before.status
         if value is None:
             del self._objects[key]
             self._keys.pop(bisect.bisect_left(self._keys, key))
         else:
             if key not in self._objects:
                 bisect.insort(self._keys, key)
-            self._objects[key] = Object(key, self.revision, value)
-        self._log.append(Change(key, self.revision, value))
+            self._objects[key] = Object(key, self.revision, value, created, status)
+        self._log.append(Change(key, self.revision, value, created, status))
         while len(self._log) > self.kept_changes:
             self._compacted = self._log.popleft().version
 
--- a/test/standins/test_platform.py
+++ b/test/standins/test_platform.py
@@ -27,7 +27,7 @@
     def test_a_lost_answer_still_takes_effect(self):
         model = Model(platformmodel.Faults(lose_answers=1))
         self.assertEqual(model.put("a", b"1", 0, 0), platformmodel.AnswerLost(1))
-        self.assertEqual(model.get("a", 0), platformmodel.Object("a", 1, b"1"))
+        self.assertEqual(model.get("a", 0), platformmodel.Object("a", 1, b"1", 1))
 
     def test_pages_cover_the_prefix_once(self):
         model = Model()
--- a/test/ui/edgeprocess.py
+++ b/test/ui/edgeprocess.py
@@ -73,7 +73,7 @@
         self.store.model.seed(key, msgspec.json.encode(value))
         self.store.notify_watches()
 
-    async def start(self, grace_s=5):
+    async def start(self, grace_s=5, contracts=""):
         """Start the edge process and wait until it is ready."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -87,7 +87,7 @@
             store=store,
         )
         text = text.replace("grace_s = 5", f"grace_s = {grace_s}")
-        self.settings.write_text(text)
+        self.settings.write_text(contracts + text)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
