Let the old version serve what shifting traffic finds no room for

New targets may still be cold while traffic shifts; requests waited for them and were refused beside open old targets. Until 0.85 of the duration they go there. Collectors that are tried again after a silence get reports beside three others, and a collector that has not read the new targets' entries judges by their responses.

--- a/cornelreach/gateway/releasecollector.py
+++ b/cornelreach/gateway/releasecollector.py
@@ -94,7 +94,9 @@
         counts = releasecounts.add_counts(one.counts for one in self.reporters.values())
         self.analysis.adopt(release.phase)
         self.analysis.observe(age_ms, counts)
-        found = self.analysis.judge(age_ms, release.has_targets)
+        # This instance may not have read the entries that others send requests to.
+        has_targets = release.has_targets or any(is_new for _, is_new in counts)
+        found = self.analysis.judge(age_ms, has_targets)
         phase, reason = found.phase, found.reason
         if phase is Phase.OBSERVING and age_ms >= (
             release.order.duration_ms * LAST_SHARE
--- a/cornelreach/gateway/releaseexchange.py
+++ b/cornelreach/gateway/releaseexchange.py
@@ -66,6 +66,9 @@
         # when it is passed over.
         self._asked_ms: dict[str, float] = {}
         self._skipped_ms: dict[str, float] = {}
+        # Those that were passed over and have not answered since. They get reports
+        # beside the collectors, so that none is missing while they are tried again.
+        self._doubted: set[str] = set()
         gossip.handlers[datagrams.ReleaseReport] = self.handle_report
         gossip.handlers[datagrams.ReleaseDirective] = self.handle_directive
 
@@ -99,12 +102,7 @@
         Instances that have ended stay registered: those known to be silent have no
         rank, and a collector writes as well.
         """
-        now_ms = self.clock.now_ms()
-        heard = [
-            name
-            for name in self._ranked(release)
-            if self._skipped_ms.get(name, 0.0) <= now_ms
-        ]
+        heard = [one for one in self._ranked(release) if one not in self._doubted]
         rank = heard.index(self.gossip.name)
         if rank < releasewriter.WRITERS:
             return rank
@@ -120,13 +118,14 @@
         now_ms = self.clock.now_ms()
         found: list[str] = []
         for name in self._ranked(release):
-            if len(found) == COLLECTORS:
+            if sum(one not in self._doubted for one in found) == COLLECTORS:
                 break
             if self._skipped_ms.get(name, 0.0) > now_ms:
                 continue
             asked_ms = self._asked_ms.get(name, now_ms)
             if name != self.gossip.name and now_ms - asked_ms > SILENT_MS:
                 self._skipped_ms[name] = now_ms + SKIP_MS
+                self._doubted.add(name)
                 del self._asked_ms[name]
                 continue
             found.append(name)
@@ -208,6 +207,7 @@
         """Follow a collector's directive."""
         self._asked_ms.pop(directive.name, None)
         self._skipped_ms.pop(directive.name, None)
+        self._doubted.discard(directive.name)
         release = self.orders.learn(directive.order)
         if release is not None and not release.is_over:
             self._follow(release, directive)
--- a/cornelreach/gateway/releaserules.py
+++ b/cornelreach/gateway/releaserules.py
@@ -25,10 +25,15 @@
 
 # Streams that a version rolled back has begun may be resumed there for so long.
 RESUME_MS = 1_000.0
+# Of the duration; until then a request that no new target has room for goes to the old
+# version while traffic shifts. Later the old targets have to become empty.
+ROOM_SHARE = 0.85
+FELL_BACK = "fell back"  # the lane of a request until its next choice
 KEPT_MS = 60_000.0  # a closed target may be missing from the list for so long
 DRAWS = 1 << 32
 
 Phase = releaseanalysis.Phase
+OLD = releaseexposure.Lane.OLD.value
 Targets = list[registry_module.Target]
 Lifetime = tuple[str, int]  # a target's identifier and when it was started
 
@@ -192,12 +197,16 @@
         again.
         """
         is_observing = release.phase is Phase.OBSERVING
+        if request_state.lane == FELL_BACK:
+            request_state.lane = OLD
+            return old
         if is_observing and request_state.lane is not None:
             return old
+        age_ms = release.age_ms(now_ms)
         release.exposure.target_count = len(new)
         lane = release.exposure.lane(
             now_ms,
-            release.age_ms(now_ms),
+            age_ms,
             release.phase,
             release.is_granted(now_ms),
             not request_state.route.repeatable,
@@ -209,11 +218,13 @@
         if lane is releaseexposure.Lane.OLD:
             return old
         if not is_observing:
+            last_ms = ROOM_SHARE * release.order.duration_ms
+            request_state.is_canary = age_ms < last_ms
             return new
         request_state.is_canary = True
         registry = self.environment.mirror.registry
         return release.exposure.canary_targets(
-            release.age_ms(now_ms),
+            age_ms,
             new,
             lambda target: registry.state(target.id).is_cold(now_ms),
         )
@@ -234,6 +245,7 @@
     def fall_back(self, request_state: requeststate.RequestState) -> None:
         """Send a canary request that no target can take to the version that serves."""
         self._end_canary(request_state, self.environment.clock.now_ms())
+        request_state.lane = FELL_BACK
 
     def may_send(
         self,
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -108,7 +108,7 @@
     attempt that may become a retry holds a part of the budget. ``connections`` are
     those that the request was about to be written to, in order. ``lane`` says to which
     software version a rollout has given the request, and ``is_canary`` is set while it
-    may go only to targets that try the new one.
+    may go only to targets of the new one, and to others if those cannot take it.
     """
 
     def __init__(
--- a/test/gateway/test_releaserules.py
+++ b/test/gateway/test_releaserules.py
@@ -154,6 +154,35 @@
                 await self.harness.send("/safe/x")
         self.assertEqual(self.request_counts(), [10, 0])
 
+    # Guards against refusals while traffic shifts to targets that are still cold.
+    async def test_the_old_version_serves_what_the_new_one_has_no_room_for(self):
+        ok = harness_module.answer_ok
+        await self.follow([ok], [ok])
+        self.enter(Phase.SHIFTING)
+        self.release.exposure._shifting_ms = 0.0
+        self.harness.gossip.closed.add("e1")
+        for _ in range(2):
+            status, _ = await self.harness.send("/safe/x")
+            self.assertEqual(status, 200)
+        self.harness.gossip.closed.discard("e1")
+        await self.harness.send("/safe/x")
+        self.assertEqual(self.request_counts(), [2, 1])
+
+    # Guards against the links of one instance being taken for a bad version.
+    async def test_failures_do_not_count_while_no_target_is_reached(self):
+        await self.follow([harness_module.answer_ok], [broken_after(0)])
+        for is_cut_off in (True, False):
+            cut = self.releases.environment._replace(
+                is_cut_off=lambda one=is_cut_off: one
+            )
+            self.releases.rule("s").environment = cut
+            self.registry.restore("e1", 0, self.harness.clock.now_ms())
+            self.registry.state("e1").ejected_until_ms = 0.0
+            self.grant()
+            status, _ = await self.harness.send("/safe/x")
+            self.assertEqual(status, 200)
+            self.assertEqual((True in self.counts()), not is_cut_off)
+
     async def test_where_no_old_target_is_open_the_new_version_serves(self):
         await self.follow([], [harness_module.answer_ok])
         self.release.granted_until_ms = 0.0
