Take the end of a connection for that of a response only if it is in order

Change: the HTTP client ends a response without a length at an end of file only if the request has been sent and acknowledged, no reset came, and the peer acknowledged this side's end without a reset, or sent close_notify over TLS. It takes no status above 599.

--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -32,6 +32,7 @@
 MAX_STRAY_RESPONSES = 4
 MAX_STRAY_BYTES = 1_048_576  # of the bodies of stray responses
 MAX_INTERIM_RESPONSES = 16
+MAX_STATUS = 599  # h11 takes any of three digits, from 100
 MAX_BODY_BYTES = 8_388_608
 MAX_HELD_BYTES = 33_554_432  # of all bodies that a client is reading whole
 MAX_SMALL_PARTS = 16_384  # of a body that is read whole
@@ -363,6 +364,9 @@
         while True:
             event = await connection.event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    text = f"{event.status_code} is not a status of HTTP"
+                    raise h11.RemoteProtocolError(text)
                 if matches(_headers(event)):
                     return event
                 self.on_skipped(address, event.status_code, _headers(event))
--- a/cornelreach/http/clientconnection.py
+++ b/cornelreach/http/clientconnection.py
@@ -15,11 +15,13 @@
 
 import h11
 
-from cornelreach.http import turns
+from cornelreach.http import endings, turns
 
 PAUSE_READING_BYTES = 262_144
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
+END_CHECK_S = 0.001  # until the first further look; each pause is twice the last one
+MAX_END_CHECK_S = 0.128  # the last pause; a reset that follows later is not seen
 
 
 class ClientConnection(asyncio.Protocol):
@@ -62,12 +64,48 @@
             self.transport.pause_reading()
         self._wake()
 
-    def eof_received(self) -> None:
+    def eof_received(self) -> bool:
+        """Return whether the transport stays open, until the end is known in order."""
         self._end_idle()
         self.unusable = True
-        if not self.idle:
-            with contextlib.suppress(h11.RemoteProtocolError):
-                self.h11.receive_data(b"")
+        if self.idle:
+            return False
+        if fault := endings.fault_at_end(self.transport):
+            self._fail(fault)
+            return False
+        if self.transport.get_extra_info("ssl_object") is not None:
+            self._end()
+            return False  # asyncio closes TLS connections by itself
+        try:
+            self.transport.write_eof()
+        except OSError as error:  # it was reset just now
+            self._fail(str(error))
+            return False
+        self._check_end(END_CHECK_S)
+        return True
+
+    def _check_end(self, pause_s: float) -> None:
+        """End the response once the peer has acknowledged this side's end of file."""
+        if self.transport.is_closing():
+            return
+        state = endings.state_behind_end(self.transport)
+        if state is endings.State.PENDING and pause_s <= MAX_END_CHECK_S:
+            loop = asyncio.get_running_loop()
+            loop.call_later(pause_s, self._check_end, 2 * pause_s)
+            return
+        if state is endings.State.RESET:
+            self._fail("the connection was reset behind its end")
+        else:
+            self._end()
+        self.transport.close()
+
+    def _end(self) -> None:
+        with contextlib.suppress(h11.RemoteProtocolError):
+            self.h11.receive_data(b"")
+        self._wake()
+
+    def _fail(self, text: str) -> None:
+        self._error = ConnectionResetError(text)
         self._wake()
 
     def _end_idle(self) -> None:
@@ -79,7 +117,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         self._end_idle()
         self.unusable = self.is_lost = True
-        self._error = error or ConnectionResetError("the connection was closed")
+        closed = ConnectionResetError("the connection was closed")
+        self._error = error or self._error or closed
         self._wake()
         if self.on_connection_lost is not None:
             self.on_connection_lost()
