Wait a moment for a reset behind an end of file

Cause: a server whose end of file has been acknowledged and which gets the client's own end sends no reset any more, so the proof missed resets that came some microseconds later: against a server process that ends its side and resets at once, 2 of 3,000 responses were taken for complete, 12 of 3,000 with both processes on one core (load 12).

Change: the client ends its own side 1 ms after the server.

Result: 0 of 3,000 in each of five runs, four of them on one core. A call whose response ends with its connection takes longer by that pause on loopback, other calls do not (72 to 79 us before and after).

--- a/cornelreach/http/clientconnection.py
+++ b/cornelreach/http/clientconnection.py
@@ -20,6 +20,9 @@
 PAUSE_READING_BYTES = 262_144
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
+# A server sends no reset any more once this side has ended as well. Without a pause, 12
+# of 3,000 resets right behind the end of file were missed; with one of 1 ms, none.
+END_WAIT_S = 0.001
 END_CHECK_S = 0.001  # until the first further look; each pause is twice the last one
 MAX_END_CHECK_S = 0.128  # the last pause; a reset that follows later is not seen
 
@@ -76,13 +79,19 @@
         if self.transport.get_extra_info("ssl_object") is not None:
             self._end()
             return False  # asyncio closes TLS connections by itself
-        try:
+        asyncio.get_running_loop().call_later(END_WAIT_S, self._end_own_side)
+        return True
+
+    def _end_own_side(self) -> None:
+        if self.transport.is_closing():
+            return
+        if endings.is_reset(self.transport):
+            self._fail(endings.RESET_TEXT)
+            self.transport.close()
+            return
+        with contextlib.suppress(OSError):  # it was reset just now
             self.transport.write_eof()
-        except OSError as error:  # it was reset just now
-            self._fail(str(error))
-            return False
         self._check_end(END_CHECK_S)
-        return True
 
     def _check_end(self, pause_s: float) -> None:
         """End the response once the peer has acknowledged this side's end of file."""
@@ -94,7 +103,7 @@
             loop.call_later(pause_s, self._check_end, 2 * pause_s)
             return
         if state is endings.State.RESET:
-            self._fail("the connection was reset behind its end")
+            self._fail(endings.RESET_TEXT)
         else:
             self._end()
         self.transport.close()
--- a/cornelreach/http/endings.py
+++ b/cornelreach/http/endings.py
@@ -7,7 +7,7 @@
 
     fault = endings.fault_at_end(transport)
     if not fault:
-        transport.write_eof()
+        transport.write_eof()  # some time later, since no reset is sent behind that
         state = endings.state_behind_end(transport)  # until it is not PENDING
 """
 
@@ -19,6 +19,7 @@
 import struct
 import termios
 
+RESET_TEXT = "the connection was reset behind its end"
 TCP_CLOSE = 7  # the states of the kernel's <net/tcp_states.h>
 
 
@@ -38,10 +39,10 @@
     ssl_object = transport.get_extra_info("ssl_object")
     if ssl_object is not None and not _is_close_notified(ssl_object):
         return "the TLS connection ended without close_notify"
+    if is_reset(transport):
+        return RESET_TEXT
     sock = transport.get_extra_info("socket")
     try:
-        if _tcp_state(sock) == TCP_CLOSE:
-            return "the connection was reset behind its end"
         if transport.get_write_buffer_size() or _unacknowledged_bytes(sock):
             return "the connection ended before the request was sent"
     except OSError as error:
@@ -49,6 +50,14 @@
     return ""
 
 
+def is_reset(transport: asyncio.Transport) -> bool:
+    """Return whether a reset came behind the end of file that was just received."""
+    try:
+        return _tcp_state(transport.get_extra_info("socket")) == TCP_CLOSE
+    except OSError:
+        return True
+
+
 def state_behind_end(transport: asyncio.Transport) -> State:
     """Return whether the peer acknowledged this side's end, or reset the connection."""
     sock = transport.get_extra_info("socket")
