Soak resets of responses without a length, and crowds that read nothing

Cause: the soak broke answers off in order or inside an event only, and all of its callers read what they ask for.

The fault 'crowd' (by itself) lets 80 connections send 2.5 MB each ahead and read nothing, one kind of request at a time; checks of the resident memory of each instance and of ordinary requests beside it. A crowd no longer excuses a process that ends. Planted bugs: trusts-ends, keeps-unread.

--- a/standins/requestlog.py
+++ b/standins/requestlog.py
@@ -63,6 +63,14 @@
     at_s: float
 
 
+class Reset(typing.NamedTuple):
+    """A response without a length that its engine reset before its end."""
+
+    request_id: str
+    engine: str
+    at_s: float
+
+
 class PartialFetch(typing.NamedTuple):
     """A part that was fetched from a prompt store while it was being written."""
 
@@ -87,6 +95,7 @@
         self.slow_requests: set[tuple[str, bytes]] = set()
         self.crashes: list[Crash] = []
         self.partial_fetches: list[PartialFetch] = []
+        self.resets: list[Reset] = []
         self.notices: list[Notice] = []
         self.arrivals: list[Arrival] = []
         self.orders: list[OrderRecord] = []
--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -51,7 +51,9 @@
     request on their connection. ``cut_heads`` is the share of plain
     answers that stop in their head or right behind it, ``odd_rest`` that of
     continuations within one request that are answered with an error in a signed
-    success. ``endless`` is the share of plain answers in chunks of one byte that do not
+    success. ``reset_ends`` is the share of answers without a length that are reset
+    before their end, streams between two events.
+    ``endless`` is the share of plain answers in chunks of one byte that do not
     end until the connection is closed. ``work_s`` is added to the time that each
     request takes. With ``closing`` every answer is the last of its connection.
     """
@@ -71,6 +73,7 @@
         self.late_copies = 0.0
         self.cut_heads = 0.0
         self.odd_rest = 0.0
+        self.reset_ends = 0.0
         self.endless = 0.0
         self.work_s = 0.0
         self.closing = False
@@ -428,8 +431,30 @@
             await writer.drain()
             writer.transport.abort()
             return
+        await self._reply_or_reset(request_id, writer, body, extra)
+
+    async def _reply_or_reset(
+        self, request_id: str, writer: asyncio.StreamWriter, body: bytes, extra: str
+    ) -> None:
+        if self._draw_reset():
+            fields = f"HTTP/1.1 200 X\r\n{extra}\r\n"
+            writer.write(fields.encode() + body[: len(body) // 2])
+            await self._reset(request_id, writer)
+            return
         self._reply(writer, 200, body, extra, self._draw_framed())
 
+    def _draw_reset(self) -> bool:
+        share = self.faults.reset_ends
+        return bool(share) and self.random.random() < share
+
+    async def _reset(self, request_id: str, writer: asyncio.StreamWriter) -> None:
+        """Reset a response of which a part has been written."""
+        await writer.drain()
+        await asyncio.sleep(EVENT_GAP_S)
+        now_s = time.monotonic()
+        self.request_log.resets.append(requestlog.Reset(request_id, self.name, now_s))
+        sockets.reset(writer.transport)
+
     def _use_stores(self, head: RequestHead) -> None:
         """Fetch and save the parts of a prompt as its headers say."""
         salt, prefix = head.get(headers.CACHE_SALT), head.get(headers.PROMPT_PREFIX)
@@ -473,7 +498,8 @@
         self, head: RequestHead, writer: asyncio.StreamWriter, extra: str
     ) -> None:
         request_id = head.get(headers.REQUEST_ID)
-        framed = self._draw_framed()
+        is_reset = self._draw_reset()
+        framed = not is_reset and self._draw_framed()
         if not framed:
             self._unframed.add(writer)
         fields = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n" + extra
@@ -491,6 +517,9 @@
         start = int(head.get(headers.LAST_EVENT) or 0) + 1
         software = self.software
         for number in range(start, EVENTS + 1):
+            if is_reset and number > EVENTS // 2:
+                await self._reset(request_id, writer)
+                return
             data = event(request_id, number, software)
             size = f"{len(data):x}\r\n".encode() if framed else b""
             if cut_short and number > EVENTS // 2:
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from tools.soak import bugschedules, environment, planted, run, schedule
+from tools.soak import bugschedules, crowd, environment, planted, run, schedule
 
 Fault = schedule.Fault
 
@@ -145,6 +145,20 @@
         faults = tuple(Fault(0.5, "endless", f"e{one}", 4.0) for one in range(2))
         await self.assert_no_violations([run.Plan(1, 6, 2, faults=faults)])
 
+    # Guards against the part of a response that came before a reset looking complete.
+    async def test_responses_that_are_reset_do_not_look_complete(self):
+        faults = tuple(BUG_SCHEDULES["trusts-ends"][1])
+        await self.assert_no_violations([run.Plan(1, 10, 2, faults=faults)])
+
+    # Guards against an instance that runs out of memory beside clients that send ahead
+    # and read nothing. By itself: they send in the loop that all share.
+    async def test_a_crowd_that_reads_nothing_does_not_fill_the_memory(self):
+        count = len(crowd.KINDS)
+        faults = tuple(
+            Fault(0.5 + 2.0 * n, "crowd", "edge0", 2.0) for n in range(count)
+        )
+        await self.assert_no_violations([run.Plan(1, 12, 2, faults=faults)])
+
     async def test_planted_bugs_are_found(self):
         self.assertEqual(set(BUG_SCHEDULES), set(planted.PLANTED_BUGS))
         plans = [
--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -62,6 +62,11 @@
         ],
     ),
     "trusts-heads": ("whole answers", _at_engines("cut-heads", PLAIN, 6.0)),
+    "trusts-ends": ("broken off", _at_engines("reset-ends", ALL, 6.0)),
+    "keeps-unread": (
+        "memory",
+        [Fault(at_s, "crowd", "edge0", 2.0) for at_s in (0.5, 2.5, 4.5)],
+    ),
     "passes-nothing-on": ("reached", [Fault(0.5, "engines-cut", "edge0", 1.0)]),
     "forgets-registration": ("registered", [Fault(0.5, "restore", "", 1.0)]),
     "counts-from-reading": ("versions", [Fault(0.5, "late-version", "edge1", 1.0)]),
@@ -100,7 +105,10 @@
 
 
 # A run ends at its first violation, and these bugs break a second guarantee as often.
-SECOND_GUARANTEES = {"reuses-connections": "true refusals"}
+SECOND_GUARANTEES = {
+    "reuses-connections": "true refusals",
+    "trusts-ends": "whole answers",
+}
 
 
 def is_found(name: str, outcome: run.Outcome) -> bool:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -10,6 +10,7 @@
 
 from tools.soak import (
     checkcontext,
+    crowdchecks,
     damagechecks,
     environment as environment_module,
     injector,
@@ -18,6 +19,7 @@
     promptchecks,
     reachchecks,
     repeatchecks,
+    resetchecks,
     storechecks,
     turnchecks,
 )
@@ -32,7 +34,7 @@
 MIN_SERVED_SHARE = 0.25
 LINK_KINDS = frozenset(("cut", "store-silent", "store-deaf", "store-reset"))
 LINK_KINDS |= frozenset(("link-silent", "link-reset", reachchecks.KIND))
-SERVING_KINDS = frozenset(("garbled", "late-orders"))
+SERVING_KINDS = frozenset(("garbled", "late-orders", "reset-ends"))
 MIN_TAKEN_UP = 12  # streams
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 RESTART_KINDS = frozenset(("kill",))
@@ -383,7 +385,8 @@
     for edge in context.environment.edges.values():
         code = edge.process.returncode
         ended = any(
-            one.subject == edge.name for one in context.environment.disturbances
+            one.subject == edge.name and one.kind != crowdchecks.KIND
+            for one in context.environment.disturbances
         )
         if code not in (None, 0) and not ended:
             yield checkcontext.Violation("alive", "", f"{edge.name} exited with {code}")
@@ -393,6 +396,9 @@
     runs_at_most_once,
     not_run_statuses,
     response_bodies,
+    resetchecks.broken_off,
+    crowdchecks.resident_memory,
+    crowdchecks.answered_beside_crowd,
     one_software_version,
     streams_taken_up,
     streams_after_all_were_killed,
--- a/tools/soak/edges.py
+++ b/tools/soak/edges.py
@@ -35,6 +35,8 @@
 lease_ms = 3000
 thaw_ms = 300
 version_ms = 8000
+[limits]
+memory_mb = 300
 [platform]
 address = "{store}"
 reads_per_s = 2000
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -20,6 +20,7 @@
     callers,
     edges as edges_module,
     operator as operator_module,
+    processmemory,
     processsockets,
     proxy,
 )
@@ -33,6 +34,7 @@
 READY_WAIT_S = 20.0
 RECOVERY_S = 3.0  # the documented bound is 12 s; a shorter wait keeps runs short
 RECOVERY_CHECK_S = 2.0
+MEMORY_SAMPLE_S = 0.2
 
 
 class Disturbance(typing.NamedTuple):
@@ -78,6 +80,7 @@
         self.disturbances: list[Disturbance] = []
         # Instance, time, and how long it took to say whether it is ready.
         self.readiness_waits: list[tuple[str, float, float]] = []
+        self.most_resident_mb: dict[str, float] = {}  # of each instance
         self.changes: list[AcknowledgedChange] = []
         self.operator = operator_module.Operator(self.store)
         self.prompt_store = wirestore.WireStore(self.ledger, operator_module.MODEL)
@@ -103,10 +106,19 @@
         for number in range(self._edge_count):
             await self._start_edge(number)
         await self.wait_ready()
+        self._tasks.append(asyncio.ensure_future(self._sample_memory()))
         for name, edge in self.edges.items():
             for number in range(CALLERS_PER_EDGE):
                 self.start_caller(f"{name}-c{number}", edge, self.any_key)
 
+    async def _sample_memory(self) -> None:
+        most_mb = self.most_resident_mb
+        while True:
+            for name, edge in self.edges.items():
+                found_mb = processmemory.resident_mb(edge.process.pid)
+                most_mb[name] = max(found_mb, most_mb.get(name, 0.0))
+            await asyncio.sleep(MEMORY_SAMPLE_S)
+
     def any_key(self) -> str:
         """Return one of the keys in force."""
         return self.random.choice(self.operator.keys)
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -12,6 +12,7 @@
 from standins import wireengine
 from tools.soak import (
     callers,
+    crowd,
     edges as edges_module,
     environment as environment_module,
     operator,
@@ -64,6 +65,7 @@
         self._left_count = itertools.count()
         self._late_count = itertools.count()
         self._rename_count = itertools.count(1)
+        self._crowd_kinds = itertools.cycle(crowd.KINDS)
         self._renamed: set[str] = set()
         self._prompt_store_lock = asyncio.Lock()
 
@@ -432,6 +434,14 @@
     async def _do_odd_rest(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "odd_rest", 0.7, 0.0)
 
+    async def _do_reset_ends(self, fault: schedule.Fault) -> None:
+        await self._with_engine_fault(fault, "reset_ends", 0.3, 0.0)
+
+    async def _do_crowd(self, fault: schedule.Fault) -> None:
+        # Clients that send ahead and read nothing, of one kind at a time.
+        host = self.environment.edges[fault.subject].host
+        await crowd.Crowd(host, next(self._crowd_kinds)).run(fault.for_s)
+
     async def _do_cut_heads(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "cut_heads", 0.3, 0.0)
 
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -32,7 +32,7 @@
     targetlimits,
     watching,
 )
-from cornelreach.http import client, server, turns
+from cornelreach.http import client, clientconnection, server, turns
 from cornelreach.platform import headers, promptstores, site
 from cornelreach.ui import edge
 from cornelreach.util import decoding
@@ -281,6 +281,29 @@
     forwarding.Forwarder._may_lack_body = lambda self, request_state, answer: False
 
 
+def _trusts_ends() -> None:
+    """Takes a reset for the end of a response without a length."""
+    original = clientconnection.ClientConnection.connection_lost
+
+    def connection_lost(self: typing.Any, error: Exception | None) -> None:
+        self._end()
+        original(self, error)
+
+    clientconnection.ClientConnection.connection_lost = connection_lost
+
+
+def _keeps_unread() -> None:
+    """Reads and keeps all that clients have sent ahead, before each response."""
+    original = server.Connection._handle
+
+    async def handle(self: typing.Any, request: typing.Any) -> None:
+        while data := await self._received_data():
+            self.h11.receive_data(data)
+        await original(self, request)
+
+    server.Connection._handle = handle
+
+
 def _guesses_origins() -> None:
     """Guesses the software that began a stream from what it read before."""
     edge_module.Edge._read_software = _read_nothing
@@ -311,6 +334,8 @@
     "takes-late-requests": _takes_late_requests,
     "joins-errors": _joins_errors,
     "trusts-heads": _trusts_heads,
+    "trusts-ends": _trusts_ends,
+    "keeps-unread": _keeps_unread,
     "ignores-leaving": _ignores_leaving,
     "ignores-rest": _ignores_rest,
     "ignores-limits": _ignores_limits,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -40,6 +40,7 @@
     ("shed", "shed", "kill"),
     ("empty-store", "damage"),
     ("rename", "late-copies"),
+    ("reset-ends",),
 )
 KINDS = frozenset(
     kind
@@ -86,6 +87,7 @@
     later_subjects["kill"] = later_subjects["pause"] = edges
     later_subjects["refuse-first"] = later_subjects["shed"] = engines
     later_subjects["rename"] = later_subjects["late-copies"] = engines
+    later_subjects["reset-ends"] = engines
     for group in LATER_GROUPS:
         for _ in range(round(seconds / LATER_PERIOD_S)):
             kind = source.choice(group)
