Bound what connections make a process hold, on all of its ports

Cause: while a request was served, up to 96 KB more were read for it and kept by h11, for each request of a pipeline, so memory grew with what was sent. Responses that nobody read and bodies were bounded per connection only, and a connection that was closed with unread responses stayed for as long as its client.

Change: a connection is read until 64 KB wait; the end of a connection reaches the handler from the reader, or from the system where reading is paused. One account (http/memory.py) holds what all connections of all ports hold: its bound is a fifth of memory_mb. Above it, connections whose clients read nothing are closed first; above three quarters of it no body longer than 64 KB is begun (503). Connections are accepted within two thirds of max_fds less 200; one whose client reads nothing makes room for a new one. The system keeps at most 128 KB unsent per connection.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -41,7 +41,7 @@
     targetlimits,
     watching,
 )
-from cornelreach.http import client as http_client, limits, messages, server
+from cornelreach.http import client as http_client, limits, memory, messages, server
 from cornelreach.platform import (
     budget,
     client as platform_client,
@@ -167,6 +167,12 @@
         self._last_unready_reason = ""
         self._tasks: list[asyncio.Task[typing.Any]] = []
         self._is_registered = False
+        self.account = memory.Account()
+        self.account.configure(site.memory_mb, site.max_fds)
+        self.account.opened = self._connections_opened
+        self.account.on_closed = lambda port, bound: self.metrics.add(
+            "connections_bounded_total", 1, str(port), bound
+        )
         self._build_platform()
         self._build_forwarding()
         self._build_watchers()
@@ -379,8 +385,13 @@
         for one in others:
             one.restart()
 
+    def _connections_opened(self) -> int:
+        return self.http.open_total + self.platform_http.open_total
+
     def _build_metrics(self) -> None:
         gauge = self.metrics.gauge
+        gauge("held_bytes", lambda: self.account.total_bytes)
+        gauge("connections_accepted", lambda: self.account.connections)
         mirror, registry = self.mirror, self.mirror.registry
         gauge("requests_under_way", lambda: self.forwarder.active)
         gauge("catalogue_version", lambda: getattr(mirror.catalogue, "version", 0))
@@ -485,7 +496,7 @@
 
     async def _listen(self, address: str, handler: server.Handler) -> server.Server:
         host, _, port = address.rpartition(":")
-        return await server.start(host, int(port), handler)
+        return await server.start(host, int(port), handler, account=self.account)
 
     async def _register_first(self) -> None:
         if await self._register() and self.site.is_first_start:
@@ -555,6 +566,7 @@
         if found.bounds != self.site.bounds:
             self._apply_bounds(found.bounds)
             events.emit(RELOADED, change="bounds")
+        self.account.configure(found.memory_mb, found.max_fds)
         self.outages.lapse_ms = found.report_ms * outages.LAPSE_INTERVALS
         self.site = found
 
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -231,6 +231,11 @@
         """Return the number of connections to an address, open or being opened."""
         return self._open_counts[address]
 
+    @property
+    def open_total(self) -> int:
+        """Return the number of connections to all addresses."""
+        return sum(self._open_counts.values())
+
     def has_idle_connection(self, address: Address, request_id: str = "") -> bool:
         """Return whether a request can use an idle connection."""
         idle = self._idle.get(address)
--- a/cornelreach/http/clientconnection.py
+++ b/cornelreach/http/clientconnection.py
@@ -17,7 +17,9 @@
 
 from cornelreach.http import turns
 
-PAUSE_READING_BYTES = 262_144
+# What is held of a response that is not read on, as a stream's caller reads slowly.
+PAUSE_READING_BYTES = 65_536
+READ_BYTES = 131_072  # with less, the system takes 2 MB more of a body without end
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
 
@@ -50,6 +52,8 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
+        if hasattr(transport, "max_size"):  # not with TLS
+            transport.max_size = READ_BYTES
 
     def data_received(self, data: bytes) -> None:
         if self.idle:
--- /dev/null
+++ b/cornelreach/http/memory.py
@@ -0,0 +1,266 @@
+"""Account of what connections make a process hold, over all of its ports.
+
+A connection reports what it holds: bytes that were received and are not served yet, the
+body of its request, responses that its client has not read. Above the bound of the
+account the connections of clients that do not read are closed, the one that holds most
+first; above a lower mark no long body is begun::
+
+    account = Account()
+    account.configure(memory_mb=300, max_fds=2_048)
+    account.update(connection)
+    if not account.has_room():
+        ...  # reject a request whose body is long
+"""
+
+import asyncio
+import enum
+import typing
+
+from cornelreach.util import events
+
+DEFAULT_BYTES = 134_217_728  # where the settings name no memory
+MEMORY_SHARE = 0.2  # of the memory of the machine
+ROOM_SHARE = 0.75  # of the bound; above it, no long body is begun
+TARGET_SHARE = 0.9  # of the bound, so that not every arrival closes a connection
+COUNTED_BYTES = 4_096  # less than the state of a connection that holds nothing
+FILE_DESCRIPTORS = 200  # of max_fds, for files
+ACCEPTED_SHARE = 2 / 3  # of the other ones; the rest is for engines, store and peers
+MIN_ACCEPTED = 16
+CHECK_S = 0.5
+STALLED_S = 1.0  # without a byte of a response that was taken
+LOG_PERIOD_S = 1.0
+
+CLOSED = events.define(
+    1020,
+    "WARNING",
+    "Closed the connection of {peer} at port {port}, which held {held_bytes} bytes, by "
+    "{bound}; {total_bytes} bytes are held, {others} more closed since the last line.",
+    "If the peer is a known client: let it read its responses; else block it.",
+)
+NOT_ACCEPTED = events.define(
+    1021,
+    "WARNING",
+    "Closed a new connection of {peer} at port {port}, by {bound}; "
+    "{connections} are open, {others} more closed since the last line.",
+    "Compare max_fds and the number of clients; look for clients that keep "
+    "connections open.",
+)
+NO_ROOM = events.define(
+    1022,
+    "WARNING",
+    "Rejected a body of {peer} at port {port}, by {bound}; {total_bytes} bytes are "
+    "held, {others} more rejected since the last line.",
+    "Compare memory_mb with the size and the number of requests under way.",
+)
+
+
+class Bound(enum.StrEnum):
+    """The bounds by which connections are closed, by the names of their settings."""
+
+    MEMORY = "memory_mb"
+    DESCRIPTORS = "max_fds"
+    WRITE_WAIT = "write_wait_ms"
+    CONNECTIONS = "connections"
+
+
+class Rank(enum.IntEnum):
+    """Which connections are closed first."""
+
+    STALLED = 0  # its client has read nothing for a while
+    AHEAD = 1  # responses that are not read, or requests beyond the one in progress
+    RECEIVING = 2  # a request that is arriving
+    SERVING = 3  # a request in progress
+
+
+class Holder(typing.Protocol):
+    """A connection, as the account sees it."""
+
+    peer: str
+    port: int
+
+    def held_bytes(self) -> int:
+        """Return the number of bytes held."""
+
+    def unread_bytes(self) -> int:
+        """Return how many of them are responses that the client has not read."""
+
+    def rank(self) -> Rank:
+        """Return its rank, apart from ``STALLED``."""
+
+    def close_by(self, bound: Bound) -> None:
+        """Close the connection at once."""
+
+    def check_client(self) -> None:
+        """End the request in progress if the client has left unnoticed."""
+
+
+class Entry:
+    """What the account knows of one connection."""
+
+    __slots__ = ("held_bytes", "since_s", "unread_bytes")
+
+    def __init__(self, now_s: float) -> None:
+        self.held_bytes = self.unread_bytes = 0
+        self.since_s = now_s  # when the client last took a byte
+
+    def observe(self, holder: Holder, now_s: float) -> int:
+        """Take over what a connection holds now; returns the difference."""
+        unread_bytes = holder.unread_bytes()
+        if not unread_bytes or unread_bytes < self.unread_bytes:
+            self.since_s = now_s
+        self.unread_bytes = unread_bytes
+        before_bytes, self.held_bytes = self.held_bytes, holder.held_bytes()
+        return self.held_bytes - before_bytes
+
+    def rank(self, holder: Holder, now_s: float) -> Rank:
+        """Return the rank of a connection."""
+        if self.unread_bytes and now_s - self.since_s >= STALLED_S:
+            return Rank.STALLED
+        return holder.rank()
+
+
+class Account:
+    """What all connections of a process hold, and how many there are."""
+
+    def __init__(self) -> None:
+        self.max_bytes = DEFAULT_BYTES
+        self.max_descriptors: int | None = None
+        self.total_bytes = 0
+        self.connections = 0
+        # Returns how many connections this process has opened itself.
+        self.opened: typing.Callable[[], int] = lambda: 0
+        # Called with the port and the bound by which a connection was closed.
+        self.on_closed: typing.Callable[[int, str], None] = lambda port, bound: None
+        self._entries: dict[Holder, Entry] = {}
+        self._check: asyncio.TimerHandle | None = None
+        self._logged_s: dict[int, float] = {}
+        self._others: dict[int, int] = {}
+
+    def configure(self, memory_mb: float, max_fds: int) -> None:
+        """Set the bounds by the settings of the machine; 0 stands for none."""
+        share_bytes = memory_mb * 1_048_576 * MEMORY_SHARE
+        self.max_bytes = int(share_bytes) or DEFAULT_BYTES
+        self.max_descriptors = max_fds - FILE_DESCRIPTORS if max_fds else None
+
+    def update(self, holder: Holder) -> None:
+        """Take over what a connection holds; closes others, or it, above the bound."""
+        entry = self._entries.get(holder)
+        if entry is None:
+            if holder.held_bytes() < COUNTED_BYTES:
+                return
+            entry = self._entries[holder] = Entry(_now_s())
+            self._schedule_check()
+        self._observe(holder, entry)
+        if self.total_bytes > self.max_bytes:
+            self._close_some()
+
+    def counts(self, holder: Holder) -> bool:
+        """Return whether a connection holds enough to be counted."""
+        return holder in self._entries
+
+    def remove(self, holder: Holder) -> None:
+        """Forget a connection."""
+        entry = self._entries.pop(holder, None)
+        if entry is not None:
+            self.total_bytes -= entry.held_bytes
+
+    def has_room(self) -> bool:
+        """Return whether a long body may be begun."""
+        return self.total_bytes <= self.max_bytes * ROOM_SHARE
+
+    def may_accept(self) -> bool:
+        """Return whether there is a descriptor for another accepted connection."""
+        if self.max_descriptors is None:
+            return True
+        accepted = max(MIN_ACCEPTED, int(self.max_descriptors * ACCEPTED_SHARE))
+        if self.connections >= accepted:
+            return False
+        is_plenty = self.connections + accepted <= self.max_descriptors
+        return is_plenty or self.connections + self.opened() < self.max_descriptors
+
+    def make_room(self, among: typing.Container[Holder] | None, bound: Bound) -> bool:
+        """Close a connection whose client reads nothing; returns whether there is one.
+
+        ``among`` are the ones that it is chosen from, None stands for all.
+        """
+        now_s = _now_s()
+        found = [
+            (entry.held_bytes, number, holder)
+            for number, (holder, entry) in enumerate(self._entries.items())
+            if entry.rank(holder, now_s) is Rank.STALLED
+            and (among is None or holder in among)
+        ]
+        if not found:
+            return False
+        self.close(max(found)[2], bound)
+        return True
+
+    def close(self, holder: Holder, bound: Bound) -> None:
+        """Close a connection by a bound, and say so."""
+        held_bytes = holder.held_bytes()
+        self.remove(holder)
+        holder.close_by(bound)
+        self.report(CLOSED, holder, bound, held_bytes=held_bytes)
+
+    def report(
+        self, event: events.Event, holder: Holder, bound: Bound, **fields: object
+    ) -> None:
+        """Count what was closed or rejected by a bound, and log some of it."""
+        self.on_closed(holder.port, bound)
+        now_s = _now_s()
+        if now_s - self._logged_s.get(event.number, -LOG_PERIOD_S) < LOG_PERIOD_S:
+            self._others[event.number] = self._others.get(event.number, 0) + 1
+            return
+        self._logged_s[event.number] = now_s
+        events.emit(
+            event,
+            peer=holder.peer,
+            port=holder.port,
+            bound=bound.value,
+            total_bytes=self.total_bytes,
+            connections=self.connections,
+            others=self._others.pop(event.number, 0),
+            **fields,
+        )
+
+    def _observe(self, holder: Holder, entry: Entry) -> None:
+        self.total_bytes += entry.observe(holder, _now_s())
+        if entry.held_bytes < COUNTED_BYTES:
+            self.remove(holder)
+
+    def _observe_all(self) -> None:
+        for holder, entry in list(self._entries.items()):
+            self._observe(holder, entry)
+
+    def _close_some(self) -> None:
+        # Responses are read without a report, so what is held may be less by now.
+        self._observe_all()
+        if self.total_bytes <= self.max_bytes:
+            return
+        now_s = _now_s()
+        entries = self._entries
+        in_order = sorted(
+            entries,
+            key=lambda one: (entries[one].rank(one, now_s), -entries[one].held_bytes),
+        )
+        for holder in in_order:
+            if self.total_bytes <= self.max_bytes * TARGET_SHARE:
+                return
+            self.close(holder, Bound.MEMORY)
+
+    def _schedule_check(self) -> None:
+        if self._check is None:
+            loop = asyncio.get_running_loop()
+            self._check = loop.call_later(CHECK_S, self._check_all)
+
+    def _check_all(self) -> None:
+        self._check = None
+        for holder in list(self._entries):
+            holder.check_client()
+        self._observe_all()
+        if self._entries:
+            self._schedule_check()
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -15,15 +15,25 @@
 
 import h11
 
-from cornelreach.http import limits as limits_module, messages, sockets, turns
+from cornelreach.http import (
+    limits as limits_module,
+    memory,
+    messages,
+    receiving,
+    sockets,
+    turns,
+)
 from cornelreach.util import errors, events
 
-READ_BYTES = 65_536
+READ_BYTES = receiving.READ_BYTES
 DRAIN_BYTES = 65_536
 HTTP_1_1 = b"1.1"
 ACCEPT_S = 0.005  # for connections that the kernel has accepted
 LOOP_PASSES = 2  # the first one asks the system, the second one takes what it has
 LINGER_S = 0.1  # for requests on their way when a stop begins
+SMALL_BODY_BYTES = 65_536  # served whatever is held; as long as what is read ahead
+BODY_COPIES = 2  # of a request's body, as it is passed on
+STREAM_BYTES = 196_608  # what is held of a stream whose client does not read
 
 HANDLER_FAILED = events.define(
     1001, "ERROR", "Request handler failed: {error}.", "Report it with the log line."
@@ -68,10 +78,11 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: receiving.Reader,
         writer: asyncio.StreamWriter,
         handler: Handler,
         current_limits: typing.Callable[[], limits_module.Limits],
+        account: memory.Account,
     ) -> None:
         self.reader = reader
         self.writer = writer
@@ -83,6 +94,13 @@
         self.h11 = h11.Connection(h11.SERVER, self.limits.header_bytes)
         self._idle_timeout: asyncio.Timeout | None = None
         self._pieces = turns.Pieces()
+        self.account = account
+        self.peer = str(writer.get_extra_info("peername"))
+        self.port = (writer.get_extra_info("sockname") or (0, 0))[1]
+        # What is held besides the buffers of reader and transport.
+        self._ahead_bytes = self._body_bytes = self._stream_bytes = 0
+        self._is_serving = self._is_closed = False
+        reader.on_data = self._data_arrived
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -97,9 +115,68 @@
         ):
             pass
         finally:
-            self._close()
+            await self._end()
+
+    async def _end(self) -> None:
+        """Close the connection once its client has read the response, or in time."""
+        self._is_serving = False
+        self._ahead_bytes = self._body_bytes = 0
+        self.reader.discard()
+        self._close()
+        delay_s = self.limits.write_wait_ms / 1_000
+        loop = asyncio.get_running_loop()
+        give_up = loop.call_later(delay_s, self._close_unread)
+        try:
             with contextlib.suppress(Exception):
                 await self.writer.wait_closed()
+        finally:
+            give_up.cancel()
+            self.account.remove(self)
+
+    def held_bytes(self) -> int:
+        """Return how much the process holds for this connection."""
+        if self._is_closed:
+            return 0
+        return (
+            self.reader.waiting_bytes
+            + self._ahead_bytes
+            + self._body_bytes * BODY_COPIES
+            + self._stream_bytes
+            + self.unread_bytes()
+        )
+
+    def unread_bytes(self) -> int:
+        """Return how much of the responses the client has not read."""
+        return self.writer.transport.get_write_buffer_size()
+
+    def rank(self) -> memory.Rank:
+        """Return when the connection is closed for want of memory."""
+        ahead = self._is_serving and self.reader.waiting_bytes + self._ahead_bytes
+        if ahead or self.unread_bytes():
+            return memory.Rank.AHEAD
+        return memory.Rank.SERVING if self._is_serving else memory.Rank.RECEIVING
+
+    def close_by(self, bound: memory.Bound) -> None:
+        """Reset the connection; a request in progress is cancelled."""
+        self._is_closed = True
+        self.reader.discard()
+        sockets.reset(self.writer.transport)
+        self.reader.end()
+
+    def check_client(self) -> None:
+        """End the request in progress if the client has left unnoticed."""
+        is_paused = self.reader.waiting_bytes > READ_BYTES
+        transport = self.writer.transport
+        if is_paused and not self.reader.has_ended and receiving.has_left(transport):
+            self.reader.end()
+
+    def _data_arrived(self) -> None:
+        if self.reader.waiting_bytes > memory.COUNTED_BYTES:
+            self.account.update(self)
+
+    def _close_unread(self) -> None:
+        if not self._is_closed:
+            self.account.close(self, memory.Bound.WRITE_WAIT)
 
     def end_if_idle(self) -> None:
         """Close the connection, now or after its request, once nothing more arrives."""
@@ -144,16 +221,25 @@
 
     async def _handle(self, request: messages.Request) -> None:
         task = asyncio.ensure_future(self._handle_and_write(request))
-        disconnect = asyncio.ensure_future(self._wait_for_disconnect())
+        self._is_serving = True
+        self.reader.on_end = task.cancel
+        if self.reader.has_ended:
+            # It may be answered at once, like before the client had closed.
+            asyncio.get_running_loop().call_soon(task.cancel)
         try:
-            await asyncio.wait({task, disconnect}, return_when=asyncio.FIRST_COMPLETED)
-            if not task.done():
+            await asyncio.wait((task,))
+            if task.cancelled():
                 raise ClientDisconnected
             task.result()
         finally:
-            for pending in (task, disconnect):
-                pending.cancel()
-            await asyncio.gather(task, disconnect, return_exceptions=True)
+            self._is_serving = False
+            self.reader.on_end = None
+            if not task.done():
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+            self._body_bytes = 0
+            if self.account.counts(self):
+                self.account.update(self)
 
     async def _handle_and_write(self, request: messages.Request) -> None:
         await self._write(await self._run_handler(request))
@@ -175,18 +261,6 @@
             )
             return refusal_response(refusal, close=True)
 
-    async def _wait_for_disconnect(self) -> None:
-        # Returns when the client disconnects, which cancels its call. Pipelined bytes
-        # are passed to h11, which keeps them for the next request.
-        pipelined_bytes = 0
-        while pipelined_bytes < self.limits.header_bytes:
-            data = await self.reader.read(READ_BYTES)
-            self.h11.receive_data(data)
-            pipelined_bytes += len(data)
-            if not data:
-                return
-        await asyncio.Event().wait()
-
     async def _read_request(self) -> messages.Request | None:
         head = await self._next_head()
         if head is None:
@@ -198,6 +272,7 @@
         body = await self._with_timeout(
             self._read_body(), self.limits.body_wait_ms, "the request body"
         )
+        self._ahead_bytes = len(self.h11.trailing_data[0])
         path, query = messages.split_target(head.target)
         return messages.Request(
             head.method.decode(),
@@ -307,7 +382,12 @@
                 return bytes(body)
             if not isinstance(event, h11.Data):
                 raise ClientDisconnected
+            if len(body) <= SMALL_BODY_BYTES < len(body) + len(event.data):
+                self._refuse_without_room()
             body += event.data
+            self._body_bytes = len(body)
+            if len(body) > memory.COUNTED_BYTES:
+                self.account.update(self)
             if len(body) > self.limits.body_bytes:
                 raise Refused(
                     errors.Refusal(
@@ -317,6 +397,19 @@
                     )
                 )
 
+    def _refuse_without_room(self) -> None:
+        if self.account.has_room():
+            return
+        self.account.report(memory.NO_ROOM, self, memory.Bound.MEMORY)
+        raise Refused(
+            errors.Refusal(
+                errors.Code.UNAVAILABLE,
+                "this instance has no memory for a long body now",
+                "send the request again after the stated time",
+                retry_after_ms=1_000,
+            )
+        )
+
     async def _with_timeout(
         self, work: typing.Awaitable[typing.Any], wait_ms: int, what: str
     ) -> typing.Any:
@@ -345,6 +438,11 @@
     async def _receive(self) -> None:
         data = await self.reader.read(READ_BYTES)
         self.h11.receive_data(data)
+        # Of a body it is counted a second time, until the request is complete.
+        most_bytes = self.limits.header_bytes + READ_BYTES
+        self._ahead_bytes = min(self._ahead_bytes + len(data), most_bytes)
+        if self._ahead_bytes > memory.COUNTED_BYTES:
+            self.account.update(self)
 
     async def _write(self, response: messages.Response) -> None:
         headers = list(response.headers)
@@ -370,24 +468,31 @@
                 if self.writer.is_closing():
                     raise ClientDisconnected
                 self.writer.write(self.h11.send(h11.Data(data=part)))
-                if self.writer.transport.get_write_buffer_size() > DRAIN_BYTES:
+                if self.unread_bytes() > DRAIN_BYTES:
+                    self._stream_bytes = STREAM_BYTES
                     await self._drain()
+                    self._stream_bytes = 0
 
     async def _drain(self) -> None:
+        if self.unread_bytes() > memory.COUNTED_BYTES:
+            self.account.update(self)
         try:
             async with asyncio.timeout(self.limits.write_wait_ms / 1_000):
                 await self.writer.drain()
         except TimeoutError:
-            self.abort()
+            self._close_unread()
             raise ClientDisconnected from None
 
 
 class Server:
     """A listening socket and its open connections."""
 
-    def __init__(self, handler: Handler, limits: limits_module.Limits) -> None:
+    def __init__(
+        self, handler: Handler, limits: limits_module.Limits, account: memory.Account
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.account = account
         self.connections: set[Connection] = set()
         self.keep_alive_disabled = False
         self.listener: asyncio.Server | None = None
@@ -399,22 +504,43 @@
         return self.listener.sockets[0].getsockname()[1]
 
     async def accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: receiving.Reader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection, or close it if there are too many."""
-        connection = Connection(reader, writer, self.handler, lambda: self.limits)
+        connection = Connection(
+            reader, writer, self.handler, lambda: self.limits, self.account
+        )
         connection.closing = self.keep_alive_disabled
         connection.ending = self._ending
-        if len(self.connections) >= self.limits.connections:
+        if not self._may_accept(connection):
             writer.close()
             return
         self.connections.add(connection)
+        self.account.connections += 1
         try:
             await connection.run()
         except asyncio.CancelledError:
             writer.close()
         finally:
             self.connections.discard(connection)
+            self.account.connections -= 1
+
+    def _may_accept(self, connection: Connection) -> bool:
+        """Return whether there is a place for a connection.
+
+        If not, one whose client reads nothing is closed instead.
+        """
+        among: set[Connection] | None = None
+        if len(self.connections) >= self.limits.connections:
+            bound, among = memory.Bound.CONNECTIONS, self.connections
+        elif not self.account.may_accept():
+            bound = memory.Bound.DESCRIPTORS
+        else:
+            return True
+        if self.account.make_room(among, bound):
+            return True
+        self.account.report(memory.NOT_ACCEPTED, connection, bound)
+        return False
 
     def disable_keep_alive(self) -> None:
         """Keep serving, but close each connection after its next response."""
@@ -458,10 +584,13 @@
     handler: Handler,
     limits: limits_module.Limits | None = None,
     tls: ssl.SSLContext | None = None,
+    account: memory.Account | None = None,
 ) -> Server:
-    """Start a server on an address; port 0 selects a free port."""
-    server = Server(handler, limits or limits_module.Limits())
-    server.listener = await asyncio.start_server(
-        server.accept, host, port, ssl=tls, backlog=1_024
-    )
+    """Start a server on an address; port 0 selects a free port.
+
+    The servers of a process share one ``account``.
+    """
+    limits = limits or limits_module.Limits()
+    server = Server(handler, limits, account or memory.Account())
+    server.listener = await receiving.listen(server.accept, host, port, tls)
     return server
--- a/cornelreach/instance.py
+++ b/cornelreach/instance.py
@@ -27,7 +27,7 @@
     noderunner,
     peermessages,
 )
-from cornelreach.http import client as http_client, limits, server, tls
+from cornelreach.http import client as http_client, limits, memory, server, tls
 from cornelreach.peers import credentials, wire
 from cornelreach.platform import backoff, budget, client as platform_client
 from cornelreach.pools import (
@@ -106,6 +106,7 @@
         self.settings = settings
         self.boot = os.urandom(8).hex()
         self.draining = False
+        self.account = memory.Account()
         self._quotas: dict[str, fairness.Quota] = {}
         self.superseded = asyncio.Event()
         self._reconfigure_scheduled = False
@@ -448,7 +449,7 @@
         callers = self.tls_settings.callers
         context = callers.context if callers else None
         self.server = await server.start(
-            host, int(port), self.api.handle, settings.limits, context
+            host, int(port), self.api.handle, settings.limits, context, self.account
         )
         events.emit(
             STARTED, name=settings.name, boot=self.boot, address=settings.listen
--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -41,7 +41,8 @@
 
     ``power`` is the share of processors that the process may use, ``report_ms`` the
     interval at which targets write their entries. ``is_first_start`` is set while the
-    whole system starts for the first time.
+    whole system starts for the first time. ``memory_mb`` and ``max_fds`` are what the
+    machine has for the process, or 0 if the file does not say.
     """
 
     name: str
@@ -58,6 +59,8 @@
     power: float = 1.0
     report_ms: float = 1_200
     is_first_start: bool = False
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class _Listen(typing.TypedDict):
@@ -72,10 +75,15 @@
 
 
 class _Limits(typing.TypedDict):
-    """Processor limits: ``cpu_share`` of one processor, multiplied by ``cores``."""
+    """Limits of the machine; ``cpu_share`` of one processor, multiplied by ``cores``.
+
+    ``max_fds`` are descriptors, those of files among them.
+    """
 
     cpu_share: typing.NotRequired[float]
     cores: typing.NotRequired[float]
+    memory_mb: typing.NotRequired[float]
+    max_fds: typing.NotRequired[int]
 
 
 class _Bounds(typing.TypedDict):
@@ -129,6 +137,8 @@
             f"correct the file named by {PATH_VARIABLE}",
         ) from None
     _check_budget(found["bounds"], path)
+    limits = found.get("limits", {})
+    _check_limits(limits, path)
     return Site(
         name=found["node_name"],
         zone=found["zone"],
@@ -141,9 +151,11 @@
         bounds=_bounds(found["bounds"]),
         reads_per_s=found["platform"]["reads_per_s"],
         writes_per_s=found["platform"]["writes_per_s"],
-        power=_power(found.get("limits", {})),
+        power=_power(limits),
         report_ms=found.get("heartbeat_ms", 1_200),
         is_first_start=found.get("bootstrap", False),
+        memory_mb=limits.get("memory_mb", 0.0),
+        max_fds=limits.get("max_fds", 0),
     )
 
 
@@ -161,6 +173,16 @@
             )
 
 
+def _check_limits(found: _Limits, path: str) -> None:
+    """Raise UserError for a machine that has no memory or no descriptors."""
+    for name in ("memory_mb", "max_fds"):
+        if not 0 < found.get(name, 1) < float("inf"):
+            raise errors.UserError(
+                f"settings file {path!r}: limits.{name} is {found[name]}",
+                "give a number that is above 0, or leave it out",
+            )
+
+
 def _power(found: _Limits) -> float:
     return found.get("cpu_share", 1.0) * found.get("cores", 1.0)
 
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -120,6 +120,14 @@
         (),
         "Edge: requests that are refused because targets crash on them.",
     ),
+    Spec(
+        "connections_bounded_total",
+        "counter",
+        ("port", "bound"),
+        "Edge: connections closed, not accepted, or a body rejected, by which bound.",
+    ),
+    Spec("connections_accepted", "gauge", (), "Edge: connections on all ports."),
+    Spec("held_bytes", "gauge", (), "Edge: bytes that connections make it hold."),
     Spec("peers_alive", "gauge", (), "Edge: peers heard from in the last few seconds."),
     Spec(
         "log_lines_dropped",
--- a/cornelreach/ui/daemon.py
+++ b/cornelreach/ui/daemon.py
@@ -98,7 +98,9 @@
     admin_api = admin.AdminApi(instance, lambda: key, stop.set)
     host, _, port = options.admin_listen.rpartition(":")
     await instance.start()
-    admin_server = await server.start(host, int(port), admin_api.handle)
+    admin_server = await server.start(
+        host, int(port), admin_api.handle, account=instance.account
+    )
     superseded = asyncio.ensure_future(instance.superseded.wait())
     stop_requested = asyncio.ensure_future(stop.wait())
     await asyncio.wait(
