--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -31,6 +31,7 @@
 ACCEPT_S = 0.005  # for connections that the kernel has accepted
 LOOP_PASSES = 2  # the first one asks the system, the second one takes what it has
 LINGER_S = 0.1  # for requests on their way when a stop begins
+DROP_S = 1.0  # for what is still sent of a body that was refused
 SMALL_BODY_BYTES = 65_536  # served whatever is held; as long as what is read ahead
 BODY_COPIES = 2  # of a request's body, as it is passed on
 STREAM_BYTES = 196_608  # what is held of a stream whose client does not read
@@ -211,7 +212,7 @@
             request = await self._read_request()
         except Refused as refused:
             if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                await self._write(refusal_response(refused.refusal, close=True))
+                await self._refuse(refused.refusal)
             return False
         if request is None:
             return False
@@ -219,6 +220,23 @@
         reusable = self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
         return reusable and not self.closing
 
+    async def _refuse(self, refusal: errors.Refusal) -> None:
+        """Answer with a refusal and close the connection.
+
+        What is still sent of a body is dropped for a while: the system resets a
+        connection that is closed with unread bytes, and the client loses the response.
+        """
+        is_arriving = self.h11.their_state is h11.SEND_BODY
+        await self._write(refusal_response(refusal, close=True))
+        if not is_arriving or not self.writer.can_write_eof():
+            return
+        self.writer.write_eof()
+        left_bytes = self.limits.body_bytes
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DROP_S):
+                while left_bytes > 0 and (data := await self.reader.read(READ_BYTES)):
+                    left_bytes -= len(data)
+
     async def _handle(self, request: messages.Request) -> None:
         task = asyncio.ensure_future(self._handle_and_write(request))
         self._is_serving = True
