--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -46,7 +46,8 @@
     ``power`` is the share of processors that the process may use, ``report_ms`` the
     interval at which targets write their entries. ``is_first_start`` is set while the
     whole system starts for the first time. ``contracts`` names the parts of the
-    platform's contract that apply to this deployment.
+    platform's contract that apply to this deployment. ``memory_mb`` and ``max_fds`` are
+    what the machine has for the process, or 0 if the file does not say.
     """
 
     name: str
@@ -64,6 +65,8 @@
     report_ms: float = 1_200
     is_first_start: bool = False
     contracts: frozenset[str] = frozenset()
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class _Listen(typing.TypedDict):
@@ -78,10 +81,15 @@
 
 
 class _Limits(typing.TypedDict):
-    """Processor limits: ``cpu_share`` of one processor, multiplied by ``cores``."""
+    """Limits of the machine; ``cpu_share`` of one processor, multiplied by ``cores``.
+
+    ``max_fds`` are descriptors, those of files among them.
+    """
 
     cpu_share: typing.NotRequired[float]
     cores: typing.NotRequired[float]
+    memory_mb: typing.NotRequired[float]
+    max_fds: typing.NotRequired[int]
 
 
 class _Bounds(typing.TypedDict):
@@ -141,6 +149,8 @@
         ) from None
     _check_budget(found["bounds"], path)
     _check_exposure(found["bounds"], path)
+    limits = found.get("limits", {})
+    _check_limits(limits, path)
     return Site(
         name=found["node_name"],
         zone=found["zone"],
@@ -153,10 +163,12 @@
         bounds=_bounds(found["bounds"]),
         reads_per_s=found["platform"]["reads_per_s"],
         writes_per_s=found["platform"]["writes_per_s"],
-        power=_power(found.get("limits", {})),
+        power=_power(limits),
         report_ms=found.get("heartbeat_ms", 1_200),
         is_first_start=found.get("bootstrap", False),
         contracts=frozenset(found.get("contracts", ())),
+        memory_mb=limits.get("memory_mb", 0.0),
+        max_fds=limits.get("max_fds", 0),
     )
 
 
@@ -192,6 +204,16 @@
             )
 
 
+def _check_limits(found: _Limits, path: str) -> None:
+    """Raise UserError for a machine that has no memory or no descriptors."""
+    for name in ("memory_mb", "max_fds"):
+        if not 0 < found.get(name, 1) < float("inf"):
+            raise errors.UserError(
+                f"settings file {path!r}: limits.{name} is {found[name]}",
+                "give a number that is above 0, or leave it out",
+            )
+
+
 def _power(found: _Limits) -> float:
     return found.get("cpu_share", 1.0) * found.get("cores", 1.0)
 
