Read the pace in load reports and weight costs with it

A load report with four figures was dropped entirely. It is now read as far as it is known: the fourth figure is the pace (100 = work takes as long as usual), clamped to 0.1 to 20; one that is not a positive decimal counts as usual, and later fields are ignored. A pace of 0 counts as not stated.

The pace, weighted by the age of the report (down to 1.0 after 300 ms), multiplies the cost of an engine (queue and own prompt) and the utilisation of a plain target. The weight moved from the balancer to registry.State.

--- a/cornelreach/gateway/balancer.py
+++ b/cornelreach/gateway/balancer.py
@@ -3,7 +3,8 @@
 The cost of a model engine is the number of prompt tokens to prefill before the first
 token of the answer: those already queued there, those of this prompt that the engine
 has not cached, and those that would evict others from its memory. The cost of a plain
-target is its utilisation. Near-ties are decided by rendezvous hashing of the prompt for
+target is its utilisation. Both are multiplied by the pace that the target reported: how
+long work takes there now. Near-ties are decided by rendezvous hashing of the prompt for
 engines and by chance for plain targets.
 """
 
@@ -23,7 +24,6 @@
 )
 from cornelreach.util import hashing
 
-LOAD_DECAY_MS = 300.0  # the mean run; an older load report is disregarded
 RUN_COST = 150.0  # tokens; a running request slows each step like prefilling them
 MEMORY_SHARE = 0.9  # the rest is occupied by cached parts that most prompts share
 HOME_DISCOUNT = 0.5  # a prompt's home engine has it cached about half of the time
@@ -137,6 +137,7 @@
         def cost(target: registry_module.Target) -> float:
             state = self.registry.state(target.id)
             utilisation = self._active_requests(target, now_ms) / max(1, target.slots)
+            utilisation *= state.pace(now_ms)
             slow = (state.answer_ms or best_ms) / best_ms - 1.0
             failing = max(0.0, state.error_share - lowest_error - ERROR_TOLERANCE)
             distance = 0.0 if target.zone == self.zone else NEAR_SHARE
@@ -167,6 +168,7 @@
         memory = service.engine.memory_tokens * MEMORY_SHARE - demand.context_tokens
         states = [self.registry.state(one.id) for one in targets]
         lowest_error = min(state.error_share for state in states)
+        now_ms = self.gossip.clock.now_ms()
         loads = self.gossip.peer_loads()
         suspected = self.gossip.suspected_targets()
         slowdown = self.prefill_rates.slowdown
@@ -186,7 +188,7 @@
                 missing = self._missing_tokens(held, demand, salt, is_stored)
             own = missing * HOME_DISCOUNT if name == home else missing
             load = _load_cost(state, loads.get(name, datagrams.NO_LOAD), memory)
-            cost = (own + load) * slowdown(name) + extra(target)
+            cost = (own + load) * slowdown(name) * state.pace(now_ms) + extra(target)
             if name in suspected:
                 cost += SUSPECT_COST
             errors = state.error_share - lowest_error - ENGINE_ERROR_TOLERANCE
@@ -231,9 +233,8 @@
         known = state.in_flight + others.requests
         if state.load is None:
             return known
-        fade = max(0.0, 1.0 - (now_ms - state.load_ms) / LOAD_DECAY_MS)
-        reported = (state.load.running + state.load.waiting) * fade
-        return max(known, reported)
+        reported = state.load.running + state.load.waiting
+        return max(known, reported * state.load_weight(now_ms))
 
     def record_prompt(
         self, target: str, salt: str, demand: PromptRequest, memory: int
--- a/cornelreach/gateway/calls.py
+++ b/cornelreach/gateway/calls.py
@@ -51,11 +51,15 @@
 
 
 class Load(typing.NamedTuple):
-    """The load that a target reports in its reply."""
+    """The load that a target reports in its reply.
+
+    ``pace`` is how long work takes there now, compared with 1.0 as usual.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float = 1.0
 
 
 class Reply(typing.NamedTuple):
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -31,6 +31,7 @@
 EARLIER_ANSWER_MS = 200  # in which bytes from before a failure may still arrive
 NEWEST_WEIGHT = 0.1  # weight of the newest answer in a target's moving averages
 LONGEST_DECAY = 0.99  # for each answer
+LOAD_DECAY_MS = 300.0  # the mean run; an older load report is disregarded
 
 TARGET_CHANGED = events.define(
     2201,
@@ -138,6 +139,16 @@
         """Return whether the target asked this instance to send it nothing yet."""
         return now_ms < self.resting_until_ms
 
+    def load_weight(self, now_ms: float) -> float:
+        """Return the weight of the last load report, which falls to 0 with its age."""
+        return max(0.0, 1.0 - (now_ms - self.load_ms) / LOAD_DECAY_MS)
+
+    def pace(self, now_ms: float) -> float:
+        """Return how long work takes there, 1.0 as usual or if no report is recent."""
+        if self.load is None or self.load.pace == 1.0:
+            return 1.0
+        return 1.0 + (self.load.pace - 1.0) * self.load_weight(now_ms)
+
 
 def _is_older(target: Target, known: Target) -> bool:
     same_lifetime = bool(target.born_ms) and target.born_ms == known.born_ms
--- a/cornelreach/platform/headers.py
+++ b/cornelreach/platform/headers.py
@@ -74,6 +74,8 @@
     (SERVER_LOAD, SERVER_LEAVING, SERVER_LIMIT, SERVER_BRITTLE, DETOUR)
 )
 MAX_TOKENS = 2**31 - 1  # of a request or part; sums of many fit into a datagram
+LOAD_COUNTS = 3  # of a load report: running, waiting, slots; the pace follows
+MIN_PACE, MAX_PACE = 0.1, 20.0
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
@@ -239,10 +241,21 @@
 
 
 def _load(text: str) -> calls.Load | None:
-    numbers = [_number(value) for value in text.split(",")]
-    if len(numbers) != 3 or None in numbers:
+    """Decode a load report as far as it is known; later fields are ignored."""
+    fields = text.split(",")
+    numbers = [_number(value) for value in fields[:LOAD_COUNTS]]
+    if len(numbers) != LOAD_COUNTS or None in numbers:
         return None
-    return calls.Load(*(int(value) for value in numbers))
+    pace = _pace(fields[LOAD_COUNTS]) if len(fields) > LOAD_COUNTS else 1.0
+    return calls.Load(*(int(value) for value in numbers), pace)
+
+
+def _pace(text: str) -> float:
+    """Return how long work takes compared with usual; 1.0 if that is not stated."""
+    percent = decoding.parse_decimal(text.strip())
+    if not percent:  # no work takes no time
+        return 1.0
+    return min(MAX_PACE, max(MIN_PACE, percent / 100))
 
 
 def retry_after(wait_ms: float) -> messages.Headers:
--- a/test/gateway/test_balancer.py
+++ b/test/gateway/test_balancer.py
@@ -48,6 +48,12 @@
         )
         return chosen.id
 
+    def report_pace(self, target, pace):
+        """Let a target report how long work takes there."""
+        state = self.registry.state(target)
+        state.load = calls.Load(2, 0, 8, pace)
+        state.load_ms = self.clock.now_ms()
+
     def report(self, peer, number=1, **loads):
         """Apply a peer's load report."""
         report = datagrams.LoadReport(peer, "b", number, loads)
@@ -127,6 +133,19 @@
         self.gossip.apply_report(report)
         self.assertNotEqual(self.engine(prompt), first)
 
+    # Guards against queueing at an engine on which work takes long at the moment, and
+    # against avoiding it for a report that is no longer true.
+    def test_the_pace_in_a_recent_report_multiplies_the_queue(self):
+        prompt = prompt_of(("doc", 8_000), ("own", 500))
+        first = self.engine(prompt)
+        for number in range(4):
+            self.registry.state(f"e{number}").prefill_tokens = 4_000
+        self.assertEqual(self.engine(prompt), first)
+        self.report_pace(first, 4.0)
+        self.assertNotEqual(self.engine(prompt), first)
+        self.clock.advance(registry.LOAD_DECAY_MS)
+        self.assertEqual(self.engine(prompt), first)
+
     def test_the_cache_model_is_bounded_by_the_engines_memory(self):
         held = balancer.CachedParts(10_000)
         parts = [calls.Part(f"p{number}", 4_000) for number in range(4)]
@@ -181,6 +200,14 @@
             self.registry.state(f"e{number}").in_flight = 4
         self.assertEqual(self.counts()["e3"], 200)
 
+    # Guards against decisions that fail for absurd figures in a load report.
+    def test_absurd_load_reports_fail_no_decision(self):
+        for load in (calls.Load(10**18, 10**18, 0, 20.0), calls.Load(0, 0, 0, 0.1)):
+            self.registry.state("e0").load = load
+            self.registry.state("e0").load_ms = 10_000
+            self.assertGreater(self.counts()["e3"], 20)
+            self.engine(prompt_of(("doc", 8_000)))
+
     def test_a_target_that_fails_far_more_than_its_peers_is_avoided(self):
         for _ in range(40):
             for number in range(4):
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -89,6 +89,30 @@
             headers.read_reply(200, ((headers.SERVER_LOAD, b"3,x,8"),)).load
         )
 
+    # Guards against a load report that is dropped, or fails a decision, because of its
+    # fourth or a later field.
+    def test_a_load_report_is_read_as_far_as_it_is_known(self):
+        usual = calls.Load(3, 1, 8)
+        for text, load in (
+            (b"3,1,8,100", usual),
+            (b"3, 1, 8, 250.5", usual._replace(pace=2.505)),
+            (b"3,1,8,250,7", usual._replace(pace=2.5)),
+            (b"3,1,8,1", usual._replace(pace=0.1)),
+            (b"3,1,8," + b"9" * 400, usual._replace(pace=20.0)),
+            (b"3,1,8,0", usual),
+            (b"3,1,8,-50", usual),
+            (b"3,1,8,nan", usual),
+            (b"3,1,8,1e3", usual),
+            (b"3,1,8,", usual),
+            (b"3,1,8,x,5", usual),
+            (b"3,-1,8,100", None),
+            (b"nan,1,8,100", None),
+            (b"9" * 400 + b",1,8,100", None),
+            (b"3,1", None),
+        ):
+            reply = headers.read_reply(200, ((headers.SERVER_LOAD, text),))
+            self.assertEqual(reply.load, load, text)
+
     def test_responses_are_matched_by_request_id(self):
         matches = headers.response_matcher("9c41")
         self.assertTrue(matches(((headers.REQUEST_ID, b"9c41"),)))
