Admit prompts by the room at the engines under heavy load

Prompts were sent to engines without memory for them, preempted, and prefilled again; none was refused, and many were late.

Where none is, the request waits up to its objective in a queue by rank and due time, looked through every 10 ms and as soon as a request of this instance ends. A request that may have run waits until its deadline instead. Metrics: waiting requests, refusals by limit, error of the estimated time to the first token.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -33,6 +33,7 @@
     recordhandlers,
     registry as registry_module,
     rollouts,
+    roomadmission,
     selection,
     silence,
     softwareversions,
@@ -89,6 +90,7 @@
 LOOP_PASSES = 16  # of the event loop, from bytes that have arrived to their answer
 METRICS_PORT, METRICS_PATH = 9_464, "/metrics"  # as in deploy/system.toml
 SETTINGS_POLL_MS = 1_000
+PRESSURE = "pressure"  # the contract of deployments under heavy load
 BODY_WAIT_MS = 30_000
 CALLER_CONNECTIONS = 2_000
 PASSED_ON_HEADER_BYTES = 2_048  # what one instance adds for another
@@ -220,6 +222,7 @@
             self.clock,
             targetlimits.TargetLimits(self.gossip, self.mirror, self.clock),
         )
+        self._apply_contracts(self.site.contracts)
         self.engine_client = engines.EngineClient(self.http, self._record_control_reply)
         self.quarantine = quarantine.Quarantine(self.clock)
         self.quarantine_sync = quarantinesync.QuarantineSync(
@@ -257,6 +260,21 @@
             )
         )
 
+    def _apply_contracts(self, contracts: frozenset[str]) -> None:
+        """Switch the admission by room on or off."""
+        is_on = self.selector.room is not None
+        if (PRESSURE in contracts) != is_on:
+            self.selector.room = None if is_on else self._make_room_admission()
+
+    def _make_room_admission(self) -> roomadmission.RoomAdmission:
+        return roomadmission.RoomAdmission(
+            self.mirror, self.balancer, self.clock, self.random, self.metrics
+        )
+
+    def _waiting_for_room(self) -> int:
+        room = self.selector.room
+        return 0 if room is None else len(room.queue)
+
     def _build_watchers(self) -> None:
         bounds = self.site.bounds
         takeover_delay_ms = int(bounds.lease_ms) + rollouts.QUIET_MARGIN_MS
@@ -402,6 +420,7 @@
                 one.is_resting(self.clock.now_ms()) for one in registry.states.values()
             ),
         )
+        gauge("requests_waiting_for_room", self._waiting_for_room)
         gauge(
             "targets_limited",
             lambda: sum(
@@ -556,6 +575,7 @@
             self._apply_bounds(found.bounds)
             events.emit(RELOADED, change="bounds")
         self.outages.lapse_ms = found.report_ms * outages.LAPSE_INTERVALS
+        self._apply_contracts(found.contracts)
         self.site = found
 
     def _apply_bounds(self, bounds: site_module.Bounds) -> None:
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -23,6 +23,7 @@
     registry as registry_module,
     requestlog,
     requeststate,
+    roomadmission,
     selection,
     silence as silence_module,
     stops,
@@ -43,9 +44,7 @@
 # Statuses that imply that the request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
-Selected = (
-    streamrelay.Way | selection.Wait | selection.Resting | selection.Limited | None
-)
+Selected = streamrelay.Way | selection.Selected | None
 
 
 class StaleChoice(Exception):
@@ -270,6 +269,14 @@
 
     async def _choose(
         self, request_state: requeststate.RequestState
+    ) -> streamrelay.Way | None:
+        try:
+            return await self._find_way(request_state)
+        finally:
+            self.dependencies.selector.stop_waiting(request_state)
+
+    async def _find_way(
+        self, request_state: requeststate.RequestState
     ) -> streamrelay.Way | None:
         loop = asyncio.get_running_loop()
         while request_state.may_attempt(loop.time()):
@@ -279,21 +286,35 @@
                 return None
             spent_ms = (loop.time() - request_state.request.received_s) * 1_000
             found = self._select(request_state, spent_ms)
-            if isinstance(found, selection.Resting):
-                request_state.resting_ms = found.left_ms
-                return None
-            if isinstance(found, selection.Limited):
-                request_state.limited_ms = found.left_ms
-                return None
-            if not isinstance(found, selection.Wait):
+            if found is None or isinstance(found, streamrelay.Way):
                 return found
-            wait_s = found.wait_ms / 1_000
-            waited_s = loop.time() + wait_s - request_state.request.received_s
-            if waited_s * 1_000 > found.max_ms:
+            if not await self._wait_for_target(request_state, found):
                 return None
-            await asyncio.sleep(wait_s)
         return None
 
+    async def _wait_for_target(
+        self, request_state: requeststate.RequestState, found: selection.Hindrance
+    ) -> bool:
+        """Wait for a target, if that may help; returns whether to look again."""
+        match found:
+            case selection.Resting(left_ms):
+                request_state.resting_ms = left_ms
+            case selection.Limited(left_ms):
+                request_state.limited_ms = left_ms
+            case roomadmission.NoRoom(left_ms):
+                request_state.room_ms = left_ms
+            case roomadmission.RoomWait(wait_ms, queue):
+                await queue.wait(request_state, wait_ms)
+                return True
+            case selection.Wait(wait_ms, max_ms):
+                wait_s = wait_ms / 1_000
+                now_s = asyncio.get_running_loop().time()
+                waited_s = now_s + wait_s - request_state.request.received_s
+                if waited_s * 1_000 <= max_ms:
+                    await asyncio.sleep(wait_s)
+                    return True
+        return False
+
     def _select(
         self, request_state: requeststate.RequestState, spent_ms: float
     ) -> Selected:
--- a/cornelreach/gateway/refusals.py
+++ b/cornelreach/gateway/refusals.py
@@ -57,6 +57,15 @@
     return _not_run("no-target", errors.Code.UNAVAILABLE, text, retry_ms)
 
 
+def room_retry_ms(room_ms: float) -> int:
+    """Return the wait to ask for if there will be room after ``room_ms``.
+
+    It is bounded, so that the jitter fits below the longest wait.
+    """
+    longest_ms = MAX_RETRY_MS / (1 + RETRY_SPREAD)
+    return math.ceil(min(longest_ms, max(MIN_RETRY_MS, room_ms)))
+
+
 def targets_resting(left_ms: float) -> NamedRefusal:
     """Refuse because every target asked for a rest; the first ends in ``left_ms``."""
     text = "all targets of this service asked for a pause"
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -94,7 +94,8 @@
     ``possible_runs`` those that may have run the request, and ``is_sent`` is set while
     an attempt that was sent has no outcome. ``resting_ms`` is how long
     every target still rests, ``limited_ms`` for how long each is at the limit that it
-    named, if that is why none was chosen. ``software`` is the only
+    named, if that is why none was chosen; ``room_ms`` is the time until an engine has
+    room for it, if that is why it is refused. ``software`` is the only
     version of the targets' software at which a stream may go on, once it has begun.
     ``parts`` names the parts of the prompt that others may share; ``refused_ms`` is for
     how long it is refused because targets crash on one of them or on the request
@@ -140,6 +141,7 @@
         self.choice_summary = ""
         self.resting_ms: float | None = None
         self.limited_ms: float | None = None
+        self.room_ms: float | None = None
         self.software: str | None = None
         self.refused_ms: float | None = None
         self.is_trial = False
@@ -251,6 +253,8 @@
             return refusals.targets_resting(self.resting_ms)
         if self.limited_ms is not None:
             return refusals.targets_limited(self.limited_ms)
+        if self.room_ms is not None:
+            return refusals.no_target(refusals.room_retry_ms(self.room_ms))
         if self.is_unreached:
             return refusals.targets_unreached()
         if self.software is not None:
--- /dev/null
+++ b/cornelreach/gateway/roomadmission.py
@@ -0,0 +1,254 @@
+"""Admission of prompts by the room at the engines, under heavy load.
+
+A prompt goes only to engines that have room for it (``roomestimate``). If none has, it
+waits, or is refused at once if its first token would come too late in any case::
+
+    match room.admit(targets, request_state, service, spent_ms):
+        case list(): ...  # the engines that have room
+        case roomadmission.RoomWait(wait_ms, queue): ...
+        case roomadmission.NoRoom(left_ms): ...
+"""
+
+import random
+import typing
+
+from cornelreach.gateway import (
+    balancer as balancer_module,
+    catalogue,
+    datagrams,
+    mirror as mirror_module,
+    prefillrates,
+    registry as registry_module,
+    requeststate,
+    roomestimate,
+    roomqueue,
+)
+from cornelreach.reports import metrics as metrics_module
+from cornelreach.util import events, timers
+
+# The engines that a request may go to change meanwhile, and so do the estimates.
+RECHECK_MS = 100.0
+MIN_WAIT_MS = 1.0
+REPORT_MS = 10_000.0
+
+NO_ROOM = events.define(
+    2640,
+    "WARNING",
+    "No engine of {service} has room in time: {count} requests refused since the last"
+    " such line, the latest by its {reason}; {waiting} wait.",
+    "If it lasts: add engines, or lower the load.",
+)
+
+
+class Chosen(typing.Protocol):
+    """What admission uses of the choice of a target for one attempt."""
+
+    target: registry_module.Target
+    sent_ms: float
+    predicted_ms: float | None
+    is_answered: bool
+    on_release: typing.Callable[[typing.Any], None] | None
+
+
+class RoomWait(typing.NamedTuple):
+    """No engine has room for the request yet; it waits in the queue for a time."""
+
+    wait_ms: float
+    queue: roomqueue.RoomQueue
+
+
+class NoRoom(typing.NamedTuple):
+    """The request is refused; there will be room for it after ``left_ms``."""
+
+    left_ms: float
+
+
+class RoomAdmission:
+    """Decides which prompts begin, wait, or are refused."""
+
+    def __init__(
+        self,
+        mirror: mirror_module.Mirror,
+        balancer: balancer_module.Balancer,
+        clock: timers.Timers,
+        source: random.Random,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self.mirror = mirror
+        self.balancer = balancer
+        self.clock = clock
+        self.metrics = metrics
+        self.queue = roomqueue.RoomQueue(clock, source, self.load)
+        self.holds = roomestimate.HoldTimes()
+        self._refused: dict[str, int] = {}
+        self._reported_ms: dict[str, float] = {}
+
+    def load(self, target: str) -> roomestimate.Load:
+        """Return the requests of all instances at an engine."""
+        state = self.balancer.registry.states.get(target)
+        if state is None:
+            return roomestimate.Load()  # it has gone
+        others = self.balancer.gossip.peer_loads().get(target, datagrams.NO_LOAD)
+        return roomestimate.Load(
+            state.in_flight + others.requests,
+            state.in_flight_tokens + others.context_tokens,
+            state.prefill_tokens + others.prefill_tokens,
+            state.pace(self.clock.now_ms()),
+        )
+
+    def admit(
+        self,
+        targets: typing.Sequence[registry_module.Target],
+        request_state: requeststate.RequestState,
+        service: catalogue.Service,
+        spent_ms: float,
+    ) -> list[registry_module.Target] | RoomWait | NoRoom:
+        """Return the engines that a request may begin at now, or why there is none.
+
+        It is never refused while an engine has room and nothing waits there.
+        """
+        demand = _demand(request_state)
+        loads = [self.load(one.id) for one in targets]
+        fitting = [
+            (one, load)
+            for one, load in zip(targets, loads, strict=True)
+            if roomestimate.has_room(load, demand, service.engine)
+        ]
+        waiter = self._waiter(targets, request_state, service, demand)
+        left_ms = _wait_limit_ms(request_state) - spent_ms
+        must_yield = bool(fitting) and left_ms > 0 and self.queue.must_yield(waiter)
+        if fitting and not must_yield:
+            if all(load.prefill_tokens for _, load in fitting):
+                found = [load for _, load in fitting]
+                refusal = self._refusal(request_state, waiter, found, spent_ms)
+                if refusal is not None:
+                    return refusal
+            return [one for one, _ in fitting]
+        if not fitting:
+            refusal = self._refusal(request_state, waiter, loads, spent_ms)
+            if refusal is not None:
+                return refusal
+        waiter = self.queue.enter(request_state, waiter)
+        waiter.target_names = tuple(one.id for one in targets)
+        wait_ms = max(MIN_WAIT_MS, min(left_ms, RECHECK_MS))
+        return RoomWait(wait_ms, self.queue)
+
+    def _waiter(
+        self,
+        targets: typing.Sequence[registry_module.Target],
+        request_state: requeststate.RequestState,
+        service: catalogue.Service,
+        demand: roomestimate.Demand,
+    ) -> roomqueue.Waiter:
+        due_s = (
+            request_state.request.received_s + request_state.route.objective_ms / 1_000
+        )
+        return roomqueue.Waiter(demand, service.engine, service.name, due_s)
+
+    def _refusal(
+        self,
+        request_state: requeststate.RequestState,
+        waiter: roomqueue.Waiter,
+        loads: typing.Sequence[roomestimate.Load],
+        spent_ms: float,
+    ) -> NoRoom | None:
+        """Return a refusal if a first token would come too late, or has waited long."""
+        limits = _limits(request_state)
+        begin_ms, first_ms = self._estimate(waiter, loads)
+        reason = ""
+        if spent_ms >= _wait_limit_ms(request_state):
+            reason = "wait"
+        elif spent_ms + first_ms > limits.bound_ms() and not _has_begun(request_state):
+            reason = limits.reason(spent_ms + first_ms)
+        if not reason:
+            return None
+        self._count_refusal(waiter.service, reason)
+        return NoRoom(begin_ms)
+
+    def _estimate(
+        self, waiter: roomqueue.Waiter, loads: typing.Sequence[roomestimate.Load]
+    ) -> tuple[float, float]:
+        """Return the time until a request begins, and that until its first token."""
+        hold_ms = self.holds.mean_ms(waiter.service)
+        ahead_ms = roomestimate.ahead_ms(
+            self.queue.tokens_ahead(waiter), loads, hold_ms, 1 / self.mirror.fleet.size
+        )
+        rate = self.balancer.prefill_rates.median()
+        terms = waiter.demand, waiter.engine, hold_ms
+        begin_ms = min(roomestimate.room_ms(one, *terms) for one in loads)
+        first_ms = min(roomestimate.first_token_ms(one, *terms, rate) for one in loads)
+        return ahead_ms + begin_ms, ahead_ms + first_ms
+
+    def _count_refusal(self, service: str, reason: str) -> None:
+        self.metrics.add("room_refusals_total", 1, service, reason)
+        count = self._refused[service] = self._refused.get(service, 0) + 1
+        now_ms = self.clock.now_ms()
+        if now_ms < self._reported_ms.get(service, float("-inf")) + REPORT_MS:
+            return
+        self._reported_ms[service] = now_ms
+        self._refused[service] = 0
+        events.emit(
+            NO_ROOM,
+            service=service,
+            count=count,
+            reason=reason,
+            waiting=len(self.queue),
+        )
+
+    # What becomes of the choices.
+
+    def record_choice(
+        self, chosen: Chosen, prefill_tokens: float, now_ms: float
+    ) -> None:
+        """Record the estimate of the time to the first token, and follow the choice."""
+        rates = self.balancer.prefill_rates
+        target = chosen.target.id
+        pace = self.balancer.registry.state(target).pace(now_ms)
+        tokens = self.balancer.prefill_backlog(target) + prefill_tokens
+        rate = rates.median() / rates.slowdown(target)
+        chosen.predicted_ms = tokens * pace / rate + prefillrates.STEP_MS
+        chosen.on_release = self._record_release
+
+    def record_first_token(self, chosen: Chosen, now_ms: float) -> None:
+        """Measure the error of the estimate."""
+        if chosen.predicted_ms is None:
+            return
+        error_ms = now_ms - chosen.sent_ms - chosen.predicted_ms
+        direction = "later" if error_ms >= 0 else "earlier"
+        self.metrics.observe("first_token_error_ms", abs(error_ms), direction=direction)
+
+    def _record_release(self, chosen: Chosen) -> None:
+        """Follow the end of a request, which leaves room for those that wait."""
+        if chosen.is_answered:
+            held_ms = self.clock.now_ms() - chosen.sent_ms
+            self.holds.record(chosen.target.service, held_ms)
+        self.queue.look()
+
+
+def _demand(request_state: requeststate.RequestState) -> roomestimate.Demand:
+    """Return what a request needs; its shared parts may be cached.
+
+    One that has begun elsewhere counts as urgent, since all of its work would be lost.
+    """
+    call = request_state.call
+    own_tokens = call.parts[-1].tokens if call.parts else call.prompt_tokens
+    rank = 0 if _has_begun(request_state) else request_state.priority
+    return roomestimate.Demand(call.context_tokens, own_tokens, rank)
+
+
+def _has_begun(request_state: requeststate.RequestState) -> bool:
+    """Return whether a request may have run, so that a refusal would lose work."""
+    return request_state.may_have_run or request_state.first_byte_s is not None
+
+
+def _limits(request_state: requeststate.RequestState) -> roomestimate.Limits:
+    deadline_ms = (request_state.due_s - request_state.request.received_s) * 1_000
+    return roomestimate.Limits(request_state.route.objective_ms, deadline_ms)
+
+
+def _wait_limit_ms(request_state: requeststate.RequestState) -> float:
+    """Return the time since its arrival until which a request waits for room."""
+    limits = _limits(request_state)
+    if _has_begun(request_state):
+        return limits.deadline_ms
+    return min(limits.objective_ms, limits.deadline_ms)
--- /dev/null
+++ b/cornelreach/gateway/roomqueue.py
@@ -0,0 +1,176 @@
+"""Requests that wait for room at an engine, the most urgent ones first.
+
+One timer looks for room while any request waits. It wakes those that fit, in order, and
+each of them then chooses its target. Instances look at random moments, so that they
+do not send to the same engine at once::
+
+    queue.enter(request_state, waiter)
+    await queue.wait(request_state, max_ms=100.0)
+    queue.leave(request_state)
+"""
+
+import asyncio
+import bisect
+import contextlib
+import itertools
+import math
+import operator
+import random
+import typing
+
+from cornelreach.gateway import (
+    catalogue,
+    requeststate,
+    roomestimate,
+)
+from cornelreach.util import timers
+
+LOOK_MS = 10.0  # on average, between two looks for room
+LOOK_SPREAD = 0.5
+MAX_AHEAD = 4  # waiting requests that a new one is compared with
+
+
+class Waiter:
+    """A request that waits, and the engines that it may go to."""
+
+    def __init__(
+        self,
+        demand: roomestimate.Demand,
+        engine: catalogue.Engine,
+        service: str,
+        due_s: float,
+    ) -> None:
+        self.demand = demand
+        self.engine = engine
+        self.service = service
+        self.key = (demand.rank, due_s, 0)
+        self.target_names: tuple[str, ...] = ()
+        self.woken: asyncio.Future[None] | None = None
+
+
+LoadOf = typing.Callable[[str], roomestimate.Load]
+
+
+def add_demand(
+    load: roomestimate.Load, demand: roomestimate.Demand
+) -> roomestimate.Load:
+    """Return the load of an engine with one more request."""
+    return load._replace(
+        requests=load.requests + 1,
+        context_tokens=load.context_tokens + demand.context_tokens,
+    )
+
+
+class RoomQueue:
+    """The waiting requests of one instance, by rank and then by when they are due."""
+
+    def __init__(
+        self, clock: timers.Timers, source: random.Random, load_of: LoadOf
+    ) -> None:
+        self.clock = clock
+        self.random = source
+        self.load_of = load_of
+        self._waiters: dict[requeststate.RequestState, Waiter] = {}
+        self._ordered: list[Waiter] = []
+        self._numbers = itertools.count()
+        self._timer: timers.Subscription | None = None
+
+    def __len__(self) -> int:
+        return len(self._ordered)
+
+    def enter(self, request_state: requeststate.RequestState, waiter: Waiter) -> Waiter:
+        """Add a request, unless it waits already; returns its place."""
+        held = self._waiters.get(request_state)
+        if held is not None:
+            return held
+        waiter.key = (*waiter.key[:2], next(self._numbers))
+        self._waiters[request_state] = waiter
+        bisect.insort(self._ordered, waiter, key=operator.attrgetter("key"))
+        return waiter
+
+    def leave(self, request_state: requeststate.RequestState) -> None:
+        """Remove a request; idempotent."""
+        waiter = self._waiters.pop(request_state, None)
+        if waiter is not None:
+            self._ordered.remove(waiter)
+
+    async def wait(
+        self, request_state: requeststate.RequestState, max_ms: float
+    ) -> None:
+        """Wait until there may be room for a request that has entered, or a time."""
+        waiter = self._waiters[request_state]
+        waiter.woken = asyncio.get_running_loop().create_future()
+        self._schedule()
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max_ms / 1_000):
+                    await waiter.woken
+        finally:
+            waiter.woken = None
+
+    def tokens_ahead(self, waiter: Waiter) -> int:
+        """Return the context tokens of requests that come before another one."""
+        return sum(
+            one.demand.context_tokens
+            for one in self._ordered
+            if one.key < waiter.key and one.service == waiter.service
+        )
+
+    def must_yield(self, waiter: Waiter) -> bool:
+        """Return whether a request that comes first could use the room as well.
+
+        One that needs more does not hold up one that fits beside it.
+        """
+        for one in self._ordered[:MAX_AHEAD]:
+            if one is waiter or one.key >= waiter.key:
+                return False
+            if (
+                one.service == waiter.service
+                and one.demand.context_tokens <= waiter.demand.context_tokens
+                and any(
+                    self._fits(one, self.load_of(name)) for name in one.target_names
+                )
+            ):
+                return True
+        return False
+
+    def _fits(self, waiter: Waiter, load: roomestimate.Load) -> bool:
+        return roomestimate.has_room(load, waiter.demand, waiter.engine)
+
+    def _schedule(self) -> None:
+        if self._timer is None:
+            spread = 1.0 + LOOK_SPREAD * (2.0 * self.random.random() - 1.0)
+            self._timer = self.clock.after(LOOK_MS * spread, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self.look()
+        if any(one.woken is not None for one in self._ordered):
+            self._schedule()
+
+    def look(self) -> None:
+        """Wake the requests for which there is room now, in order."""
+        loads: dict[str, roomestimate.Load] = {}
+        # The demand that found no room, by the engines that it may go to.
+        refused: dict[tuple[str, ...], int] = {}
+        for waiter in self._ordered:
+            if waiter.woken is None or waiter.woken.done():
+                continue
+            names = waiter.target_names
+            if waiter.demand.context_tokens >= refused.get(names, math.inf):
+                continue
+            if self._take_room(waiter, loads):
+                waiter.woken.set_result(None)
+            else:
+                refused[names] = waiter.demand.context_tokens
+
+    def _take_room(self, waiter: Waiter, loads: dict[str, roomestimate.Load]) -> bool:
+        """Count a request at the first engine where it fits, if there is one."""
+        for name in waiter.target_names:
+            load = loads.get(name)
+            if load is None:
+                load = loads[name] = self.load_of(name)
+            if self._fits(waiter, load):
+                loads[name] = add_demand(load, waiter.demand)
+                return True
+        return False
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -14,6 +14,7 @@
     quotas,
     registry as registry_module,
     requeststate,
+    roomadmission,
     targetlimits,
     urgency,
 )
@@ -86,6 +87,9 @@
         self.model = model
         self.sent_ms = 0.0
         self.backlog_tokens = 0.0
+        self.predicted_ms: float | None = None  # the time to the first token
+        self.is_answered = False
+        self.on_release: typing.Callable[[Choice], None] | None = None
         self._now_ms = now_ms
         self._counted = False
         self._reserved = False
@@ -122,6 +126,8 @@
             self._counted = False
             self.state.in_flight -= 1
             self.state.in_flight_tokens -= self.tokens
+            if self.on_release is not None:
+                self.on_release(self)
         if self._reserved:
             self._reserved = False
             self.state.sends.cancel()
@@ -163,6 +169,10 @@
         )
 
 
+Hindrance = Wait | Resting | Limited | roomadmission.RoomWait | roomadmission.NoRoom
+Selected = Choice | Hindrance
+
+
 class Selector:
     """Selects targets and enforces this instance's share of fleet-wide limits."""
 
@@ -186,6 +196,8 @@
         self.bounds = bounds
         self.regions = regions
         self.clock = clock
+        # Only where the deployment is told to expect heavy load.
+        self.room: roomadmission.RoomAdmission | None = None
         self._retries: dict[str, quotas.RetryBudget] = {}
         self.start_ms = clock.now_ms()
 
@@ -242,7 +254,7 @@
         spent_ms: float = 0.0,
         here_only: bool = False,
         retry: bool = False,
-    ) -> Choice | Wait | Resting | Limited | Unreached | None:
+    ) -> Selected | Unreached | None:
         """Return a target, or how long to wait for one, or None if there is none.
 
         ``spent_ms`` is the time since the request was received. With ``here_only`` no
@@ -454,13 +466,18 @@
         service: catalogue.Service,
         now_ms: float,
         spent_ms: float,
-    ) -> Choice:
+    ) -> Choice | roomadmission.RoomWait | roomadmission.NoRoom:
         registry = self.mirror.registry
         if service.engine is None or not request_state.model:
             target = self.balancer.choose_plain(targets, now_ms)
             self.brittleness.record_choice(target, service, 0, now_ms)
             state = registry.state(target.id)
             return Choice(target, state, 0, 0, None, None, self.clock.now_ms)
+        if self.room is not None:
+            admitted = self.room.admit(targets, request_state, service, spent_ms)
+            if not isinstance(admitted, list):
+                return admitted
+            targets = admitted
         demand = balancer_module.prompt_request(request_state.call)
         salt_of = self._salts(request_state)
 
@@ -489,7 +506,7 @@
             spent_ms + prefillrates.STEP_MS,
             request_state.route.objective_ms,
         )
-        return Choice(
+        choice = Choice(
             target,
             registry.state(target.id),
             demand.context_tokens,
@@ -501,6 +518,14 @@
             late=late,
             model=request_state.model,
         )
+        if self.room is not None:
+            self.room.record_choice(choice, prefill_tokens, now_ms)
+        return choice
+
+    def stop_waiting(self, request_state: requeststate.RequestState) -> None:
+        """Forget that a request waits for room: it has a target, or gets none."""
+        if self.room is not None:
+            self.room.queue.leave(request_state)
 
     def _stores(
         self,
@@ -604,6 +629,9 @@
         now_ms = self.clock.now_ms()
         if not reply.not_run:
             self._record_times(chosen, reply, now_ms)
+            chosen.is_answered = reply.status < 500
+            if self.room is not None and chosen.is_answered:
+                self.room.record_first_token(chosen, now_ms)
         chosen.finish_prefill()
         self.mirror.registry.record_reply(
             chosen.target.id, reply, now_ms, chosen.sent_ms
--- a/cornelreach/platform/site.py
+++ b/cornelreach/platform/site.py
@@ -41,7 +41,8 @@
 
     ``power`` is the share of processors that the process may use, ``report_ms`` the
     interval at which targets write their entries. ``is_first_start`` is set while the
-    whole system starts for the first time.
+    whole system starts for the first time. ``contracts`` names the parts of the
+    platform's contract that apply to this deployment.
     """
 
     name: str
@@ -58,6 +59,7 @@
     power: float = 1.0
     report_ms: float = 1_200
     is_first_start: bool = False
+    contracts: frozenset[str] = frozenset()
 
 
 class _Listen(typing.TypedDict):
@@ -108,6 +110,7 @@
     limits: typing.NotRequired[_Limits]
     heartbeat_ms: typing.NotRequired[float]
     bootstrap: typing.NotRequired[bool]
+    contracts: typing.NotRequired[list[str]]
 
 
 def read(path: str) -> bytes | None:
@@ -144,6 +147,7 @@
         power=_power(found.get("limits", {})),
         report_ms=found.get("heartbeat_ms", 1_200),
         is_first_start=found.get("bootstrap", False),
+        contracts=frozenset(found.get("contracts", ())),
     )
 
 
--- a/cornelreach/reports/metrics.py
+++ b/cornelreach/reports/metrics.py
@@ -93,6 +93,25 @@
     Spec(
         "first_byte_ms", "histogram", ("route",), "Edge: request header to first byte."
     ),
+    Spec(
+        "first_token_error_ms",
+        "histogram",
+        ("direction",),
+        "Edge: difference of the actual to the estimated time to the first token,"
+        " by whether it came later or earlier; contract pressure.",
+    ),
+    Spec(
+        "room_refusals_total",
+        "counter",
+        ("service", "reason"),
+        "Edge: requests refused since no engine has room for them in time, by limit.",
+    ),
+    Spec(
+        "requests_waiting_for_room",
+        "gauge",
+        (),
+        "Edge: requests that wait for room at an engine.",
+    ),
     Spec("requests_under_way", "gauge", (), "Edge: requests in progress."),
     Spec("catalogue_version", "gauge", (), "Edge: configuration version applied."),
     Spec(
--- a/test/gateway/test_edge.py
+++ b/test/gateway/test_edge.py
@@ -73,6 +73,15 @@
                 )
                 self.assertIs(found, expected)
 
+    # Guards against deployments without heavy load whose prompts are made to wait.
+    def test_admission_by_room_follows_the_contracts(self):
+        self.path.write_text('contracts = ["pressure"]\n' + self.text)
+        edge = edge_module.Edge(site_module.load(str(self.path)), str(self.path))
+        self.assertIsNotNone(edge.selector.room)
+        self.path.write_text(self.text)
+        edge.reload()
+        self.assertIsNone(edge.selector.room)
+
     # Guards against a part that stays bound to the settings of its start.
     def test_a_reloaded_instance_has_the_bounds_of_one_that_starts(self):
         path, text = self.path, self.text
