--- a/cornelreach/gateway/roomadmission.py
+++ b/cornelreach/gateway/roomadmission.py
@@ -9,6 +9,7 @@
         case roomadmission.NoRoom(left_ms): ...
 """
 
+import math
 import random
 import typing
 
@@ -85,16 +86,30 @@
 
     def load(self, target: str) -> roomestimate.Load:
         """Return the requests of all instances at an engine."""
-        state = self.balancer.registry.states.get(target)
-        if state is None:
-            return roomestimate.Load()  # it has gone
-        others = self.balancer.gossip.peer_loads().get(target, datagrams.NO_LOAD)
-        return roomestimate.Load(
-            state.in_flight + others.requests,
-            state.in_flight_tokens + others.context_tokens,
-            state.prefill_tokens + others.prefill_tokens,
-            state.pace(self.clock.now_ms()),
-        )
+        return self._loads((target,))[0]
+
+    def _loads(self, targets: typing.Iterable[str]) -> list[roomestimate.Load]:
+        states = self.balancer.registry.states
+        others = self.balancer.gossip.peer_loads()
+        now_ms = self.clock.now_ms()
+        found = []
+        for target in targets:
+            state = states.get(target)
+            if state is None:  # it has gone, or gets its first request
+                found.append(roomestimate.Load())
+                continue
+            requests, prefill_tokens, context_tokens = others.get(
+                target, datagrams.NO_LOAD
+            )
+            found.append(
+                roomestimate.Load(
+                    state.in_flight + requests,
+                    state.in_flight_tokens + context_tokens,
+                    state.prefill_tokens + prefill_tokens,
+                    state.pace(now_ms),
+                )
+            )
+        return found
 
     def admit(
         self,
@@ -108,7 +123,7 @@
         It is never refused while an engine has room and nothing waits there.
         """
         demand = _demand(request_state)
-        loads = [self.load(one.id) for one in targets]
+        loads = self._loads(one.id for one in targets)
         fitting = [
             (one, load)
             for one, load in zip(targets, loads, strict=True)
@@ -154,7 +169,7 @@
     ) -> NoRoom | None:
         """Return a refusal if a first token would come too late, or has waited long."""
         limits = _limits(request_state)
-        begin_ms, first_ms = self._estimate(waiter, loads)
+        room_ms, first_ms = self._estimate(waiter, loads)
         reason = ""
         if spent_ms >= _wait_limit_ms(request_state):
             reason = "wait"
@@ -163,21 +178,26 @@
         if not reason:
             return None
         self._count_refusal(waiter.service, reason)
-        return NoRoom(begin_ms)
+        return NoRoom(room_ms)
 
     def _estimate(
         self, waiter: roomqueue.Waiter, loads: typing.Sequence[roomestimate.Load]
     ) -> tuple[float, float]:
-        """Return the time until a request begins, and that until its first token."""
+        """Return the time until a request has room, and that until its first token."""
         hold_ms = self.holds.mean_ms(waiter.service)
         ahead_ms = roomestimate.ahead_ms(
             self.queue.tokens_ahead(waiter), loads, hold_ms, 1 / self.mirror.fleet.size
         )
         rate = self.balancer.prefill_rates.median()
-        terms = waiter.demand, waiter.engine, hold_ms
-        begin_ms = min(roomestimate.room_ms(one, *terms) for one in loads)
-        first_ms = min(roomestimate.first_token_ms(one, *terms, rate) for one in loads)
-        return ahead_ms + begin_ms, ahead_ms + first_ms
+        room_ms, first_ms = math.inf, math.inf
+        for load in loads:
+            found_ms = roomestimate.room_ms(load, waiter.demand, waiter.engine, hold_ms)
+            room_ms = min(room_ms, found_ms)
+            first_ms = min(
+                first_ms,
+                roomestimate.first_token_ms(load, waiter.demand, found_ms, rate),
+            )
+        return ahead_ms + room_ms, ahead_ms + first_ms
 
     def _count_refusal(self, service: str, reason: str) -> None:
         self.metrics.add("room_refusals_total", 1, service, reason)
--- a/cornelreach/gateway/roomestimate.py
+++ b/cornelreach/gateway/roomestimate.py
@@ -8,7 +8,8 @@
     load = roomestimate.Load(requests=4, context_tokens=38_000, prefill_tokens=9_000)
     demand = roomestimate.Demand(context_tokens=9_400, prompt_tokens=1_670, rank=1)
     roomestimate.has_room(load, demand, service.engine)  # False
-    roomestimate.first_token_ms(load, demand, service.engine, hold_ms=900.0, rate=44.2)
+    after_ms = roomestimate.room_ms(load, demand, service.engine, hold_ms=900.0)
+    roomestimate.first_token_ms(load, demand, after_ms, rate=44.2)
 """
 
 import typing
@@ -99,18 +100,10 @@
     return hold_ms * min(1.0, max(ending, freed))
 
 
-def first_token_ms(
-    load: Load,
-    demand: Demand,
-    engine: catalogue.Engine,
-    hold_ms: float,
-    rate: float,
-) -> float:
-    """Return the expected time to the first token at an engine."""
+def first_token_ms(load: Load, demand: Demand, after_ms: float, rate: float) -> float:
+    """Return the expected time to the first token at an engine with room later."""
     ms_per_token = load.pace / max(rate, MIN_RATE)
-    begin_ms = max(
-        room_ms(load, demand, engine, hold_ms), load.prefill_tokens * ms_per_token
-    )
+    begin_ms = max(after_ms, load.prefill_tokens * ms_per_token)
     own_ms = demand.prompt_tokens * ms_per_token
     return begin_ms + own_ms + prefillrates.STEP_MS
 
--- a/cornelreach/gateway/roomqueue.py
+++ b/cornelreach/gateway/roomqueue.py
@@ -49,6 +49,8 @@
 
 
 LoadOf = typing.Callable[[str], roomestimate.Load]
+# The context tokens that found no room, by the engines that may be used and by rank.
+Refused = dict[tuple[tuple[str, ...], int], int]
 
 
 def add_demand(
@@ -121,22 +123,19 @@
 
         One that needs more does not hold up one that fits beside it.
         """
+        loads: dict[str, roomestimate.Load] = {}
+        refused: Refused = {}
         for one in self._ordered[:MAX_AHEAD]:
             if one is waiter or one.key >= waiter.key:
                 return False
             if (
                 one.service == waiter.service
                 and one.demand.context_tokens <= waiter.demand.context_tokens
-                and any(
-                    self._fits(one, self.load_of(name)) for name in one.target_names
-                )
+                and self._take_room(one, loads, refused)
             ):
                 return True
         return False
 
-    def _fits(self, waiter: Waiter, load: roomestimate.Load) -> bool:
-        return roomestimate.has_room(load, waiter.demand, waiter.engine)
-
     def _schedule(self) -> None:
         if self._timer is None:
             spread = 1.0 + LOOK_SPREAD * (2.0 * self.random.random() - 1.0)
@@ -151,26 +150,26 @@
     def look(self) -> None:
         """Wake the requests for which there is room now, in order."""
         loads: dict[str, roomestimate.Load] = {}
-        # The demand that found no room, by the engines that it may go to.
-        refused: dict[tuple[str, ...], int] = {}
+        refused: Refused = {}
         for waiter in self._ordered:
             if waiter.woken is None or waiter.woken.done():
                 continue
-            names = waiter.target_names
-            if waiter.demand.context_tokens >= refused.get(names, math.inf):
-                continue
-            if self._take_room(waiter, loads):
+            if self._take_room(waiter, loads, refused):
                 waiter.woken.set_result(None)
-            else:
-                refused[names] = waiter.demand.context_tokens
 
-    def _take_room(self, waiter: Waiter, loads: dict[str, roomestimate.Load]) -> bool:
+    def _take_room(
+        self, waiter: Waiter, loads: dict[str, roomestimate.Load], refused: Refused
+    ) -> bool:
         """Count a request at the first engine where it fits, if there is one."""
-        for name in waiter.target_names:
+        names, demand = waiter.target_names, waiter.demand
+        if demand.context_tokens >= refused.get((names, demand.rank), math.inf):
+            return False
+        for name in names:
             load = loads.get(name)
             if load is None:
                 load = loads[name] = self.load_of(name)
-            if self._fits(waiter, load):
-                loads[name] = add_demand(load, waiter.demand)
+            if roomestimate.has_room(load, demand, waiter.engine):
+                loads[name] = add_demand(load, demand)
                 return True
+        refused[names, demand.rank] = demand.context_tokens
         return False
--- a/test/gateway/test_roomestimate.py
+++ b/test/gateway/test_roomestimate.py
@@ -36,7 +36,8 @@
     def test_the_first_token_comes_after_the_queue_or_after_memory_is_free(self):
         def first_ms(*load):
             load = roomestimate.Load(*load)
-            return roomestimate.first_token_ms(load, LONG, ENGINE, 1_000.0, 44.2)
+            after_ms = roomestimate.room_ms(load, LONG, ENGINE, 1_000.0)
+            return roomestimate.first_token_ms(load, LONG, after_ms, 44.2)
 
         idle_ms = first_ms()
         self.assertAlmostEqual(idle_ms, 1_670 / 44.2 + 10)
