Avoid engines that have fallen silent, also in the middle of a stream

Engines that fell silent were noticed by the client's deadline only, and a stream whose engine was lost after its head waited for the kernel or its deadline.

With the contract "pressure", an engine whose first token is overdue (twice the estimate, at least 250 ms more) and from which nothing came for 250 ms gets no new prompts until a byte comes; a connection is opened to it at that time instead of after 600 ms. Engines that peers suspect and that were not heard here for 1.5 s get 1 in 20 of the choices. A resumable stream is watched after its head as well: after 1,600 ms of silence and two failed connections in a row it goes on elsewhere, if another engine seems to be in reach.

Tests: test_silence (the stream of the new test is cut off without the change; those silent for 1.2 s with connections failing, and for 2 s within reach, stay), test_roomestimate, test_streamrelay, test_brokenstreams, test_slowstreams, test_forwarding and test_edge.Settings pass.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -222,6 +222,7 @@
             self.clock,
             targetlimits.TargetLimits(self.gossip, self.mirror, self.clock),
         )
+        self.silence = silence.Silence(self.mirror.registry, self.http, self.clock)
         self._apply_contracts(self.site.contracts)
         self.engine_client = engines.EngineClient(self.http, self._record_control_reply)
         self.quarantine = quarantine.Quarantine(self.clock)
@@ -256,15 +257,16 @@
                 detours.Detours(
                     self.mirror, self.gossip, self.selector, self.clock, self.random
                 ),
-                silence.Silence(self.mirror.registry, self.http, self.clock),
+                self.silence,
             )
         )
 
     def _apply_contracts(self, contracts: frozenset[str]) -> None:
-        """Switch the admission by room on or off."""
+        """Switch admission by room and the watch over streams on or off."""
         is_on = self.selector.room is not None
         if (PRESSURE in contracts) != is_on:
             self.selector.room = None if is_on else self._make_room_admission()
+        self.silence.is_midway = PRESSURE in contracts
 
     def _make_room_admission(self) -> roomadmission.RoomAdmission:
         return roomadmission.RoomAdmission(
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -476,7 +476,9 @@
             async with asyncio.timeout_at(due_s) as timeout:
                 give_up = functools.partial(timeout.reschedule, 0.0)
                 with self.dependencies.silence.watch(
-                    chosen.target, give_up if request_state.may_repeat() else None
+                    chosen.target,
+                    give_up if request_state.may_repeat() else None,
+                    check_ms=chosen.overdue_ms(),
                 ):
                     answer = await self._send(request_state, chosen, before_write)
                 progress = requeststate.Progress.HEAD
--- a/cornelreach/gateway/registry.py
+++ b/cornelreach/gateway/registry.py
@@ -31,6 +31,7 @@
 EARLIER_ANSWER_MS = 200  # in which bytes from before a failure may still arrive
 NEWEST_WEIGHT = 0.1  # weight of the newest answer in a target's moving averages
 LONGEST_DECAY = 0.99  # for each answer
+QUIET_MS = 250.0  # the least delay and silence of a target that seems lost
 LOAD_DECAY_MS = 300.0  # the mean run; an older load report is disregarded
 
 TARGET_CHANGED = events.define(
@@ -115,6 +116,8 @@
         self.turned_away_ms = float("-inf")
         self.risked = quotas.SendWindow()  # requests that it may turn away
         self.heard_ms = 0.0  # when the last answer or part of one came
+        # By attempt, when its first token is overdue; only under heavy load.
+        self.awaited: dict[int, float] = {}
         self.failures = 0
         self.sheds = 0
         self.suspected = False
@@ -139,6 +142,14 @@
         """Return whether the target asked this instance to send it nothing yet."""
         return now_ms < self.resting_until_ms
 
+    def is_quiet(self, now_ms: float) -> bool:
+        """Return whether an answer is overdue, and nothing else came meanwhile."""
+        return (
+            bool(self.awaited)
+            and now_ms - self.heard_ms >= QUIET_MS
+            and min(self.awaited.values()) <= now_ms
+        )
+
     def load_weight(self, now_ms: float) -> float:
         """Return the weight of the last load report, which falls to 0 with its age."""
         return max(0.0, 1.0 - (now_ms - self.load_ms) / LOAD_DECAY_MS)
--- a/cornelreach/gateway/roomadmission.py
+++ b/cornelreach/gateway/roomadmission.py
@@ -31,6 +31,8 @@
 RECHECK_MS = 100.0
 MIN_WAIT_MS = 1.0
 REPORT_MS = 10_000.0
+TRIAL_SHARE = 0.05  # of the choices; they may use engines that peers suspect
+HEARD_MS = 1_500.0  # in which a sound engine that works for this instance is heard
 
 NO_ROOM = events.define(
     2640,
@@ -79,6 +81,7 @@
         self.balancer = balancer
         self.clock = clock
         self.metrics = metrics
+        self.random = source
         self.queue = roomqueue.RoomQueue(clock, source, self.load)
         self.holds = roomestimate.HoldTimes()
         self._refused: dict[str, int] = {}
@@ -123,13 +126,14 @@
         It is never refused while an engine has room and nothing waits there.
         """
         demand = _demand(request_state)
+        targets = self._responding(targets)
         loads = self._loads(one.id for one in targets)
         fitting = [
             (one, load)
             for one, load in zip(targets, loads, strict=True)
             if roomestimate.has_room(load, demand, service.engine)
         ]
-        waiter = self._waiter(targets, request_state, service, demand)
+        waiter = self._waiter(request_state, service, demand)
         left_ms = _wait_limit_ms(request_state) - spent_ms
         must_yield = bool(fitting) and left_ms > 0 and self.queue.must_yield(waiter)
         if fitting and not must_yield:
@@ -148,9 +152,32 @@
         wait_ms = max(MIN_WAIT_MS, min(left_ms, RECHECK_MS))
         return RoomWait(wait_ms, self.queue)
 
+    def _responding(
+        self, targets: typing.Sequence[registry_module.Target]
+    ) -> typing.Sequence[registry_module.Target]:
+        """Return the engines that have not fallen silent; all if all have.
+
+        A few requests go to those which only peers get no answer from, so that one
+        which those peers alone cannot reach is found to respond.
+        """
+        now_ms = self.clock.now_ms()
+        states = self.balancer.registry.states
+        suspected = self.balancer.gossip.suspected_targets()
+        is_trial = self.random.random() < TRIAL_SHARE
+        found = []
+        for one in targets:
+            state = states.get(one.id)
+            if state is not None and state.is_quiet(now_ms):
+                continue
+            if one.id in suspected and not is_trial:
+                heard_ms = 0.0 if state is None else state.heard_ms
+                if now_ms - heard_ms > HEARD_MS:
+                    continue
+            found.append(one)
+        return found or targets
+
     def _waiter(
         self,
-        targets: typing.Sequence[registry_module.Target],
         request_state: requeststate.RequestState,
         service: catalogue.Service,
         demand: roomestimate.Demand,
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -115,12 +115,14 @@
 
     def finish_prefill(self) -> None:
         """Count the prompt as prefilled: the first token arrived, or none will."""
+        self.state.awaited.pop(id(self), None)
         if self._counted:
             self.state.prefill_tokens -= self.prefill_tokens
             self.prefill_tokens = 0
 
     def release(self) -> None:
         """Remove the request from the load of its target; idempotent."""
+        self.state.awaited.pop(id(self), None)
         if self._counted:
             self.finish_prefill()
             self._counted = False
@@ -135,12 +137,23 @@
     def record_send(self) -> None:
         """Record that the first byte is being sent."""
         self.sent_ms = self._now_ms()
+        if (overdue_ms := self.overdue_ms()) is not None:
+            self.state.awaited[id(self)] = self.sent_ms + overdue_ms
         if self._reserved:
             self._reserved = False
             self.state.sends.confirm(self.sent_ms)
         else:
             self.state.sends.record(self.sent_ms)
 
+    def overdue_ms(self) -> float | None:
+        """Return the time after which the first token is overdue, if it is estimated.
+
+        That of a late prompt depends on more urgent ones which follow.
+        """
+        if self.predicted_ms is None or self.late:
+            return None
+        return self.predicted_ms + max(registry_module.QUIET_MS, self.predicted_ms)
+
     def record_part(self) -> None:
         """Record that a part of the answer has come."""
         self.state.heard_ms = self._now_ms()
--- a/cornelreach/gateway/silence.py
+++ b/cornelreach/gateway/silence.py
@@ -7,6 +7,9 @@
 
     with silence.watch(chosen, give_up):
         answer = await send()
+
+Under heavy load a target is checked as soon as an answer is overdue, and streams that
+may go on elsewhere leave a lost target midway, too.
 """
 
 import asyncio
@@ -23,6 +26,7 @@
 GIVE_UP_CHECKS = 2  # in a row; the packet that opens a connection may be lost
 
 GiveUp = typing.Callable[[], None]
+MayGiveUp = typing.Callable[[], bool]
 
 
 class Silence:
@@ -37,15 +41,24 @@
         self.registry = registry
         self.http = http
         self.clock = clock
+        self.is_midway = False  # whether streams that have begun are watched
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._failures: collections.Counter[str] = collections.Counter()
 
     @contextlib.contextmanager
     def watch(
-        self, target: registry_module.Target, give_up: GiveUp | None = None
+        self,
+        target: registry_module.Target,
+        give_up: GiveUp | None = None,
+        may_give_up: MayGiveUp = lambda: True,
+        check_ms: float | None = None,
     ) -> typing.Iterator[None]:
-        """Watch a target while an answer is awaited; call ``give_up`` if it is lost."""
-        watch = _Watch(self, target, give_up)
+        """Watch a target while an answer is awaited; call ``give_up`` if it is lost.
+
+        The target is first checked after ``check_ms`` without a sign of it, if that is
+        earlier than usual.
+        """
+        watch = _Watch(self, target, give_up, may_give_up, check_ms or CHECK_MS)
         try:
             yield
         finally:
@@ -63,6 +76,14 @@
         failures = self._failures[target_id]
         return bool(state and state.unreached) and failures >= GIVE_UP_CHECKS
 
+    def has_other(self, target: registry_module.Target, software: str | None) -> bool:
+        """Return whether a service has another target that seems to be in reach."""
+        now_ms = self.clock.now_ms()
+        return any(
+            one.id != target.id and not self.registry.state(one.id).unreached
+            for one in self.registry.usable(target.service, now_ms, software)
+        )
+
     async def _check(self, target: registry_module.Target) -> None:
         try:
             await self.http.open_idle(http_client.parse_address(target.address))
@@ -87,13 +108,20 @@
     """The wait of one request; a timer checks the target each time it is silent."""
 
     def __init__(
-        self, silence: Silence, target: registry_module.Target, give_up: GiveUp | None
+        self,
+        silence: Silence,
+        target: registry_module.Target,
+        give_up: GiveUp | None,
+        may_give_up: MayGiveUp,
+        check_ms: float,
     ) -> None:
         self.silence = silence
         self.target = target
         self.give_up = give_up
+        self.may_give_up = may_give_up
+        self.check_ms = min(CHECK_MS, check_ms)
         self.start_ms = silence.clock.now_ms()
-        self._timer = silence.clock.after(CHECK_MS, self._on_timer)
+        self._timer = silence.clock.after(self.check_ms, self._on_timer)
 
     def _on_timer(self) -> None:
         registry, clock = self.silence.registry, self.silence.clock
@@ -102,18 +130,22 @@
             return  # the target has gone
         silent_ms = clock.now_ms() - max(self.start_ms, state.heard_ms)
         wait_ms = CHECK_MS
-        if silent_ms < CHECK_MS:
-            wait_ms = CHECK_MS - silent_ms
+        if silent_ms < self.check_ms:
+            wait_ms = self.check_ms - silent_ms
         elif silent_ms < GIVE_UP_MS:
             self.silence.check(self.target)
             wait_ms = min(CHECK_MS, GIVE_UP_MS - silent_ms)
-        elif self.give_up is not None and self.silence.is_lost(self.target.id):
+        elif self._is_to_leave():
             self.give_up()
             return
         else:
             self.silence.check(self.target)
         self._timer = clock.after(wait_ms, self._on_timer)
 
+    def _is_to_leave(self) -> bool:
+        is_lost = self.silence.is_lost(self.target.id)
+        return self.give_up is not None and is_lost and self.may_give_up()
+
     def close(self) -> None:
         """Stop watching."""
         self._timer.cancel()
--- a/cornelreach/gateway/streamrelay.py
+++ b/cornelreach/gateway/streamrelay.py
@@ -20,6 +20,7 @@
     requestlog,
     requeststate,
     selection,
+    silence as silence_module,
 )
 from cornelreach.http import client as http_client, messages, server
 from cornelreach.platform import headers
@@ -51,6 +52,39 @@
 
     continuations: continuations_module.Continuations
     quarantine: quarantine_module.Quarantine
+    silence: silence_module.Silence
+
+
+class _Reading:
+    """The reading of a stream, which is ended if its target is lost midway."""
+
+    def __init__(self) -> None:
+        self._timeout: asyncio.Timeout | None = None
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the next part of the stream is awaited."""
+        return self._timeout is not None
+
+    def give_up(self) -> None:
+        """End the wait for the next part."""
+        if self._timeout is not None:
+            self._timeout.reschedule(0.0)
+
+    async def next_part(
+        self, parts: typing.AsyncIterator[bytes], due_s: float
+    ) -> bytes:
+        """Return the next part; raises ResponseLost if its target was given up."""
+        try:
+            async with asyncio.timeout_at(due_s) as self._timeout:
+                return await anext(parts)
+        except TimeoutError:
+            if asyncio.get_running_loop().time() >= due_s:
+                raise
+            text = "the target is silent and out of reach"
+            raise http_client.ResponseLost(text) from None
+        finally:
+            self._timeout = None
 
 
 def _progress_of(splitter: eventstream.EventSplitter) -> requeststate.Progress:
@@ -125,7 +159,9 @@
             while True:
                 framing = answer.framing
                 try:
-                    async for part in self._read_until_due(request_state, answer):
+                    async for part in self._read_until_due(
+                        request_state, chosen, answer, splitter
+                    ):
                         chosen.record_part()
                         if data := splitter.feed(part):
                             continuations.bind(request_state, chosen.target.software)
@@ -159,16 +195,43 @@
     async def _read_until_due(
         self,
         request_state: requeststate.RequestState,
+        chosen: Way,
         answer: http_client.ClientResponse,
+        splitter: eventstream.EventSplitter,
     ) -> typing.AsyncIterator[bytes]:
+        reading = _Reading()
         async with contextlib.aclosing(answer.parts(as_events=True)) as parts:
-            while True:
-                try:
-                    async with asyncio.timeout_at(request_state.due_s):
-                        part = await anext(parts)
-                except StopAsyncIteration:
-                    return
-                yield part
+            with self._watch(request_state, chosen, splitter, reading):
+                while True:
+                    try:
+                        part = await reading.next_part(parts, request_state.due_s)
+                    except StopAsyncIteration:
+                        return
+                    yield part
+
+    def _watch(
+        self,
+        request_state: requeststate.RequestState,
+        chosen: Way,
+        splitter: eventstream.EventSplitter,
+        reading: _Reading,
+    ) -> typing.ContextManager[None]:
+        """Watch the target of a stream that another one may go on with."""
+        silence = self.dependencies.silence
+        if not (silence.is_midway and request_state.may_repeat()) or isinstance(
+            chosen, detours_module.Detour
+        ):
+            return contextlib.nullcontext()
+
+        def may_give_up() -> bool:
+            # A part that has come and is not read yet is not awaited.
+            return (
+                reading.is_waiting
+                and splitter.is_identified
+                and silence.has_other(chosen.target, request_state.software)
+            )
+
+        return silence.watch(chosen.target, reading.give_up, may_give_up)
 
     async def _resume(
         self,
--- a/test/gateway/test_roomestimate.py
+++ b/test/gateway/test_roomestimate.py
@@ -202,6 +202,29 @@
         self.assertLess(took_s, 0.2)
         self.assertEqual(len(self.harness.selector.room.queue), 0)
 
+    # Guards against prompts sent to an engine that has fallen silent, and against a
+    # sound one that is avoided after its next byte.
+    async def test_a_quiet_engine_gets_nothing_until_a_byte_comes(self):
+        second = harness_module.Engine("e1", harness_module.answer_ok)
+        await second.start()
+        self.harness.engines.append(second)
+        self.harness.register(second, "s")
+        now_ms = self.harness.clock.now_ms()
+        self.state.in_flight = self.state.in_flight_tokens = 0
+        self.harness.mirror.registry.state("e1").in_flight = 20
+        self.state.awaited[0], self.state.heard_ms = now_ms, now_ms - 500
+        self.assertEqual((await self.send())[0], 200)
+        self.state.heard_ms = self.harness.clock.now_ms()
+        self.assertEqual((await self.send())[0], 200)
+        counts = [len(one.requests) for one in self.harness.engines]
+        self.assertEqual(counts, [1, 1])
+
+    # Guards against an engine that counts as quiet for answers that have come.
+    async def test_no_answer_is_awaited_after_the_requests_have_ended(self):
+        self.state.in_flight = self.state.in_flight_tokens = 0
+        self.assertEqual((await self.send())[0], 200)
+        self.assertEqual(self.state.awaited, {})
+
     # Guards against a prompt that waits on though there is room.
     async def test_a_prompt_begins_when_there_is_room(self):
         call = asyncio.ensure_future(self.send())
--- a/test/gateway/test_silence.py
+++ b/test/gateway/test_silence.py
@@ -8,7 +8,7 @@
 
 from cornelreach.gateway import silence
 from cornelreach.http import client as http_client
-from test.gateway import links
+from test.gateway import harness as harness_module, links
 
 LONG_RUN_S = silence.GIVE_UP_MS / 1_000 + 1.0
 SILENT_S = 1.2  # a sound engine may be silent for a second or so
@@ -202,3 +202,75 @@
         self.assertEqual(status, 200)
         self.assertLess(time.monotonic() - begin_s, silence.GIVE_UP_MS / 1_000 + 0.4)
         self.assertEqual(len(others[0].requests), 1)
+
+
+EVENTS, EVENT_S = 30, 0.1
+
+
+async def stream_slowly(engine, head, body, writer):
+    """Stream events at a steady rate, from the one behind the last that was got."""
+    if "x-cornelreach-request-id" not in head:
+        return False  # a probe
+    writer.write(engine.stream_head(head))
+    for number in range(int(head.get("last-event-id", 0)) + 1, EVENTS + 1):
+        writer.write(harness_module.chunk(harness_module.event(number)))
+        await writer.drain()
+        await asyncio.sleep(EVENT_S)
+    writer.write(b"0\r\n\r\n")
+    return True
+
+
+class Midway(links.Case):
+    """Streams whose engine falls silent after their first events."""
+
+    async def play(self, path, link, silent_s=60.0):
+        """Return the answer to a stream whose engine is silent for a time."""
+        await self.start(stream_slowly, direct=0)
+        forwarder = self.cut.forwarder
+        forwarder.dependencies.silence.is_midway = True
+        call = asyncio.ensure_future(
+            self.cut.send_raw(
+                harness_module.request_bytes(
+                    path,
+                    "POST",
+                    b"",
+                    connection="close",
+                    x_cornelreach_deadline_ms="9000",
+                ),
+                until_closed=True,
+                wait_s=9,
+            )
+        )
+        await asyncio.sleep(5 * EVENT_S)
+        lost = next(one for one in self.engines if one.requests)
+        self.links[self.engines.index(lost)].set_link(link)
+        begin_s = time.monotonic()
+        await asyncio.sleep(min(silent_s, silence.GIVE_UP_MS / 1_000 + 0.5))
+        if silent_s < 60.0:
+            self.set_links(links.Link.GOOD)
+        return await call, time.monotonic() - begin_s
+
+    def numbers(self, answer):
+        """Return the identifiers of the events of an answer."""
+        body = answer.partition(b"\r\n\r\n")[2]
+        return [int(one.split(b"\n")[0]) for one in body.split(b"id: ")[1:]]
+
+    # Guards against streams that end, or wait for their deadline, with a lost engine.
+    async def test_a_stream_goes_on_elsewhere_if_its_engine_is_out_of_reach(self):
+        answer, took_s = await self.play("/resume/x", links.Link.HUNG)
+        self.assertEqual(self.numbers(answer), list(range(1, EVENTS + 1)))
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"))
+        self.assertEqual(len(self.requests()), 2)
+        self.assertLess(took_s, silence.GIVE_UP_MS / 1_000 + EVENTS * EVENT_S + 0.5)
+
+    # Guards against leaving an engine that is silent for long, but can be reached.
+    async def test_a_stream_stays_at_an_engine_in_reach(self):
+        answer, _ = await self.play("/resume/x", links.Link.SILENT, 2.0)
+        self.assertEqual(self.numbers(answer), list(range(1, EVENTS + 1)))
+        self.assertEqual(len(self.requests()), 1)
+
+    # Guards against leaving an engine before a sound one would have gone on.
+    async def test_a_stream_stays_at_an_engine_that_is_silent_for_a_second(self):
+        answer, _ = await self.play("/resume/x", links.Link.HUNG, SILENT_S)
+        self.assertEqual(self.numbers(answer), list(range(1, EVENTS + 1)))
+        self.assertEqual(len(self.requests()), 1)
