Weigh the time that requests hold memory by their tokens

Many short requests made the memory of long ones seem to become free too soon, so the refusals and Retry-After of the estimate were too optimistic.

test_roomestimate passes.

--- a/cornelreach/gateway/roomadmission.py
+++ b/cornelreach/gateway/roomadmission.py
@@ -47,6 +47,7 @@
     """What admission uses of the choice of a target for one attempt."""
 
     target: registry_module.Target
+    tokens: int
     sent_ms: float
     predicted_ms: float | None
     is_answered: bool
@@ -268,7 +269,7 @@
         """Follow the end of a request, which leaves room for those that wait."""
         if chosen.is_answered:
             held_ms = self.clock.now_ms() - chosen.sent_ms
-            self.holds.record(chosen.target.service, held_ms)
+            self.holds.record(chosen.target.service, chosen.tokens, held_ms)
         self.queue.look()
 
 
--- a/cornelreach/gateway/roomestimate.py
+++ b/cornelreach/gateway/roomestimate.py
@@ -122,16 +122,24 @@
 
 
 class HoldTimes:
-    """How long a request stays at an engine, as a moving average by service."""
+    """How long memory is held at an engine, as a moving average by service.
+
+    Each request counts by its tokens: what is occupied, divided by this average, is
+    what becomes free in a millisecond.
+    """
 
     def __init__(self) -> None:
-        self._means_ms: dict[str, float] = {}
+        self._means: dict[str, tuple[float, float]] = {}
 
-    def record(self, service: str, held_ms: float) -> None:
+    def record(self, service: str, tokens: int, held_ms: float) -> None:
         """Update the average from a request that ended."""
-        mean_ms = self._means_ms.get(service, held_ms)
-        self._means_ms[service] = mean_ms + NEWEST_WEIGHT * (held_ms - mean_ms)
+        tokens = max(1, tokens)
+        products, sizes = self._means.get(service, (tokens * held_ms, float(tokens)))
+        products += NEWEST_WEIGHT * (tokens * held_ms - products)
+        sizes += NEWEST_WEIGHT * (tokens - sizes)
+        self._means[service] = products, sizes
 
     def mean_ms(self, service: str) -> float:
         """Return the average."""
-        return self._means_ms.get(service, INITIAL_HOLD_MS)
+        products, sizes = self._means.get(service, (INITIAL_HOLD_MS, 1.0))
+        return products / sizes
--- a/test/gateway/test_roomestimate.py
+++ b/test/gateway/test_roomestimate.py
@@ -48,6 +48,15 @@
         self.assertAlmostEqual(first_ms(4, 30_000) - idle_ms, excess / 30)
         self.assertAlmostEqual(first_ms(32, 9_000) - idle_ms, 1_000 / 32)
 
+    # Guards against refusals that take long prompts, which hold most of the memory,
+    # for as short as the many short ones.
+    def test_long_prompts_count_by_their_memory(self):
+        holds = roomestimate.HoldTimes()
+        for _ in range(200):
+            holds.record("s", 1_000, 200.0)
+            holds.record("s", 9_000, 1_200.0)
+        self.assertAlmostEqual(holds.mean_ms("s"), 1_100, delta=15)
+
 
 class Name:
     """What identifies a request."""
@@ -196,7 +205,7 @@
         self.assertEqual(status, 503)
         self.assertIn(b"retry-after: ", head)
         self.assertGreater(took_s, 0.25)
-        self.harness.selector.room.holds.record("s", 60_000)
+        self.harness.selector.room.holds.record("s", 1_000, 60_000)
         status, head, took_s = await self.send()
         self.assertEqual((status, self.harness.engines[0].requests), (503, []))
         self.assertLess(took_s, 0.2)
