--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -14,6 +14,7 @@
     quotas,
     registry as registry_module,
     requeststate,
+    roomadmission,
     targetlimits,
     urgency,
 )
@@ -124,6 +125,9 @@
         self.model = model
         self.sent_ms = 0.0
         self.backlog_tokens = 0.0
+        self.predicted_ms: float | None = None  # the time to the first token
+        self.is_answered = False
+        self.on_release: typing.Callable[[Choice], None] | None = None
         self._now_ms = now_ms
         self._counted = False
         self._reserved = False
@@ -150,17 +154,21 @@
 
     def finish_prefill(self) -> None:
         """Count the prompt as prefilled: the first token arrived, or none will."""
+        self.state.awaited.pop(id(self), None)
         if self._counted:
             self.state.prefill_tokens -= self.prefill_tokens
             self.prefill_tokens = 0
 
     def release(self) -> None:
         """Remove the request from the load of its target; idempotent."""
+        self.state.awaited.pop(id(self), None)
         if self._counted:
             self.finish_prefill()
             self._counted = False
             self.state.in_flight -= 1
             self.state.in_flight_tokens -= self.tokens
+            if self.on_release is not None:
+                self.on_release(self)
         if self._reserved:
             self._reserved = False
             self.state.sends.cancel()
@@ -168,12 +176,23 @@
     def record_send(self) -> None:
         """Record that the first byte is being sent."""
         self.sent_ms = self._now_ms()
+        if (overdue_ms := self.overdue_ms()) is not None:
+            self.state.awaited[id(self)] = self.sent_ms + overdue_ms
         if self._reserved:
             self._reserved = False
             self.state.sends.confirm(self.sent_ms)
         else:
             self.state.sends.record(self.sent_ms)
 
+    def overdue_ms(self) -> float | None:
+        """Return the time after which the first token is overdue, if it is estimated.
+
+        That of a late prompt depends on more urgent ones which follow.
+        """
+        if self.predicted_ms is None or self.late:
+            return None
+        return self.predicted_ms + max(registry_module.QUIET_MS, self.predicted_ms)
+
     def record_part(self) -> None:
         """Record that a part of the answer has come."""
         self.state.heard_ms = self._now_ms()
@@ -207,6 +226,10 @@
         )
 
 
+Hindrance = Wait | Resting | Limited | roomadmission.RoomWait | roomadmission.NoRoom
+Selected = Choice | Hindrance
+
+
 class Selector:
     """Selects targets and enforces this instance's share of fleet-wide limits."""
 
@@ -232,6 +255,8 @@
         self.clock = clock
         # By service, what an order of a software rollout allows.
         self.rules: typing.Mapping[str, Rule] = {}
+        # Only where the deployment is told to expect heavy load.
+        self.room: roomadmission.RoomAdmission | None = None
         self._retries: dict[str, quotas.RetryBudget] = {}
         self.start_ms = clock.now_ms()
 
@@ -288,7 +313,7 @@
         spent_ms: float = 0.0,
         here_only: bool = False,
         retry: bool = False,
-    ) -> Choice | Wait | Resting | Limited | Unreached | None:
+    ) -> Selected | Unreached | None:
         """Return a target, or how long to wait for one, or None if there is none.
 
         ``spent_ms`` is the time since the request was received. With ``here_only`` no
@@ -524,13 +549,18 @@
         service: catalogue.Service,
         now_ms: float,
         spent_ms: float,
-    ) -> Choice:
+    ) -> Choice | roomadmission.RoomWait | roomadmission.NoRoom:
         registry = self.mirror.registry
         if service.engine is None or not request_state.model:
             target = self.balancer.choose_plain(targets, now_ms)
             self.brittleness.record_choice(target, service, 0, now_ms)
             state = registry.state(target.id)
             return Choice(target, state, 0, 0, None, None, self.clock.now_ms)
+        if self.room is not None:
+            admitted = self.room.admit(targets, request_state, service, spent_ms)
+            if not isinstance(admitted, list):
+                return admitted
+            targets = admitted
         demand = balancer_module.prompt_request(request_state.call)
         salt_of = self._salts(request_state)
 
@@ -559,7 +589,7 @@
             spent_ms + prefillrates.STEP_MS,
             request_state.route.objective_ms,
         )
-        return Choice(
+        choice = Choice(
             target,
             registry.state(target.id),
             demand.context_tokens,
@@ -571,6 +601,14 @@
             late=late,
             model=request_state.model,
         )
+        if self.room is not None:
+            self.room.record_choice(choice, prefill_tokens, now_ms)
+        return choice
+
+    def stop_waiting(self, request_state: requeststate.RequestState) -> None:
+        """Forget that a request waits for room: it has a target, or gets none."""
+        if self.room is not None:
+            self.room.queue.leave(request_state)
 
     def _stores(
         self,
@@ -691,6 +729,9 @@
         now_ms = self.clock.now_ms()
         if not reply.not_run:
             self._record_times(chosen, reply, now_ms)
+            chosen.is_answered = reply.status < 500
+            if self.room is not None and chosen.is_answered:
+                self.room.record_first_token(chosen, now_ms)
         chosen.finish_prefill()
         self.mirror.registry.record_reply(
             chosen.target.id, reply, now_ms, chosen.sent_ms
