--- a/cornelreach/gateway/releasecomparison.py
+++ b/cornelreach/gateway/releasecomparison.py
@@ -211,16 +211,16 @@
     if count < MIN_TIMES:
         return None
     below = 0
-    median = first = None
+    median, first = 0.0, None
     for index, held in enumerate(times):
-        if median is None and below + held >= count / 2:
+        if below < count / 2 <= below + held:
             median = index + (count / 2 - below) / held
         below += held
         if first is None and below >= count * SLOW_QUANTILE:
             first = index + 1
     # The edge of a bucket that is nearest to the multiple of the median.
     edge = math.ceil(median + math.log(SLOW_TIMES, releasecounts.BUCKET_GROWTH) - 0.5)
-    return max(edge, first)
+    return edge if first is None else max(edge, first)
 
 
 def _reference(window: Window, whole: Window, route: str) -> releasecounts.RouteCounts:
