--- a/test/gateway/releaseworld.py
+++ b/test/gateway/releaseworld.py
@@ -64,13 +64,12 @@
         self.order = releaseanalysis.Order("s", "v2", "1", DURATION_MS)
         self.analysis = releaseanalysis.Analysis(self.order)
         self.handover = releaseanalysis.Handover(self.order)
-        self.exposures = [
-            releaseexposure.Exposure(self.order, EXPOSURE_SHARE)
-            for _ in range(instances)
-        ]
-        for one in self.exposures:
-            one.target_count = targets
-        self.recorders = [releaseanalysis.Recorder() for _ in range(instances)]
+        self.exposures, self.recorders = [], []
+        for _ in range(instances):
+            exposure = releaseexposure.Exposure(self.order, EXPOSURE_SHARE)
+            exposure.target_count = targets
+            self.exposures.append(exposure)
+            self.recorders.append(releaseanalysis.Recorder())
         self.phase, self.judgement = Phase.OBSERVING, None
         self.requests, self.old_in_flight, self.in_flight = 0, 0, {}
         self.sent_ms, self.bad_ms, self.ended_ms = [], [], None
@@ -95,15 +94,9 @@
         number = source.randrange(len(self.exposures))
         exposure, is_new = self.exposures[number], False
         if now_ms >= START_MS:
+            kind = route == "/once/", len(self.routes) == 1, False
             lane = exposure.lane(
-                now_ms,
-                now_ms,
-                self.phase,
-                True,
-                route == "/once/",
-                len(self.routes) == 1,
-                False,
-                source.random(),
+                now_ms, now_ms, self.phase, True, *kind, source.random()
             )
             is_new = lane is releaseexposure.Lane.NEW
         self.requests += 1
--- a/test/gateway/test_releaseanalysis.py
+++ b/test/gateway/test_releaseanalysis.py
@@ -60,13 +60,13 @@
 class Simulated(unittest.TestCase):
     """Orders that are played from their beginning to their deadline."""
 
-    def check(self, phase, new, seeds=SEEDS, goal=True, **options):
+    def check(self, phase, new, **options):
         """Play orders, and check how they end and what the new version got."""
-        for seed in range(seeds):
+        for seed in range(SEEDS):
             world = releaseworld.World(seed, new, **options).run()
             detail = (seed, options, world.judgement)
             self.assertEqual(world.phase, phase, detail)
-            if phase == Phase.REVERTED and goal:
+            if phase == Phase.REVERTED:
                 self.assertLessEqual(world.excess(), 0, detail)
                 self.assertLess(world.late_ms(), releaseworld.GOAL_MS, detail)
 
@@ -77,19 +77,18 @@
                 with self.subTest(name, targets=targets):
                     self.check(Phase.REVERTED, version, targets=targets, per_s=160)
 
-    # Guards against a version that is bad on the route of requests that run once only.
-    def test_bad_at_most_once_route_is_found(self):
-        version = bad(0.9, route="/once/")
-        self.check(Phase.REVERTED, version, per_s=160)
-        only = {"/once/": 1.0}
-        self.check(Phase.REVERTED, version, per_s=160, routes=only)
-
-    # Guards against a bad version that few requests do not show while it is observed.
-    def test_bad_version_with_few_requests_is_reverted(self):
+    # Guards against a version that is bad on the route of requests that run once only,
+    # and against an old version whose failures on one route hide those on others.
+    def test_bad_routes_are_found(self):
+        once, chat = bad(0.9, route="/once/"), bad(0.5, route="/chat/")
+        self.check(Phase.REVERTED, once, per_s=160)
+        self.check(Phase.REVERTED, once, per_s=160, routes={"/once/": 1.0})
+        self.check(Phase.REVERTED, chat, old=flaky, per_s=160)
+
+    # Guards against few requests that do not show a bad version while it is observed,
+    # or keep a good one from succeeding.
+    def test_few_requests_are_enough(self):
         self.check(Phase.REVERTED, bad(0.5), per_s=20)
-
-    # Guards against a good version that few or no requests keep from succeeding.
-    def test_good_version_with_few_requests_succeeds(self):
         for per_s in (0.01, 2, 10, 40):
             with self.subTest(per_s=per_s):
                 self.check(Phase.SUCCEEDED, releaseworld.good, per_s=per_s)
@@ -100,10 +99,6 @@
             self.check(Phase.SUCCEEDED, version, old=version)
             self.check(Phase.SUCCEEDED, releaseworld.good, old=version)
 
-    # Guards against an old version whose failures on one route hide those on others.
-    def test_bad_version_beside_flaky_old_version_is_reverted(self):
-        self.check(Phase.REVERTED, bad(0.5, route="/chat/"), old=flaky, per_s=160)
-
     # Guards against verdicts that need the reports of all instances.
     def test_half_of_the_instances_may_be_silent(self):
         options = {"instances": 8, "silent": 4, "per_s": 240}
--- a/test/gateway/test_releaseexposure.py
+++ b/test/gateway/test_releaseexposure.py
@@ -36,13 +36,8 @@
 
     def lane(self, exposure, now_ms, phase=Phase.OBSERVING, draw=0.0, **changes):
         """Return the lane of one request."""
-        options = {
-            "is_granted": True,
-            "is_at_most_once": False,
-            "is_only_kind": False,
-            "is_retry": False,
-            **changes,
-        }
+        names = "is_at_most_once", "is_only_kind", "is_retry"
+        options = {"is_granted": True, **dict.fromkeys(names, False), **changes}
         return exposure.lane(now_ms, now_ms, phase, draw=draw, **options)
 
     def sent(self, targets, instances, per_s, seed=1):
