--- a/cornelreach/gateway/releaseanalysis.py
+++ b/cornelreach/gateway/releaseanalysis.py
@@ -25,7 +25,7 @@
 # until the deadline are within the slack of the bound.
 FEW_REQUESTS = 100
 MIN_RESPONSES = 30  # nine failures are expected of a version that fails 0.3 of them
-MIN_ROUTE_RESPONSES = 5
+MIN_ROUTE_RESPONSES = 5  # of a version that fails half there, some have failed
 ROUTE_SHARE = 0.05
 QUIET_MS = 400.0  # two intervals of reports
 
