Bring the good verdict and the handover forward

Orders that began while the store was away are aged by when their targets started, also where others name them; the verdict falls due at 0.55 of the duration and not up to one round later; rounds are twice as frequent while traffic shifts; the shift begins with the phase and not with an instance's next request.

--- a/cornelreach/gateway/releaseexchange.py
+++ b/cornelreach/gateway/releaseexchange.py
@@ -24,6 +24,7 @@
 
 MIN_INTERVAL_MS = 200.0
 INSTANCE_INTERVAL_MS = 3.0  # for each instance, as each gets directives
+SHIFTING_SHARE = 0.5
 MIN_GRANT_MS = 1_000.0
 GRANT_INTERVALS = 4
 COLLECTORS = 3
@@ -76,9 +77,17 @@
         """Return the names of all registered instances and of this one."""
         return {*self.gossip.members, self.gossip.name}
 
-    def interval_ms(self) -> float:
-        """Return the time between two rounds of reports and directives."""
-        return max(MIN_INTERVAL_MS, INSTANCE_INTERVAL_MS * len(self.names()))
+    def interval_ms(
+        self, releases: typing.Iterable[releasestate.Release] = ()
+    ) -> float:
+        """Return the time between two rounds of reports and directives.
+
+        It is shorter while traffic shifts, which has to end before the last third of
+        an order, in which the store may be away.
+        """
+        usual_ms = max(MIN_INTERVAL_MS, INSTANCE_INTERVAL_MS * len(self.names()))
+        is_shifting = any(one.phase is Phase.SHIFTING for one in releases)
+        return usual_ms * SHIFTING_SHARE if is_shifting else usual_ms
 
     def grant_ms(self) -> float:
         """Return for how long a directive lets requests go to the new version."""
--- a/cornelreach/gateway/releases.py
+++ b/cornelreach/gateway/releases.py
@@ -267,7 +267,9 @@
             return None
         if order[:3] in self._withdrawn or not self._is_sound(order):
             return None
-        return self._start(releaseanalysis.Order(*order), None, "", False)
+        found = self._start(releaseanalysis.Order(*order), None, "", False)
+        found.doubt_age(found.max_missed_ms)
+        return found
 
     def _is_sound(self, order: datagrams.ReleaseOrder) -> bool:
         config = self.mirror.catalogue
@@ -329,7 +331,7 @@
         if not self.rules and not self._pending:
             return
         now_ms = self.clock.now_ms()
-        is_due = now_ms >= self._due_ms
+        is_due = now_ms >= self._due_ms or self._is_verdict_due(now_ms)
         for service, rule in list(self.rules.items()):
             if rule.release is not None:
                 guards.call(self._follow, rule.release)
@@ -338,7 +340,8 @@
             if not rule.is_needed():
                 del self.rules[service]
         if is_due:
-            self._due_ms = now_ms + self.exchange.interval_ms()
+            found = [one.release for one in self.rules.values() if one.release]
+            self._due_ms = now_ms + self.exchange.interval_ms(found)
             for record, is_first in list(self._pending.values()):
                 self.apply_record(record, is_first)
             self._withdrawn = {
@@ -347,10 +350,26 @@
                 if at_ms > now_ms - WITHDRAWN_MS
             }
 
+    def _is_verdict_due(self, now_ms: float) -> bool:
+        """Return whether an order has just reached the age of a good verdict.
+
+        Waiting for the next round would bring success closer to the last third of the
+        order, in which the store may be away.
+        """
+        first_ms = now_ms - TICK_MS
+        for rule in self.rules.values():
+            release = rule.release
+            if release is not None and release.phase is Phase.OBSERVING:
+                verdict_ms = release.order.duration_ms * releaseanalysis.EARLY_SHARE
+                if release.age_ms(first_ms) < verdict_ms <= release.age_ms(now_ms):
+                    return True
+        return False
+
     def _follow(self, release: releasestate.Release) -> None:
         """Estimate an order's age if nobody knows it, and write its status."""
         now_ms = self.clock.now_ms()
-        if not release.is_age_known and now_ms >= release.seen_ms + CONFIRM_MS:
+        is_doubted = release.max_missed_ms > 0 or not release.is_age_known
+        if is_doubted and now_ms >= release.seen_ms + CONFIRM_MS:
             listed = self.mirror.registry.listed_targets(release.order.service)
             born_ms = [one.born_ms for one in listed if release.is_new(one)]
             release.estimate_age(born_ms, self.clock.wall_ms(), now_ms)
--- a/cornelreach/gateway/releasestate.py
+++ b/cornelreach/gateway/releasestate.py
@@ -30,6 +30,7 @@
 # The states that are to be written in a phase that is not final.
 REVERT_PHASES = (Phase.REVERTING, Phase.REVERTED)
 MAX_AGE_EXTRA_MS = 60_000.0  # beyond the duration; a greater age of a peer is unsound
+KNOWN_LONGER_MS = 500.0  # more than the delays of watches and datagrams
 MAX_REASON = 200  # characters, so that a directive fits into a datagram
 
 CHANGED = events.define(
@@ -101,11 +102,16 @@
             self.order.duration_ms + MAX_AGE_EXTRA_MS
         ):
             return
+        if age_ms > self.age_ms(now_ms) + KNOWN_LONGER_MS:
+            self.max_missed_ms = 0.0  # another instance saw the order begin
         self.started_ms = min(self.started_ms, now_ms - age_ms)
         self.is_age_known = True
 
     def doubt_age(self, max_missed_ms: float) -> None:
-        """Note that the order may be older, by no more than a time."""
+        """Note that the order may be older, by no more than a time.
+
+        Others that know it for as short a time may have missed as much.
+        """
         self.is_age_known = False
         self.max_missed_ms = max_missed_ms
 
@@ -121,6 +127,7 @@
         since_ms = min(since_ms, self.order.duration_ms)
         missed_ms = min(since_ms - self.age_ms(now_ms), self.max_missed_ms)
         self.started_ms -= max(0.0, missed_ms)
+        self.max_missed_ms = 0.0
         self.is_age_known = True
 
     def adopt(self, phase: Phase, reason: str, now_ms: float) -> bool:
@@ -143,6 +150,11 @@
         self.reason = reason
         if not (was_reverting and self.is_reverting):
             self.phase_ms = now_ms
+        if phase is Phase.SHIFTING:
+            # The shift begins now, and not with this instance's next request.
+            self.exposure.lane(
+                now_ms, self.age_ms(now_ms), phase, False, False, False, True, 1.0
+            )
         events.emit(
             CHANGED,
             service=self.order.service,
