--- a/cornelreach/gateway/releaserules.py
+++ b/cornelreach/gateway/releaserules.py
@@ -141,7 +141,9 @@
         """
         if request_state.is_canary:
             self._end_canary(request_state, now_ms)
-        targets = self._not_closed(targets, now_ms)
+        targets = self._not_closed(targets)
+        if request_state.software is None:
+            targets = self._not_held(targets, now_ms)
         release = self.release
         if release is None or release.phase is Phase.SUCCEEDED:
             return targets
@@ -155,20 +157,24 @@
             return old if release.is_reverting else new
         return self._by_lane(release, request_state, old, new, now_ms)
 
-    def _not_closed(self, targets: Targets, now_ms: float) -> Targets:
-        """Return the targets without those that are held back, rejected or replaced."""
+    def _not_closed(self, targets: Targets) -> Targets:
+        """Return the targets without those that are rejected or replaced."""
         if self.rejected:
             targets = [one for one in targets if _lifetime(one) not in self.rejected]
         if self.replaced:
             kept = [one for one in targets if _lifetime(one) not in self.replaced]
             targets = kept or targets
-        if self.held:
-            kept = [one for one in targets if self._held_until(one) <= now_ms]
-            targets = kept or targets
         return targets
 
-    def _held_until(self, target: registry_module.Target) -> float:
-        return self.held.get(target.software, float("-inf"))
+    def _not_held(self, targets: Targets, now_ms: float) -> Targets:
+        """Return the targets without those of versions that are held back.
+
+        Streams that such a version began before go on there.
+        """
+        if not self.held:
+            return targets
+        kept = [one for one in targets if self.held.get(one.software, 0.0) <= now_ms]
+        return kept or targets
 
     def _for_resumed(
         self,
@@ -255,7 +261,7 @@
     ) -> bool:
         """Return whether a request may still be sent to the target chosen for it."""
         registry = self.environment.mirror.registry
-        opened = self._not_closed(registry.open_targets(self.service), now_ms)
+        opened = self._not_closed(registry.open_targets(self.service))
         if all(one.id != target.id for one in opened):
             return False
         release = self.release
--- a/test/gateway/test_releaserules.py
+++ b/test/gateway/test_releaserules.py
@@ -100,6 +100,16 @@
             for (_, is_new), counts in found.items()
         }
 
+    def request_state(self, order=None):
+        """Return a request that may be repeated."""
+        route = harness_module.route("/safe/", "s", test_forwarding.Kind.IDEMPOTENT)
+        call = calls.Call("id", 2_000, None, "", 0, 0, (), None)
+        request = messages.Request("POST", "/safe/", {}, (), b"", b"/safe/", 0.0)
+        found = requeststate.RequestState(request, call, route, None, "s", 0.0)
+        if order is not None:
+            detours.follow(found, order)
+        return found
+
     def request_counts(self):
         """Return how many requests each engine got."""
         return [len(one.requests) for one in self.engines]
@@ -224,16 +234,6 @@
         self.enter(Phase.REVERTING)
         self.assertFalse(self.harness.selector.may_send(request_state, chosen))
 
-    def request_state(self, order=None):
-        """Return a request that may be repeated."""
-        route = harness_module.route("/safe/", "s", test_forwarding.Kind.IDEMPOTENT)
-        call = calls.Call("id", 2_000, None, "", 0, 0, (), None)
-        request = messages.Request("POST", "/safe/", {}, (), b"", b"/safe/", 0.0)
-        found = requeststate.RequestState(request, call, route, None, "s", 0.0)
-        if order is not None:
-            detours.follow(found, order)
-        return found
-
     # Guards against a second attempt at the new version by way of another instance.
     async def test_requests_of_other_instances_follow_the_same_rules(self):
         ok = harness_module.answer_ok
@@ -307,6 +307,17 @@
             await self.harness.send("/safe/x")
         self.assertTrue(all(self.request_counts()))
 
+    # Guards against streams that are refused while their version is listed again.
+    async def test_a_stream_goes_on_at_its_version_while_that_is_held_back(self):
+        ok = harness_module.answer_ok
+        await self.follow([ok], [ok], is_ordered=False)
+        self.releases.hold("s", "2.0")
+        for software, expected in ((None, "1.0"), ("2.0", "2.0"), ("1.0", "1.0")):
+            request_state = self.request_state()
+            request_state.software = software
+            chosen = self.harness.selector.choose(request_state)
+            self.assertEqual(chosen.target.software, expected)
+
     # Guards against an instance of an earlier release that ends, or stops listening.
     def test_a_datagram_with_an_unknown_tag_is_only_logged(self):
         gossip = gossip_module.Gossip("i", "b", None, _Clock())
--- a/test/gateway/test_releases.py
+++ b/test/gateway/test_releases.py
@@ -185,7 +185,24 @@
 
 
 class Datagrams(unittest.TestCase):
-    """Reports as they are sent."""
+    """Reports and directives as they are sent and received."""
+
+    # Guards against an order that goes on for ever though the store has none.
+    def test_an_order_that_only_a_datagram_names_ends_with_the_next_proof(self):
+        fleet = releasefleet.Fleet(size=1)
+        self.addCleanup(fleet.close)
+        fleet.start()
+        fleet.run(500)
+        one = fleet.instances["i0"]
+        order = datagrams.ReleaseOrder("s", "2.0", "7", 12_000.0)
+        directive = datagrams.ReleaseDirective("x", "b", 1, order, 0, 1.0, 0.07)
+        one.releases.exchange.handle_directive(directive)
+        self.assertEqual(one.release.identity, ("s", "2.0", "7"))
+        fleet.run(11_000)
+        self.assertIsNone(one.release)
+        one.releases.exchange.handle_directive(directive)
+        self.assertIsNone(one.release)
+        self.assertEqual(fleet.store.status_writes, [])
 
     # Guards against a report that is too long being dropped, with all its counts.
     def test_a_report_on_many_routes_is_split_into_datagrams(self):
