Name the instance that says so in the log line of a phase, and bound its reason

The name was part of the reason, and was appended again by every collector. Names in an order are 128 characters at most, so that a directive fits into a datagram in any script.

--- a/cornelreach/gateway/releaseexchange.py
+++ b/cornelreach/gateway/releaseexchange.py
@@ -30,6 +30,7 @@
 COLLECTORS = 3
 SILENT_MS = 1_500.0  # after which a collector without a directive is passed over
 SKIP_MS = 5_000.0
+MAX_REASON_BYTES = 300  # so that a directive fits into a datagram
 
 Phase = releaseanalysis.Phase
 
@@ -194,7 +195,7 @@
             release.known_age_ms(now_ms),
             self.share(phase) if release.is_age_known else None,
             is_complete,
-            reason[: releasestate.MAX_REASON],
+            reason.encode()[:MAX_REASON_BYTES].decode(errors="ignore"),
         )
         others = [name for name in self.gossip.members if name != self.gossip.name]
         self.gossip.send(directive, others)
@@ -210,7 +211,7 @@
         now_ms = self.clock.now_ms()
         release.adopt_age(report.age_ms, now_ms)
         self._judge(release).add(report, now_ms)
-        self._adopt(release, report.phase, f"{report.name} reports it")
+        self._adopt(release, report.phase, "its report has this phase", report.name)
 
     def handle_directive(self, directive: datagrams.ReleaseDirective) -> None:
         """Follow a collector's directive."""
@@ -232,15 +233,16 @@
             release.granted_until_ms = now_ms + self.grant_ms()
         if directive.is_complete:
             release.complete_until_ms = now_ms + self.grant_ms()
-        reason = f"{directive.reason}, says {directive.name}"
-        self._adopt(release, directive.phase, reason)
+        self._adopt(release, directive.phase, directive.reason, directive.name)
 
-    def _adopt(self, release: releasestate.Release, number: int, reason: str) -> None:
+    def _adopt(
+        self, release: releasestate.Release, number: int, reason: str, source: str
+    ) -> None:
         """Enter a higher phase, and tell the collectors at once.
 
         The final phases come from the store, which alone settles them.
         """
         phase = Phase(min(max(number, Phase.OBSERVING), Phase.REVERTING))
-        if release.adopt(phase, reason, self.clock.now_ms()):
+        if release.adopt(phase, reason, self.clock.now_ms(), source):
             self.send(release)
             self.orders.on_phase(release)
--- a/cornelreach/gateway/releasestate.py
+++ b/cornelreach/gateway/releasestate.py
@@ -31,13 +31,12 @@
 REVERT_PHASES = (Phase.REVERTING, Phase.REVERTED)
 MAX_AGE_EXTRA_MS = 60_000.0  # beyond the duration; a greater age of a peer is unsound
 KNOWN_LONGER_MS = 500.0  # more than the delays of watches and datagrams
-MAX_REASON = 200  # characters, so that a directive fits into a datagram
 
 CHANGED = events.define(
     2622,
     "INFO",
     "Rollout of {target} to {service}: {before} became {after} at {age_ms} ms of "
-    "{duration_ms} ms: {reason}.",
+    "{duration_ms} ms, says {source}: {reason}.",
     "If it was rolled back: see docs/operators/software-rollouts.md.",
 )
 
@@ -130,11 +129,14 @@
         self.max_missed_ms = 0.0
         self.is_age_known = True
 
-    def adopt(self, phase: Phase, reason: str, now_ms: float) -> bool:
-        """Enter a phase if it is higher; return whether that is so."""
+    def adopt(self, phase: Phase, reason: str, now_ms: float, source: str = "") -> bool:
+        """Enter a phase if it is higher; return whether that is so.
+
+        ``source`` is the instance that says so.
+        """
         if phase <= self.phase:
             return False
-        self._enter(phase, reason, now_ms)
+        self._enter(phase, reason, now_ms, source)
         return True
 
     def apply_state(self, state: str, version: int, now_ms: float) -> None:
@@ -142,9 +144,11 @@
         self.state, self.version = state, version
         phase = FINAL_PHASES.get(state)
         if phase is not None and phase is not self.phase:
-            self._enter(phase, "the store says so", now_ms)
+            is_expected = self.is_reverting == (phase is Phase.REVERTED)
+            reason = self.reason if is_expected else ""
+            self._enter(phase, reason or "its status", now_ms, "the store")
 
-    def _enter(self, phase: Phase, reason: str, now_ms: float) -> None:
+    def _enter(self, phase: Phase, reason: str, now_ms: float, source: str) -> None:
         was_reverting = self.is_reverting
         before, self.phase = self.phase, phase
         self.reason = reason
@@ -164,6 +168,7 @@
             age_ms=round(self.age_ms(now_ms)),
             duration_ms=round(self.order.duration_ms),
             reason=reason or "no reason given",
+            source=source,
         )
 
     def is_granted(self, now_ms: float) -> bool:
--- a/cornelreach/platform/releases.py
+++ b/cornelreach/platform/releases.py
@@ -23,7 +23,7 @@
 
 PREFIX = "rollouts/"
 CONTRACT = "rollout"  # in the settings file, where orders may be given
-MAX_TEXT = 256  # characters, so that an order fits into a datagram
+MAX_TEXT = 128  # characters, so that an order fits into a datagram
 MAX_DURATION_S = 7 * 86_400.0
 RUNNING, SUCCEEDED, REVERTED = "running", "succeeded", "reverted"
 FINAL = frozenset((SUCCEEDED, REVERTED))
--- a/test/gateway/test_releases.py
+++ b/test/gateway/test_releases.py
@@ -4,8 +4,8 @@
 
 import loguru
 
-from cornelreach.gateway import datagrams, releaseanalysis
-from cornelreach.platform import results
+from cornelreach.gateway import datagrams, releaseanalysis, releaseexchange
+from cornelreach.platform import releases, results
 from test.gateway import harness, releasefleet
 
 SHARE, SLACK = harness.BOUNDS.exposure_share, harness.BOUNDS.exposure_slack
@@ -215,6 +215,13 @@
             self.assertLessEqual(len(data), datagrams.MAX_BYTES)
             found |= datagrams.decode(data).counts
         self.assertEqual(len(found), 40)
+        longest = releases.MAX_TEXT
+        order = datagrams.ReleaseOrder(*["\u6f22" * longest] * 2, "1" * 20, 12_000.0)
+        reason = "r" * releaseexchange.MAX_REASON_BYTES
+        directive = datagrams.ReleaseDirective(
+            "i", "b", 1, order, 0, 1.0, 1.0, 1, reason
+        )
+        self.assertLessEqual(len(datagrams.encode(directive)), datagrams.MAX_BYTES)
         empty = datagrams.release_reports(report._replace(counts={}))
         self.assertEqual(len(empty), 1)
 
--- a/test/platform/test_releases.py
+++ b/test/platform/test_releases.py
@@ -49,7 +49,7 @@
             {"target": " 2.0"},
             {"target": "2.0\n"},
             {"target": 2},
-            {"target": "x" * 300},
+            {"target": "x" * 129},
             {"service": "t"},
             {"service": ""},
         ):
