Use targets whose order is gone without a verdict where there are no others

Deleting an order left a service with only these targets without any. A version that was rolled back still gets nothing.

--- a/cornelreach/gateway/releaserules.py
+++ b/cornelreach/gateway/releaserules.py
@@ -119,13 +119,14 @@
         # By software version, until when it waits for the orders to be read again.
         self.held: dict[str, float] = {}
         # By lifetime, when it was last listed: targets of versions that were rolled
-        # back get nothing, and those that were replaced only if there are no others.
+        # back get nothing; those that were replaced, or whose order is gone without a
+        # verdict, are used only if there are no others.
         self.rejected: dict[Lifetime, float] = {}
-        self.replaced: dict[Lifetime, float] = {}
+        self.shunned: dict[Lifetime, float] = {}
 
     def is_needed(self) -> bool:
         """Return whether the rule says anything."""
-        return bool(self.release or self.held or self.rejected or self.replaced)
+        return bool(self.release or self.held or self.rejected or self.shunned)
 
     # Requests.
 
@@ -158,11 +159,11 @@
         return self._by_lane(release, request_state, old, new, now_ms)
 
     def _not_closed(self, targets: Targets) -> Targets:
-        """Return the targets without those that are rejected or replaced."""
+        """Return the targets without those that are rejected or shunned."""
         if self.rejected:
             targets = [one for one in targets if _lifetime(one) not in self.rejected]
-        if self.replaced:
-            kept = [one for one in targets if _lifetime(one) not in self.replaced]
+        if self.shunned:
+            kept = [one for one in targets if _lifetime(one) not in self.shunned]
             targets = kept or targets
         return targets
 
@@ -285,26 +286,30 @@
     # Orders.
 
     def close_new(self, now_ms: float) -> None:
-        """Close the listed targets of the order's version for good."""
+        """Close the listed targets of the order's version, whose order is gone.
+
+        If nothing bad was found, they still serve where there are no others.
+        """
         release = self.release
         if release is None or release.phase is Phase.SUCCEEDED:
             return
+        closed = self.rejected if release.is_reverting else self.shunned
         for target in self._listed():
             if release.is_new(target):
-                self.rejected[_lifetime(target)] = now_ms
+                closed[_lifetime(target)] = now_ms
 
     def close_old(self, now_ms: float) -> None:
         """Close the listed targets of other versions than the order's."""
         for target in self._listed():
             if self.release is not None and not self.release.is_new(target):
-                self.replaced[_lifetime(target)] = now_ms
+                self.shunned[_lifetime(target)] = now_ms
 
     def reopen(self, software: str) -> None:
         """Open the listed targets of a version again, as a new order asks for it."""
-        self.replaced.clear()
         for target in self._listed():
             if target.software == software:
                 self.rejected.pop(_lifetime(target), None)
+                self.shunned.pop(_lifetime(target), None)
 
     def old_in_flight(self) -> int:
         """Return how many requests are under way at targets of other versions."""
@@ -324,16 +329,11 @@
         """Follow the list of targets, and forget what has ended."""
         listed = self._listed()
         lifetimes = set(map(_lifetime, listed))
-        for closed in (self.rejected, self.replaced):
+        for closed in (self.rejected, self.shunned):
             closed.update((one, now_ms) for one in lifetimes & closed.keys())
             for one, at_ms in list(closed.items()):
                 if at_ms < now_ms - KEPT_MS:
                     del closed[one]
-        self.held = {
-            software: until_ms
-            for software, until_ms in self.held.items()
-            if until_ms > now_ms
-        }
         release = self.release
         if release is not None and not release.has_targets:
             release.has_targets = any(map(release.is_new, listed))
--- a/cornelreach/gateway/releases.py
+++ b/cornelreach/gateway/releases.py
@@ -71,7 +71,7 @@
 RELEASED = events.define(
     2625,
     "INFO",
-    "Targets of {service} with version {target} are used: {reason}.",
+    "Targets of {service} with version {target} wait no longer: {reason}.",
     "If orders could not be read: check the platform.",
 )
 
@@ -304,8 +304,11 @@
             self.spawn(self._end_hold(rule, software))
 
     async def _end_hold(self, rule: releaserules.ServiceRule, software: str) -> None:
-        reason = "the orders could not be read in time"
-        while rule.held.get(software, 0.0) > self.clock.now_ms():
+        reason = "an order for the service is known"
+        while (until_ms := rule.held.get(software)) is not None:
+            if until_ms <= self.clock.now_ms():
+                reason = "the orders could not be read in time"
+                break
             if await self.read_now():
                 reason = "the orders have been read"
                 break
--- a/test/gateway/test_releaserules.py
+++ b/test/gateway/test_releaserules.py
@@ -296,6 +296,23 @@
         self.assertEqual((status, self.request_counts()), (200, [1, 0]))
 
 
+class Deleted(Case):
+    """Targets whose order is gone."""
+
+    # Guards against a service without any target because an order was deleted.
+    async def test_without_a_verdict_they_serve_where_there_are_no_others(self):
+        ok = harness_module.answer_ok
+        for is_bad, status in ((False, 200), (True, 503)):
+            await self.follow([ok], [ok])
+            if is_bad:
+                self.enter(Phase.REVERTING)
+            self.releases.apply_record(results.Record(KEY, 3, None))
+            await self.harness.send("/safe/x")
+            self.assertEqual(self.request_counts(), [1, 0])
+            self.registry.drop("e0", self.harness.clock.now_ms())
+            self.assertEqual((await self.harness.send("/safe/x"))[0], status)
+
+
 class WithoutOrder(Case):
     """Several versions of a service that serve side by side."""
 
