--- a/cornelreach/gateway/releaseanalysis.py
+++ b/cornelreach/gateway/releaseanalysis.py
@@ -25,9 +25,7 @@
 # until the deadline are within the slack of the bound.
 FEW_REQUESTS = 100
 MIN_RESPONSES = 30  # nine failures are expected of a version that fails 0.3 of them
-# With 5, a version that failed 0.3 on a rare route passed in 8 of 180 trials; with 10,
-# in 3.
-MIN_ROUTE_RESPONSES = 10
+MIN_ROUTE_RESPONSES = 5  # of a version that fails half there, some have failed
 ROUTE_SHARE = 0.05
 QUIET_MS = 400.0  # two intervals of reports
 
--- a/cornelreach/gateway/releasecounts.py
+++ b/cornelreach/gateway/releasecounts.py
@@ -31,7 +31,9 @@
     failures: int = 0
     times: tuple[int, ...] = (0,) * BUCKETS
 
-    def __add__(self, other: "RouteCounts") -> "RouteCounts":
+    def __add__(  # type: ignore[override]
+        self, other: "RouteCounts"
+    ) -> "RouteCounts":
         """Return the sum of both."""
         return RouteCounts(
             self.responses + other.responses,
--- a/cornelreach/gateway/releaseexposure.py
+++ b/cornelreach/gateway/releaseexposure.py
@@ -19,6 +19,10 @@
 # good verdict and a bad one that follows it.
 CANARY_SHARE = 0.7
 MAX_TOKENS = 2.0
+# In a pulse chance keeps the share, and tokens only bound how far it may stray. Without
+# debt, 60 instances with two requests a second each sent half of the share.
+PULSE_DEBT = 2.0
+PULSE_TOKENS = 2.0  # saved for another pulse, as times of what one takes
 PULSE_MS = 1_000.0
 # With few targets a longer period would end after the verdict; two pulses are over at
 # 0.5 of the duration.
@@ -137,17 +141,21 @@
         if self._rate is None or not self._has_pulses():
             return MAX_TOKENS
         in_pulse = self._pulse()[0] / 1_000 * self._rate.per_s() * self._pulse_share()
-        return max(MAX_TOKENS, in_pulse)
+        return max(MAX_TOKENS, PULSE_TOKENS * in_pulse)
 
     def _spend(self, age_ms: float, draw: float) -> bool:
-        if self._tokens is None or self._tokens < 1.0:
+        if self._tokens is None:
             return False
+        needed = 1.0
         if self._has_pulses():
             length_ms, period_ms = self._pulse()
             # At the end of each period, when its tokens are there.
             in_pulse = age_ms % period_ms >= period_ms - length_ms
             if not in_pulse or draw >= self._pulse_share():
                 return False
+            needed -= PULSE_DEBT
+        if self._tokens < needed:
+            return False
         self._tokens -= 1.0
         return True
 
