--- a/cornelreach/gateway/releaseexchange.py
+++ b/cornelreach/gateway/releaseexchange.py
@@ -24,11 +24,13 @@
 
 MIN_INTERVAL_MS = 200.0
 INSTANCE_INTERVAL_MS = 3.0  # for each instance, as each gets directives
+SHIFTING_SHARE = 0.5
 MIN_GRANT_MS = 1_000.0
 GRANT_INTERVALS = 4
 COLLECTORS = 3
 SILENT_MS = 1_500.0  # after which a collector without a directive is passed over
 SKIP_MS = 5_000.0
+MAX_REASON_BYTES = 300  # so that a directive fits into a datagram
 
 Phase = releaseanalysis.Phase
 
@@ -76,9 +78,17 @@
         """Return the names of all registered instances and of this one."""
         return {*self.gossip.members, self.gossip.name}
 
-    def interval_ms(self) -> float:
-        """Return the time between two rounds of reports and directives."""
-        return max(MIN_INTERVAL_MS, INSTANCE_INTERVAL_MS * len(self.names()))
+    def interval_ms(
+        self, releases: typing.Iterable[releasestate.Release] = ()
+    ) -> float:
+        """Return the time between two rounds of reports and directives.
+
+        It is shorter while traffic shifts, which has to end before the last third of
+        an order, in which the store may be away.
+        """
+        usual_ms = max(MIN_INTERVAL_MS, INSTANCE_INTERVAL_MS * len(self.names()))
+        is_shifting = any(one.phase is Phase.SHIFTING for one in releases)
+        return usual_ms * SHIFTING_SHARE if is_shifting else usual_ms
 
     def grant_ms(self) -> float:
         """Return for how long a directive lets requests go to the new version."""
@@ -185,7 +195,7 @@
             release.known_age_ms(now_ms),
             self.share(phase) if release.is_age_known else None,
             is_complete,
-            reason[: releasestate.MAX_REASON],
+            reason.encode()[:MAX_REASON_BYTES].decode(errors="ignore"),
         )
         others = [name for name in self.gossip.members if name != self.gossip.name]
         self.gossip.send(directive, others)
@@ -201,7 +211,7 @@
         now_ms = self.clock.now_ms()
         release.adopt_age(report.age_ms, now_ms)
         self._judge(release).add(report, now_ms)
-        self._adopt(release, report.phase, f"{report.name} reports it")
+        self._adopt(release, report.phase, "its report has this phase", report.name)
 
     def handle_directive(self, directive: datagrams.ReleaseDirective) -> None:
         """Follow a collector's directive."""
@@ -223,15 +233,16 @@
             release.granted_until_ms = now_ms + self.grant_ms()
         if directive.is_complete:
             release.complete_until_ms = now_ms + self.grant_ms()
-        reason = f"{directive.reason}, says {directive.name}"
-        self._adopt(release, directive.phase, reason)
+        self._adopt(release, directive.phase, directive.reason, directive.name)
 
-    def _adopt(self, release: releasestate.Release, number: int, reason: str) -> None:
+    def _adopt(
+        self, release: releasestate.Release, number: int, reason: str, source: str
+    ) -> None:
         """Enter a higher phase, and tell the collectors at once.
 
         The final phases come from the store, which alone settles them.
         """
         phase = Phase(min(max(number, Phase.OBSERVING), Phase.REVERTING))
-        if release.adopt(phase, reason, self.clock.now_ms()):
+        if release.adopt(phase, reason, self.clock.now_ms(), source):
             self.send(release)
             self.orders.on_phase(release)
--- a/cornelreach/gateway/releasestate.py
+++ b/cornelreach/gateway/releasestate.py
@@ -30,13 +30,13 @@
 # The states that are to be written in a phase that is not final.
 REVERT_PHASES = (Phase.REVERTING, Phase.REVERTED)
 MAX_AGE_EXTRA_MS = 60_000.0  # beyond the duration; a greater age of a peer is unsound
-MAX_REASON = 200  # characters, so that a directive fits into a datagram
+KNOWN_LONGER_MS = 500.0  # more than the delays of watches and datagrams
 
 CHANGED = events.define(
     2622,
     "INFO",
     "Rollout of {target} to {service}: {before} became {after} at {age_ms} ms of "
-    "{duration_ms} ms: {reason}.",
+    "{duration_ms} ms, says {source}: {reason}.",
     "If it was rolled back: see docs/operators/software-rollouts.md.",
 )
 
@@ -101,11 +101,16 @@
             self.order.duration_ms + MAX_AGE_EXTRA_MS
         ):
             return
+        if age_ms > self.age_ms(now_ms) + KNOWN_LONGER_MS:
+            self.max_missed_ms = 0.0  # another instance saw the order begin
         self.started_ms = min(self.started_ms, now_ms - age_ms)
         self.is_age_known = True
 
     def doubt_age(self, max_missed_ms: float) -> None:
-        """Note that the order may be older, by no more than a time."""
+        """Note that the order may be older, by no more than a time.
+
+        Others that know it for as short a time may have missed as much.
+        """
         self.is_age_known = False
         self.max_missed_ms = max_missed_ms
 
@@ -121,13 +126,17 @@
         since_ms = min(since_ms, self.order.duration_ms)
         missed_ms = min(since_ms - self.age_ms(now_ms), self.max_missed_ms)
         self.started_ms -= max(0.0, missed_ms)
+        self.max_missed_ms = 0.0
         self.is_age_known = True
 
-    def adopt(self, phase: Phase, reason: str, now_ms: float) -> bool:
-        """Enter a phase if it is higher; return whether that is so."""
+    def adopt(self, phase: Phase, reason: str, now_ms: float, source: str = "") -> bool:
+        """Enter a phase if it is higher; return whether that is so.
+
+        ``source`` is the instance that says so.
+        """
         if phase <= self.phase:
             return False
-        self._enter(phase, reason, now_ms)
+        self._enter(phase, reason, now_ms, source)
         return True
 
     def apply_state(self, state: str, version: int, now_ms: float) -> None:
@@ -135,14 +144,21 @@
         self.state, self.version = state, version
         phase = FINAL_PHASES.get(state)
         if phase is not None and phase is not self.phase:
-            self._enter(phase, "the store says so", now_ms)
+            is_expected = self.is_reverting == (phase is Phase.REVERTED)
+            reason = self.reason if is_expected else ""
+            self._enter(phase, reason or "its status", now_ms, "the store")
 
-    def _enter(self, phase: Phase, reason: str, now_ms: float) -> None:
+    def _enter(self, phase: Phase, reason: str, now_ms: float, source: str) -> None:
         was_reverting = self.is_reverting
         before, self.phase = self.phase, phase
         self.reason = reason
         if not (was_reverting and self.is_reverting):
             self.phase_ms = now_ms
+        if phase is Phase.SHIFTING:
+            # The shift begins now, and not with this instance's next request.
+            self.exposure.lane(
+                now_ms, self.age_ms(now_ms), phase, False, False, False, True, 1.0
+            )
         events.emit(
             CHANGED,
             service=self.order.service,
@@ -152,6 +168,7 @@
             age_ms=round(self.age_ms(now_ms)),
             duration_ms=round(self.order.duration_ms),
             reason=reason or "no reason given",
+            source=source,
         )
 
     def is_granted(self, now_ms: float) -> bool:
