--- a/test/http/test_truncated.py
+++ b/test/http/test_truncated.py
@@ -5,8 +5,9 @@
 import tempfile
 import time
 import unittest
+from unittest import mock
 
-from cornelreach.http import client, sockets, tls
+from cornelreach.http import client, clientconnection, endings, sockets, tls
 from test import certificates
 from test.http import ends
 
@@ -30,9 +31,9 @@
         """Send a request to a server that ends so; return the body."""
         server = ends.Server("e0", end, lambda head: answer)
         self.addCleanup(server.close)
-        address = client.Address("127.0.0.1", server.port)
+        self.address = client.Address("127.0.0.1", server.port)
         _, body, _ = await self.client.call(
-            address, "POST", "/", b"x" * size, wait_ms=5_000
+            self.address, "POST", "/", b"x" * size, wait_ms=5_000
         )
         return body
 
@@ -69,6 +70,19 @@
                 self.assertEqual(await self.call(end, UNFRAMED, size), b"part")
                 self.assertLess(time.monotonic() - begin_s, ends.OPEN_S)
 
+    # Guards against a response, or its connection, being kept for ever where a link was
+    # lost behind the end of file.
+    async def test_an_end_that_is_not_acknowledged_is_waited_for_in_vain(self):
+        pending = endings.State.PENDING
+        with mock.patch.object(endings, "state_behind_end", lambda _: pending):
+            begin_s = time.monotonic()
+            found = await self.call(ends.End.CLOSE, UNFRAMED, 100)
+            self.assertEqual(found, b"part")
+        wait_s = 2 * clientconnection.MAX_END_CHECK_S
+        self.assertGreater(time.monotonic() - begin_s, wait_s / 2)
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.client.open_connections(self.address), 0)
+
     async def test_a_length_or_the_last_chunk_ends_a_response(self):
         for answer in FRAMED:
             for end in (*ends.BROKEN, ends.End.END_UNREAD):
