Count responses of engines that are being read, and free bodies as soon as they are passed on

A body was held twice while it was passed on, as the sender's frame kept it beside the transport's buffer, and freed blocks stayed resident, since glibc raises its threshold for mapped blocks with each large one freed.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -170,6 +170,7 @@
         self.account = memory.Account()
         self.account.configure(site.memory_mb, site.max_fds)
         self.account.opened = self._connections_opened
+        self.account.received = lambda: self.http.held_bytes
         self.account.on_closed = lambda port, bound: self.metrics.add(
             "connections_bounded_total", 1, str(port), bound
         )
--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -293,6 +293,7 @@
         response = ClientResponse(self, address, connection, request_id)
         try:
             connection.transport.write(data)
+            del data  # the transport keeps what the server has not read
             head = await self._receive_head(address, connection, method, matches)
         except (h11.RemoteProtocolError, OSError) as error:
             connection.abort()
--- a/cornelreach/http/memory.py
+++ b/cornelreach/http/memory.py
@@ -129,6 +129,8 @@
         self.connections = 0
         # Returns how many connections this process has opened itself.
         self.opened: typing.Callable[[], int] = lambda: 0
+        # Returns how much is held of responses that engines are sending.
+        self.received: typing.Callable[[], int] = lambda: 0
         # Called with the port and the bound by which a connection was closed.
         self.on_closed: typing.Callable[[int, str], None] = lambda port, bound: None
         self._entries: dict[Holder, Entry] = {}
@@ -151,7 +153,7 @@
             entry = self._entries[holder] = Entry(_now_s())
             self._schedule_check()
         self._observe(holder, entry)
-        if self.total_bytes > self.max_bytes:
+        if self.total_bytes > self._left_bytes():
             self._close_some()
 
     def counts(self, holder: Holder) -> bool:
@@ -166,7 +168,7 @@
 
     def has_room(self) -> bool:
         """Return whether a long body may be begun."""
-        return self.total_bytes <= self.max_bytes * ROOM_SHARE
+        return self.total_bytes <= self._left_bytes() * ROOM_SHARE
 
     def may_accept(self) -> bool:
         """Return whether there is a descriptor for another accepted connection."""
@@ -223,6 +225,10 @@
             **fields,
         )
 
+    def _left_bytes(self) -> float:
+        """Return how much of the bound is left for connections."""
+        return self.max_bytes - min(self.received(), self.max_bytes / 2)
+
     def _observe(self, holder: Holder, entry: Entry) -> None:
         self.total_bytes += entry.observe(holder, _now_s())
         if entry.held_bytes < COUNTED_BYTES:
@@ -235,7 +241,8 @@
     def _close_some(self) -> None:
         # Responses are read without a report, so what is held may be less by now.
         self._observe_all()
-        if self.total_bytes <= self.max_bytes:
+        left_bytes = self._left_bytes()
+        if self.total_bytes <= left_bytes:
             return
         now_s = _now_s()
         entries = self._entries
@@ -244,7 +251,7 @@
             key=lambda one: (entries[one].rank(one, now_s), -entries[one].held_bytes),
         )
         for holder in in_order:
-            if self.total_bytes <= self.max_bytes * TARGET_SHARE:
+            if self.total_bytes <= left_bytes * TARGET_SHARE:
                 return
             self.close(holder, Bound.MEMORY)
 
--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -255,6 +255,7 @@
             if not task.done():
                 task.cancel()
                 await asyncio.gather(task, return_exceptions=True)
+            del task  # else an error's traceback, with its bodies, refers to itself
             self._body_bytes = 0
             if self.account.counts(self):
                 self.account.update(self)
@@ -478,6 +479,7 @@
         else:
             await self._write_stream(response.stream)
         self.writer.write(self.h11.send(h11.EndOfMessage()))
+        del response  # the transport keeps what the client has not read
         await self._drain()
 
     async def _write_stream(self, stream: typing.AsyncIterator[bytes]) -> None:
--- a/cornelreach/ui/edge.py
+++ b/cornelreach/ui/edge.py
@@ -23,7 +23,7 @@
 
 from cornelreach.gateway import edge as edge_module
 from cornelreach.platform import site as site_module
-from cornelreach.util import errors, log, logsink
+from cornelreach.util import allocator, errors, log, logsink
 
 EXIT_USAGE = 2
 FLUSH_PERIOD_MS = 200
@@ -60,6 +60,7 @@
         return 0
     sink = logsink.LogSink(sys.stdout.fileno())
     log.configure(arguments["--log-level"], "json", sink)
+    allocator.return_large_blocks()
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS, 20, 50)
     asyncio.run(serve(site, path, sink))
