Share free places among instances while reports are late

In a large fleet reports go through hubs, and all instances that had waiting prompts took the same free place before they knew of each other.

Where hubs are used, an instance now takes free places of an engine in a period of 60 ms with a probability that brings all instances together to the number of places. A prompt that would come too late is refused also if engines have room but all of them have prompts to prefill.

--- a/cornelreach/gateway/roomadmission.py
+++ b/cornelreach/gateway/roomadmission.py
@@ -12,6 +12,7 @@
 import math
 import random
 import typing
+import zlib
 
 from cornelreach.gateway import (
     balancer as balancer_module,
@@ -31,6 +32,10 @@
 RECHECK_MS = 100.0
 MIN_WAIT_MS = 1.0
 REPORT_MS = 10_000.0
+# Until the loads of others are known: where all instances report to each other, and
+# through hubs.
+LAG_MS, HUB_LAG_MS = 0.0, 60.0
+DRAWS = 1 << 32
 TRIAL_SHARE = 0.05  # of the choices; they may use engines that peers suspect
 HEARD_MS = 1_500.0  # in which a sound engine that works for this instance is heard
 
@@ -83,7 +88,8 @@
         self.clock = clock
         self.metrics = metrics
         self.random = source
-        self.queue = roomqueue.RoomQueue(clock, source, self.load)
+        self.queue = roomqueue.RoomQueue(clock, source, self.load, self._takes)
+        self.arrivals = roomestimate.Arrivals()
         self.holds = roomestimate.HoldTimes()
         self._refused: dict[str, int] = {}
         self._reported_ms: dict[str, float] = {}
@@ -128,31 +134,53 @@
         """
         demand = _demand(request_state)
         targets = self._responding(targets)
-        loads = self._loads(one.id for one in targets)
-        fitting = [
-            (one, load)
-            for one, load in zip(targets, loads, strict=True)
-            if roomestimate.has_room(load, demand, service.engine)
-        ]
+        names = tuple(one.id for one in targets)
+        loads = dict(zip(names, self._loads(names), strict=True))
         waiter = self._waiter(request_state, service, demand)
         left_ms = _wait_limit_ms(request_state) - spent_ms
-        must_yield = bool(fitting) and left_ms > 0 and self.queue.must_yield(waiter)
-        if fitting and not must_yield:
-            if all(load.prefill_tokens for _, load in fitting):
-                found = [load for _, load in fitting]
-                refusal = self._refusal(request_state, waiter, found, spent_ms)
-                if refusal is not None:
-                    return refusal
-            return [one for one, _ in fitting]
-        if not fitting:
-            refusal = self._refusal(request_state, waiter, loads, spent_ms)
+        free = {
+            name: found
+            for name, load in loads.items()
+            if (found := roomestimate.places(load, demand, service.engine))
+        }
+        if not self.queue.holds(request_state):
+            self.arrivals.record(self.clock.now_ms())
+        usable = [loads[name] for name in free] or list(loads.values())
+        if not free or all(load.prefill_tokens for load in usable):
+            refusal = self._refusal(request_state, waiter, usable, spent_ms)
             if refusal is not None:
                 return refusal
+        taken = set(free)
+        if left_ms > 0:
+            taken = set(self._takes(free, len(self.queue)))
+            if taken and self.queue.must_yield(waiter, loads):
+                taken.clear()
+        if taken:
+            return [one for one in targets if one.id in taken]
         waiter = self.queue.enter(request_state, waiter)
-        waiter.target_names = tuple(one.id for one in targets)
+        waiter.target_names = names
         wait_ms = max(MIN_WAIT_MS, min(left_ms, RECHECK_MS))
         return RoomWait(wait_ms, self.queue)
 
+    def _takes(self, free: dict[str, int], waiting: int) -> list[str]:
+        """Return the engines of which this instance takes free places now.
+
+        Another draw is made when the reports of what others took have come.
+        """
+        size = self.mirror.fleet.size
+        lag_ms = HUB_LAG_MS if self.balancer.gossip.hubs.is_needed() else LAG_MS
+        if not lag_ms:
+            return list(free)
+        wanted = waiting + self.arrivals.expected(lag_ms)
+        period = int(self.clock.now_ms() // lag_ms)
+        draw = zlib.crc32(f"{self.mirror.fleet.name} {period}".encode())
+        return [
+            name
+            for name, places in free.items()
+            if (share := roomestimate.take_share(places, len(free), size, wanted)) >= 1
+            or zlib.crc32(name.encode(), draw) < share * DRAWS
+        ]
+
     def _responding(
         self, targets: typing.Sequence[registry_module.Target]
     ) -> typing.Sequence[registry_module.Target]:
--- a/cornelreach/gateway/roomestimate.py
+++ b/cornelreach/gateway/roomestimate.py
@@ -73,12 +73,47 @@
 
     An engine without requests takes any.
     """
-    if not load.requests:
-        return True
-    if load.requests >= engine.slots:
-        return False
-    promised = load.context_tokens + demand.context_tokens
-    return promised <= memory_limit(demand.rank, engine)
+    return places(load, demand, engine) > 0
+
+
+def places(load: Load, demand: Demand, engine: catalogue.Engine) -> int:
+    """Return how many requests like one would begin at once and preempt none."""
+    left = memory_limit(demand.rank, engine) - load.context_tokens
+    found = min(
+        engine.slots - load.requests, int(left // max(1, demand.context_tokens))
+    )
+    return max(found, 0 if load.requests else 1)
+
+
+def take_share(free_places: int, engines: int, instances: int, wanted: float) -> float:
+    """Return the probability with which an instance takes free places of an engine.
+
+    Reports take a while, so the other instances see the same places. If each of them
+    wants as many as this one, at any of the engines with free places, all together take
+    on average no more than there are.
+    """
+    others = (instances - 1) * min(1.0, wanted / max(1, engines))
+    return free_places / (1.0 + others)
+
+
+class Arrivals:
+    """The rate of requests, as a moving average of the times between them."""
+
+    def __init__(self) -> None:
+        self._mean_ms: float | None = None
+        self._last_ms: float | None = None
+
+    def record(self, now_ms: float) -> None:
+        """Count a request."""
+        if self._last_ms is not None:
+            gap_ms = now_ms - self._last_ms
+            mean_ms = gap_ms if self._mean_ms is None else self._mean_ms
+            self._mean_ms = mean_ms + NEWEST_WEIGHT * (gap_ms - mean_ms)
+        self._last_ms = now_ms
+
+    def expected(self, span_ms: float) -> float:
+        """Return how many requests arrive in a time."""
+        return 0.0 if self._mean_ms is None else span_ms / max(0.1, self._mean_ms)
 
 
 def room_ms(
--- a/cornelreach/gateway/roomqueue.py
+++ b/cornelreach/gateway/roomqueue.py
@@ -49,6 +49,8 @@
 
 
 LoadOf = typing.Callable[[str], roomestimate.Load]
+# The engines of which an instance takes free places now, while so many requests wait.
+Takes = typing.Callable[[dict[str, int], int], list[str]]
 # The context tokens that found no room, by the engines that may be used and by rank.
 Refused = dict[tuple[tuple[str, ...], int], int]
 
@@ -67,11 +69,16 @@
     """The waiting requests of one instance, by rank and then by when they are due."""
 
     def __init__(
-        self, clock: timers.Timers, source: random.Random, load_of: LoadOf
+        self,
+        clock: timers.Timers,
+        source: random.Random,
+        load_of: LoadOf,
+        takes: Takes = lambda free, waiting: list(free),
     ) -> None:
         self.clock = clock
         self.random = source
         self.load_of = load_of
+        self.takes = takes
         self._waiters: dict[requeststate.RequestState, Waiter] = {}
         self._ordered: list[Waiter] = []
         self._numbers = itertools.count()
@@ -90,6 +97,10 @@
         bisect.insort(self._ordered, waiter, key=operator.attrgetter("key"))
         return waiter
 
+    def holds(self, request_state: requeststate.RequestState) -> bool:
+        """Return whether a request waits."""
+        return request_state in self._waiters
+
     def leave(self, request_state: requeststate.RequestState) -> None:
         """Remove a request; idempotent."""
         waiter = self._waiters.pop(request_state, None)
@@ -118,12 +129,14 @@
             if one.key < waiter.key and one.service == waiter.service
         )
 
-    def must_yield(self, waiter: Waiter) -> bool:
+    def must_yield(
+        self, waiter: Waiter, loads: typing.Mapping[str, roomestimate.Load]
+    ) -> bool:
         """Return whether a request that comes first could use the room as well.
 
         One that needs more does not hold up one that fits beside it.
         """
-        loads: dict[str, roomestimate.Load] = {}
+        loads = dict(loads)
         refused: Refused = {}
         for one in self._ordered[:MAX_AHEAD]:
             if one is waiter or one.key >= waiter.key:
@@ -164,12 +177,16 @@
         names, demand = waiter.target_names, waiter.demand
         if demand.context_tokens >= refused.get((names, demand.rank), math.inf):
             return False
+        free = {}
         for name in names:
             load = loads.get(name)
             if load is None:
                 load = loads[name] = self.load_of(name)
-            if roomestimate.has_room(load, demand, waiter.engine):
-                loads[name] = add_demand(load, demand)
-                return True
+            found = roomestimate.places(load, demand, waiter.engine)
+            if found:
+                free[name] = found
+        for name in self.takes(free, len(self._ordered)):
+            loads[name] = add_demand(loads[name], demand)
+            return True
         refused[names, demand.rank] = demand.context_tokens
         return False
--- a/test/gateway/roomsimulation.py
+++ b/test/gateway/roomsimulation.py
@@ -159,7 +159,7 @@
 class Simulation:
     """Engines, instances, and what became of the requests."""
 
-    def __init__(self, is_on=True, engines=8, slowness=None, seed=1):
+    def __init__(self, is_on=True, engines=8, slowness=None, seed=1, instances=4):
         self.loop = virtualloop.Loop()
         self.clock = virtualloop.Clock(self.loop)
         self.random = random.Random(seed)
@@ -168,7 +168,7 @@
             Engine(f"e{one}", slowness.get(one, 1.0)) for one in range(engines)
         ]
         self.by_name = {one.name: one for one in self.engines}
-        self.names = ("i0", "i1", "i2", "i3")
+        self.names = tuple(f"i{one}" for one in range(instances))
         self.instances = [Instance(self, name, is_on) for name in self.names]
         self.wrongly_refused = 0
         self.sequence = 0
--- a/test/gateway/test_roomestimate.py
+++ b/test/gateway/test_roomestimate.py
@@ -4,6 +4,7 @@
 import random
 import time
 import unittest
+from unittest import mock
 
 from cornelreach.gateway import catalogue, roomadmission, roomestimate, roomqueue
 from test import virtualloop
@@ -151,6 +152,23 @@
         found = self.play(rates)
         self.check(*found, {"long": 0.5, "short": 0.98})
 
+    # Guards against many instances that all take the same free place, since reports of
+    # what others took are late.
+    def test_a_burst_while_reports_are_late(self):
+        def rates(at_s):
+            return {"long": 75 * (2.3 if 2 <= at_s < 6 else 1), "short": 120}
+
+        preempted = []
+        for lag_ms in (0.0, 50.0):
+            with (
+                mock.patch.object(roomsimulation, "LINK_S", 0.02),
+                mock.patch.object(roomadmission, "LAG_MS", lag_ms),
+            ):
+                simulation, _ = self.play(rates, engines=24, instances=24)
+            preempted.append(simulation.preempted())
+            self.assertEqual(simulation.wrongly_refused, 0)
+        self.assertLess(preempted[1], 0.7 * preempted[0])
+
     # Guards against engines that are overfilled when others have gone.
     def test_a_quarter_of_the_engines_gone(self):
         simulation = roomsimulation.Simulation()
