Make the decision without room cheaper, and refuse no stream that goes on

The time until there is room is not computed for engines that have some. A caller that goes on with a stream counts as urgent and is not refused early, like a request that may have run.

--- a/cornelreach/gateway/roomadmission.py
+++ b/cornelreach/gateway/roomadmission.py
@@ -147,7 +147,7 @@
             self.arrivals.record(self.clock.now_ms())
         usable = [loads[name] for name in free] or list(loads.values())
         if not free or all(load.prefill_tokens for load in usable):
-            refusal = self._refusal(request_state, waiter, usable, spent_ms)
+            refusal = self._refusal(request_state, waiter, usable, bool(free), spent_ms)
             if refusal is not None:
                 return refusal
         taken = set(free)
@@ -221,11 +221,12 @@
         request_state: requeststate.RequestState,
         waiter: roomqueue.Waiter,
         loads: typing.Sequence[roomestimate.Load],
+        has_room: bool,
         spent_ms: float,
     ) -> NoRoom | None:
         """Return a refusal if a first token would come too late, or has waited long."""
         limits = _limits(request_state)
-        room_ms, first_ms = self._estimate(waiter, loads)
+        room_ms, first_ms = self._estimate(waiter, loads, has_room)
         reason = ""
         if spent_ms >= _wait_limit_ms(request_state):
             reason = "wait"
@@ -237,17 +238,24 @@
         return NoRoom(room_ms)
 
     def _estimate(
-        self, waiter: roomqueue.Waiter, loads: typing.Sequence[roomestimate.Load]
+        self,
+        waiter: roomqueue.Waiter,
+        loads: typing.Sequence[roomestimate.Load],
+        has_room: bool,
     ) -> tuple[float, float]:
         """Return the time until a request has room, and that until its first token."""
         hold_ms = self.holds.mean_ms(waiter.service)
-        ahead_ms = roomestimate.ahead_ms(
-            self.queue.tokens_ahead(waiter), loads, hold_ms, 1 / self.mirror.fleet.size
-        )
+        share = 1 / self.mirror.fleet.size
+        ahead_tokens = self.queue.tokens_ahead(waiter)
+        ahead_ms = roomestimate.ahead_ms(ahead_tokens, loads, hold_ms, share)
         rate = self.balancer.prefill_rates.median()
         room_ms, first_ms = math.inf, math.inf
         for load in loads:
-            found_ms = roomestimate.room_ms(load, waiter.demand, waiter.engine, hold_ms)
+            found_ms = 0.0
+            if not has_room:
+                found_ms = roomestimate.room_ms(
+                    load, waiter.demand, waiter.engine, hold_ms
+                )
             room_ms = min(room_ms, found_ms)
             first_ms = min(
                 first_ms,
@@ -313,8 +321,15 @@
 
 
 def _has_begun(request_state: requeststate.RequestState) -> bool:
-    """Return whether a request may have run, so that a refusal would lose work."""
-    return request_state.may_have_run or request_state.first_byte_s is not None
+    """Return whether a request may have run, so that a refusal would lose work.
+
+    So has one that goes on with a stream.
+    """
+    return (
+        request_state.may_have_run
+        or request_state.first_byte_s is not None
+        or request_state.last_event is not None
+    )
 
 
 def _limits(request_state: requeststate.RequestState) -> roomestimate.Limits:
--- a/cornelreach/gateway/roomestimate.py
+++ b/cornelreach/gateway/roomestimate.py
@@ -79,10 +79,10 @@
 def places(load: Load, demand: Demand, engine: catalogue.Engine) -> int:
     """Return how many requests like one would begin at once and preempt none."""
     left = memory_limit(demand.rank, engine) - load.context_tokens
-    found = min(
-        engine.slots - load.requests, int(left // max(1, demand.context_tokens))
-    )
-    return max(found, 0 if load.requests else 1)
+    slots = engine.slots - load.requests
+    if left < demand.context_tokens or slots <= 0:
+        return 0 if load.requests else 1
+    return min(slots, int(left // (demand.context_tokens or 1)) or 1)
 
 
 def take_share(free_places: int, engines: int, instances: int, wanted: float) -> float:
@@ -123,7 +123,7 @@
 
     They end evenly over ``hold_ms``, the mean time that a request stays there.
     """
-    if has_room(load, demand, engine):
+    if places(load, demand, engine):
         return 0.0
     hold_ms *= load.pace
     limit = memory_limit(demand.rank, engine)
