Use pace and slowdown in the estimates of when a prompt begins

Whether a prompt will be late, and when engines have room, followed the median prefill rate or the measured slowdown only, not the pace that an engine reports.

test_selection, test_roomestimate, test_urgency and test_brittleness pass.

--- a/cornelreach/gateway/roomadmission.py
+++ b/cornelreach/gateway/roomadmission.py
@@ -101,6 +101,7 @@
     def _loads(self, targets: typing.Iterable[str]) -> list[roomestimate.Load]:
         states = self.balancer.registry.states
         others = self.balancer.gossip.peer_loads()
+        slowdown = self.balancer.prefill_rates.slowdown
         now_ms = self.clock.now_ms()
         found = []
         for target in targets:
@@ -116,7 +117,7 @@
                     state.in_flight + requests,
                     state.in_flight_tokens + context_tokens,
                     state.prefill_tokens + prefill_tokens,
-                    state.pace(now_ms),
+                    state.pace(now_ms) * slowdown(target),
                 )
             )
         return found
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -513,9 +513,10 @@
             target.id, salt, demand, service.engine.memory_tokens
         )
         prefill_rates = self.balancer.prefill_rates
+        pace = registry.state(target.id).pace(now_ms)
         late = urgency.is_late(
             self.balancer.prefill_backlog(target.id) + prefill_tokens,
-            prefill_rates.median() / prefill_rates.slowdown(target.id),
+            prefill_rates.median() / (prefill_rates.slowdown(target.id) * pace),
             spent_ms + prefillrates.STEP_MS,
             request_state.route.objective_ms,
         )
--- a/test/gateway/test_selection.py
+++ b/test/gateway/test_selection.py
@@ -84,6 +84,16 @@
         self.assertLess(chosen.prefill_tokens, 4_100 / 2)
         self.assertTrue(chosen.summary.endswith(" late"))
 
+    # Guards against a prompt that counts as early though its engine is slow just now.
+    def test_the_pace_that_an_engine_reports_makes_a_prompt_late(self):
+        self.harness.gossip.closed.add("new")
+        state = self.registry.state("old")
+        state.prefill_tokens = 5_000
+        self.assertFalse(self.choose().late)
+        now_ms = self.harness.clock.now_ms()
+        state.load, state.load_ms = calls.Load(4, 0, 8, 20.0), now_ms
+        self.assertTrue(self.choose().late)
+
     def test_a_cold_engine_gets_no_more_than_this_instances_share(self):
         self.registry.remove("old", self.now_ms)
         self.registry.state("new").cold_until_ms = self.now_ms + 60_000
