Free what a cancelled or failed request held at once

A task keeps the error that ended it, its traceback the frames, and the frames of timeouts the task: bodies stayed until the garbage collector ran, which is every 20,000 objects.

--- a/cornelreach/http/client.py
+++ b/cornelreach/http/client.py
@@ -175,6 +175,7 @@
             return bytes(body)
         finally:
             client.held_bytes -= len(body)
+            body.clear()  # a traceback may keep it
             self.close()
 
     def settle(self) -> None:
--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -50,6 +50,10 @@
     """
 
 
+# What ends a connection without another word.
+LOST = (ClientDisconnected, ConnectionError, h11.LocalProtocolError, ssl.SSLError)
+
+
 class Refused(Exception):
     """Raised to answer a request with a refusal."""
 
@@ -108,12 +112,7 @@
         try:
             while await self._serve_one():
                 self.h11.start_next_cycle()
-        except (
-            ClientDisconnected,
-            ConnectionError,
-            h11.LocalProtocolError,
-            ssl.SSLError,
-        ):
+        except LOST:
             pass
         finally:
             await self._end()
@@ -246,22 +245,30 @@
             asyncio.get_running_loop().call_soon(task.cancel)
         try:
             await asyncio.wait((task,))
-            if task.cancelled():
+            if task.cancelled() or not task.result():
                 raise ClientDisconnected
-            task.result()
         finally:
             self._is_serving = False
             self.reader.on_end = None
             if not task.done():
                 task.cancel()
-                await asyncio.gather(task, return_exceptions=True)
-            del task  # else an error's traceback, with its bodies, refers to itself
+                await asyncio.wait((task,))
+            _drop_traceback(task)
             self._body_bytes = 0
             if self.account.counts(self):
                 self.account.update(self)
 
-    async def _handle_and_write(self, request: messages.Request) -> None:
-        await self._write(await self._run_handler(request))
+    async def _handle_and_write(self, request: messages.Request) -> bool:
+        """Run the handler and write its response; returns whether that went well.
+
+        An error is not passed on: the task would keep its traceback, which refers to
+        the task and to the bodies of request and response.
+        """
+        try:
+            await self._write(await self._run_handler(request))
+        except LOST:
+            return False
+        return True
 
     async def _run_handler(self, request: messages.Request) -> messages.Response:
         try:
@@ -504,6 +511,12 @@
             raise ClientDisconnected from None
 
 
+def _drop_traceback(task: asyncio.Task[typing.Any]) -> None:
+    """Let a cancelled task forget where it was, so that what it held is freed now."""
+    with contextlib.suppress(asyncio.CancelledError):
+        task.exception()
+
+
 class Server:
     """A listening socket and its open connections."""
 
