--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -123,6 +123,8 @@
         self._ahead_bytes = self._body_bytes = 0
         self.reader.discard()
         self._close()
+        if self.h11.trailing_data[0]:
+            self.h11 = h11.Connection(h11.SERVER)  # drops requests sent ahead
         delay_s = self.limits.write_wait_ms / 1_000
         loop = asyncio.get_running_loop()
         give_up = loop.call_later(delay_s, self._close_unread)
@@ -546,6 +548,7 @@
         connection.closing = self.keep_alive_disabled
         connection.ending = self._ending
         if not self._may_accept(connection):
+            reader.discard()
             writer.close()
             return
         self.connections.add(connection)
--- a/test/http/test_memory.py
+++ b/test/http/test_memory.py
@@ -1,7 +1,9 @@
 """Tests of what connections may hold, and of the order in which they are closed."""
 
 import asyncio
+import gc
 import unittest
+import weakref
 
 from cornelreach.http import limits, memory, messages, server
 
@@ -9,6 +11,10 @@
 REQUEST = b"POST /%d HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n"
 
 
+class Body:
+    """What a request holds."""
+
+
 class Holder:
     """A connection that holds a number of bytes."""
 
@@ -116,8 +122,12 @@
         """Answer with a body; ``/wait`` does so never."""
         self.paths.append(request.path)
         if request.path == "/wait":
+            body = Body()
+            self.body = weakref.ref(body)
+            timeout = asyncio.timeout(60)
             try:
-                await asyncio.Event().wait()
+                async with timeout:
+                    await asyncio.Event().wait()
             finally:
                 self.cancelled.set()
         return messages.Response(200, self.large)
@@ -142,6 +152,18 @@
             await asyncio.wait_for(self.cancelled.wait(), 5)
         self.assertNotIn("/1", self.paths)
 
+    # Guards against bodies of cancelled requests that stay until garbage is collected.
+    async def test_what_a_cancelled_request_held_is_freed_at_once(self):
+        gc.disable()
+        self.addCleanup(gc.enable)
+        self.writer.write(REQUEST.replace(b"%d", b"wait"))
+        await asyncio.sleep(0.05)
+        self.assertIsNotNone(self.body())
+        self.writer.close()
+        while self.server.connections:
+            await asyncio.sleep(0.01)
+        self.assertIsNone(self.body())
+
     # Guards against responses that are kept for as long as their client stays.
     async def test_a_client_that_reads_nothing_is_cut_off(self):
         self.large = bytes(20_000_000)
