--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -50,6 +50,10 @@
     """
 
 
+# What ends a connection without another word.
+LOST = (ClientDisconnected, ConnectionError, h11.LocalProtocolError, ssl.SSLError)
+
+
 class Refused(Exception):
     """Raised to answer a request with a refusal."""
 
@@ -108,12 +112,7 @@
         try:
             while await self._serve_one():
                 self.h11.start_next_cycle()
-        except (
-            ClientDisconnected,
-            ConnectionError,
-            h11.LocalProtocolError,
-            ssl.SSLError,
-        ):
+        except LOST:
             pass
         finally:
             await self._end()
@@ -124,6 +123,8 @@
         self._ahead_bytes = self._body_bytes = 0
         self.reader.discard()
         self._close()
+        if self.h11.trailing_data[0]:
+            self.h11 = h11.Connection(h11.SERVER)  # drops requests sent ahead
         delay_s = self.limits.write_wait_ms / 1_000
         loop = asyncio.get_running_loop()
         give_up = loop.call_later(delay_s, self._close_unread)
@@ -246,22 +247,30 @@
             asyncio.get_running_loop().call_soon(task.cancel)
         try:
             await asyncio.wait((task,))
-            if task.cancelled():
+            if task.cancelled() or not task.result():
                 raise ClientDisconnected
-            task.result()
         finally:
             self._is_serving = False
             self.reader.on_end = None
             if not task.done():
                 task.cancel()
-                await asyncio.gather(task, return_exceptions=True)
-            del task  # else an error's traceback, with its bodies, refers to itself
+                await asyncio.wait((task,))
+            _drop_traceback(task)
             self._body_bytes = 0
             if self.account.counts(self):
                 self.account.update(self)
 
-    async def _handle_and_write(self, request: messages.Request) -> None:
-        await self._write(await self._run_handler(request))
+    async def _handle_and_write(self, request: messages.Request) -> bool:
+        """Run the handler and write its response; returns whether that went well.
+
+        An error is not passed on: the task would keep its traceback, which refers to
+        the task and to the bodies of request and response.
+        """
+        try:
+            await self._write(await self._run_handler(request))
+        except LOST:
+            return False
+        return True
 
     async def _run_handler(self, request: messages.Request) -> messages.Response:
         try:
@@ -504,6 +513,12 @@
             raise ClientDisconnected from None
 
 
+def _drop_traceback(task: asyncio.Task[typing.Any]) -> None:
+    """Let a cancelled task forget where it was, so that what it held is freed now."""
+    with contextlib.suppress(asyncio.CancelledError):
+        task.exception()
+
+
 class Server:
     """A listening socket and its open connections."""
 
@@ -533,6 +548,7 @@
         connection.closing = self.keep_alive_disabled
         connection.ending = self._ending
         if not self._may_accept(connection):
+            reader.discard()
             writer.close()
             return
         self.connections.add(connection)
