Count prompts of peers that become known late in the expected response times

The ratio behind the verdict "slow" used the backlog known when a prompt was chosen. Where caches are empty, several instances choose the same engine before they know of each other's prompts, so prompts of a good version seemed several times slower than expected. The backlog is now read again 60 and 120 ms after the prompt was sent, and when an early response comes.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -283,6 +283,7 @@
             self.metrics,
             self.clock,
             self.reach.is_cut_off,
+            lambda target: self.balancer.gossip.peer_load(target).prefill_tokens,
         )
         found = releases.Releases(
             self.gossip, self.objects, environment, self.site.bounds
--- a/cornelreach/gateway/releaserules.py
+++ b/cornelreach/gateway/releaserules.py
@@ -31,6 +31,9 @@
 FELL_BACK = "fell back"  # the lane of a request until its next choice
 KEPT_MS = 60_000.0  # a closed target may be missing from the list for so long
 DRAWS = 1 << 32
+# After a prompt is sent, when the backlog at its target is read again: peers' prompts
+# are known up to 60 ms late through hubs, and a short one may have ended by the second.
+BACKLOG_DELAYS_MS = (60.0, 120.0)
 
 Phase = releaseanalysis.Phase
 OLD = releaseexposure.Lane.OLD.value
@@ -46,6 +49,8 @@
     metrics: metrics_module.Metrics
     clock: timers.Timers
     is_cut_off: typing.Callable[[], bool]
+    # The tokens that other instances have queued for prefill at a target.
+    peer_tokens: typing.Callable[[str], float]
 
 
 class Attempt:
@@ -64,12 +69,19 @@
         self.chosen = chosen
         self.is_new = release.is_new(chosen.target)
         self._is_recorded = False
+        self._own_tokens = chosen.state.prefill_tokens
+        self._backlog_tokens = chosen.backlog_tokens
+        if chosen.salt is not None:
+            self._read_backlog()
+            for delay_ms in BACKLOG_DELAYS_MS:
+                environment.clock.after(delay_ms, self._read_backlog)
 
     def record_response(self) -> None:
         """Count the response, with its time unless the target is cold."""
         if not self._is_recorded:
+            ratio = self._ratio()
             self._is_recorded = True
-            self._add(False, self._ratio())
+            self._add(False, ratio)
 
     def record_failure(self, outcome: requeststate.Outcome) -> None:
         """Count a failure, unless this instance reaches no target at all.
@@ -96,6 +108,18 @@
             "failed" if is_failure else "good",
         )
 
+    def _read_backlog(self) -> None:
+        """Take in prompts that peers had queued before, and which are known by now.
+
+        Where caches are empty, many instances choose the same targets before they know
+        of each other's prompts, and a good version would seem slow.
+        """
+        if not self._is_recorded:
+            tokens = self._own_tokens + self.environment.peer_tokens(
+                self.chosen.target.id
+            )
+            self._backlog_tokens = max(self._backlog_tokens, tokens)
+
     def _ratio(self) -> float | None:
         """Return the response time relative to the expected one, None if cold."""
         environment, chosen = self.environment, self.chosen
@@ -105,8 +129,10 @@
         elapsed_ms = now_ms - chosen.sent_ms
         if chosen.salt is None:
             return elapsed_ms / releasecounts.PLAIN_UNIT_MS
+        if elapsed_ms < BACKLOG_DELAYS_MS[-1]:
+            self._read_backlog()
         rates = environment.prefill_rates
-        return elapsed_ms / rates.expected_ms(chosen.backlog_tokens)
+        return elapsed_ms / rates.expected_ms(self._backlog_tokens)
 
 
 class ServiceRule:
--- a/test/gateway/releasefleet.py
+++ b/test/gateway/releasefleet.py
@@ -154,6 +154,7 @@
             self.metrics,
             clock,
             lambda: self.is_cut_off,
+            lambda target: self.gossip.peer_load(target).prefill_tokens,
         )
         self.releases = releases.Releases(
             self.gossip, fleet.store, environment, harness.BOUNDS
--- a/test/gateway/test_releaserules.py
+++ b/test/gateway/test_releaserules.py
@@ -8,13 +8,16 @@
     detours,
     gossip as gossip_module,
     releaseanalysis,
+    releasecounts,
     releaserules,
     releases,
+    releasestate,
     requeststate,
     selection,
 )
 from cornelreach.http import messages
 from cornelreach.platform import results
+from cornelreach.util import timers
 from test.gateway import harness as harness_module, test_forwarding
 from test.platform import objects
 
@@ -65,6 +68,7 @@
             harness.metrics,
             harness.clock,
             lambda: False,
+            lambda target: harness.gossip.peer_load(target).prefill_tokens,
         )
         self.releases = releases.Releases(
             harness.gossip,
@@ -313,6 +317,35 @@
             self.assertEqual((await self.harness.send("/safe/x"))[0], status)
 
 
+class Times(Case):
+    """How long responses took, relative to the expected times."""
+
+    # Guards against a good version that seems slow because prompts of peers, which are
+    # known late, were queued before a short one; and against a slow one that does not.
+    async def test_prompts_that_become_known_late_are_expected(self):
+        await self.follow([], [harness_module.answer_ok])
+        clock = timers.VirtualTimers()
+        for peers, ratio in ((0.0, 20.0), (6_000.0, 400 / 120)):
+            known = [0.0]
+            environment = self.releases.environment._replace(
+                clock=clock, peer_tokens=lambda target, known=known: known[0]
+            )
+            chosen = self.harness.selector.choose(self.request_state())
+            chosen.salt, chosen.backlog_tokens = "m.v1.", 600.0
+            chosen.state.prefill_tokens = 600
+            chosen.sent_ms = clock.now_ms()
+            release = releasestate.Release(self.release.order, 1, 0.1, 0.0)
+            attempt = releaserules.Attempt(environment, release, "/chat/", chosen)
+            clock.advance(50)
+            known[0] = peers
+            clock.advance(20)
+            known[0] = 0.0  # the end of the others' prompts is known
+            clock.advance(330)
+            attempt.record_response()
+            times = release.recorder.counts()["/chat/", True].times
+            self.assertEqual((sum(times), times[releasecounts.bucket(ratio)]), (1, 1))
+
+
 class WithoutOrder(Case):
     """Several versions of a service that serve side by side."""
 
