Ask for a share of slow responses beyond the expected ones

Slow prompts come in bursts, since they wait for each other, and the probability assumes that they are independent: a trial reverted a good version for 48 of 751 slow responses with 19 expected, that is 0.039 of them more. The verdict now also needs 0.06, and holding success back 0.03.

--- a/cornelreach/gateway/releasecomparison.py
+++ b/cornelreach/gateway/releasecomparison.py
@@ -27,6 +27,10 @@
 MAX_PROBABILITY = 1e-5
 SLOW_TIMES = 2.25  # versions that are slow are so by 3 or more; noise is mostly below 2
 SLOW_QUANTILE = 0.95
+# Of the responses. Prompts wait for each other, so slow ones come in bursts for which
+# the probability is too low; versions that are slow are so in most of their responses.
+MIN_SLOW_SHARE = 0.06
+SUSPECT_SLOW_SHARE = 0.03
 MIN_TIMES = 20  # from which a 95th percentile can be read
 SUSPECT_EVENTS = 2
 SUSPECT_PROBABILITY = 0.01  # holds success back without reverting; costs time only
@@ -49,13 +53,21 @@
 
     def is_bad(self) -> bool:
         """Return whether the version is to be rolled back for it."""
+        if self.kind == "slow" and not self._exceeds(MIN_SLOW_SHARE):
+            return False
         return self.events >= MIN_EVENTS and self.probability < MAX_PROBABILITY
 
     def is_suspect(self) -> bool:
         """Return whether success should wait for more responses."""
+        if self.kind == "slow" and not self._exceeds(SUSPECT_SLOW_SHARE):
+            return False
         is_rare = self.probability < SUSPECT_PROBABILITY
         return self.events >= SUSPECT_EVENTS and is_rare
 
+    def _exceeds(self, share: float) -> bool:
+        """Return whether more than expected are at least a share of the responses."""
+        return self.events - self.expected >= share * self.responses
+
     def describe(self) -> str:
         """Return the finding in words."""
         where = f"on {self.route}" if self.route else "on all routes"
--- a/test/gateway/test_releaseanalysis.py
+++ b/test/gateway/test_releaseanalysis.py
@@ -21,6 +21,7 @@
     "slow by 3": bad(times=3),
     "slow by 8": bad(times=8),
     "slow in part": bad(times=3, slow_share=0.3),
+    "slow in half": bad(times=3, slow_share=0.5),
     "slow late": bad(times=4, since_ms=3_000),
     "slow under load": bad(times=8, load=0.6),
     "slow on one route": bad(times=3, route="/run/"),
@@ -164,6 +165,24 @@
         self.assertEqual(one.judge(1_200).reason, judgement.reason)
         self.assertEqual(one.judge(1_200).phase, Phase.REVERTED)
 
+    # Guards against a good version that is rolled back for prompts that wait for each
+    # other where caches are empty: in a trial, 48 of 751 were slow, and 19 expected.
+    def test_bursts_of_slow_responses_are_no_verdict(self):
+        def held(normal, slow):
+            times = [0] * releasecounts.BUCKETS
+            times[8], times[11] = normal, slow
+            return releaseanalysis.RouteCounts(normal + slow, 0, tuple(times))
+
+        old = {("/chat/", False): held(3_900, 100)}
+        for slow, phase in ((48, Phase.SHIFTING), (250, Phase.REVERTING)):
+            one = analysis()
+            one.adopt(Phase.SHIFTING)
+            one.observe(6_500, old)
+            one.observe(7_000, old | {("/chat/", True): held(751 - slow, slow)})
+            judgement = one.judge(7_100)
+            self.assertLess(judgement.finding.probability, 1e-5)
+            self.assertEqual(judgement.phase, phase)
+
     # Guards against a version that turns bad when it gets all requests.
     def test_shifting_is_reverted(self):
         one = analysis()
