Send no request back to the old version once success may be written

An instance that had been told that no request is in flight there still did so, and the old targets stop at the success.

--- a/cornelreach/gateway/releaserules.py
+++ b/cornelreach/gateway/releaserules.py
@@ -251,8 +251,10 @@
         if lane is releaseexposure.Lane.OLD:
             return old
         if not is_observing:
-            last_ms = ROOM_SHARE * release.order.duration_ms
-            request_state.is_canary = age_ms < last_ms
+            # Not once success may be written, at which the old targets stop.
+            is_early = age_ms < ROOM_SHARE * release.order.duration_ms
+            is_complete = now_ms < release.complete_until_ms
+            request_state.is_canary = is_early and not is_complete
             return new
         request_state.is_canary = True
         registry = self.environment.mirror.registry
--- a/test/gateway/test_releaserules.py
+++ b/test/gateway/test_releaserules.py
@@ -182,6 +182,21 @@
         await self.harness.send("/safe/x")
         self.assertEqual(self.request_counts(), [2, 1])
 
+    # Guards against requests that are under way at old targets when these stop.
+    async def test_the_old_version_serves_none_once_success_may_be_written(self):
+        ok = harness_module.answer_ok
+        await self.follow([ok], [ok])
+        self.enter(Phase.SHIFTING)
+        self.release.exposure._shifting_ms = 0.0
+        self.registry.rest("e1", 5_000, self.harness.clock.now_ms())
+        self.assertIsInstance(
+            self.harness.selector.choose(self.request_state()), selection.Choice
+        )
+        self.release.complete_until_ms = float("inf")
+        self.assertNotIsInstance(
+            self.harness.selector.choose(self.request_state()), selection.Choice
+        )
+
     # Guards against the links of one instance being taken for a bad version.
     async def test_failures_do_not_count_while_no_target_is_reached(self):
         await self.follow([harness_module.answer_ok], [broken_after(0)])
