Forward nothing before the orders of rollouts have been read

A process that starts again reads all kinds of records at the same time. One that had read the targets, but not the orders, sent requests to a version that had been rolled back. Orders that were read before the configuration now apply together with it, and not up to an interval later.

--- a/cornelreach/gateway/edge.py
+++ b/cornelreach/gateway/edge.py
@@ -289,6 +289,9 @@
             self.gossip, self.objects, environment, self.site.bounds
         )
         self.selector.rules = found.rules
+        # A process that starts again must not send requests to a version that was
+        # rolled back before it has read so.
+        self.mirror.required.add(recordhandlers.ReleaseHandler.kind)
         return found
 
     def _apply_contracts(self, contracts: frozenset[str]) -> None:
@@ -501,6 +504,8 @@
         return watching.Watcher(self.objects, handler, timing, self.clock, self.random)
 
     def _apply_catalogue(self) -> None:
+        if self.releases is not None:
+            self.releases.apply_pending()
         self.prompt_store_watcher.configure(self.mirror.catalogue)
         found = self.mirror.catalogue.limits
         self.front.limits = limits.Limits(
--- a/cornelreach/gateway/mirror.py
+++ b/cornelreach/gateway/mirror.py
@@ -72,11 +72,12 @@
         self.fleet = quotas.Fleet(name, (name,))
         self.on_version: typing.Callable[[], None] = lambda: None
         self.synced: set[str] = set()
+        self.required = set(REQUIRED)  # kinds of records that forwarding needs
         self.proof_ms: float | None = None
 
     def is_synced(self) -> bool:
         """Return whether all kinds of records that forwarding needs have been read."""
-        return self.synced >= REQUIRED
+        return self.synced >= self.required
 
     def apply_catalogue(self, found: catalogue.Catalogue) -> bool:
         """Apply a configuration unless the current one is at least as new.
--- a/cornelreach/gateway/releases.py
+++ b/cornelreach/gateway/releases.py
@@ -165,6 +165,11 @@
             release = self._start(order, entry.version, entry.state, is_first)
         self.apply_written(release, entry.state, entry.version)
 
+    def apply_pending(self) -> None:
+        """Apply the orders for services that were in no configuration before."""
+        for record, is_first in list(self._pending.values()):
+            self.apply_record(record, is_first)
+
     def apply_written(
         self, release: releasestate.Release, state: str, version: int
     ) -> None:
@@ -345,8 +350,7 @@
         if is_due:
             found = [one.release for one in self.rules.values() if one.release]
             self._due_ms = now_ms + self.exchange.interval_ms(found)
-            for record, is_first in list(self._pending.values()):
-                self.apply_record(record, is_first)
+            self.apply_pending()
             self._withdrawn = {
                 identity: at_ms
                 for identity, at_ms in self._withdrawn.items()
--- a/test/gateway/test_edge.py
+++ b/test/gateway/test_edge.py
@@ -9,8 +9,8 @@
 
 from returns import result
 
-from cornelreach.gateway import edge as edge_module, quotas
-from cornelreach.platform import site as site_module
+from cornelreach.gateway import edge as edge_module, mirror, quotas
+from cornelreach.platform import results, site as site_module
 from cornelreach.util import errors
 from tools.soak import edges
 
@@ -89,6 +89,27 @@
         edge.reload()
         self.assertEqual(edge.releases.bounds.rollback_ms, 300)
 
+    # Guards against a process that starts again and sends requests to a version which
+    # was rolled back, because it has read the targets and not yet the orders.
+    def test_nothing_is_forwarded_before_the_orders_have_been_read(self):
+        for line, expected in (("", True), ('contracts = ["rollout"]\n', False)):
+            self.path.write_text(line + self.text)
+            edge = edge_module.Edge(site_module.load(str(self.path)), str(self.path))
+            edge.mirror.synced = set(mirror.REQUIRED)
+            self.assertEqual(edge.mirror.is_synced(), expected)
+            order = {"service": "s", "target": "2.0", "duration_s": 12}
+            status = {"state": "reverted", "target": "2.0"}
+            record = results.Record("rollouts/s", 3, order, "1", status)
+            if edge.releases is not None:
+                asyncio.run(edge.watchers[-1].handler.on_list((record,), False))
+                self.assertTrue(edge.mirror.is_synced())
+                edge.front, edge.peer_server = mock.MagicMock(), mock.MagicMock()
+                found = mock.MagicMock(services={"s": None})
+                found.limits.header_bytes = 1
+                edge.mirror.catalogue = found
+                edge._apply_catalogue()
+                self.assertTrue(edge.releases.release("s").is_reverting)
+
     def test_bounds_on_rollouts_without_a_meaning_are_refused_by_name(self):
         for name, value in (
             ("exposure_share", 1.5),
