Give the tests of unread responses their limits in the settings' own section

Change: the limits of the test take the place of those in the template; crowd and bounds are as before.

--- a/test/http/test_unread.py
+++ b/test/http/test_unread.py
@@ -21,11 +21,7 @@
 SAMPLE_S = 0.05
 MEMORY_MB = 160
 MAX_FDS = 260
-SETTINGS = f"""
-[limits]
-memory_mb = {MEMORY_MB}
-max_fds = {MAX_FDS}
-"""
+SETTINGS = f"memory_mb = {MEMORY_MB}\nmax_fds = {MAX_FDS}"
 SMALL = {"max_header_bytes": 8_192, "max_body_bytes": 65_536}
 MAX_RESIDENT_MB = 100
 MAX_OPEN = 150  # descriptors, files among them
@@ -97,7 +93,7 @@
         await super().asyncSetUp()
         self.seed("config/main", edgeprocess.config(3, **SMALL))
         self.register_engine(cold_remaining_ms=0)
-        await self.start(extra=SETTINGS)
+        await self.start(limits=SETTINGS)
         self.most_open = 0
 
     # Guards against an instance that runs out of memory as callers without key and
--- a/test/ui/edgeprocess.py
+++ b/test/ui/edgeprocess.py
@@ -73,8 +73,8 @@
         self.store.model.seed(key, msgspec.json.encode(value))
         self.store.notify_watches()
 
-    async def start(self, grace_s=5, contracts="", extra=""):
-        """Start the edge process, with extra settings, and wait until it is ready."""
+    async def start(self, grace_s=5, contracts="", limits="memory_mb = 300"):
+        """Start the edge process, with the given limits, and wait until it is ready."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.settings = pathlib.Path(folder.name) / "settings.toml"
@@ -87,7 +87,8 @@
             store=store,
         )
         text = text.replace("grace_s = 5", f"grace_s = {grace_s}")
-        self.settings.write_text(contracts + text + extra)
+        text = text.replace("memory_mb = 300", limits)
+        self.settings.write_text(contracts + text)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
