Play rollouts of good and bad versions in the soak

The soak did not order rollouts, so their bounds were checked by tests of one process alone. The fault 'rollout' orders a version of the plain service's engines, and checks compare what the new engines got and which state was written with the bounds. Engines record their own failures.

--- a/standins/requestlog.py
+++ b/standins/requestlog.py
@@ -63,6 +63,14 @@
     at_s: float
 
 
+class Failure(typing.NamedTuple):
+    """A request that an engine ran and answered with an error of its own."""
+
+    request_id: str
+    engine: str
+    at_s: float
+
+
 class Reset(typing.NamedTuple):
     """A response without a length that its engine reset before its end."""
 
@@ -96,6 +104,7 @@
         self.crashes: list[Crash] = []
         self.partial_fetches: list[PartialFetch] = []
         self.resets: list[Reset] = []
+        self.failures: list[Failure] = []
         self.notices: list[Notice] = []
         self.arrivals: list[Arrival] = []
         self.orders: list[OrderRecord] = []
--- a/standins/wireengine.py
+++ b/standins/wireengine.py
@@ -400,6 +400,9 @@
             writer.transport.abort()
             return
         if self.random.random() < self.faults.errors:
+            self.request_log.failures.append(
+                requestlog.Failure(request_id, self.name, time.monotonic())
+            )
             body = b"failed"
             extra += f"{headers.SIGNATURE.decode()}: {signature_of(body)}\r\n"
             self._reply(writer, 500, body, extra)
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -159,6 +159,16 @@
         )
         await self.assert_no_violations([run.Plan(1, 12, 2, faults=faults)])
 
+    # Guards against a rollout that does not end by its deadline, or cuts requests off.
+    async def test_a_good_version_is_rolled_out(self):
+        faults = (Fault(0.5, "rollout", "good", 8.0),)
+        await self.assert_no_violations([run.Plan(1, 10, 2, faults=faults)])
+
+    # Guards against a bad version that gets more requests than it may, or is kept.
+    async def test_a_bad_version_is_rolled_back(self):
+        faults = tuple(BUG_SCHEDULES["keeps-bad-versions"][1])
+        await self.assert_no_violations([run.Plan(1, 10, 2, faults=faults)])
+
     async def test_planted_bugs_are_found(self):
         self.assertEqual(set(BUG_SCHEDULES), set(planted.PLANTED_BUGS))
         plans = [
--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -68,6 +68,7 @@
         [Fault(at_s, "crowd", "edge0", 2.0) for at_s in (0.5, 2.5, 4.5)],
     ),
     "passes-nothing-on": ("reached", [Fault(0.5, "engines-cut", "edge0", 1.0)]),
+    "keeps-bad-versions": ("exposure", [Fault(0.5, "rollout", "bad", 8.0)]),
     "forgets-registration": ("registered", [Fault(0.5, "restore", "", 1.0)]),
     "counts-from-reading": ("versions", [Fault(0.5, "late-version", "edge1", 1.0)]),
     "stays-on-old": ("versions", [Fault(0.5, "version", "", 10.0)]),
--- a/tools/soak/edges.py
+++ b/tools/soak/edges.py
@@ -16,6 +16,7 @@
 ip = "{host}"
 internal_ports = [7580, 7595]
 bootstrap = true
+contracts = ["rollout"]
 [zones]
 {zones}
 [listen]
@@ -35,6 +36,10 @@
 lease_ms = 3000
 thaw_ms = 300
 version_ms = 8000
+exposure_share = 0.1
+exposure_slack = 50
+rollback_ms = 5000
+max_skew_ms = 6000
 [limits]
 memory_mb = 300
 [platform]
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -55,6 +55,23 @@
     value: int = 0
 
 
+class Rollout(typing.NamedTuple):
+    """A rollout whose deadline is over, as the operator saw it.
+
+    ``state`` is the final one and ``ended_s`` when it was seen, the deadline if there
+    was none; ``old_running`` counts the requests at old engines at that time.
+    """
+
+    service: str
+    is_bad: bool
+    engines: tuple[str, ...]  # of the new version
+    ordered_s: float
+    deadline_s: float
+    state: str
+    ended_s: float
+    old_running: int
+
+
 class Environment:
     """All processes, stand-ins and records of one run."""
 
@@ -82,6 +99,7 @@
         self.readiness_waits: list[tuple[str, float, float]] = []
         self.most_resident_mb: dict[str, float] = {}  # of each instance
         self.changes: list[AcknowledgedChange] = []
+        self.rollouts: list[Rollout] = []
         self.operator = operator_module.Operator(self.store)
         self.prompt_store = wirestore.WireStore(self.ledger, operator_module.MODEL)
         self.edges: dict[str, edges_module.Edge] = {}
@@ -152,26 +170,39 @@
     async def _start_engines(self) -> None:
         for number in range(ENGINES):
             plain = number < PLAIN_ENGINES
-            name = f"e{number}"
-            engine = wireengine.WireEngine(
-                name,
+            await self.start_engine(
+                number,
                 operator_module.PLAIN_SERVICE
                 if plain
                 else operator_module.POOL_SERVICE,
-                self.ledger,
-                self.random,
+                SOFTWARE[number % len(SOFTWARE)],
                 "" if plain else operator_module.MODEL,
-                software=SOFTWARE[number % len(SOFTWARE)],
             )
-            engine.stores[self.prompt_store.address] = self.prompt_store
-            self.engines[name] = engine
-            self.zones[name] = ZONES[number % len(ZONES)]
-            await engine.start(self.shared_host)
-            engine.on_change = lambda one=name: self._record_load(one)
-            engine.on_crash = lambda one=name: self._revive_later(one)
-            self.links[name] = proxy.Proxy(engine.address, self._is_cut)
-            await self.links[name].start(self.shared_host)
-            self.write_entry(name)
+
+    async def start_engine(
+        self,
+        number: int,
+        service: str,
+        software: str,
+        model: str = "",
+        error_share: float = 0.0,
+    ) -> str:
+        """Start an engine with a link and an entry; return its name."""
+        name = f"e{number}"
+        engine = wireengine.WireEngine(
+            name, service, self.ledger, self.random, model, software=software
+        )
+        engine.faults.errors = error_share
+        engine.stores[self.prompt_store.address] = self.prompt_store
+        self.engines[name] = engine
+        self.zones[name] = ZONES[number % len(ZONES)]
+        await engine.start(self.shared_host)
+        engine.on_change = lambda: self._record_load(name)
+        engine.on_crash = lambda: self._revive_later(name)
+        self.links[name] = proxy.Proxy(engine.address, self._is_cut)
+        await self.links[name].start(self.shared_host)
+        self.write_entry(name)
+        return name
 
     def _is_cut(
         self,
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -17,6 +17,7 @@
     environment as environment_module,
     operator,
     proxy,
+    releases,
     schedule,
 )
 
@@ -442,6 +443,12 @@
         host = self.environment.edges[fault.subject].host
         await crowd.Crowd(host, next(self._crowd_kinds)).run(fault.for_s)
 
+    async def _do_rollout(self, fault: schedule.Fault) -> None:
+        # The subject says what the new version is like: good or bad.
+        await releases.roll_out(
+            self.environment, fault.subject == releases.BAD, fault.for_s
+        )
+
     async def _do_cut_heads(self, fault: schedule.Fault) -> None:
         await self._with_engine_fault(fault, "cut_heads", 0.3, 0.0)
 
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -23,6 +23,7 @@
     recordhandlers,
     refusals,
     registry,
+    releasecomparison,
     requeststate,
     rollouts,
     stops,
@@ -316,6 +317,11 @@
     )
 
 
+def _keeps_bad_versions() -> None:
+    """Moves the traffic to a new version however many of its answers are bad."""
+    releasecomparison.Finding.is_bad = lambda self: False
+
+
 def _forgets_registration() -> None:
     """Does not register again when the store comes back from a copy."""
     edge_module.Edge._register_again = lambda self: None
@@ -341,6 +347,7 @@
     "ignores-limits": _ignores_limits,
     "passes-nothing-on": _passes_nothing_on,
     "forgets-registration": _forgets_registration,
+    "keeps-bad-versions": _keeps_bad_versions,
     "repeats": _repeats,
     "refuses-after-run": _refuses_after_run,
     "trusts-keys": _trusts_keys,
