Order rollouts at the soak's instances alone

The settings that the soak shares with tests of processes named the contracts, which some of those tests name as well: the settings file was invalid, and both tests of test/ui/test_releases.py failed. The soak's instances now put the line before the shared settings. Both tests pass.

--- a/tools/soak/edges.py
+++ b/tools/soak/edges.py
@@ -10,13 +10,13 @@
 
 import msgspec
 
+CONTRACTS = 'contracts = ["rollout"]\n'
 SETTINGS = """
 node_name = "{name}"
 zone = "{zone}"
 ip = "{host}"
 internal_ports = [7580, 7595]
 bootstrap = true
-contracts = ["rollout"]
 [zones]
 {zones}
 [listen]
@@ -83,7 +83,8 @@
         self.settings = folder / f"{name}.toml"
         zone_lines = "\n".join(f'{one} = "central"' for one in zones)
         self.settings.write_text(
-            SETTINGS.format(
+            CONTRACTS
+            + SETTINGS.format(
                 name=name, zone=zone, host=host, zones=zone_lines, store=store
             )
         )
