Keep the bounds on rollouts out of the shared settings

Tests of test/gateway/test_edge.py set these bounds themselves, so that two of them failed: the file was invalid, or the later value counted. The soak's instances now add the bounds when they write their file.

--- a/tools/soak/edges.py
+++ b/tools/soak/edges.py
@@ -10,7 +10,14 @@
 
 import msgspec
 
+# Tests of single processes, which set these themselves, share SETTINGS.
 CONTRACTS = 'contracts = ["rollout"]\n'
+ROLLOUT_BOUNDS = """[bounds]
+exposure_share = 0.1
+exposure_slack = 50
+rollback_ms = 5000
+max_skew_ms = 6000
+"""
 SETTINGS = """
 node_name = "{name}"
 zone = "{zone}"
@@ -36,10 +43,6 @@
 lease_ms = 3000
 thaw_ms = 300
 version_ms = 8000
-exposure_share = 0.1
-exposure_slack = 50
-rollback_ms = 5000
-max_skew_ms = 6000
 [limits]
 memory_mb = 300
 [platform]
@@ -84,7 +87,7 @@
         zone_lines = "\n".join(f'{one} = "central"' for one in zones)
         self.settings.write_text(
             CONTRACTS
-            + SETTINGS.format(
+            + SETTINGS.replace("[bounds]\n", ROLLOUT_BOUNDS).format(
                 name=name, zone=zone, host=host, zones=zone_lines, store=store
             )
         )
