--- a/tools/soak/edges.py
+++ b/tools/soak/edges.py
@@ -10,6 +10,14 @@
 
 import msgspec
 
+# Tests of single processes, which set these themselves, share SETTINGS.
+CONTRACTS = 'contracts = ["rollout"]\n'
+ROLLOUT_BOUNDS = """[bounds]
+exposure_share = 0.1
+exposure_slack = 50
+rollback_ms = 5000
+max_skew_ms = 6000
+"""
 SETTINGS = """
 node_name = "{name}"
 zone = "{zone}"
@@ -78,7 +86,8 @@
         self.settings = folder / f"{name}.toml"
         zone_lines = "\n".join(f'{one} = "central"' for one in zones)
         self.settings.write_text(
-            SETTINGS.format(
+            CONTRACTS
+            + SETTINGS.replace("[bounds]\n", ROLLOUT_BOUNDS).format(
                 name=name, zone=zone, host=host, zones=zone_lines, store=store
             )
         )
