Do not take one crash of a target for a bad version

What is under way at a target that crashes is lost at once: five such responses were enough to revert a version. The verdict on failures now needs failures in three half seconds, or more than 40.

--- a/cornelreach/gateway/releasecomparison.py
+++ b/cornelreach/gateway/releasecomparison.py
@@ -22,6 +22,10 @@
 # many more responses; rates of a few responses alone are mostly 0 or far too high.
 BLEND_RESPONSES = 5.0
 MIN_EVENTS = 5  # below, a single broken connection could decide
+# A target that crashes loses what is under way there, up to its slots, within two
+# slices; one crash says little of the version.
+MIN_EVENT_SLICES = 3
+MAX_LOST_AT_ONCE = 40
 # About 28 comparisons are made 60 times in an order, and most of them share their data:
 # at 1e-5 a false alarm is expected in fewer than one of 1,000 orders.
 MAX_PROBABILITY = 1e-5
@@ -40,7 +44,7 @@
     """How the new version compares with the old one in one respect.
 
     ``kind`` is "failed" or "slow", ``route`` is empty for all routes together, and
-    ``window_ms`` is None for the whole time.
+    ``window_ms`` is None for the whole time. ``slices`` counts those with events.
     """
 
     kind: str
@@ -50,11 +54,14 @@
     events: int
     expected: float
     probability: float
+    slices: int
 
     def is_bad(self) -> bool:
         """Return whether the version is to be rolled back for it."""
         if self.kind == "slow" and not self._exceeds(MIN_SLOW_SHARE):
             return False
+        if self.kind == "failed" and self._may_be_crash():
+            return False
         return self.events >= MIN_EVENTS and self.probability < MAX_PROBABILITY
 
     def is_suspect(self) -> bool:
@@ -64,6 +71,10 @@
         is_rare = self.probability < SUSPECT_PROBABILITY
         return self.events >= SUSPECT_EVENTS and is_rare
 
+    def _may_be_crash(self) -> bool:
+        """Return whether one target that crashed explains all events."""
+        return self.slices < MIN_EVENT_SLICES and self.events <= MAX_LOST_AT_ONCE
+
     def _exceeds(self, share: float) -> bool:
         """Return whether more than expected are at least a share of the responses."""
         return self.events - self.expected >= share * self.responses
@@ -135,8 +146,8 @@
         return Window(found, releasecounts.add_counts(found), span_ms)
 
 
-# Responses and events of the old, then of the new version.
-_Sample = tuple[int, int, int, int]
+# The index of a slice; responses and events of the old, then of the new version.
+_Sample = tuple[int, int, int, int, int]
 
 
 class Window:
@@ -169,11 +180,11 @@
     ) -> list[_Sample]:
         """Return what was measured in the slices in which the new version responded."""
         found = []
-        for counts in self._slices:
+        for index, counts in enumerate(self._slices):
             new = counts.get((route, True))
             if new is not None:
                 old = counts.get((route, False), releasecounts.NO_COUNTS)
-                found.append((*measure(old), *measure(new)))
+                found.append((index, *measure(old), *measure(new)))
         return found
 
 
@@ -183,15 +194,18 @@
     def __init__(self) -> None:
         self.responses = self.events = 0
         self.expected = self.variance = self.old_responses = 0.0
+        self.slices: set[int] = set()
 
     def add(self, samples: list[_Sample], old: tuple[int, int]) -> None:
         """Add a route; ``old`` has the old version's responses and events there."""
         old_responses, old_events = old
         blended = 0.0
-        for old_count, old_hits, new_count, new_hits in samples:
+        for index, old_count, old_hits, new_count, new_hits in samples:
             weight = new_count / (old_count + BLEND_RESPONSES)
             self.responses += new_count
             self.events += new_hits
+            if new_hits:
+                self.slices.add(index)
             self.expected += weight * old_hits
             self.variance += weight * weight * old_hits
             blended += weight * BLEND_RESPONSES
@@ -209,7 +223,14 @@
         shape = expected * expected / (self.variance + weight * weight)
         probability = tail_probability(self.events, expected, shape)
         return Finding(
-            kind, route, span_ms, self.responses, self.events, expected, probability
+            kind,
+            route,
+            span_ms,
+            self.responses,
+            self.events,
+            expected,
+            probability,
+            len(self.slices),
         )
 
 
