Judge urgent prompts late by the tokens that are prefilled before them

Cause: under heavy load a short prompt of the most urgent rank counted as late for the whole queue at its engine, most of it long prompts that the engine prefills after it, and went behind them with the lowest priority.

Change: where admission by room is on, a tenth of the queued tokens counts as ahead of a prompt of the most urgent rank.

--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -584,8 +584,11 @@
         )
         prefill_rates = self.balancer.prefill_rates
         pace = registry.state(target.id).pace(now_ms)
+        ahead_tokens = self.balancer.prefill_backlog(target.id)
+        if self.room is not None:
+            ahead_tokens = urgency.tokens_ahead(ahead_tokens, request_state.priority)
         late = urgency.is_late(
-            self.balancer.prefill_backlog(target.id) + prefill_tokens,
+            ahead_tokens + prefill_tokens,
             prefill_rates.median() / (prefill_rates.slowdown(target.id) * pace),
             spent_ms + prefillrates.STEP_MS,
             request_state.route.objective_ms,
--- a/cornelreach/gateway/urgency.py
+++ b/cornelreach/gateway/urgency.py
@@ -14,6 +14,10 @@
 MAX_ON_TIME_PRIORITY = 7
 LATE_PRIORITY = 8
 LATE_SHARE = 0.1  # of a late prompt's tokens are prefilled before a later urgent one
+URGENT_RANK = 0
+# Engines prefill the most urgent prompts first, and most queued tokens are those of less
+# urgent ones; what is being prefilled is not interrupted.
+URGENT_AHEAD_SHARE = 0.1
 
 
 def is_late(
@@ -27,6 +31,11 @@
     return spent_ms + ahead_tokens / max(prefill_rate, 0.001) > objective_ms
 
 
+def tokens_ahead(queued_tokens: float, rank: int) -> float:
+    """Return how many of the queued tokens an engine prefills before a prompt."""
+    return queued_tokens * (URGENT_AHEAD_SHARE if rank <= URGENT_RANK else 1.0)
+
+
 def priority(rank: int, late: bool) -> int:
     """Return the priority at an engine of a request's rank; 0 is the highest."""
     return LATE_PRIORITY if late else min(MAX_ON_TIME_PRIORITY, rank)
--- a/test/gateway/test_urgency.py
+++ b/test/gateway/test_urgency.py
@@ -62,6 +62,24 @@
     return in_time, sum(wait <= DEADLINE_MS for wait in waits) / count
 
 
+class UrgentBesideLong(unittest.TestCase):
+    """A burst of long prompts beside short ones of the most urgent rank."""
+
+    # Guards against urgent prompts that count as late for the queue of long prompts,
+    # which an engine prefills after them: they then go behind that queue.
+    def test_urgent_prompts_are_not_late_for_less_urgent_ones(self):
+        queued_tokens, own_tokens, objective_ms = 25_000.0, 700.0, 400.0
+        for rank, expected in ((0, False), (1, True), (2, True)):
+            ahead = urgency.tokens_ahead(queued_tokens, rank)
+            late = urgency.is_late(ahead + own_tokens, RATE, 0.0, objective_ms)
+            self.assertIs(late, expected)
+
+    # Guards against urgent prompts that are never late, however long the queue is.
+    def test_urgent_prompts_are_late_behind_a_very_long_queue(self):
+        ahead = urgency.tokens_ahead(400_000.0, 0)
+        self.assertTrue(urgency.is_late(ahead, RATE, 0.0, 400.0))
+
+
 class Overload(unittest.TestCase):
     """Ten seconds of more prompts than an engine can prefill, then none."""
 
