--- a/cornelreach/gateway/urgency.py
+++ b/cornelreach/gateway/urgency.py
@@ -15,8 +15,8 @@
 LATE_PRIORITY = 8
 LATE_SHARE = 0.1  # of a late prompt's tokens are prefilled before a later urgent one
 URGENT_RANK = 0
-# Engines prefill the most urgent prompts first, and most queued tokens are those of less
-# urgent ones; what is being prefilled is not interrupted.
+# Engines prefill the most urgent prompts first, and most of the queued tokens are those
+# of less urgent ones; what is being prefilled is not interrupted.
 URGENT_AHEAD_SHARE = 0.1
 
 
