Yield room only to requests that wait for it

A request that had found no room, and then waited for its turn or a connection, stayed in the queue: later ones left free room to it for as long as its objective. test_roomestimate passes.

--- a/cornelreach/gateway/roomqueue.py
+++ b/cornelreach/gateway/roomqueue.py
@@ -134,7 +134,8 @@
     ) -> bool:
         """Return whether a request that comes first could use the room as well.
 
-        One that needs more does not hold up one that fits beside it.
+        One that needs more does not hold up one that fits beside it, nor does one that
+        waits for something else meanwhile, as its turn or a connection.
         """
         loads = dict(loads)
         refused: Refused = {}
@@ -142,7 +143,8 @@
             if one is waiter or one.key >= waiter.key:
                 return False
             if (
-                one.service == waiter.service
+                one.woken is not None
+                and one.service == waiter.service
                 and one.demand.context_tokens <= waiter.demand.context_tokens
                 and self._take_room(one, loads, refused)
             ):
--- a/test/gateway/test_roomestimate.py
+++ b/test/gateway/test_roomestimate.py
@@ -118,6 +118,25 @@
         self.woken, self.load = [], roomestimate.Load(4, 38_000)
         self.assertEqual(self.play(waiters[::2]), ["long"])
 
+    # Guards against free room that nobody uses, since the first in the queue waits for
+    # its turn, or for a connection.
+    def test_only_a_request_that_waits_for_room_holds_up_a_later_one(self):
+        async def run():
+            load = roomestimate.Load()
+            queue = roomqueue.RoomQueue(
+                virtualloop.Clock(loop), random.Random(1), lambda _: load
+            )
+            request, later = Name(), self.waiter(SHORT, 2.0)
+            queue.enter(request, self.waiter(SHORT, 1.0))
+            self.assertFalse(queue.must_yield(later, {"e": load}))
+            waiting = asyncio.ensure_future(queue.wait(request, 60.0))
+            await asyncio.sleep(0)
+            self.assertTrue(queue.must_yield(later, {"e": load}))
+            await waiting
+
+        loop = virtualloop.Loop()
+        virtualloop.run(run(), loop)
+
     # Guards against short requests that wait behind a long one which does not fit.
     def test_a_short_one_is_woken_though_an_earlier_long_one_does_not_fit(self):
         huge = LONG._replace(context_tokens=20_000)
