Let a handler begin before its half-closed client cancels it

Cause: a client that ends its own direction right behind its request got no response where the end of file arrived in the same pass of the event loop: the handler was cancelled before its first step.

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -241,10 +241,12 @@
     async def _handle(self, request: messages.Request) -> None:
         task = asyncio.ensure_future(self._handle_and_write(request))
         self._is_serving = True
-        self.reader.on_end = task.cancel
+        loop = asyncio.get_running_loop()
+        # The handler begins before it is cancelled: a response that is there at once is
+        # still sent to a client that has closed only its own direction.
+        self.reader.on_end = lambda: loop.call_soon(task.cancel)
         if self.reader.has_ended:
-            # It may be answered at once, like before the client had closed.
-            asyncio.get_running_loop().call_soon(task.cancel)
+            self.reader.on_end()
         try:
             await asyncio.wait((task,))
             if task.cancelled() or not task.result():
