Make two planted bugs of the soak strong enough to be found

The second is caught by the account of held memory.

Change: takes-no-turns reads 1 MB at a time at all plain engines for 8 s; keeps-unread counts nothing in the account. The checks and bounds are as before.

--- a/tools/soak/bugschedules.py
+++ b/tools/soak/bugschedules.py
@@ -48,7 +48,7 @@
     "trusts-refusals": ("once", _at_engines("refuse-again", PLAIN, 6.0)),
     "trusts-first-answers": ("once", _at_engines("refuse-first", PLAIN, 6.0)),
     "reuses-connections": ("once", _at_engines("rename", PLAIN, 14.0)),
-    "takes-no-turns": ("turns", _at_engines("endless", PLAIN[:2], 6.0)),
+    "takes-no-turns": ("turns", _at_engines("endless", PLAIN, 8.0)),
     "guesses-origins": ("one software", [Fault(0.5, "out-of-step", "edge1", 1.0)]),
     "trusts-connections": ("one software", [Fault(0.5, "unseen-start", "edge1", 1.0)]),
     "keeps-limits": ("limits in force", [Fault(0.5, "limits", "", 1.0)]),
--- a/tools/soak/planted.py
+++ b/tools/soak/planted.py
@@ -33,11 +33,13 @@
     targetlimits,
     watching,
 )
-from cornelreach.http import client, clientconnection, server, turns
+from cornelreach.http import client, clientconnection, memory, server, turns
 from cornelreach.platform import headers, promptstores, site
 from cornelreach.ui import edge
 from cornelreach.util import decoding
 
+LONG_READ_BYTES = 1_048_576  # several turns of the engines that write without end
+
 
 def _repeats() -> None:
     """Sends a request again after its connection was lost, though it may have run."""
@@ -256,8 +258,10 @@
 
 
 def _takes_no_turns() -> None:
-    """Reads whatever has come before anything else goes on."""
+    """Reads whatever has come, and much at a time, before anything else goes on."""
     turns.Pieces.next = _take_no_turn
+    clientconnection.PAUSE_READING_BYTES = LONG_READ_BYTES
+    clientconnection.READ_BYTES = LONG_READ_BYTES
 
 
 def _keeps_limits() -> None:
@@ -294,7 +298,7 @@
 
 
 def _keeps_unread() -> None:
-    """Reads and keeps all that clients have sent ahead, before each response."""
+    """Reads and keeps all that clients have sent ahead, and counts none of it."""
     original = server.Connection._handle
 
     async def handle(self: typing.Any, request: typing.Any) -> None:
@@ -303,6 +307,7 @@
         await original(self, request)
 
     server.Connection._handle = handle
+    memory.Account.update = lambda self, holder: None
 
 
 def _guesses_origins() -> None:
