Leave what an account has shared once a configuration isolates it

Cause: the cache salt of all accounts that are not isolated was one text that never changed. Engines and stores do not tell who made a part, so parts of an account that became isolated were still found under it. A request that was admitted before the change also kept its old account on a retry, and so went on to share.

Change: those accounts share a compartment named after the set of isolated accounts (gateway/isolation), taken from the configuration in force when a request is sent. Whoever uses a compartment is not isolated in any configuration with that set, so it holds nothing of an isolated account. The name follows from one configuration alone, also after a restart. Without an isolated account the salt is as before.

--- a/cornelreach/gateway/catalogue.py
+++ b/cornelreach/gateway/catalogue.py
@@ -102,7 +102,11 @@
 
 
 class Catalogue:
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    ``accounts`` are found by their keys; ``isolated`` names all isolated accounts, also
+    those without a key.
+    """
 
     def __init__(
         self,
@@ -112,12 +116,14 @@
         stores: typing.Iterable[PromptStore],
         accounts: typing.Mapping[str, Account] | None,
         limits: Limits,
+        isolated: typing.Iterable[str] = (),
     ) -> None:
         self.version = version
         self.services = {one.name: one for one in services}
         self.stores = tuple(stores)
         self.accounts = accounts
         self.limits = limits
+        self.isolated = frozenset(isolated)
         self._routes: dict[str, dict[str, Route]] = {}
         # The longest that a stream which may be resumed lasts, by service.
         self.resumable_ms: dict[str, float] = {}
--- a/cornelreach/gateway/selection.py
+++ b/cornelreach/gateway/selection.py
@@ -8,6 +8,7 @@
     brittleness as brittleness_module,
     calls,
     catalogue,
+    isolation,
     mirror as mirror_module,
     prefillrates,
     promptindex,
@@ -651,17 +652,18 @@
     ) -> typing.Callable[[registry_module.Target], str]:
         """Return a function that gives the cache salt of a request at a target.
 
-        The salt is made of the model, its version at the target and any isolated
-        account. Stores look parts up only by this salt and the part's identifier, so
-        the model has to be included.
+        The salt is made of the model, its version at the target, and the isolated
+        account or the compartment that all others share. Stores look parts up only by
+        this salt and the part's identifier, so the model has to be included.
         """
         model = request_state.model
-        account = request_state.account
-        isolated = account.name if account is not None and account.isolated else ""
+        compartment = isolation.compartment(
+            request_state.account, self.mirror.catalogue.isolated
+        )
 
         @functools.cache
         def salt(version: int) -> str:
-            return f"{model}.v{version}.{isolated}"
+            return f"{model}.v{version}{compartment}"
 
         return lambda target: salt(target.versions.get(model, 0))
 
--- a/cornelreach/platform/records.py
+++ b/cornelreach/platform/records.py
@@ -197,6 +197,7 @@
             limits["header_timeout_ms"],
             limits["idle_timeout_ms"],
         ),
+        isolated=_isolated(found.get("tenants") or ()),
     )
 
 
@@ -271,6 +272,10 @@
     return accounts
 
 
+def _isolated(tenants: typing.Iterable[_Tenant]) -> list[str]:
+    return [found["name"] for found in tenants if found.get("isolated", False)]
+
+
 def decode_target(record: results.Record) -> DiscoveredTarget | None:
     """Return the target in an entry of service discovery, or None."""
     found = _decode(record, _Server)
