Let a key name its account also on routes that need none

Cause: the account of a key was looked up only where the route needs one.

Change: Forwarder._find_account looks it up wherever there is a key. An unknown or revoked key is answered 401 there as elsewhere, and 503 where the instance cannot know whether it was revoked; requests without a key are served as before. On the way through another instance the order carries the account, as one more item that earlier releases cannot read: they decline instead of running the request for nobody.

--- a/cornelreach/gateway/detours.py
+++ b/cornelreach/gateway/detours.py
@@ -42,7 +42,9 @@
 
     ``config`` is the version of the configuration that admitted it. ``sent`` counts the
     attempts that reached a target and ``runs`` those that may have run it, at
-    ``reached``. A stream goes on only at the version ``software``.
+    ``reached``. A stream goes on only at the version ``software``. ``account`` holds
+    the key of a request whose route may be used without one; it ends the encoded order
+    only then, as earlier releases, which run such a request for nobody, cannot read it.
     """
 
     sender: str
@@ -54,6 +56,11 @@
     reached: tuple[str, ...] = ()
     is_trial: bool = False
     last_event: str | None = None
+    account: str = ""
+
+    def encode(self) -> bytes:
+        """Return the order as it is sent."""
+        return msgspec.json.encode(self if self.account else self[:-1])
 
 
 class Report(typing.NamedTuple):
@@ -339,12 +346,13 @@
             tuple(request_state.reached),
             request_state.is_trial,
             request_state.last_event,
+            request_state.account_name if request_state.route.anonymous else "",
         )
         left_ms = (request_state.deadline_s - now_s) * 1_000
         return headers.passed_on_headers(
             request_state.request.headers,
             left_ms,
-            (headers.DETOUR, msgspec.json.encode(order)),
+            (headers.DETOUR, order.encode()),
         )
 
     def _follow_departure(
--- a/cornelreach/gateway/forwarding.py
+++ b/cornelreach/gateway/forwarding.py
@@ -130,6 +130,8 @@
             return self._decline(request, "older configuration")
         if all(one.service != order.service for one in found.route.shares):
             return self._decline(request, "another service")
+        if order.account and order.account != found.account_name:
+            return self._decline(request, "another account")
         detours_module.follow(found, order)
         return await self._run(found, self._forward_passed_on)
 
@@ -204,13 +206,9 @@
         route = self._match(request)
         if route is None:
             return refusals.no_route()
-        account = None
-        if config.needs_key(route):
-            if not mirror.may_use_keys(self.dependencies.clock.now_ms()):
-                return refusals.stale_keys()
-            account = config.accounts.get(call.api_key or "")
-            if account is None:
-                return refusals.unknown_key()
+        account = self._find_account(route, call.api_key or "")
+        if isinstance(account, refusals.NamedRefusal):
+            return account
         if not call.request_id:
             return refusals.no_identifier()
         service = self._pick_service(route)
@@ -218,6 +216,22 @@
             request, call, route, account, service, DEADLINE_MARGIN_S
         )
 
+    def _find_account(
+        self, route: catalogue.Route, key: str
+    ) -> catalogue.Account | refusals.NamedRefusal | None:
+        """Return the account that holds a key, or None if the request has none.
+
+        A key is optional on a route that may be used without one, but a request that
+        carries one is its account's there too.
+        """
+        mirror = self.dependencies.mirror
+        config = mirror.catalogue
+        if config.accounts is None or not (key or config.needs_key(route)):
+            return None
+        if not mirror.may_use_keys(self.dependencies.clock.now_ms()):
+            return refusals.stale_keys()
+        return config.accounts.get(key) or refusals.unknown_key()
+
     def _pick_service(self, route: catalogue.Route) -> str:
         if len(route.shares) == 1:
             return route.shares[0].service
--- a/cornelreach/gateway/requeststate.py
+++ b/cornelreach/gateway/requeststate.py
@@ -164,7 +164,7 @@
     @functools.cached_property
     def name(self) -> str:
         """Return the name that each repetition of the request has as well."""
-        caller = self.account.name if self.account else self.call.api_key or ""
+        caller = self.account_name or self.call.api_key or ""
         return crashes.request_name(self.request, self.route.host, caller, self.call)
 
     @functools.cached_property
@@ -189,6 +189,11 @@
         """Return the requested model, or an empty text for plain services."""
         return self.call.model
 
+    @property
+    def account_name(self) -> str:
+        """Return the name of the request's account, or an empty text without one."""
+        return self.account.name if self.account is not None else ""
+
     @property
     def priority(self) -> int:
         """Return the priority of the request; an account's overrides its route's."""
