Bound what the system receives for a process, and connections by memory

DEPLOY.md counts what was received and not read as memory of the process.

Cause: the account left out what the system receives (up to 128 KB a connection at first), what a connection costs by itself, and the copies of reading 64 KB at a time for heads of some hundred bytes. All three grow with the number of connections.

Change: listening sockets have a receive buffer of 16 KB, heads are read 8 KB at a time; long bodies are read as before and get a receive buffer of 64 KB that the account counts, while it has room. The number of accepted connections is bounded by memory_mb, and there the connection that is idle longest makes room. Connections to engines and the store receive 128 KB.

Evidence: test_received, crowd and bounds fixed before the change: 400 connections, 64 MB, 900 descriptors.

--- a/cornelreach/http/clientconnection.py
+++ b/cornelreach/http/clientconnection.py
@@ -19,6 +19,9 @@
 
 # What is held of a response that is not read on, as a stream's caller reads slowly.
 PAUSE_READING_BYTES = 65_536
+# Of the system for each connection, as bytes that it has received and the process has
+# not read count as memory of the process; the system's own bound is 32 MB.
+RECEIVE_BYTES = 131_072
 READ_BYTES = 131_072  # with less, the system takes 2 MB more of a body without end
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
@@ -59,6 +62,10 @@
         self.transport = transport
         if hasattr(transport, "max_size"):  # not with TLS
             transport.max_size = READ_BYTES
+        with contextlib.suppress(OSError):  # closed by the server
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES
+            )
 
     def data_received(self, data: bytes) -> None:
         if self.idle:
--- a/cornelreach/http/memory.py
+++ b/cornelreach/http/memory.py
@@ -1,9 +1,11 @@
 """Account of what connections make a process hold, over all of its ports.
 
-A connection reports what it holds: bytes that were received and are not served yet, the
-body of its request, responses that its client has not read. Above the bound of the
-account the connections of clients that do not read are closed, the one that holds most
-first; above a lower mark no long body is begun::
+What a connection costs by itself, in the process and in the system, is bounded by the
+number of connections that are accepted. Beyond that, a connection reports what it
+holds: bytes that were received and are not served yet, the body of its request,
+responses that its client has not read, and what more the system may receive. Above the
+bound of the account the connections of clients that do not read are closed, the one
+that holds most first; above a lower mark no long body is begun::
 
     account = Account()
     account.configure(memory_mb=300, max_fds=2_048)
@@ -16,13 +18,23 @@
 import enum
 import typing
 
+from cornelreach.http import receiving
 from cornelreach.util import events
 
-DEFAULT_BYTES = 134_217_728  # where the settings name no memory
+MB = 1_048_576
+DEFAULT_MB = 640.0  # where the settings name no memory
 MEMORY_SHARE = 0.2  # of the memory of the machine
+PROCESS_MB = 40.0  # of a process without connections
+MIN_REST_SHARE = 0.25  # of the memory, if the process leaves less than that
+CONNECTIONS_SHARE = 0.45  # of the rest, for what each connection costs by itself
+CONNECTION_BYTES = 16_384  # of the process: transport, reader, parser, tasks
 ROOM_SHARE = 0.75  # of the bound; above it, no long body is begun
 TARGET_SHARE = 0.9  # of the bound, so that not every arrival closes a connection
 COUNTED_BYTES = 4_096  # less than the state of a connection that holds nothing
+# Of the process and of the system, which counts as memory of the process.
+ACCEPTED_BYTES = CONNECTION_BYTES + int(
+    receiving.RECEIVE_BYTES * receiving.RECEIVE_OVERHEAD
+)
 FILE_DESCRIPTORS = 200  # of max_fds, for files
 ACCEPTED_SHARE = 2 / 3  # of the other ones; the rest is for engines, store and peers
 MIN_ACCEPTED = 16
@@ -42,7 +54,7 @@
     "WARNING",
     "Closed a new connection of {peer} at port {port}, by {bound}; "
     "{connections} are open, {others} more closed since the last line.",
-    "Compare max_fds and the number of clients; look for clients that keep "
+    "Compare max_fds, memory_mb and the number of clients; look for clients that keep "
     "connections open.",
 )
 NO_ROOM = events.define(
@@ -93,6 +105,9 @@
     def check_client(self) -> None:
         """End the request in progress if the client has left unnoticed."""
 
+    def end_if_idle(self) -> None:
+        """Close the connection, now or after its request, once nothing more arrives."""
+
 
 class Entry:
     """What the account knows of one connection."""
@@ -123,8 +138,7 @@
     """What all connections of a process hold, and how many there are."""
 
     def __init__(self) -> None:
-        self.max_bytes = DEFAULT_BYTES
-        self.max_descriptors: int | None = None
+        self.configure(0, 0)
         self.total_bytes = 0
         self.connections = 0
         # Returns how many connections this process has opened itself.
@@ -134,15 +148,26 @@
         # Called with the port and the bound by which a connection was closed.
         self.on_closed: typing.Callable[[int, str], None] = lambda port, bound: None
         self._entries: dict[Holder, Entry] = {}
+        self._idle: dict[Holder, None] = {}  # the one that is idle longest comes first
         self._check: asyncio.TimerHandle | None = None
         self._logged_s: dict[int, float] = {}
         self._others: dict[int, int] = {}
 
     def configure(self, memory_mb: float, max_fds: int) -> None:
-        """Set the bounds by the settings of the machine; 0 stands for none."""
-        share_bytes = memory_mb * 1_048_576 * MEMORY_SHARE
-        self.max_bytes = int(share_bytes) or DEFAULT_BYTES
-        self.max_descriptors = max_fds - FILE_DESCRIPTORS if max_fds else None
+        """Set the bounds by the settings of the machine.
+
+        Without ``memory_mb`` (0) the default counts, without ``max_fds`` there is no
+        bound on descriptors.
+        """
+        memory_bytes = (memory_mb or DEFAULT_MB) * MB
+        rest_bytes = max(memory_bytes - PROCESS_MB * MB, memory_bytes * MIN_REST_SHARE)
+        self.max_bytes = int(memory_bytes * MEMORY_SHARE)
+        self.max_connections = max(
+            MIN_ACCEPTED, int(rest_bytes * CONNECTIONS_SHARE / ACCEPTED_BYTES)
+        )
+        self.max_descriptors: int | None = (
+            max_fds - FILE_DESCRIPTORS if max_fds else None
+        )
 
     def update(self, holder: Holder) -> None:
         """Take over what a connection holds; closes others, or it, above the bound."""
@@ -160,8 +185,15 @@
         """Return whether a connection holds enough to be counted."""
         return holder in self._entries
 
+    def set_idle(self, holder: Holder, is_idle: bool) -> None:
+        """Note whether a connection waits for the first bytes of a request."""
+        if is_idle:
+            self._idle[holder] = None
+        else:
+            self._idle.pop(holder, None)
+
     def remove(self, holder: Holder) -> None:
-        """Forget a connection."""
+        """Forget what a connection holds."""
         entry = self._entries.pop(holder, None)
         if entry is not None:
             self.total_bytes -= entry.held_bytes
@@ -171,7 +203,16 @@
         return self.total_bytes <= self._left_bytes() * ROOM_SHARE
 
     def may_accept(self) -> bool:
-        """Return whether there is a descriptor for another accepted connection."""
+        """Return whether another connection may be accepted."""
+        return self.lacking() is None
+
+    def lacking(self) -> Bound | None:
+        """Return by which bound no other connection is accepted, or None."""
+        if self.connections >= self.max_connections:
+            return Bound.MEMORY
+        return None if self._has_descriptor() else Bound.DESCRIPTORS
+
+    def _has_descriptor(self) -> bool:
         if self.max_descriptors is None:
             return True
         accepted = max(MIN_ACCEPTED, int(self.max_descriptors * ACCEPTED_SHARE))
@@ -181,8 +222,9 @@
         return is_plenty or self.connections + self.opened() < self.max_descriptors
 
     def make_room(self, among: typing.Container[Holder] | None, bound: Bound) -> bool:
-        """Close a connection whose client reads nothing; returns whether there is one.
+        """Close a connection for a new one; returns whether there is one to close.
 
+        It is one whose client reads nothing, or else the one that is idle longest;
         ``among`` are the ones that it is chosen from, None stands for all.
         """
         now_s = _now_s()
@@ -192,10 +234,16 @@
             if entry.rank(holder, now_s) is Rank.STALLED
             and (among is None or holder in among)
         ]
-        if not found:
-            return False
-        self.close(max(found)[2], bound)
-        return True
+        if found:
+            self.close(max(found)[2], bound)
+            return True
+        for holder in self._idle:
+            if among is None or holder in among:
+                self.set_idle(holder, False)
+                holder.end_if_idle()
+                self.report(CLOSED, holder, bound, held_bytes=0)
+                return True
+        return False
 
     def close(self, holder: Holder, bound: Bound) -> None:
         """Close a connection by a bound, and say so."""
--- a/cornelreach/http/receiving.py
+++ b/cornelreach/http/receiving.py
@@ -1,7 +1,14 @@
 """Bounded reading of an accepted connection, and its listening socket.
 
-What a client sends ahead is received up to a bound only, so the end of a connection may
-go unnoticed behind it; ``has_left`` asks the system.
+What a client sends ahead is received up to a bound only, in the process and in the
+system, so the end of a connection may go unnoticed behind it; ``has_left`` asks the
+system. While the body of a request arrives, more is read at a time, and the system may
+be let receive more as well::
+
+    reader.read_more()
+    widen(transport)  # if there is memory for WIDE_RECEIVE_BYTES
+    ...
+    reader.read_less()
 """
 
 import asyncio
@@ -12,7 +19,16 @@
 import ssl
 import typing
 
-READ_BYTES = 65_536  # at a time; as much is kept while a request is served
+READ_BYTES = 8_192  # at a time; as much is kept while a request is served
+BODY_READ_BYTES = 65_536  # the same while a body arrives
+# Of the system, for each connection; with no less than what a client sends at first,
+# it costs no round trip.
+RECEIVE_BYTES = 16_384
+# The same for a long body: as much as a connection can announce whose first window was
+# below 64 KB.
+WIDE_RECEIVE_BYTES = 65_536
+# The system counts the buffers of packets, so it takes up to this share of data.
+RECEIVE_OVERHEAD = 1.5
 # Of the system, beyond what is on its way: more is of no use to a client that reads,
 # and one that doesn't gets no answers to thousands of requests worked out.
 UNSENT_BYTES = 131_072
@@ -30,7 +46,8 @@
 class Reader(asyncio.StreamReader):
     """A stream that tells of what has arrived and of its end.
 
-    It is paused while more than ``READ_BYTES`` wait in it.
+    It is paused while more than ``READ_BYTES`` wait in it, or ``BODY_READ_BYTES`` while
+    a body arrives.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -47,12 +64,25 @@
     def set_transport(self, transport: asyncio.Transport) -> None:
         """Take over the transport, and bound what it and the system hold."""
         super().set_transport(transport)
-        if hasattr(transport, "max_size"):  # not with TLS
-            transport.max_size = READ_BYTES
+        self.read_less()
         sock = transport.get_extra_info("socket")
         with contextlib.suppress(OSError):  # closed by the client
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
 
+    def read_more(self) -> None:
+        """Read and keep more at a time, as a body arrives."""
+        self._read_at_most(BODY_READ_BYTES)
+        self._maybe_resume_transport()
+
+    def read_less(self) -> None:
+        """Read and keep what the head of a request needs."""
+        self._read_at_most(READ_BYTES)
+
+    def _read_at_most(self, size_bytes: int) -> None:
+        self._limit = size_bytes // 2  # a stream pauses above twice its limit
+        if hasattr(self._transport, "max_size"):  # not with TLS
+            self._transport.max_size = size_bytes
+
     def feed_data(self, data: bytes) -> None:
         """Keep what has arrived."""
         super().feed_data(data)
@@ -91,10 +121,29 @@
     return bool(poll.poll(0))
 
 
+def widen(transport: asyncio.Transport) -> None:
+    """Let the system receive ``WIDE_RECEIVE_BYTES`` on a connection."""
+    _set_receive_buffer(
+        transport.get_extra_info("socket"), WIDE_RECEIVE_BYTES, WIDE_RECEIVE_BYTES - 1
+    )
+
+
+def _set_receive_buffer(
+    sock: socket.socket, size_bytes: int, window_bytes: int | None = None
+) -> None:
+    with contextlib.suppress(OSError):  # closed by the client, or not known here
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+        if window_bytes is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, window_bytes)
+
+
 async def listen(
     accept: Accept, host: str, port: int, tls: ssl.SSLContext | None
 ) -> asyncio.Server:
-    """Start a listening socket on an address."""
+    """Start a listening socket on an address.
+
+    Its connections inherit its receive buffer, also while they wait to be accepted.
+    """
     loop = asyncio.get_running_loop()
 
     def make_protocol() -> asyncio.StreamReaderProtocol:
@@ -104,6 +153,7 @@
         make_protocol, host, port, ssl=tls, backlog=ACCEPTS_PER_PASS
     )
     for one in listener.sockets:
+        _set_receive_buffer(one, RECEIVE_BYTES)
         # asyncio accepts as many connections at a time as the system may keep; the
         # system's number is raised afterwards.
         with socket.socket(fileno=os.dup(one.fileno())) as same:
--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -25,16 +25,18 @@
 )
 from cornelreach.util import errors, events
 
-READ_BYTES = receiving.READ_BYTES
+READ_BYTES = receiving.BODY_READ_BYTES  # at most; there is less while no body arrives
 DRAIN_BYTES = 65_536
 HTTP_1_1 = b"1.1"
 ACCEPT_S = 0.005  # for connections that the kernel has accepted
 LOOP_PASSES = 2  # the first one asks the system, the second one takes what it has
 LINGER_S = 0.1  # for requests on their way when a stop begins
 DROP_S = 1.0  # for what is still sent of a body that was refused
-SMALL_BODY_BYTES = 65_536  # served whatever is held; as long as what is read ahead
+SMALL_BODY_BYTES = 65_536  # served whatever is held
 BODY_COPIES = 2  # of a request's body, as it is passed on
 STREAM_BYTES = 196_608  # what is held of a stream whose client does not read
+# What the system may receive of a long body, beyond what each connection may.
+WIDE_BYTES = int(receiving.WIDE_RECEIVE_BYTES * receiving.RECEIVE_OVERHEAD)
 
 HANDLER_FAILED = events.define(
     1001, "ERROR", "Request handler failed: {error}.", "Report it with the log line."
@@ -104,6 +106,7 @@
         self.port = (writer.get_extra_info("sockname") or (0, 0))[1]
         # What is held besides the buffers of reader and transport.
         self._ahead_bytes = self._body_bytes = self._stream_bytes = 0
+        self._wide_bytes = 0
         self._is_serving = self._is_closed = False
         reader.on_data = self._data_arrived
 
@@ -136,7 +139,7 @@
             self.account.remove(self)
 
     def held_bytes(self) -> int:
-        """Return how much the process holds for this connection."""
+        """Return how much is held for this connection beyond what each one costs."""
         if self._is_closed:
             return 0
         return (
@@ -144,6 +147,7 @@
             + self._ahead_bytes
             + self._body_bytes * BODY_COPIES
             + self._stream_bytes
+            + self._wide_bytes
             + self.unread_bytes()
         )
 
@@ -167,10 +171,13 @@
 
     def check_client(self) -> None:
         """End the request in progress if the client has left unnoticed."""
-        is_paused = self.reader.waiting_bytes > READ_BYTES
-        transport = self.writer.transport
-        if is_paused and not self.reader.has_ended and receiving.has_left(transport):
+        is_paused = self.reader.waiting_bytes > receiving.READ_BYTES
+        if not is_paused or self.reader.has_ended:
+            return
+        if receiving.has_left(self.writer.transport):
             self.reader.end()
+        elif self.account.has_room():
+            self._widen()  # the end may follow behind what is on its way
 
     def _data_arrived(self) -> None:
         if self.reader.waiting_bytes > memory.COUNTED_BYTES:
@@ -365,7 +372,7 @@
                 break
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(end_s) as self._idle_timeout:
-                    data = await self.reader.read(READ_BYTES)
+                    data = await self._read_when_idle()
             self._idle_timeout = None
         if data is None:
             return False
@@ -373,6 +380,13 @@
         self.h11.receive_data(data)
         return True
 
+    async def _read_when_idle(self) -> bytes:
+        self.account.set_idle(self, True)
+        try:
+            return await self.reader.read(READ_BYTES)
+        finally:
+            self.account.set_idle(self, False)
+
     async def _received_data(self) -> bytes | None:
         """Return what has arrived, in the buffers of the process or the system."""
         for _ in range(LOOP_PASSES):
@@ -402,6 +416,24 @@
         return event
 
     async def _read_body(self) -> bytes:
+        try:
+            return await self._read_body_pieces()
+        finally:
+            self.reader.read_less()
+
+    def _widen(self) -> None:
+        """Let the process receive more of the present request, and the system too.
+
+        The system does so, and is counted, for as long as the connection is open: what
+        it has offered to the client cannot be taken back.
+        """
+        self.reader.read_more()
+        if not self._wide_bytes:
+            self._wide_bytes = WIDE_BYTES
+            receiving.widen(self.writer.transport)
+            self.account.update(self)
+
+    async def _read_body_pieces(self) -> bytes:
         body = bytearray()
         if self.h11.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
@@ -416,6 +448,9 @@
                 self._refuse_without_room()
             body += event.data
             self._body_bytes = len(body)
+            self.reader.read_more()
+            if len(body) > receiving.RECEIVE_BYTES and self.account.has_room():
+                self._widen()
             if len(body) > memory.COUNTED_BYTES:
                 self.account.update(self)
             if len(body) > self.limits.body_bytes:
@@ -566,13 +601,13 @@
     def _may_accept(self, connection: Connection) -> bool:
         """Return whether there is a place for a connection.
 
-        If not, one whose client reads nothing is closed instead.
+        If not, one whose client reads nothing, or that is idle, is closed instead.
         """
         among: set[Connection] | None = None
         if len(self.connections) >= self.limits.connections:
             bound, among = memory.Bound.CONNECTIONS, self.connections
-        elif not self.account.may_accept():
-            bound = memory.Bound.DESCRIPTORS
+        elif (lacking := self.account.lacking()) is not None:
+            bound = lacking
         else:
             return True
         if self.account.make_room(among, bound):
--- a/test/http/test_memory.py
+++ b/test/http/test_memory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import socket
 import unittest
 import weakref
 
@@ -9,6 +10,7 @@
 
 Rank = memory.Rank
 REQUEST = b"POST /%d HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n"
+POST = b"POST /%d HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n%b"
 
 
 class Body:
@@ -40,6 +42,10 @@
     def check_client(self):
         """Do nothing."""
 
+    def end_if_idle(self):
+        """Note that it was ended."""
+        self.is_ended = True
+
 
 class Accounts(unittest.IsolatedAsyncioTestCase):
     """The account with connections that are simulated."""
@@ -103,6 +109,32 @@
         self.assertTrue(self.account.make_room(None, bound))
         self.assertEqual(stalled.closed_by, bound)
 
+    # Guards against more connections than there is memory for, whatever each holds.
+    async def test_connections_are_accepted_while_there_is_memory(self):
+        for memory_mb in (64, 152, 300, 552):
+            self.account.configure(memory_mb, 0)
+            held_bytes = self.account.max_connections * memory.ACCEPTED_BYTES
+            held_bytes += self.account.max_bytes + memory.PROCESS_MB * memory.MB
+            self.assertLess(held_bytes, memory_mb * memory.MB)
+            self.account.connections = self.account.max_connections - 1
+            self.assertTrue(self.account.may_accept())
+            self.account.connections += 1
+            self.assertIs(self.account.lacking(), memory.Bound.MEMORY)
+
+    # Guards against callers kept out by connections that nobody uses.
+    async def test_the_connection_that_is_idle_longest_makes_room(self):
+        first, second = (Holder(self.account, 0, Rank.RECEIVING) for _ in range(2))
+        for one in (first, second, first):
+            self.account.set_idle(one, False)
+            self.account.set_idle(one, True)
+        bound = memory.Bound.MEMORY
+        self.assertTrue(self.account.make_room({first}, bound))
+        self.account.set_idle(first, True)
+        self.assertTrue(self.account.make_room(None, bound))
+        self.assertTrue(first.is_ended and second.is_ended)
+        self.assertTrue(self.account.make_room(None, bound))
+        self.assertFalse(self.account.make_room(None, bound))
+
 
 class Connections(unittest.IsolatedAsyncioTestCase):
     """The bounds of a server's connections, on loopback."""
@@ -181,12 +213,47 @@
     async def test_without_room_long_bodies_are_rejected_before_they_run(self):
         self.account.max_bytes = 4_000_000
         self.account.total_bytes = 3_500_000
-        post = b"POST /%d HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n%b"
-        self.writer.write(post % (1, 900, bytes(900)))
+        self.writer.write(POST % (1, 900, bytes(900)))
         head = await self.reader.readuntil(b"\r\n\r\nx")
         self.assertIn(b" 200 ", head)
-        self.writer.write(post % (2, 70_000, bytes(70_000)))
+        self.writer.write(POST % (2, 70_000, bytes(70_000)))
         head = await self.reader.readuntil(b"\r\n\r\n")
         self.assertIn(b" 503 ", head)
         self.assertIn(b"retry-after", head.lower())
         self.assertEqual(self.paths, ["/1"])
+
+    # Guards against long bodies that arrive in small pieces though there is memory for
+    # more, and against what the system may receive being left out of account.
+    async def test_the_system_receives_more_of_a_long_body_while_there_is_room(self):
+        self.account.max_bytes = 4_000_000
+        for others_bytes, growth in ((3_500_000, 1), (0, 4)):
+            (connection,) = await self.connected()
+            sock = connection.writer.transport.get_extra_info("socket")
+            before_bytes = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+            self.account.total_bytes += others_bytes
+            self.writer.write(POST % (1, 60_000, bytes(60_000)))
+            self.assertIn(b" 200 ", await self.reader.readuntil(b"\r\n\r\nx"))
+            self.account.total_bytes -= others_bytes
+            after_bytes = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+            self.assertEqual(after_bytes, before_bytes * growth)
+        self.assertEqual(self.account.total_bytes, server.WIDE_BYTES)
+
+    # Guards against callers kept out by a crowd that keeps connections open and sends
+    # nothing.
+    async def test_a_new_connection_takes_the_place_of_an_idle_one(self):
+        await self.connected()
+        self.account.max_connections = 1
+        for _ in range(2):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.server.port
+            )
+            self.addCleanup(writer.close)
+            writer.write(REQUEST % 1)
+            await reader.readuntil(b"\r\n\r\nx")
+        self.assertEqual(await self.reader.read(), b"")
+
+    async def connected(self):
+        """Return the connections that the server has, once there are any."""
+        while not self.server.connections:
+            await asyncio.sleep(0.01)
+        return list(self.server.connections)
--- /dev/null
+++ b/test/http/test_received.py
@@ -0,0 +1,151 @@
+"""Tests of the memory of an edge process whose clients send ahead and read nothing.
+
+What the system has received for the process and the process has not read counts as its
+memory, as it does on the platform. Each test sends a fixed number of bytes, and checks
+nothing that depends on speed.
+"""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import socket
+
+from test.gateway import harness as harness_module
+from test.ui import edgeprocess
+
+CONNECTIONS = 400
+CONNECTION_BYTES = 400_000  # more than the process and the system keep of them
+BLOCK_BYTES, REQUEST_BYTES = 16_384, 256
+SEND_BYTES, RECEIVE_BYTES = 16_384, 4_096  # of the system, at the clients
+STALLED_S = 2.0  # without a byte taken on any connection, the crowd has sent enough
+SAMPLE_S = 0.02
+MEMORY_MB = 64
+MAX_FDS = 900
+SETTINGS = f"memory_mb = {MEMORY_MB}\nmax_fds = {MAX_FDS}"
+SMALL = {"max_header_bytes": 8_192, "max_body_bytes": 65_536}
+FRONT_PORT, READY_PORT = 7_601, 7_602
+OPEN_STATES = ("01", "08")  # established, and closed by the client
+MB = 1_048_576
+
+
+def padded(path, host):
+    """Return a request whose path is filled up to ``REQUEST_BYTES``."""
+    text = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n"
+    return text.replace(path, path.ljust(REQUEST_BYTES - len(text), "x")).encode()
+
+
+class Crowd:
+    """Connections that send a request again and again, and read no response."""
+
+    def __init__(self, address, request):
+        self.address = address
+        self.block = request * (BLOCK_BYTES // len(request))
+        self.sent_bytes = 0
+        self.sockets = []
+
+    async def send(self):
+        """Send until all is sent, or until the process takes nothing more."""
+        tasks = [asyncio.ensure_future(self._send_one()) for _ in range(CONNECTIONS)]
+        before_bytes = -1
+        while self.sent_bytes > before_bytes and not all(t.done() for t in tasks):
+            before_bytes = self.sent_bytes
+            await asyncio.wait(tasks, timeout=STALLED_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _send_one(self):
+        loop = asyncio.get_running_loop()
+        client = socket.socket()
+        self.sockets.append(client)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+        client.setblocking(False)
+        with contextlib.suppress(OSError):  # closed by the process
+            await loop.sock_connect(client, self.address)
+            for _ in range(CONNECTION_BYTES // BLOCK_BYTES):
+                await loop.sock_sendall(client, self.block)
+                self.sent_bytes += len(self.block)
+
+    def close(self):
+        """Close all connections."""
+        for client in self.sockets:
+            client.close()
+
+
+class Received(edgeprocess.Case):
+    """A crowd at each path at which a process has run out of memory."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.seed("config/main", edgeprocess.config(3, **SMALL))
+        self.register_engine(cold_remaining_ms=0)
+        await self.start(limits=SETTINGS)
+
+    # Guards against a process above its memory, as clients without key and identifier
+    # send many requests ahead and read no rejection.
+    async def test_callers_without_the_usual_headers_stay_within_the_memory(self):
+        await self.meet(FRONT_PORT, padded("/once/", harness_module.HOST))
+
+    # Guards against the same at the readiness path, which needs no key.
+    async def test_checks_of_readiness_stay_within_the_memory(self):
+        await self.meet(READY_PORT, padded("/api/ready?", "a"))
+
+    # Guards against the same at paths that no route has.
+    async def test_paths_without_a_route_stay_within_the_memory(self):
+        await self.meet(FRONT_PORT, padded("/none/", "a"))
+
+    async def meet(self, port, request):
+        """Let a crowd send to a port, and check what is held at a time."""
+        self.most = (0.0, 0.0, 0.0)  # together, resident, unread
+        self.most_open = 0
+        crowd = Crowd((self.host, port), request)
+        self.addCleanup(crowd.close)
+        sampling = asyncio.ensure_future(self.sample(port))
+        await crowd.send()
+        sampling.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await sampling
+        crowd.close()
+        await self.until(self.answered)
+        self.assertIsNone(self.process.returncode)
+        together_mb, resident_mb, unread_mb = self.most
+        figures = f"{resident_mb:.0f} MB and {unread_mb:.0f} MB unread, at most "
+        figures += f"{self.most_open} descriptors, {crowd.sent_bytes} bytes taken"
+        self.assertLess(together_mb, MEMORY_MB, figures)
+        self.assertLess(self.most_open, MAX_FDS, figures)
+
+    async def answered(self):
+        """Return whether an ordinary request is answered."""
+        return await self.ask("afterwards") == 200
+
+    async def sample(self, port):
+        """Note the most memory and descriptors of the process at a time."""
+        while True:
+            resident_mb, unread_mb = self.resident_mb(), self.unread_mb(port)
+            self.most = max(
+                self.most, (resident_mb + unread_mb, resident_mb, unread_mb)
+            )
+            descriptors = os.listdir(f"/proc/{self.process.pid}/fd")
+            self.most_open = max(self.most_open, len(descriptors))
+            await asyncio.sleep(SAMPLE_S)
+
+    def resident_mb(self):
+        """Return the memory that is resident now."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.partition("VmRSS:")[2].split()[0]) / 1_024
+
+    def unread_mb(self, port):
+        """Return what the connections to a port hold that the process has not read.
+
+        Those that wait to be accepted are among them.
+        """
+        host = int.from_bytes(socket.inet_aton(self.host), "little")
+        name = f"{host:08X}:{port:04X}"
+        unread_bytes = 0
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            _, local, _, state, queues, *_ = line.split()
+            if local == name and state in OPEN_STATES:
+                unread_bytes += int(queues.partition(":")[2], 16)
+        return unread_bytes / MB
