Let idle connections make room for long bodies

Cause: what the system may receive on a connection that has carried a long body counts for as long as it is open, so some 300 idle connections of that kind (152 MB) would have long bodies of others rejected, and uploads closed before them above the bound.

Change: idle connections rank behind stalled ones alone when connections are closed, and those that are counted end before a long body is rejected.

--- a/cornelreach/http/memory.py
+++ b/cornelreach/http/memory.py
@@ -79,9 +79,10 @@
     """Which connections are closed first."""
 
     STALLED = 0  # its client has read nothing for a while
-    AHEAD = 1  # responses that are not read, or requests beyond the one in progress
-    RECEIVING = 2  # a request that is arriving
-    SERVING = 3  # a request in progress
+    IDLE = 1  # no request, and nothing of the next one
+    AHEAD = 2  # responses that are not read, or requests beyond the one in progress
+    RECEIVING = 3  # a request that is arriving
+    SERVING = 4  # a request in progress
 
 
 class Holder(typing.Protocol):
@@ -202,6 +203,18 @@
         """Return whether a long body may be begun."""
         return self.total_bytes <= self._left_bytes() * ROOM_SHARE
 
+    def has_room_without_idle(self) -> bool:
+        """Return whether a long body may be begun, if idle connections make room.
+
+        The system may go on to receive more on a connection that has carried one.
+        """
+        for holder in list(self._idle):
+            if self.has_room():
+                break
+            if holder in self._entries:
+                self._end_idle(holder, Bound.MEMORY)
+        return self.has_room()
+
     def may_accept(self) -> bool:
         """Return whether another connection may be accepted."""
         return self.lacking() is None
@@ -239,12 +252,16 @@
             return True
         for holder in self._idle:
             if among is None or holder in among:
-                self.set_idle(holder, False)
-                holder.end_if_idle()
-                self.report(CLOSED, holder, bound, held_bytes=0)
+                self._end_idle(holder, bound)
                 return True
         return False
 
+    def _end_idle(self, holder: Holder, bound: Bound) -> None:
+        self.set_idle(holder, False)
+        self.remove(holder)
+        holder.end_if_idle()
+        self.report(CLOSED, holder, bound, held_bytes=0)
+
     def close(self, holder: Holder, bound: Bound) -> None:
         """Close a connection by a bound, and say so."""
         held_bytes = holder.held_bytes()
--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -160,6 +160,8 @@
         ahead = self._is_serving and self.reader.waiting_bytes + self._ahead_bytes
         if ahead or self.unread_bytes():
             return memory.Rank.AHEAD
+        if self._idle_timeout is not None and not self.reader.waiting_bytes:
+            return memory.Rank.IDLE
         return memory.Rank.SERVING if self._is_serving else memory.Rank.RECEIVING
 
     def close_by(self, bound: memory.Bound) -> None:
@@ -463,7 +465,7 @@
                 )
 
     def _refuse_without_room(self) -> None:
-        if self.account.has_room():
+        if self.account.has_room_without_idle():
             return
         self.account.report(memory.NO_ROOM, self, memory.Bound.MEMORY)
         raise Refused(
--- a/test/http/test_memory.py
+++ b/test/http/test_memory.py
@@ -238,6 +238,23 @@
             self.assertEqual(after_bytes, before_bytes * growth)
         self.assertEqual(self.account.total_bytes, server.WIDE_BYTES)
 
+    # Guards against long bodies being rejected, and uploads closed, for connections
+    # that have carried a long body and are idle since.
+    async def test_idle_connections_make_room_for_long_bodies(self):
+        self.account.max_bytes = 1_000_000
+        self.writer.write(POST % (1, 40_000, bytes(40_000)))
+        await self.reader.readuntil(b"\r\n\r\nx")
+        self.assertEqual(self.account.total_bytes, server.WIDE_BYTES)
+        (connection,) = await self.connected()
+        while connection.rank() is not Rank.IDLE:
+            await asyncio.sleep(0.01)
+        self.account.max_bytes = server.WIDE_BYTES
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.addCleanup(writer.close)
+        self.assertTrue(self.account.has_room_without_idle())
+        self.assertEqual(self.account.total_bytes, 0)
+        self.assertEqual(await self.reader.read(), b"")
+
     # Guards against callers kept out by a crowd that keeps connections open and sends
     # nothing.
     async def test_a_new_connection_takes_the_place_of_an_idle_one(self):
