Let connections that send ahead make room for new ones

Cause: at the bound on accepted connections a new one took the place of one whose client had read nothing for a second, or of an idle one. A crowd that connects again is neither: it is served and cut off before that. So each newcomer was closed, and ordinary callers were newcomers. What could be replaced was also looked for among all connections for each new one.

Connections that can be replaced are found for many newcomers at a time. Unread responses alone are no reason, as a slow reader is inside the limits.

--- a/cornelreach/http/memory.py
+++ b/cornelreach/http/memory.py
@@ -100,6 +100,9 @@
     def rank(self) -> Rank:
         """Return its rank, apart from ``STALLED``."""
 
+    def has_sent_ahead(self) -> bool:
+        """Return whether requests wait behind the one in progress."""
+
     def close_by(self, bound: Bound) -> None:
         """Close the connection at once."""
 
@@ -150,6 +153,7 @@
         self.on_closed: typing.Callable[[int, str], None] = lambda port, bound: None
         self._entries: dict[Holder, Entry] = {}
         self._idle: dict[Holder, None] = {}  # the one that is idle longest comes first
+        self._replaceable: dict[Holder, None] = {}  # the last one first
         self._check: asyncio.TimerHandle | None = None
         self._logged_s: dict[int, float] = {}
         self._others: dict[int, int] = {}
@@ -197,6 +201,7 @@
         """Forget what a connection holds."""
         entry = self._entries.pop(holder, None)
         if entry is not None:
+        self._replaceable.pop(holder, None)
             self.total_bytes -= entry.held_bytes
 
     def has_room(self) -> bool:
@@ -237,18 +242,13 @@
     def make_room(self, among: typing.Container[Holder] | None, bound: Bound) -> bool:
         """Close a connection for a new one; returns whether there is one to close.
 
-        It is one whose client reads nothing, or else the one that is idle longest;
-        ``among`` are the ones that it is chosen from, None stands for all.
+        It is one whose client reads nothing or sends requests ahead, or else the one
+        that is idle longest; ``among`` are the ones that it is chosen from, None stands
+        for all.
         """
-        now_s = _now_s()
-        found = [
-            (entry.held_bytes, number, holder)
-            for number, (holder, entry) in enumerate(self._entries.items())
-            if entry.rank(holder, now_s) is Rank.STALLED
-            and (among is None or holder in among)
-        ]
-        if found:
-            self.close(max(found)[2], bound)
+        holder = self._next_replaceable(among)
+        if holder is not None:
+            self.close(holder, bound)
             return True
         for holder in self._idle:
             if among is None or holder in among:
@@ -258,6 +258,45 @@
 
     def _end_idle(self, holder: Holder, bound: Bound) -> None:
         self.set_idle(holder, False)
+    def _next_replaceable(
+        self, among: typing.Container[Holder] | None
+    ) -> Holder | None:
+        """Return a connection that a new one may replace, or None.
+
+        All are looked for at a time: a crowd that connects again needs one after the
+        other.
+        """
+        for is_found_anew in (False, True):
+            if is_found_anew:
+                self._replaceable = self._find_replaceable(among)
+            while self._replaceable:
+                holder, _ = self._replaceable.popitem()
+                is_among = among is None or holder in among
+                if is_among and self._is_replaceable(holder, _now_s()):
+                    return holder
+        return None
+
+    def _find_replaceable(
+        self, among: typing.Container[Holder] | None
+    ) -> dict[Holder, None]:
+        now_s = _now_s()
+        found = [
+            holder
+            for holder in self._entries
+            if (among is None or holder in among)
+            and self._is_replaceable(holder, now_s)
+        ]
+        found.sort(key=lambda one: self._closing_order(one, now_s), reverse=True)
+        return dict.fromkeys(found)
+
+    def _is_replaceable(self, holder: Holder, now_s: float) -> bool:
+        entry = self._entries[holder]
+        return holder.has_sent_ahead() or entry.rank(holder, now_s) is Rank.STALLED
+
+    def _closing_order(self, holder: Holder, now_s: float) -> tuple[Rank, int]:
+        entry = self._entries[holder]
+        return entry.rank(holder, now_s), -entry.held_bytes
+
         self.remove(holder)
         holder.end_if_idle()
         self.report(CLOSED, holder, bound, held_bytes=0)
@@ -310,10 +349,8 @@
         if self.total_bytes <= left_bytes:
             return
         now_s = _now_s()
-        entries = self._entries
         in_order = sorted(
-            entries,
-            key=lambda one: (entries[one].rank(one, now_s), -entries[one].held_bytes),
+            self._entries, key=lambda one: self._closing_order(one, now_s)
         )
         for holder in in_order:
             if self.total_bytes <= left_bytes * TARGET_SHARE:
--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -157,13 +157,16 @@
 
     def rank(self) -> memory.Rank:
         """Return when the connection is closed for want of memory."""
-        ahead = self._is_serving and self.reader.waiting_bytes + self._ahead_bytes
-        if ahead or self.unread_bytes():
+        if self.has_sent_ahead() or self.unread_bytes():
             return memory.Rank.AHEAD
         if self._idle_timeout is not None and not self.reader.waiting_bytes:
             return memory.Rank.IDLE
         return memory.Rank.SERVING if self._is_serving else memory.Rank.RECEIVING
 
+    def has_sent_ahead(self) -> bool:
+        """Return whether requests wait behind the one in progress."""
+        return self._is_serving and self.reader.waiting_bytes + self._ahead_bytes > 0
+
     def close_by(self, bound: memory.Bound) -> None:
         """Reset the connection; a request in progress is cancelled."""
         self._is_closed = True
@@ -603,7 +606,8 @@
     def _may_accept(self, connection: Connection) -> bool:
         """Return whether there is a place for a connection.
 
-        If not, one whose client reads nothing, or that is idle, is closed instead.
+        If not, one whose client reads nothing or sends ahead, or that is idle, is
+        closed instead.
         """
         among: set[Connection] | None = None
         if len(self.connections) >= self.limits.connections:
--- a/test/http/test_memory.py
+++ b/test/http/test_memory.py
@@ -25,6 +25,7 @@
     def __init__(self, account, held, rank, unread=0):
         self.account, self.held, self.unread = account, held, unread
         self.rank = lambda: rank
+        self.has_sent_ahead = lambda: rank is Rank.AHEAD and not unread
         self.closed_by = None
 
     def held_bytes(self):
@@ -135,6 +136,33 @@
         self.assertTrue(self.account.make_room(None, bound))
         self.assertFalse(self.account.make_room(None, bound))
 
+    # Guards against callers kept out by a crowd that sends ahead and connects again,
+    # and against their idle connections being closed for it.
+    async def test_connections_that_send_ahead_make_room_before_idle_ones(self):
+        idle = Holder(self.account, 0, Rank.RECEIVING)
+        self.account.set_idle(idle, True)
+        serving, unread = self.add(9_000, Rank.SERVING), self.add(9_000, Rank.AHEAD, 1)
+        small, large, other = (self.add(n, Rank.AHEAD) for n in (5_000, 7_000, 8_000))
+        bound = memory.Bound.MEMORY
+        self.assertTrue(self.account.make_room({idle, small, large}, bound))
+        self.assertEqual((large.closed_by, other.closed_by), (bound, None))
+        small.has_sent_ahead = lambda: False
+        self.assertTrue(self.account.make_room(None, bound))
+        self.assertEqual((small.closed_by, other.closed_by), (None, bound))
+        self.assertTrue(self.account.make_room(None, bound))
+        self.assertTrue(idle.is_ended)
+        self.assertFalse(self.account.make_room(None, bound))
+        self.assertFalse(serving.closed_by or unread.closed_by)
+
+    # Guards against a machine with little memory whose system receives for connections
+    # that wait to be accepted.
+    async def test_connections_that_wait_are_bounded_by_the_memory(self):
+        for memory_mb in (64, 152, 300, 552):
+            self.account.configure(memory_mb, 0)
+            rest_mb = memory_mb - memory.PROCESS_MB
+            waiting_bytes = self.account.max_waiting * memory.WAITING_BYTES
+            self.assertLessEqual(waiting_bytes, rest_mb * memory.MB / 10)
+
 
 class Connections(unittest.IsolatedAsyncioTestCase):
     """The bounds of a server's connections, on loopback."""
--- a/test/http/test_received.py
+++ b/test/http/test_received.py
@@ -54,6 +54,21 @@
             for _ in range(CONNECTION_BYTES // BLOCK_BYTES):
                 await loop.sock_sendall(client, self.block)
                 self.sent_bytes += len(self.block)
+        return client
+
+
+class ReturningCrowd(Crowd):
+    """Connections that are opened again whenever they have been closed."""
+
+    returns = 0
+
+    async def send_one(self):
+        while True:
+            client = await super().send_one()
+            client.close()
+            self.sockets.remove(client)
+            self.returns += 1
+            await asyncio.sleep(SAMPLE_S)
 
 
 class Received(edgeprocess.Case):
@@ -98,6 +113,43 @@
         self.assertLess(together_mb, MEMORY_MB, figures)
         self.assertLess(self.most_open, MAX_FDS, figures)
 
+    # Guards against ordinary callers who find no place among clients without key and
+    # identifier that send ahead, read no rejection, and connect again when closed.
+    async def test_callers_are_answered_beside_ones_without_the_usual_headers(self):
+        await self.ask_beside(FRONT_PORT, padded("/once/", harness_module.HOST))
+
+    # Guards against the same beside clients at the readiness path.
+    async def test_callers_are_answered_beside_checks_of_readiness(self):
+        await self.ask_beside(READY_PORT, padded("/api/ready?", "a"))
+
+    # Guards against the same beside clients at paths that no route has.
+    async def test_callers_are_answered_beside_paths_without_a_route(self):
+        await self.ask_beside(FRONT_PORT, padded("/none/", "a"))
+
+    async def ask_beside(self, port, request):
+        """Ask one ordinary request while a crowd goes on, and check what is held."""
+        self.most = (0.0, 0.0, 0.0)
+        self.most_open = 0
+        crowd = ReturningCrowd((self.host, port), request)
+        self.addCleanup(crowd.close)
+        tasks = [
+            asyncio.ensure_future(one) for one in (crowd.send(), self.sample(port))
+        ]
+        while crowd.returns < CONNECTIONS:
+            await asyncio.sleep(SAMPLE_S)
+        try:
+            status = await self.ask("meanwhile")
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual(status, 200)
+        crowd.close()
+        await self.until(self.answered)
+        self.assertIsNone(self.process.returncode)
+        self.assertLess(self.most[0], MEMORY_MB, self.most)
+        self.assertLess(self.most_open, MAX_FDS)
+
     async def answered(self):
         """Return whether an ordinary request is answered."""
         return await self.ask("afterwards") == 200
