Bound connections that wait to be accepted by the memory there is

What callers saw: nothing yet. With crowds that connect again, an instance held 64 of 64 MB and 150 of 152 MB together; a larger crowd takes it above the bound (70 of 64 MB with 1,500 connections), and its machine ends it.

Cause: up to 1,024 connections wait at each port, and the system receives for each of them, 24 KB with what it adds, whatever memory_mb. And 64 connections were accepted in a pass of the event loop, while those that they replace need some passes to end: 421 to 601 descriptors with 276 accepted connections.

Change: a tenth of what the process leaves of memory_mb is for connections that wait, at most 1,024 as before; accepted ones get 35 in 100 of it instead of 45. 16 are accepted in a pass.

Not played: a crowd at several ports at once.

--- a/cornelreach/http/memory.py
+++ b/cornelreach/http/memory.py
@@ -26,15 +26,15 @@
 MEMORY_SHARE = 0.2  # of the memory of the machine
 PROCESS_MB = 40.0  # of a process without connections
 MIN_REST_SHARE = 0.25  # of the memory, if the process leaves less than that
-CONNECTIONS_SHARE = 0.45  # of the rest, for what each connection costs by itself
+CONNECTIONS_SHARE = 0.35  # of the rest, for what each connection costs by itself
+WAITING_SHARE = 0.1  # of the rest, for connections that wait to be accepted at a port
 CONNECTION_BYTES = 16_384  # of the process: transport, reader, parser, tasks
 ROOM_SHARE = 0.75  # of the bound; above it, no long body is begun
 TARGET_SHARE = 0.9  # of the bound, so that not every arrival closes a connection
 COUNTED_BYTES = 4_096  # less than the state of a connection that holds nothing
-# Of the process and of the system, which counts as memory of the process.
-ACCEPTED_BYTES = CONNECTION_BYTES + int(
-    receiving.RECEIVE_BYTES * receiving.RECEIVE_OVERHEAD
-)
+# Of the system, which counts as memory of the process.
+WAITING_BYTES = int(receiving.RECEIVE_BYTES * receiving.RECEIVE_OVERHEAD)
+ACCEPTED_BYTES = CONNECTION_BYTES + WAITING_BYTES
 FILE_DESCRIPTORS = 200  # of max_fds, for files
 ACCEPTED_SHARE = 2 / 3  # of the other ones; the rest is for engines, store and peers
 MIN_ACCEPTED = 16
@@ -162,7 +162,7 @@
         """Set the bounds by the settings of the machine.
 
         Without ``memory_mb`` (0) the default counts, without ``max_fds`` there is no
-        bound on descriptors.
+        bound on descriptors. ``max_waiting`` holds for ports that are opened later.
         """
         memory_bytes = (memory_mb or DEFAULT_MB) * MB
         rest_bytes = max(memory_bytes - PROCESS_MB * MB, memory_bytes * MIN_REST_SHARE)
@@ -170,6 +170,8 @@
         self.max_connections = max(
             MIN_ACCEPTED, int(rest_bytes * CONNECTIONS_SHARE / ACCEPTED_BYTES)
         )
+        waiting = int(rest_bytes * WAITING_SHARE / WAITING_BYTES)
+        self.max_waiting = min(max(MIN_ACCEPTED, waiting), receiving.BACKLOG)
         self.max_descriptors: int | None = (
             max_fds - FILE_DESCRIPTORS if max_fds else None
         )
@@ -199,9 +201,9 @@
 
     def remove(self, holder: Holder) -> None:
         """Forget what a connection holds."""
+        self._replaceable.pop(holder, None)
         entry = self._entries.pop(holder, None)
         if entry is not None:
-        self._replaceable.pop(holder, None)
             self.total_bytes -= entry.held_bytes
 
     def has_room(self) -> bool:
@@ -256,8 +258,6 @@
                 return True
         return False
 
-    def _end_idle(self, holder: Holder, bound: Bound) -> None:
-        self.set_idle(holder, False)
     def _next_replaceable(
         self, among: typing.Container[Holder] | None
     ) -> Holder | None:
@@ -297,6 +297,8 @@
         entry = self._entries[holder]
         return entry.rank(holder, now_s), -entry.held_bytes
 
+    def _end_idle(self, holder: Holder, bound: Bound) -> None:
+        self.set_idle(holder, False)
         self.remove(holder)
         holder.end_if_idle()
         self.report(CLOSED, holder, bound, held_bytes=0)
--- a/cornelreach/http/receiving.py
+++ b/cornelreach/http/receiving.py
@@ -32,10 +32,10 @@
 # Of the system, beyond what is on its way: more is of no use to a client that reads,
 # and one that doesn't gets no answers to thousands of requests worked out.
 UNSENT_BYTES = 131_072
-BACKLOG = 1_024
+BACKLOG = 1_024  # connections that wait to be accepted
 # In a pass of the event loop, so that no descriptor is missing before the connections
 # beyond the limit are closed.
-ACCEPTS_PER_PASS = 64
+ACCEPTS_PER_PASS = 16
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 Accept = typing.Callable[
@@ -138,11 +138,16 @@
 
 
 async def listen(
-    accept: Accept, host: str, port: int, tls: ssl.SSLContext | None
+    accept: Accept,
+    host: str,
+    port: int,
+    tls: ssl.SSLContext | None,
+    max_waiting: int = BACKLOG,
 ) -> asyncio.Server:
     """Start a listening socket on an address.
 
-    Its connections inherit its receive buffer, also while they wait to be accepted.
+    Its connections inherit its receive buffer, also while they wait to be accepted,
+    which ``max_waiting`` of them may do.
     """
     loop = asyncio.get_running_loop()
 
@@ -157,5 +162,5 @@
         # asyncio accepts as many connections at a time as the system may keep; the
         # system's number is raised afterwards.
         with socket.socket(fileno=os.dup(one.fileno())) as same:
-            same.listen(BACKLOG)
+            same.listen(max_waiting)
     return listener
--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -670,6 +670,9 @@
     The servers of a process share one ``account``.
     """
     limits = limits or limits_module.Limits()
-    server = Server(handler, limits, account or memory.Account())
-    server.listener = await receiving.listen(server.accept, host, port, tls)
+    account = account or memory.Account()
+    server = Server(handler, limits, account)
+    server.listener = await receiving.listen(
+        server.accept, host, port, tls, account.max_waiting
+    )
     return server
