Let new connections wait a moment for a place

Cause: what is closed for new connections needs some passes of the event loop to end, and who has just come has sent nothing yet. Between the two there may be nothing to replace, and whoever connects then was closed.

With a place at hand nothing changes.

--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -19,6 +19,7 @@
     limits as limits_module,
     memory,
     messages,
+    places,
     receiving,
     sockets,
     turns,
@@ -574,6 +575,7 @@
         self.keep_alive_disabled = False
         self.listener: asyncio.Server | None = None
         self._lingering = self._ending = False
+        self._places: places.Places[Connection] = places.Places(self._take_place)
 
     @property
     def port(self) -> int:
@@ -583,43 +585,51 @@
     async def accept(
         self, reader: receiving.Reader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serve one connection, or close it if there are too many."""
+        """Serve one connection, or close it if there is no place for it in time."""
         connection = Connection(
             reader, writer, self.handler, lambda: self.limits, self.account
         )
-        connection.closing = self.keep_alive_disabled
-        connection.ending = self._ending
-        if not self._may_accept(connection):
-            reader.discard()
-            writer.close()
-            return
-        self.connections.add(connection)
-        self.account.connections += 1
         try:
+            if not await self._places.wait_for(connection):
+                bound = self._lacking() or memory.Bound.CONNECTIONS
+                self.account.report(memory.NOT_ACCEPTED, connection, bound)
+                reader.discard()
+                writer.close()
+                return
+            connection.closing = self.keep_alive_disabled
+            connection.ending = self._ending
             await connection.run()
         except asyncio.CancelledError:
             writer.close()
         finally:
-            self.connections.discard(connection)
-            self.account.connections -= 1
+            self._give_back(connection)
 
-    def _may_accept(self, connection: Connection) -> bool:
-        """Return whether there is a place for a connection.
+    def _take_place(self, connection: Connection) -> bool:
+        """Give a connection a place; returns False if there is none.
 
-        If not, one whose client reads nothing or sends ahead, or that is idle, is
-        closed instead.
+        One whose client reads nothing or sends ahead, or that is idle, is closed for
+        it if need be.
         """
-        among: set[Connection] | None = None
+        bound = self._lacking()
+        if bound is not None:
+            among = self.connections if bound is memory.Bound.CONNECTIONS else None
+            if not self.account.make_room(among, bound):
+                return False
+        self.connections.add(connection)
+        self.account.connections += 1
+        return True
+
+    def _lacking(self) -> memory.Bound | None:
+        """Return by which bound no other connection has a place, or None."""
         if len(self.connections) >= self.limits.connections:
-            bound, among = memory.Bound.CONNECTIONS, self.connections
-        elif (lacking := self.account.lacking()) is not None:
-            bound = lacking
-        else:
-            return True
-        if self.account.make_room(among, bound):
-            return True
-        self.account.report(memory.NOT_ACCEPTED, connection, bound)
-        return False
+            return memory.Bound.CONNECTIONS
+        return self.account.lacking()
+
+    def _give_back(self, connection: Connection) -> None:
+        self.account.remove(connection)  # it may have sent much while it waited
+        if connection in self.connections:
+            self.connections.discard(connection)
+            self.account.connections -= 1
 
     def disable_keep_alive(self) -> None:
         """Keep serving, but close each connection after its next response."""
