Name what waits for a place by a type of its own

Cause: the type variable of http/places had the name of the class of connections in http/server, which a reader would take it for.

Nothing else changes; test_places and test_docs pass.

--- a/cornelreach/http/places.py
+++ b/cornelreach/http/places.py
@@ -16,20 +16,20 @@
 WAIT_S = 0.25
 CHECK_S = 0.01
 
-Connection = typing.TypeVar("Connection")
+Waiter = typing.TypeVar("Waiter")
 
 
-class Places(typing.Generic[Connection]):
+class Places(typing.Generic[Waiter]):
     """Connections that wait for a place, the one that has waited longest first."""
 
-    def __init__(self, take: typing.Callable[[Connection], bool]) -> None:
+    def __init__(self, take: typing.Callable[[Waiter], bool]) -> None:
         self._take = take
-        self._waiting: collections.deque[tuple[Connection, asyncio.Future[None]]] = (
+        self._waiting: collections.deque[tuple[Waiter, asyncio.Future[None]]] = (
             collections.deque()
         )
         self._check: asyncio.TimerHandle | None = None
 
-    async def wait_for(self, connection: Connection) -> bool:
+    async def wait_for(self, connection: Waiter) -> bool:
         """Return whether there is a place for a connection, at once or in time."""
         if not self._waiting and self._take(connection):
             return True
