Keep idle connections while a crowd makes room by itself

Cause: whenever nothing else could be replaced in that pass of the event loop, the connection that was idle longest was. The crowd's connections send at once, so that was a caller whose request was still on its way.

--- a/cornelreach/http/memory.py
+++ b/cornelreach/http/memory.py
@@ -241,18 +241,23 @@
         is_plenty = self.connections + accepted <= self.max_descriptors
         return is_plenty or self.connections + self.opened() < self.max_descriptors
 
-    def make_room(self, among: typing.Container[Holder] | None, bound: Bound) -> bool:
+    def make_room(
+        self,
+        among: typing.Container[Holder] | None,
+        bound: Bound,
+        may_end_idle: bool = True,
+    ) -> bool:
         """Close a connection for a new one; returns whether there is one to close.
 
-        It is one whose client reads nothing or sends requests ahead, or else the one
-        that is idle longest; ``among`` are the ones that it is chosen from, None stands
-        for all.
+        It is one whose client reads nothing or sends requests ahead, or else, with
+        ``may_end_idle``, the one that is idle longest; ``among`` are the ones that it
+        is chosen from, None stands for all.
         """
         holder = self._next_replaceable(among)
         if holder is not None:
             self.close(holder, bound)
             return True
-        for holder in self._idle:
+        for holder in self._idle if may_end_idle else ():
             if among is None or holder in among:
                 self._end_idle(holder, bound)
                 return True
--- a/cornelreach/http/server.py
+++ b/cornelreach/http/server.py
@@ -604,16 +604,16 @@
         finally:
             self._give_back(connection)
 
-    def _take_place(self, connection: Connection) -> bool:
+    def _take_place(self, connection: Connection, is_late: bool) -> bool:
         """Give a connection a place; returns False if there is none.
 
-        One whose client reads nothing or sends ahead, or that is idle, is closed for
-        it if need be.
+        If need be, one whose client reads nothing or sends ahead is closed for it, or
+        an idle one if it comes late: who has just connected, far away, is idle too.
         """
         bound = self._lacking()
         if bound is not None:
             among = self.connections if bound is memory.Bound.CONNECTIONS else None
-            if not self.account.make_room(among, bound):
+            if not self.account.make_room(among, bound, is_late):
                 return False
         self.connections.add(connection)
         self.account.connections += 1
--- a/test/http/test_places.py
+++ b/test/http/test_places.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from cornelreach.http import places
 
@@ -10,14 +11,14 @@
     """Places that are given by hand."""
 
     async def asyncSetUp(self):
-        self.free, self.taken = 0, []
+        self.free, self.kept, self.taken = 0, False, []
         self.places = places.Places(self.take)
 
-    def take(self, name):
-        """Take a place, if one is free."""
-        if not self.free:
+    def take(self, name, is_late):
+        """Take a place, if one is free, or one that is kept for those who are late."""
+        if not self.free and not (self.kept and is_late):
             return False
-        self.free -= 1
+        self.free -= min(self.free, 1)
         self.taken.append(name)
         return True
 
@@ -45,6 +46,14 @@
         self.assertFalse(await self.places.wait_for("second"))
         self.assertEqual((await first, self.taken), (True, [0]))
 
+    # Guards against idle connections closed for a crowd that is replaced in a moment.
+    async def test_who_has_waited_may_take_more_than_who_has_just_come(self):
+        self.kept = True
+        with mock.patch.object(places, "LATE_S", 0):
+            self.assertTrue(await self.places.wait_for("late"))
+        with mock.patch.object(places, "LATE_S", 2 * places.WAIT_S):
+            self.assertFalse(await self.places.wait_for("early"))
+
     # Guards against connections that wait without end, or without number.
     async def test_waiting_is_bounded(self):
         waiting = self.start(places.MAX_WAITING + 1)
