Judge who was told to rest once the requests have ended

Cause, by reading: the check asks which instance sent a request to an engine. That stands in the request's log line, which is written when the request ends. In the midst of a run the check took the caller's instance for requests in progress, so one was blamed for what another one had been told.

Change: the checks of rests and of engines that leave run at the end of a run, over all of its requests, when the lines are there. The text names the request that was told.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -433,7 +433,14 @@
     registered_instances,
     no_unexpected_exit,
 )
-AT_THE_END = (recovery, registered_instances, no_unexpected_exit)
+# The last two ask which instance sent a request: its log line tells, once it ended.
+AT_THE_END = (
+    recovery,
+    registered_instances,
+    no_unexpected_exit,
+    noticechecks.leaving_engines,
+    noticechecks.resting_engines,
+)
 
 
 def find_violations(
--- a/tools/soak/noticechecks.py
+++ b/tools/soak/noticechecks.py
@@ -28,6 +28,7 @@
         )
         if len(late) > MAX_DURING_REST:
             text = f"{len(late)} requests reached {notice.engine} during its rest"
+            text += f", of which {notice.request_id} was told"
             yield checkcontext.Violation("rest", late[-1].request_id, text)
 
 
